--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -58,6 +58,27 @@
 /** Gives a slot back at UNTIL: its attempt was cut off and may still run. */
 void limits_linger (limits_t *limits, handle_t vm, usec_t until);
 
+/** Groups of VMs from which limits_pick chooses.  A new VM is in
+    LIMITS_GROUP_NONE. */
+#define LIMITS_GROUP_NONE 0U
+#define LIMITS_GROUPS 4U
+
+/** Puts a VM into a group.
+    @param cap most slots that limits_pick fills, 0 for the VM's own limit */
+void limits_assign (limits_t *limits, handle_t vm, uint32_t group,
+                    uint32_t cap);
+uint32_t limits_group (const limits_t *limits, handle_t vm);
+
+/** @return the live VM of the group with the smallest share of its slots in
+    use, the least recently changed one among equals; HANDLE_NONE if all are
+    full.  Constant time. */
+handle_t limits_pick (const limits_t *limits, uint32_t group);
+
+/** @return slots that limits_pick can still fill in a group */
+uint64_t limits_free_slots (const limits_t *limits, uint32_t group);
+/** @return slots of the live VMs of a group, free or not */
+uint64_t limits_capacity (const limits_t *limits, uint32_t group);
+
 /** Ends lingering slots that are due. @return when to call again */
 usec_t limits_tick (limits_t *limits, usec_t now);
 
