--- a/src/base/messages.h
+++ b/src/base/messages.h
@@ -91,7 +91,10 @@
   F (U64, shard)                                                              \
   F (U64, epoch)                                                              \
   F (U64, outcome)                                                            \
-  F (U64, status) F (U64, cancelled) F (BLOB, result) F (BLOB, checkpoint)
+  F (U64, status)                                                             \
+  F (U64, cancelled)                                                          \
+  F (BLOB, result)                                                            \
+  F (BLOB, checkpoint) F (U64, may_have_run) F (U64, as_of)
 #define BUNDLE_FIELDS(F)                                                      \
   F (U64, version) F (U64, parent) F (BLOB, text) F (BLOB, signature)
 
--- a/src/orders/orders.h
+++ b/src/orders/orders.h
@@ -42,7 +42,9 @@
   uint64_t accelerators;
   uint64_t declared_ms;
   bool urgent;
-  bool cancelled; /**< a cancel is in the log */
+  bool cancelled;    /**< a cancel is in the log */
+  bool may_have_run; /**< an earlier attempt was requeued other than as not
+                          started, so the order cannot end as not-run */
   order_state_t state;
   uint64_t attempt; /**< number of the newest attempt, 0 before the first */
   char *worker;     /**< of the newest attempt */
@@ -55,6 +57,7 @@
   GBytes *checkpoint; /**< NULL for none */
   usec_t accepted_at; /**< local time at which it was applied */
   uint64_t offset;    /**< of the newest entry that carries it whole */
+  uint64_t touched;   /**< offset of the newest entry that names it */
 } order_t;
 
 typedef enum
@@ -96,8 +99,9 @@
 const order_t *orders_by_key (const orders_t *orders, const char *member,
                               const char *key);
 
-/** Walks orders in the given state, oldest first.  VISIT returns false to
-    stop. */
+/** Walks orders in the given state, oldest first (ended ones in the order of
+    their ends).  VISIT returns false to stop; it may apply entries to the
+    order it is given, not to others. */
 void orders_each (const orders_t *orders, order_state_t state,
                   bool (*visit) (void *ctx, const order_t *order), void *ctx);
 
