--- a/src/base/messages.h
+++ b/src/base/messages.h
@@ -94,7 +94,7 @@
   F (U64, status)                                                             \
   F (U64, cancelled)                                                          \
   F (BLOB, result)                                                            \
-  F (BLOB, checkpoint) F (U64, may_have_run) F (U64, as_of)
+  F (BLOB, checkpoint) F (U64, may_have_run) F (U64, as_of) F (U64, failures)
 #define BUNDLE_FIELDS(F)                                                      \
   F (U64, version) F (U64, parent) F (BLOB, text) F (BLOB, signature)
 
--- a/src/orders/orders.c
+++ b/src/orders/orders.c
@@ -279,6 +279,7 @@
     .checkpoint = blob_of_bytes (order->checkpoint),
     .may_have_run = order->may_have_run,
     .as_of = order->touched,
+    .failures = order->failures,
   };
 }
 
@@ -436,6 +437,8 @@
     return ORDER_VOID;
   if (requeue->reason != REQUEUE_NOT_STARTED)
     order->may_have_run = true;
+  if (requeue->reason == REQUEUE_FAILED)
+    order->failures++;
   if (requeue->checkpoint.len)
     {
       drop_bytes (&order->checkpoint);
@@ -564,6 +567,7 @@
   entry->order.epoch = snapshot->epoch;
   entry->order.cancelled = snapshot->cancelled != 0;
   entry->order.may_have_run = snapshot->may_have_run != 0;
+  entry->order.failures = snapshot->failures;
   if (snapshot->checkpoint.len)
     entry->order.checkpoint = bytes_of (snapshot->checkpoint);
   if (snapshot->state == ORDER_ENDED)
--- a/src/orders/orders.h
+++ b/src/orders/orders.h
@@ -46,10 +46,11 @@
   bool may_have_run; /**< an earlier attempt was requeued other than as not
                           started, so the order cannot end as not-run */
   order_state_t state;
-  uint64_t attempt; /**< number of the newest attempt, 0 before the first */
-  char *worker;     /**< of the newest attempt */
-  uint32_t shard;   /**< of the newest attempt's worker */
-  uint64_t epoch;   /**< of the newest attempt */
+  uint64_t failures; /**< attempts requeued as failed */
+  uint64_t attempt;  /**< number of the newest attempt, 0 before the first */
+  char *worker;      /**< of the newest attempt */
+  uint32_t shard;    /**< of the newest attempt's worker */
+  uint64_t epoch;    /**< of the newest attempt */
   outcome_t outcome;
   uint64_t status; /**< status of the answer when OUTCOME_RAN */
   GBytes *body;
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -164,6 +164,7 @@
   worker_t *best = NULL;
   uint64_t best_left = UINT64_MAX;
   bool possible = false;
+  worker_t *avoided = NULL;
 
   (void)now;
   for (guint i = 0; i < placement->workers->len; i++)
@@ -171,12 +172,22 @@
       worker_t *candidate
           = (worker_t *)g_ptr_array_index (placement->workers, i);
 
+      if (task->avoid && strcmp (candidate->id, task->avoid) == 0)
+        {
+          avoided = candidate;
+          continue;
+        }
       possible = possible || could_fit (&need, candidate);
       if (!fits (&need, candidate) || leftover (&need, candidate) >= best_left)
         continue;
       best = candidate;
       best_left = leftover (&need, candidate);
     }
+  if (!possible && avoided && could_fit (&need, avoided))
+    {
+      possible = true;
+      best = fits (&need, avoided) ? avoided : NULL;
+    }
   if (!possible)
     return PLACE_NEVER_FITS;
   if (over_quota (placement, task))
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -36,8 +36,10 @@
   uint64_t accelerators;
   uint64_t declared_ms;
   bool urgent;
-  usec_t age_since; /**< when the order was accepted; kept over evictions */
-  bool resumable;   /**< may be checkpointed and evicted */
+  usec_t age_since;  /**< when the order was accepted; kept over evictions */
+  bool resumable;    /**< may be checkpointed and evicted */
+  const char *avoid; /**< worker on which it failed, NULL for none; taken
+                          only if no other could ever hold the task */
 } task_t;
 
 typedef enum
