--- /dev/null
+++ b/src/attempts/attempts.c
@@ -0,0 +1,848 @@
+/** @file
+ * Attempts of orders on the workers of owned shards: shards, workers, calls
+ * and entries.  The phases of one attempt are in attempt.c.
+ */
+#include "attempts/attempts_private.h"
+
+#include "base/log.h"
+
+#include <inttypes.h>
+
+/* Bounds the time of one tick with 400,000 waiting orders. */
+#define PASS_BUDGET 4096U
+#define FULL_SPEED 100U
+#define THROTTLED_SPEED 50U
+
+typedef struct
+{
+  attempts_t *attempts;
+  usec_t now;
+} moment_t;
+
+static void adopt (void *ctx, const order_t *order);
+static void enqueue (attempts_t *attempts, usec_t now, const order_t *order);
+static void worker_tick (attempts_t *attempts, usec_t now, worker_t *worker);
+static void list_replied (attempts_t *attempts, usec_t now, worker_t *worker,
+                          const call_t *call, uint64_t id,
+                          const worker_reply_t *reply);
+static void listed (attempts_t *attempts, usec_t now, worker_t *worker,
+                    const attempt_report_t *report, const call_t *call,
+                    uint64_t id);
+static bool is_orphan (const attempts_t *attempts,
+                       const attempt_report_t *report);
+static void turns_tick (attempts_t *attempts, usec_t now);
+static void place_tick (attempts_t *attempts, usec_t now);
+static waiting_visit_t place (void *ctx, order_id_t id);
+static attempt_t *propose (attempts_t *attempts, usec_t now,
+                           const order_t *order, worker_t *worker);
+static void end_waiting (attempts_t *attempts, usec_t now,
+                         const order_t *order, uint64_t status);
+static task_t task_of (const attempts_t *attempts, const order_t *order);
+static bool holds (const attempt_t *attempt, const order_t *order);
+static attempt_t *find_attempt (const attempts_t *attempts, order_id_t order);
+static worker_t *find_worker (const attempts_t *attempts, const char *id);
+static worker_t *worker_new (attempts_t *attempts, const char *id,
+                             uint32_t shard);
+static shard_t *shard_of (attempts_t *attempts, uint32_t number);
+static bool worker_silent (const attempts_t *attempts, usec_t now,
+                           const worker_t *worker);
+static void worker_free (gpointer data);
+static void attempt_free (gpointer data);
+
+attempts_t *
+attempts_new (const attempts_config_t *config, const attempts_ops_t *ops,
+              void *ctx, const orders_t *orders, placement_t *placement)
+{
+  attempts_t *attempts = g_new0 (attempts_t, 1);
+
+  attempts->config = *config;
+  attempts->ops = ops;
+  attempts->ctx = ctx;
+  attempts->orders = orders;
+  attempts->placement = placement;
+  attempts->waiting = waiting_new ();
+  attempts->shards = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  attempts->workers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, worker_free);
+  attempts->attempts = g_hash_table_new_full (g_int64_hash, g_int64_equal,
+                                              NULL, attempt_free);
+  attempts->calls
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  attempts->tickets
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  attempts->next_call = 1;
+  attempts->due = USEC_NEVER;
+  attempts->place_due = DUE_NEVER;
+  attempts->placed_at = USEC_NEVER / 2;
+  attempts->turn_due = USEC_NEVER;
+  return attempts;
+}
+
+void
+attempts_free (attempts_t *attempts)
+{
+  if (!attempts)
+    return;
+  g_hash_table_destroy (attempts->tickets);
+  g_hash_table_destroy (attempts->calls);
+  g_hash_table_destroy (attempts->attempts);
+  g_hash_table_destroy (attempts->workers);
+  g_hash_table_destroy (attempts->shards);
+  waiting_free (attempts->waiting);
+  g_free (attempts);
+}
+
+void
+attempts_worker (attempts_t *attempts, usec_t now, const worker_info_t *info,
+                 uint32_t shard)
+{
+  worker_t *worker = find_worker (attempts, info->id);
+
+  if (!worker)
+    worker = worker_new (attempts, info->id, shard);
+  worker->gone = false;
+  worker->info = *info;
+  worker->info.id = worker->id;
+  attempts_worker_sync (attempts, now, worker);
+  attempts_wake (attempts, now);
+}
+
+void
+attempts_worker_gone (attempts_t *attempts, usec_t now, const char *id)
+{
+  worker_t *worker = find_worker (attempts, id);
+
+  if (!worker)
+    return;
+  worker->gone = true;
+  worker->asked = false;
+  attempts_worker_sync (attempts, now, worker);
+}
+
+void
+attempts_gained (attempts_t *attempts, usec_t now, uint32_t number,
+                 uint64_t epoch)
+{
+  shard_t *shard = shard_of (attempts, number);
+  moment_t moment = { attempts, now };
+  GHashTableIter iter;
+  gpointer value;
+
+  shard->epoch = epoch;
+  if (shard->owned)
+    return;
+  shard->owned = true;
+  shard->quiesced = false;
+  shard->gained_at = now;
+  g_hash_table_iter_init (&iter, attempts->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      worker_t *worker = (worker_t *)value;
+
+      if (worker->shard != shard)
+        continue;
+      worker->asked = MUTATED (NO_ASK);
+      worker->answered_at = now;
+      worker->list_due = now;
+      worker->list_call = 0;
+      attempts_worker_sync (attempts, now, worker);
+    }
+  orders_each_on_shard (attempts->orders, number, adopt, &moment);
+  attempts_wake (attempts, now);
+  attempts_place_soon (attempts, now);
+}
+
+void
+attempts_lost (attempts_t *attempts, usec_t now, uint32_t number)
+{
+  shard_t *shard = shard_of (attempts, number);
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!shard->owned || MUTATED (KEEP_LOST))
+    return;
+  shard->owned = false;
+  g_hash_table_iter_init (&iter, attempts->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      worker_t *worker = (worker_t *)value;
+
+      if (worker->shard != shard)
+        continue;
+      while (worker->attempts->len)
+        attempts_drop (attempts, now,
+                       (attempt_t *)g_ptr_array_index (worker->attempts, 0));
+      worker->asked = false;
+      worker->orphans = false;
+      if (worker->placed)
+        placement_remove (attempts->placement, worker->id);
+      worker->placed = false;
+    }
+}
+
+void
+attempts_quiesce (attempts_t *attempts, usec_t now, uint32_t number, bool on)
+{
+  shard_t *shard = shard_of (attempts, number);
+  GHashTableIter iter;
+  gpointer value;
+
+  shard->quiesced = on;
+  g_hash_table_iter_init (&iter, attempts->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((worker_t *)value)->shard == shard)
+      attempts_worker_sync (attempts, now, (worker_t *)value);
+}
+
+bool
+attempts_idle (const attempts_t *attempts, uint32_t number)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, attempts->attempts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const attempt_t *attempt = (const attempt_t *)value;
+
+      if (attempt->worker && attempt->worker->shard->number == number
+          && (attempt->phase == PHASE_PROPOSED
+              || (attempt->phase == PHASE_STARTING && !attempt->sent)))
+        return false;
+    }
+  g_hash_table_iter_init (&iter, attempts->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const call_t *)value)->worker->shard->number == number)
+      return false;
+  return true;
+}
+
+void
+attempts_order_changed (attempts_t *attempts, usec_t now, const order_t *order)
+{
+  attempt_t *attempt = find_attempt (attempts, order->id);
+  const worker_t *worker = attempt ? attempt->worker : NULL;
+  moment_t moment = { attempts, now };
+
+  if (attempt && !holds (attempt, order))
+    {
+      attempts_drop (attempts, now, attempt);
+      attempt = NULL;
+    }
+  if (order->state == ORDER_WAITING && !attempt)
+    enqueue (attempts, now, order);
+  if (order->state != ORDER_WAITING)
+    waiting_remove (attempts->waiting, order->id);
+  if (order->state != ORDER_STARTED)
+    return;
+  if (!attempt && shard_of (attempts, order->shard)->owned)
+    adopt (&moment, order);
+  if (attempt && attempt->phase == PHASE_PROPOSED && worker)
+    {
+      attempt->phase = PHASE_STARTING;
+      attempt->retry_at = now;
+    }
+  if (attempt)
+    attempt_step (attempts, now, attempt);
+}
+
+void
+attempts_applied (attempts_t *attempts, usec_t now, uint64_t ticket,
+                  order_verdict_t verdict)
+{
+  const order_id_t *id
+      = (const order_id_t *)g_hash_table_lookup (attempts->tickets, &ticket);
+  attempt_t *attempt = id ? find_attempt (attempts, *id) : NULL;
+  const order_t *order = id ? orders_get (attempts->orders, *id) : NULL;
+
+  g_hash_table_remove (attempts->tickets, &ticket);
+  if (!attempt || attempt->ticket != ticket)
+    return;
+  attempt->ticket = 0;
+  attempt->retry_at = now + attempts->config.retry_interval;
+  if (verdict == ORDER_APPLIED)
+    return;
+  /* Void.  The epoch may have been an older one of our own; otherwise the
+     order went on without this attempt. */
+  if (order && holds (attempt, order)
+      && !(attempt->phase == PHASE_PROPOSED && order->cancelled))
+    {
+      attempt_step (attempts, now, attempt);
+      return;
+    }
+  attempts_drop (attempts, now, attempt);
+  if (order && order->state == ORDER_WAITING)
+    enqueue (attempts, now, order);
+}
+
+void
+attempts_append_failed (attempts_t *attempts, usec_t now, uint64_t ticket)
+{
+  const order_id_t *id
+      = (const order_id_t *)g_hash_table_lookup (attempts->tickets, &ticket);
+  attempt_t *attempt = id ? find_attempt (attempts, *id) : NULL;
+
+  if (MUTATED (APPEND_ONCE))
+    return;
+  g_hash_table_remove (attempts->tickets, &ticket);
+  if (!attempt || attempt->ticket != ticket)
+    return;
+  attempt->ticket = 0;
+  attempt->retry_at = now + attempts->config.retry_interval;
+  attempts_wake (attempts, attempt->retry_at);
+}
+
+void
+attempts_reply (attempts_t *attempts, usec_t now, uint64_t id,
+                const worker_reply_t *reply)
+{
+  const call_t *found
+      = (const call_t *)g_hash_table_lookup (attempts->calls, &id);
+  attempt_t *attempt;
+  call_t call;
+
+  if (!found)
+    return;
+  call = *found;
+  g_hash_table_remove (attempts->calls, &id);
+  if (reply->leaving)
+    {
+      call.worker->info.leaving = true;
+      attempts_worker_sync (attempts, now, call.worker);
+    }
+  if (call.kind == CALL_LIST)
+    {
+      list_replied (attempts, now, call.worker, &call, id, reply);
+      return;
+    }
+  attempt = find_attempt (attempts, call.order);
+  if (!attempt || attempt->number != call.attempt
+      || attempt->worker != call.worker)
+    return;
+  if (attempt->call != id && attempt->renewal != id)
+    return;
+  if (attempt->renewal == id)
+    attempt->renewal = 0;
+  else
+    attempt->call = 0;
+  attempt_replied (attempts, now, attempt, &call, reply);
+}
+
+void
+attempts_turns_changed (attempts_t *attempts, usec_t now)
+{
+  attempts->turns_left = waiting_others (attempts->waiting);
+  attempts->turn_due = now;
+  attempts_wake (attempts, now);
+  attempts_place_soon (attempts, now);
+}
+
+void
+attempts_relieve (void *ctx, usec_t now, const char *worker, uint64_t order,
+                  uint64_t number, relief_t relief)
+{
+  attempts_t *attempts = (attempts_t *)ctx;
+  attempt_t *attempt = find_attempt (attempts, order);
+  const order_t *known = orders_get (attempts->orders, order);
+
+  (void)worker;
+  if (!attempt || attempt->number != number || !known)
+    return;
+  if (relief == ACTION_THROTTLE)
+    attempt->percent_wanted = THROTTLED_SPEED;
+  else if (relief == ACTION_UNTHROTTLE)
+    attempt->percent_wanted = FULL_SPEED;
+  else if (relief == ACTION_EVICT && attempt->phase == PHASE_RUNNING
+           && attempts->ops->rules_of (attempts->ctx, known->class_name)
+                  .resumable)
+    attempt->evicting = true;
+  attempts_wake (attempts, now);
+}
+
+usec_t
+attempts_tick (attempts_t *attempts, usec_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  gpointer *keys;
+  guint count;
+
+  if (now < attempts->due)
+    return attempts->due;
+  attempts->due = placement_tick (attempts->placement, now);
+  g_hash_table_iter_init (&iter, attempts->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    worker_tick (attempts, now, (worker_t *)value);
+  keys = g_hash_table_get_keys_as_array (attempts->attempts, &count);
+  for (guint i = 0; i < count; i++)
+    attempt_step (attempts, now,
+                  find_attempt (attempts, *(const order_id_t *)keys[i]));
+  g_free (keys);
+  turns_tick (attempts, now);
+  place_tick (attempts, now);
+  return attempts->due;
+}
+
+json_t *
+attempts_dump (const attempts_t *attempts, usec_t now)
+{
+  static const char *const names[PHASE_COUNT]
+      = { "proposed",      "starting", "running",
+          "checkpointing", "stopping", "decided" };
+  json_t *array = json_array ();
+  GHashTableIter iter;
+  gpointer value;
+  char id[17];
+
+  g_hash_table_iter_init (&iter, attempts->attempts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const attempt_t *attempt = (const attempt_t *)value;
+
+      g_snprintf (id, sizeof id, "%016" PRIx64, attempt->order);
+      json_array_append_new (
+          array,
+          json_pack ("{s:s, s:I, s:s, s:s, s:b, s:I}", "order", id, "attempt",
+                     (json_int_t)attempt->number, "worker",
+                     attempt->worker ? attempt->worker->id : "", "phase",
+                     names[attempt->phase], "missing", attempt->missing,
+                     "silent_ms",
+                     (json_int_t)((now - attempt->heard_at) / USEC_PER_MSEC)));
+    }
+  return json_pack ("{s:o, s:I, s:I}", "attempts", array, "waiting",
+                    (json_int_t)waiting_own (attempts->waiting),
+                    "waiting_elsewhere",
+                    (json_int_t)waiting_others (attempts->waiting));
+}
+
+void
+attempts_wake (attempts_t *attempts, usec_t at)
+{
+  attempts->due = MIN (attempts->due, at);
+}
+
+void
+attempts_place_soon (attempts_t *attempts, usec_t now)
+{
+  usec_t at = MAX (now, attempts->placed_at + attempts->config.place_interval);
+
+  attempts->place_due = MIN (attempts->place_due, at);
+  attempts_wake (attempts, attempts->place_due);
+}
+
+uint64_t
+attempts_send (attempts_t *attempts, usec_t now, worker_t *worker,
+               worker_call_t *call)
+{
+  call_t *record;
+
+  if (!worker->shard->owned
+      || (worker->shard->quiesced && call->kind != CALL_START))
+    return 0;
+  call->epoch = worker->shard->epoch;
+  if (!MUTATED (NO_MAY_ACT)
+      && !attempts->ops->may_act (attempts->ctx, worker->shard->number,
+                                  &call->epoch))
+    return 0;
+  call->id = attempts->next_call++;
+  call->worker = worker->id;
+  call->shard = worker->shard->number;
+  record = g_new (call_t, 1);
+  *record = (call_t){ call->kind, worker, call->order, call->attempt, now };
+  g_hash_table_insert (attempts->calls, g_memdup2 (&call->id, sizeof call->id),
+                       record);
+  attempts->ops->call (attempts->ctx, call);
+  return call->id;
+}
+
+/* A worker gets new work only if it answered since the shard was gained and
+   still answers. */
+void
+attempts_worker_sync (attempts_t *attempts, usec_t now, worker_t *worker)
+{
+  worker_info_t info = worker->info;
+  bool open = worker->asked && !worker->gone && !worker->orphans
+              && !worker->info.leaving && !worker->shard->quiesced
+              && !worker_silent (attempts, now, worker);
+
+  if (!worker->shard->owned)
+    return;
+  info.leaving = !open;
+  placement_worker (attempts->placement, now, &info);
+  if (open && !worker->open)
+    attempts_place_soon (attempts, now);
+  worker->placed = true;
+  worker->open = open;
+}
+
+void
+attempts_drop (attempts_t *attempts, usec_t now, attempt_t *attempt)
+{
+  order_id_t order = attempt->order;
+
+  attempt_unreserve (attempts, now, attempt, true, 0);
+  if (attempt->worker)
+    g_ptr_array_remove_fast (attempt->worker->attempts, attempt);
+  g_hash_table_remove (attempts->attempts, &order);
+}
+
+/* An attempt that this process did not start: how much of its lease is left
+   is not known, so a whole one counts from now. */
+static void
+adopt (void *ctx, const order_t *order)
+{
+  attempts_t *attempts = ((const moment_t *)ctx)->attempts;
+  usec_t now = ((const moment_t *)ctx)->now;
+  worker_t *worker = find_worker (attempts, order->worker);
+  attempt_t *attempt = find_attempt (attempts, order->id);
+  task_t task = task_of (attempts, order);
+
+  if (attempt)
+    attempts_drop (attempts, now, attempt);
+  if (!worker)
+    {
+      worker = worker_new (attempts, order->worker, order->shard);
+      worker->gone = true;
+      attempts_worker_sync (attempts, now, worker);
+    }
+  attempt = propose (attempts, now, order, worker);
+  attempt->number = order->attempt;
+  attempt->phase = PHASE_RUNNING;
+  attempt->sent = true;
+  attempt->begun_at = now;
+  attempt->lease_from
+      = MUTATED (ADOPT_AS_LAPSED) ? now - attempts->config.lease * 2 : now;
+  attempt->known_from = now;
+  attempt->renew_at = now;
+  task.attempt = order->attempt;
+  placement_adopt (attempts->placement, now, worker->id, &task);
+}
+
+static void
+enqueue (attempts_t *attempts, usec_t now, const order_t *order)
+{
+  bool mine = attempts->ops->is_turn (attempts->ctx, now, order);
+
+  if (order->cancelled && mine)
+    {
+      waiting_remove (attempts->waiting, order->id);
+      end_waiting (attempts, now, order, ATTEMPTS_STATUS_CANCELLED);
+      return;
+    }
+  waiting_add (attempts->waiting, order, mine);
+  if (mine)
+    attempts_place_soon (attempts, now);
+}
+
+static void
+worker_tick (attempts_t *attempts, usec_t now, worker_t *worker)
+{
+  worker_call_t call = { .kind = CALL_LIST };
+  usec_t silent_at = worker->answered_at + attempts->config.silent_after;
+
+  if (!worker->shard->owned || (worker->gone && !worker->attempts->len))
+    return;
+  if (worker->open && now >= silent_at)
+    {
+      log_line (LOG_LEVEL_WARNING, "poll", worker->id,
+                "no answer for %lld ms, gets no new work",
+                (now - worker->answered_at) / USEC_PER_MSEC);
+      attempts_worker_sync (attempts, now, worker);
+    }
+  if (worker->open)
+    attempts_wake (attempts, silent_at);
+  if (worker->list_call || MUTATED (NO_POLL))
+    return;
+  if (now >= worker->list_due)
+    {
+      worker->list_call = attempts_send (attempts, now, worker, &call);
+      worker->list_due
+          = now
+            + (worker->list_call ? attempts->config.poll_interval
+                                 : attempts->config.retry_interval);
+    }
+  if (!worker->list_call)
+    attempts_wake (attempts, worker->list_due);
+}
+
+static void
+list_replied (attempts_t *attempts, usec_t now, worker_t *worker,
+              const call_t *call, uint64_t id, const worker_reply_t *reply)
+{
+  GPtrArray *known;
+
+  if (worker->list_call == id)
+    worker->list_call = 0;
+  attempts_wake (attempts, worker->list_due);
+  if (!worker->shard->owned || call->sent_at < worker->shard->gained_at
+      || reply->end != REPLY_ANSWERED || reply->status != 200)
+    return;
+  worker->asked = true;
+  worker->answered_at = MAX (worker->answered_at, call->sent_at);
+  worker->orphans = false;
+  for (size_t i = 0; i < reply->count; i++)
+    listed (attempts, now, worker, &reply->reports[i], call, id);
+  known = g_ptr_array_copy (worker->attempts, NULL, NULL);
+  for (guint i = 0; i < known->len; i++)
+    {
+      attempt_t *attempt = (attempt_t *)g_ptr_array_index (known, i);
+
+      if (attempt->listed != id && attempt->known_from <= call->sent_at)
+        attempt->missing = true;
+      attempt_step (attempts, now, attempt);
+    }
+  g_ptr_array_free (known, TRUE);
+  attempts_worker_sync (attempts, now, worker);
+}
+
+static void
+listed (attempts_t *attempts, usec_t now, worker_t *worker,
+        const attempt_report_t *report, const call_t *call, uint64_t id)
+{
+  attempt_t *attempt = find_attempt (attempts, report->order);
+  worker_call_t stop = { .kind = CALL_STOP,
+                         .order = report->order,
+                         .attempt = report->attempt };
+
+  if (attempt && attempt->number == report->attempt
+      && attempt->worker == worker)
+    {
+      attempt->listed = id;
+      attempt_report (attempts, now, attempt, report, call->sent_at);
+    }
+  else if (report->state == REPORT_RUNNING && is_orphan (attempts, report))
+    {
+      worker->orphans = true;
+      attempts_send (attempts, now, worker, &stop);
+    }
+}
+
+/* Runs although the ledger has gone on without it, as after a lease that the
+   worker did not enforce: it must be stopped (invariant 2). */
+static bool
+is_orphan (const attempts_t *attempts, const attempt_report_t *report)
+{
+  const order_t *order = orders_get (attempts->orders, report->order);
+
+  if (!order || MUTATED (KEEP_ORPHANS))
+    return false;
+  return report->attempt < order->attempt
+         || (report->attempt == order->attempt
+             && order->state != ORDER_STARTED);
+}
+
+static void
+turns_tick (attempts_t *attempts, usec_t now)
+{
+  order_id_t id;
+
+  if (now >= attempts->turn_due && !attempts->turns_left)
+    {
+      attempts->turns_left = waiting_others (attempts->waiting);
+      attempts->turn_due = now + attempts->config.turn_interval;
+    }
+  for (unsigned i = 0; i < PASS_BUDGET && attempts->turns_left; i++)
+    {
+      const order_t *order;
+
+      attempts->turns_left--;
+      if (!waiting_next_other (attempts->waiting, &id))
+        break;
+      order = orders_get (attempts->orders, id);
+      if (order && order->state == ORDER_WAITING)
+        enqueue (attempts, now, order);
+      else
+        waiting_remove (attempts->waiting, id);
+    }
+  if (waiting_others (attempts->waiting))
+    attempts_wake (attempts, attempts->turns_left ? now : attempts->turn_due);
+}
+
+static void
+place_tick (attempts_t *attempts, usec_t now)
+{
+  moment_t moment = { attempts, now };
+
+  if (now < attempts->place_due)
+    {
+      attempts_wake (attempts, attempts->place_due);
+      return;
+    }
+  attempts->placed_at = now;
+  attempts->place_due = DUE_NEVER;
+  if (!waiting_pass (attempts->waiting, PASS_BUDGET, place, &moment))
+    attempts_place_soon (attempts, now);
+}
+
+static waiting_visit_t
+place (void *ctx, order_id_t id)
+{
+  attempts_t *attempts = ((const moment_t *)ctx)->attempts;
+  usec_t now = ((const moment_t *)ctx)->now;
+  const order_t *order = orders_get (attempts->orders, id);
+  const char *worker = NULL;
+  place_result_t result;
+  attempt_t *attempt;
+  task_t task;
+
+  if (!order || order->state != ORDER_WAITING || find_attempt (attempts, id))
+    return WAITING_TAKEN;
+  if (!attempts->ops->is_turn (attempts->ctx, now, order))
+    return WAITING_OTHER;
+  task = task_of (attempts, order);
+  result = placement_choose (attempts->placement, now, &task, &worker);
+  if (result == PLACE_NEVER_FITS && !MUTATED (NEVER_FITS_WAITS)
+      && attempts->ops->never_fits (attempts->ctx, order))
+    {
+      end_waiting (attempts, now, order, ATTEMPTS_STATUS_NEVER_FITS);
+      return WAITING_TAKEN;
+    }
+  if (result != PLACE_OK)
+    return WAITING_MISS;
+  attempt = propose (attempts, now, order, find_worker (attempts, worker));
+  attempt_step (attempts, now, attempt);
+  return WAITING_TAKEN;
+}
+
+static attempt_t *
+propose (attempts_t *attempts, usec_t now, const order_t *order,
+         worker_t *worker)
+{
+  attempt_t *attempt = g_new0 (attempt_t, 1);
+
+  attempt->order = order->id;
+  attempt->number = order->attempt + 1;
+  attempt->worker = worker;
+  attempt->phase = PHASE_PROPOSED;
+  attempt->reserved = worker != NULL;
+  attempt->heard_at = now;
+  attempt->lease_from = now;
+  attempt->known_from = INT64_MAX;
+  attempt->retry_at = now;
+  attempt->percent = FULL_SPEED;
+  attempt->percent_wanted = FULL_SPEED;
+  g_hash_table_replace (attempts->attempts, &attempt->order, attempt);
+  if (worker)
+    g_ptr_array_add (worker->attempts, attempt);
+  return attempt;
+}
+
+/* A waiting order has no owner; whose turn it is ends it.  It is not-run only
+   if no attempt may have run (invariant 5). */
+static void
+end_waiting (attempts_t *attempts, usec_t now, const order_t *order,
+             uint64_t status)
+{
+  attempt_t *attempt = propose (attempts, now, order, NULL);
+
+  attempt->number = order->attempt;
+  attempt_end (now, attempt,
+               order->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, status,
+               blob_of (""));
+  attempt_step (attempts, now, attempt);
+}
+
+static task_t
+task_of (const attempts_t *attempts, const order_t *order)
+{
+  return (task_t){
+    .order = order->id,
+    .attempt = order->attempt + 1,
+    .class_name = order->class_name,
+    .team = order->team,
+    .millicores = order->millicores,
+    .memory_mb = order->memory_mb,
+    .accelerators = order->accelerators,
+    .declared_ms = order->declared_ms,
+    .urgent = order->urgent,
+    .age_since = order->accepted_at,
+    .resumable
+    = attempts->ops->rules_of (attempts->ctx, order->class_name).resumable,
+    .avoid = order->failures && !MUTATED (SAME_WORKER) ? order->worker : NULL,
+  };
+}
+
+/* Tells whether the ledger still has a place for the attempt. */
+static bool
+holds (const attempt_t *attempt, const order_t *order)
+{
+  if (order->state == ORDER_ENDED)
+    return false;
+  if (!attempt->worker)
+    return order->state == ORDER_WAITING && order->attempt == attempt->number;
+  if (order->state == ORDER_WAITING)
+    return attempt->phase == PHASE_PROPOSED
+           && order->attempt + 1 == attempt->number;
+  return order->attempt == attempt->number
+         && g_strcmp0 (order->worker, attempt->worker->id) == 0;
+}
+
+static attempt_t *
+find_attempt (const attempts_t *attempts, order_id_t order)
+{
+  return (attempt_t *)g_hash_table_lookup (attempts->attempts, &order);
+}
+
+static worker_t *
+find_worker (const attempts_t *attempts, const char *id)
+{
+  return id ? (worker_t *)g_hash_table_lookup (attempts->workers, id) : NULL;
+}
+
+static worker_t *
+worker_new (attempts_t *attempts, const char *id, uint32_t shard)
+{
+  worker_t *worker = g_new0 (worker_t, 1);
+
+  worker->id = g_strdup (id);
+  worker->info.id = worker->id;
+  worker->shard = shard_of (attempts, shard);
+  worker->answered_at = worker->shard->gained_at;
+  worker->list_due = USEC_NEVER;
+  worker->attempts = g_ptr_array_new ();
+  g_hash_table_insert (attempts->workers, worker->id, worker);
+  return worker;
+}
+
+static shard_t *
+shard_of (attempts_t *attempts, uint32_t number)
+{
+  gpointer key = GUINT_TO_POINTER (number);
+  shard_t *shard = (shard_t *)g_hash_table_lookup (attempts->shards, key);
+
+  if (!shard)
+    {
+      shard = g_new0 (shard_t, 1);
+      shard->number = number;
+      g_hash_table_insert (attempts->shards, key, shard);
+    }
+  return shard;
+}
+
+static bool
+worker_silent (const attempts_t *attempts, usec_t now, const worker_t *worker)
+{
+  return now >= worker->answered_at + attempts->config.silent_after;
+}
+
+static void
+worker_free (gpointer data)
+{
+  worker_t *worker = (worker_t *)data;
+
+  g_ptr_array_free (worker->attempts, TRUE);
+  g_free (worker->id);
+  g_free (worker);
+}
+
+static void
+attempt_free (gpointer data)
+{
+  attempt_t *attempt = (attempt_t *)data;
+
+  if (attempt->checkpoint)
+    g_bytes_unref (attempt->checkpoint);
+  if (attempt->result)
+    g_bytes_unref (attempt->result);
+  g_free (attempt);
+}
--- a/src/attempts/attempts.h
+++ b/src/attempts/attempts.h
@@ -120,7 +120,8 @@
   /** Puts an entry into the journal.  @return its ticket, 0 if refused */
   uint64_t (*append) (void *ctx, usec_t now, const message_t *entry);
   /** @return whether this node places a waiting order (or ends a cancelled
-      one) now; must become true on some node for every waiting order */
+      one) now.  For an order that stays waiting it must become true on every
+      node in turn, since the first one may own no worker with room. */
   bool (*is_turn) (void *ctx, usec_t now, const order_t *order);
   /** Asked if no worker of the owned shards could ever hold the order.
       @return true if none of the whole site could */
@@ -154,8 +155,10 @@
 /** This process does not act on the shard any more. */
 void attempts_lost (attempts_t *attempts, usec_t now, uint32_t shard);
 
-/** Starts a handover: nothing more is placed on the shard's workers. */
-void attempts_quiesce (attempts_t *attempts, usec_t now, uint32_t shard);
+/** Starts a handover, or gives it up: nothing more is placed on the shard's
+    workers, and they are sent only the starts that are in the log. */
+void attempts_quiesce (attempts_t *attempts, usec_t now, uint32_t shard,
+                       bool on);
 
 /** @return whether the shard may be released: no start is undecided and no
     call is under way */
