Attempts: all pairs of 20 faults, mutants, tests of calls and queue

Cause: of 19 mechanisms disabled one at a time, 7 were not noticed by the first matrix (NO_ASK, KEEP_LOST, KEEP_ORPHANS, ADOPT_AS_LAPSED, APPEND_ONCE, LEASE_FROM_SEND, NO_RENEWAL, SAME_WORKER counted as survivors at times).

Ruled out: the mechanisms being superfluous. They guard cases that the matrix did not contain: a worker that runs on but cannot be reached, a dropped append, lost lists, a shard handed over and back, runs longer than a lease, a fault between a renewal's effect and its reply.

Change: these faults and the step "renew reply"; the oracle also checks that a worker is asked before a start and that failed work goes elsewhere. Cases without epoch checks and with a long freeze are run too: an overlap there must end within two polls. `make mutants-attempts` requires that each of the 19 mutants fails. A malformed object in an answer was taken for an answer without reports; found by test_attempts and mended.

--- a/Makefile
+++ b/Makefile
@@ -92,3 +92,10 @@
 
 .PHONY: all deps unit check demo bench format lint clean
 .SECONDARY:
+
+# Every mechanism of the slice attempts, disabled, must make its test fail.
+mutants-attempts: $(OBJ)
+	@sh scripts/mutants-attempts.sh $(BUILD) $(CC) $(CFLAGS) -- \
+	  $(filter-out $(BUILD)/src/attempts/%,$(OBJ)) $(LDLIBS) -lcunit
+
+.PHONY: mutants-attempts
--- a/src/attempts/attempts.h
+++ b/src/attempts/attempts.h
@@ -206,7 +206,8 @@
     blobs of the reports point into the returned value, which the caller
     releases with json_decref after the reply was passed on.
     @param reports filled with attempt_report_t rows
-    @return NULL if the body is malformed */
+    @return NULL if the body is malformed: a list is then passed on as
+    REPLY_CUT, another call as answered without reports */
 json_t *worker_reports_parse (blob_t body, GArray *reports);
 
 #endif
--- a/src/attempts/test_attempts_matrix.c
+++ b/src/attempts/test_attempts_matrix.c
@@ -14,15 +14,15 @@
 #define WORKERS 4
 #define MAX_ORDERS 24
 #define MAX_RUNS 64
-#define MAX_EVENTS 1024
-#define MAX_LOG 1024
+#define MAX_EVENTS 400
+#define MAX_LOG 500
 #define MAX_ATTEMPT 12
 #define TARGET 2U /* order on which the points are hit */
-#define OTHERS 2U /* further orders of the same class */
+#define OTHERS 1U /* further orders of the same class */
 
 #define LINK_DELAY (1 * MS)
 #define CALL_TIMEOUT (1000 * MS)
-#define RUN_TIME (2500 * MS)
+#define RUN_TIME (5000 * MS) /* longer than a lease */
 #define LONG_RUN (30000 * MS)
 #define EVICT_AFTER (1200 * MS)
 #define TAKEOVER_KILL (1600 * MS)
@@ -31,16 +31,18 @@
 #define FREEZE_SHORT (1500 * MS)
 #define FREEZE_LONG (12000 * MS)
 #define FAULT_TIME (8000 * MS)
+#define HANDOVER_BACK (3000 * MS)
+#define OVERLAP_MAX (1700 * MS) /* two polls */
 #define TURN_TIME (3000 * MS)
 #define END_OF_RUN (240000 * MS)
 
 static const attempts_config_t config = { .lease = 4000 * MS,
-                                          .renew_interval = 1000 * MS,
-                                          .poll_interval = 500 * MS,
+                                          .renew_interval = 1200 * MS,
+                                          .poll_interval = 800 * MS,
                                           .silent_after = 2000 * MS,
                                           .retry_interval = 200 * MS,
                                           .place_interval = 10 * MS,
-                                          .turn_interval = 500 * MS,
+                                          .turn_interval = 1000 * MS,
                                           .max_failures = 3 };
 
 /* Steps at which a fault can strike. */
@@ -53,6 +55,7 @@
   AT_START_REPLY, /* worker has acted, reply not yet out */
   AT_RUNNING,
   AT_RENEW_SEND,
+  AT_RENEW_REPLY,
   AT_RUN_END,
   AT_END_PUT,
   AT_CHECKPOINT_SEND,
@@ -97,6 +100,7 @@
   EV_TASK,   /* a task may have ended or lost its lease */
   EV_CLAIM,  /* shards of dead or frozen owners */
   EV_RESTART,
+  EV_HANDOVER, /* of a worker's shard, and back */
   EV_MIDRUN,
   EV_EVICT
 } event_kind_t;
@@ -138,6 +142,9 @@
   usec_t watch_at; /* next EV_TASK */
   usec_t silent_until;
   usec_t dead_until;
+  usec_t no_lists_until;
+  usec_t cut_off_until; /* runs on, but cannot be reached */
+  unsigned asked_in;    /* tenure in which it was last asked */
   usec_t fails_until;
   usec_t no_renew_until;
   usec_t leaving_until;
@@ -161,7 +168,8 @@
   uint64_t epochs[SHARDS];
   bool owns[SHARDS];
   usec_t tick_at;
-  bool fail_append;
+  bool fail_append; /* the next one is said to have failed */
+  bool drop_append; /* and has */
 };
 
 typedef struct
@@ -181,6 +189,9 @@
   unsigned starts;
   unsigned finished;
   unsigned starts_of[MAX_ATTEMPT]; /* by attempt */
+  int failed_on;                   /* worker, -1 for none */
+  uint64_t failed_attempt;
+  usec_t overlap_since;
   bool resumed[MAX_ATTEMPT];
   bool evicted[MAX_ATTEMPT];
 } runs_t;
@@ -202,7 +213,9 @@
   order_id_t next_order;
   class_t class_;
   unsigned owner_life[SHARDS];
+  unsigned tenure[SHARDS]; /* counts changes of the owner */
   bool checks_epochs;
+  bool exposed; /* two at once are possible, for a short time */
   bool cancelled;
   bool evicted;
   struct
@@ -234,7 +247,10 @@
   event_t *event;
 
   if (world->event_count == MAX_EVENTS)
-    abort ();
+    {
+      complain (world, "too many events", 0);
+      world->event_count--;
+    }
   event = &world->events[world->event_count++];
   *event = (event_t){ .at = at, .seq = world->seq++, .kind = kind };
   return event;
@@ -304,14 +320,19 @@
       g_byte_array_free (bytes, TRUE);
       return ticket;
     }
-  event = post (world, MAX (now, node->frozen_until) + LINK_DELAY, EV_LOG);
-  event->node = node->index;
-  event->life = node->life;
-  event->ticket = ticket;
-  event->entry = g_byte_array_free_to_bytes (bytes);
-  if (node->fail_append)
+  if (node->drop_append)
+    g_byte_array_free (bytes, TRUE);
+  else
+    {
+      event = post (world, MAX (now, node->frozen_until) + LINK_DELAY, EV_LOG);
+      event->node = node->index;
+      event->life = node->life;
+      event->ticket = ticket;
+      event->entry = g_byte_array_free_to_bytes (bytes);
+    }
+  if (node->fail_append || node->drop_append)
     {
-      node->fail_append = false;
+      node->fail_append = node->drop_append = false;
       event = post (world, now + 10 * MS, EV_FAILED);
       event->node = node->index;
       event->life = node->life;
@@ -391,7 +412,7 @@
   node->dead = false;
   node->read = 0;
   node->frozen_until = 0;
-  node->fail_append = false;
+  node->fail_append = node->drop_append = false;
   node->random = g_rand_new_with_seed (7);
   node->placement = placement_new (node->random, &placement_ops, node);
   node->orders = orders_new (&orders_ops, node);
@@ -509,7 +530,10 @@
 log_add (world_t *world)
 {
   if (world->log_count == MAX_LOG)
-    abort ();
+    {
+      complain (world, "too many log entries", 0);
+      world->log_count--;
+    }
   for (int i = 0; i < NODES; i++)
     if (!world->nodes[i].dead)
       post_node (&world->nodes[i], world->now + LINK_DELAY, EV_READ);
@@ -519,6 +543,9 @@
 static void
 claim (world_t *world, uint32_t shard, node_t *node)
 {
+  if (world->owner[shard] != node->index
+      || world->owner_life[shard] != node->life)
+    world->tenure[shard]++;
   world->owner[shard] = node->index;
   world->owner_life[shard] = node->life;
   *log_add (world) = (record_t){ .node = node->index,
@@ -602,11 +629,19 @@
 static void
 run_finish (world_t *world, worker_t *worker, run_t *run, report_state_t state)
 {
+  runs_t *runs = &world->runs[run->order];
+
   run->state = state;
-  world->runs[run->order].active--;
+  if (runs->active-- > 1 && world->now > runs->overlap_since + OVERLAP_MAX)
+    complain (world, "ran in two places for long", run->order);
   if (state != REPORT_ENDED)
     return;
-  world->runs[run->order].finished += run->status == 200;
+  runs->finished += run->status == 200;
+  if (run->status != 200)
+    {
+      runs->failed_on = (int)(worker - world->workers);
+      runs->failed_attempt = run->attempt;
+    }
   at_point (world, AT_RUN_END, run->order,
             &world->nodes[world->owner[worker->shard]], worker);
 }
@@ -658,6 +693,7 @@
 audit_start (world_t *world, const event_t *event)
 {
   runs_t *runs = &world->runs[event->call.order];
+  const worker_t *worker = &world->workers[event->worker];
   uint64_t attempt = event->call.attempt;
   unsigned used = 0;
 
@@ -667,18 +703,24 @@
       return;
     }
   if (runs->active++)
-    complain (world, "runs in two places", event->call.order);
+    {
+      runs->overlap_since = world->now;
+      if (!world->exposed)
+        complain (world, "runs in two places", event->call.order);
+    }
+  if (runs->failed_on == event->worker && runs->failed_attempt + 1 == attempt)
+    complain (world, "tried again where it failed", event->call.order);
+  if (worker->asked_in != world->tenure[worker->shard]
+      && world->owner[worker->shard] == event->node)
+    complain (world, "started before the worker was asked", event->call.order);
   if (runs->starts_of[attempt]++)
     complain (world, "attempt started twice", event->call.order);
   if (runs->starts++ && world->class_ == CLASS_ONCE)
     complain (world, "non-idempotent order run twice", event->call.order);
   runs->resumed[attempt] = event->resumes;
-  for (int i = 0; i < WORKERS; i++)
-    for (size_t j = 0; j < world->workers[i].run_count; j++)
-      if (world->workers[i].runs[j].state == REPORT_RUNNING
-          && i == event->worker)
-        used++;
-  if (used >= 3)
+  for (size_t i = 0; i < worker->run_count; i++)
+    used += worker->runs[i].state == REPORT_RUNNING;
+  if (used >= 3 && !world->exposed)
     complain (world, "worker given more than it holds", event->call.order);
 }
 
@@ -693,7 +735,7 @@
   if (worker->leaving_until > world->now)
     return 503;
   if (worker->run_count == MAX_RUNS)
-    abort ();
+    return 503;
   audit_start (world, event);
   run = &worker->runs[worker->run_count++];
   *run = (run_t){ .order = event->call.order,
@@ -720,7 +762,12 @@
     return 409;
   worker->epoch = MAX (worker->epoch, event->call.epoch);
   if (event->call.kind == CALL_LIST)
-    return 200;
+    {
+      if (world->owner[worker->shard] == event->node
+          && world->owner_life[worker->shard] == event->life)
+        worker->asked_in = world->tenure[worker->shard];
+      return 200;
+    }
   if (event->call.kind == CALL_START)
     return worker_start (world, worker, event);
   if (!run)
@@ -742,7 +789,7 @@
   worker_t *worker = &world->workers[call->worker];
   static const int points[] = { [CALL_LIST] = -1,
                                 [CALL_START] = AT_START_REPLY,
-                                [CALL_RENEW] = -1,
+                                [CALL_RENEW] = AT_RENEW_REPLY,
                                 [CALL_CHECKPOINT] = AT_CHECKPOINT_REPLY,
                                 [CALL_STOP] = AT_STOP_REPLY,
                                 [CALL_THROTTLE] = -1 };
@@ -756,8 +803,10 @@
   reply.at = world->now + LINK_DELAY;
   lost = worker->silent_until > world->now
          || (call->call.kind == CALL_RENEW
-             && worker->no_renew_until > world->now);
-  if (worker->dead_until > world->now)
+             && worker->no_renew_until > world->now)
+         || (call->call.kind == CALL_LIST
+             && worker->no_lists_until > world->now);
+  if (worker->dead_until > world->now || worker->cut_off_until > world->now)
     reply.end = REPLY_NOT_SENT;
   else if (!lost)
     {
@@ -894,6 +943,31 @@
   node->fail_append = true;
 }
 
+static void
+append_dropped (world_t *world, node_t *node, worker_t *worker)
+{
+  (void)world;
+  (void)worker;
+  node->drop_append = true;
+}
+
+static void
+worker_cut_off (world_t *world, node_t *node, worker_t *worker)
+{
+  (void)node;
+  worker->cut_off_until = world->now + FAULT_TIME;
+}
+
+static void
+hand_over (world_t *world, node_t *node, worker_t *worker)
+{
+  event_t *event = post (world, world->now + MS, EV_HANDOVER);
+
+  (void)node;
+  event->worker = (int)(worker - world->workers);
+  event->call.attempt = 2;
+}
+
 static void
 reply_twice (world_t *world, node_t *node, worker_t *worker)
 {
@@ -917,6 +991,13 @@
   worker->no_renew_until = world->now + FAULT_TIME;
 }
 
+static void
+lists_lost (world_t *world, node_t *node, worker_t *worker)
+{
+  (void)node;
+  worker->no_lists_until = world->now + FAULT_TIME;
+}
+
 static void
 cancel_burst (world_t *world, node_t *node, worker_t *worker)
 {
@@ -982,9 +1063,13 @@
   { "reply lost after effect", lose_reply },
   { "log down", log_down },
   { "append said to have failed", append_said_failed },
+  { "append dropped", append_dropped },
+  { "worker cut off", worker_cut_off },
+  { "shard handed over and back", hand_over },
   { "reply repeated", reply_twice },
   { "reply late", reply_late },
   { "renewals lost", renewals_lost },
+  { "lists lost", lists_lost },
   { "cancel burst", cancel_burst },
   { "worker fails all", worker_fails },
   { "impossible jobs", impossible },
@@ -994,10 +1079,10 @@
 };
 
 static const char *const point_names[POINT_COUNT]
-    = { "accept",      "start put",       "start read",       "start send",
-        "start reply", "running",         "renew send",       "run end",
-        "end put",     "checkpoint send", "checkpoint reply", "stop send",
-        "stop reply",  "requeue put",     "restart send" };
+    = { "accept",      "start put",  "start read",      "start send",
+        "start reply", "running",    "renew send",      "renew reply",
+        "run end",     "end put",    "checkpoint send", "checkpoint reply",
+        "stop send",   "stop reply", "requeue put",     "restart send" };
 
 static void
 at_point (world_t *world, point_t point, order_id_t order, node_t *node,
@@ -1033,6 +1118,40 @@
     }
 }
 
+/* Call.attempt counts the handovers left, call.order the tries. */
+static void
+handover_step (world_t *world, const event_t *event)
+{
+  uint32_t shard = world->workers[event->worker].shard;
+  node_t *owner = &world->nodes[world->owner[shard]];
+  node_t *other = &world->nodes[!world->owner[shard]];
+  event_t again = *event;
+
+  if (!usable (owner) || !owner->owns[shard])
+    return;
+  if (!usable (other) || world->log_down_until > world->now
+      || event->call.order > 200)
+    {
+      attempts_quiesce (owner->attempts, world->now, shard, false);
+      return;
+    }
+  attempts_quiesce (owner->attempts, world->now, shard, true);
+  again.call.order++;
+  again.at = world->now + 20 * MS;
+  if (attempts_idle (owner->attempts, shard))
+    {
+      owner->owns[shard] = false;
+      attempts_lost (owner->attempts, world->now, shard);
+      claim (world, shard, other);
+      again.at = world->now + HANDOVER_BACK;
+      again.call.order = 0;
+      if (!--again.call.attempt)
+        return;
+    }
+  again.seq = world->seq;
+  *post (world, again.at, EV_HANDOVER) = again;
+}
+
 static void
 log_arrive (world_t *world, const event_t *event)
 {
@@ -1095,6 +1214,9 @@
     case EV_CLAIM:
       reclaim (world);
       break;
+    case EV_HANDOVER:
+      handover_step (world, event);
+      break;
     case EV_RESTART:
       node_begin (&world->nodes[event->node]);
       post (world, world->now + TAKEOVER_KILL, EV_CLAIM);
@@ -1168,6 +1290,8 @@
 static void
 world_begin (world_t *world)
 {
+  for (size_t i = 0; i <= MAX_ORDERS; i++)
+    world->runs[i].failed_on = -1;
   for (int i = 0; i < WORKERS; i++)
     {
       snprintf (world->workers[i].id, sizeof world->workers[i].id, "w%d", i);
@@ -1285,7 +1409,7 @@
 } tally_t;
 
 /* Without epoch checks at the worker, a start that left a frozen owner late
-   can run beside a newer attempt (assumption A5): not claimed. */
+   can run beside a newer attempt (assumption A5).  It must be stopped soon. */
 static bool
 is_exposed (bool checks_epochs, const fault_t *fault, point_t point)
 {
@@ -1298,18 +1422,22 @@
                const fault_t *first, point_t first_point,
                const fault_t *second, point_t second_point)
 {
-  world_t *world = g_new0 (world_t, 1);
-  verdict_t verdict = CASE_NOT_COVERED;
+  world_t *world;
+  verdict_t verdict;
 
+  /* For mutants the first failure will do. */
+  if (tally->of[CASE_FAILED] && getenv ("MATRIX_STOP"))
+    return;
+  world = g_new0 (world_t, 1);
   world->class_ = class_;
   world->checks_epochs = checks_epochs;
   world->plan[0].fault = first;
   world->plan[0].point = first_point;
   world->plan[1].fault = second;
   world->plan[1].point = second_point;
-  if (!is_exposed (checks_epochs, first, first_point)
-      && !is_exposed (checks_epochs, second, second_point))
-    verdict = run_case (world);
+  world->exposed = is_exposed (checks_epochs, first, first_point)
+                   || is_exposed (checks_epochs, second, second_point);
+  verdict = run_case (world);
   tally->of[verdict]++;
   if (verdict == CASE_FAILED && tally->shown++ < 10)
     printf ("  FAILED %s, epochs %s: %s at %s, %s at %s: %s\n",
@@ -1333,7 +1461,7 @@
           tally->of[CASE_PASSED], tally->of[CASE_FAILED],
           tally->of[CASE_NOT_COVERED]);
   CU_ASSERT_EQUAL (tally->of[CASE_FAILED], 0);
-  CU_ASSERT_TRUE (tally->of[CASE_PASSED] > tally->of[CASE_NOT_COVERED]);
+  CU_ASSERT_TRUE (tally->of[CASE_PASSED] > 10 * tally->of[CASE_NOT_COVERED]);
 }
 
 /* Guards against one fault at any step that doubles, loses or misreports an
@@ -1360,17 +1488,13 @@
 {
   tally_t tally = { { 0 }, 0 };
   const unsigned count = G_N_ELEMENTS (faults);
-  const char *stride_text = getenv ("PAIR_STRIDE");
-  unsigned stride = stride_text ? (unsigned)atoi (stride_text) : 1;
   unsigned number = 0;
 
   for (int class_ = 0; class_ < CLASS_COUNT; class_++)
     for (unsigned i = 0; i < count * points_of (class_); i++)
       for (unsigned j = i; j < count * points_of (class_); j++)
-        if (number++ % stride == 0)
-          run_and_count (&tally, class_, number / stride % 2,
-                         &faults[i % count], i / count, &faults[j % count],
-                         j / count);
+        run_and_count (&tally, class_, number++ % 2, &faults[i % count],
+                       i / count, &faults[j % count], j / count);
   report ("pairs", &tally);
 }
 
--- a/src/attempts/worker_json.c
+++ b/src/attempts/worker_json.c
@@ -76,24 +76,28 @@
 {
   json_t *json = json_loadb (body.data ? body.data : "", body.len,
                              JSON_ALLOW_NUL, NULL);
-  attempt_report_t report;
+  attempt_report_t report = { 0 };
   json_t *item;
   size_t i;
 
+  bool good = json_is_array (json);
+
   g_array_set_size (reports, 0);
-  if (json_is_object (json) && parse_report (json, &report))
-    g_array_append_val (reports, report);
+  if (json_is_object (json))
+    {
+      good = parse_report (json, &report);
+      g_array_append_val (reports, report);
+    }
   json_array_foreach (json, i, item)
   {
-    if (!parse_report (item, &report))
-      {
-        g_array_set_size (reports, 0);
-        json_decref (json);
-        return NULL;
-      }
+    good = good && parse_report (item, &report);
     g_array_append_val (reports, report);
   }
-  return json;
+  if (good)
+    return json;
+  g_array_set_size (reports, 0);
+  json_decref (json);
+  return NULL;
 }
 
 /* Bytes that are not UTF-8 cannot be a JSON string. */
