Placement: learned sizes and interference, relief, workers set aside

Cause: the first placement believed declared sizes, scanned all workers for each task, and did not see services or failing workers.

Ruled out: lowering a worker's reservation to its measured total. A task that just started is measured with a lag, so the sum would look empty after a burst; reservations are kept for each attempt. Also ruled out: counting every failure against a worker. One bad order that is tried again would set good workers aside, so failures of one order count once.

--- a/src/placement/test_placement.c
+++ b/src/placement/test_placement.c
@@ -14,7 +14,27 @@
   const char *worker;
 } choice_t;
 
-static const placement_ops_t ops = { NULL };
+/* Counts of each relief, and the newest order concerned. */
+typedef struct
+{
+  unsigned count[ACTION_EVICT + 1];
+  uint64_t order;
+} reliefs_t;
+
+static void
+on_relief (void *ctx, usec_t now, const char *worker, uint64_t order,
+           uint64_t attempt, relief_t relief)
+{
+  reliefs_t *reliefs = (reliefs_t *)ctx;
+
+  (void)now;
+  (void)worker;
+  (void)attempt;
+  reliefs->count[relief]++;
+  reliefs->order = order;
+}
+
+static const placement_ops_t ops = { on_relief };
 
 static placement_t *
 fleet_new (GRand *random)
@@ -141,6 +161,215 @@
   g_rand_free (random);
 }
 
+/* A fleet of equal workers of 32 cores and 128 GB, four to a rack. */
+static placement_t *
+equal_fleet_new (GRand *random, unsigned count, reliefs_t *reliefs)
+{
+  placement_t *placement = placement_new (random, &ops, reliefs);
+  char id[8];
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      worker_info_t info = { id, i % 2, i / 4, 32000, 128000, 0, false };
+
+      snprintf (id, sizeof id, "w%u", i);
+      placement_worker (placement, 0, &info);
+    }
+  return placement;
+}
+
+static const char *
+place (placement_t *placement, usec_t now, task_t task)
+{
+  const char *worker = NULL;
+
+  return placement_choose (placement, now, &task, &worker) == PLACE_OK ? worker
+                                                                       : NULL;
+}
+
+/* Guards against declared sizes that are believed although measured use is
+   known: too large ones waste workers, too small ones crowd them. */
+static void
+test_correction (void)
+{
+  static const struct
+  {
+    uint64_t used;  /* of 8000 declared */
+    unsigned least; /* attempts that then fit on 32 cores */
+    unsigned most;
+  } cases[] = { { 8000, 3, 4 }, { 2000, 10, 15 }, { 16000, 1, 2 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GRand *random = g_rand_new_with_seed (1);
+      placement_t *placement = equal_fleet_new (random, 1, NULL);
+      unsigned fit = 0;
+
+      for (unsigned n = 0; n < 400; n++)
+        {
+          uint64_t used = cases[i].used + (uint64_t)(n % 3) * 100;
+
+          if (place (placement, 0, task_of (n, "t", 8000, 1000, 0)))
+            placement_usage (placement, 0, "w0", n, 1, used, 1000);
+          placement_done (placement, 0, "w0", n, 1, true, 1);
+        }
+      while (fit < 100
+             && place (placement, 0, task_of (1000 + fit, "t", 8000, 1000, 0)))
+        fit++;
+      CU_ASSERT_TRUE (fit >= cases[i].least && fit <= cases[i].most);
+      placement_free (placement);
+      g_rand_free (random);
+    }
+}
+
+/* Guards against workers that fail everything and draw all work, against a
+   fleet that is set aside whole, and against a worker never tried again. */
+static void
+test_set_aside (void)
+{
+  GRand *random = g_rand_new_with_seed (1);
+  placement_t *placement = equal_fleet_new (random, 8, NULL);
+  uint64_t all = placement_free_millicores (placement);
+  usec_t later = 40 * USEC_PER_SEC;
+  task_t task = task_of (500, "t", 32000, 1, 0);
+  char id[8];
+
+  for (unsigned order = 0; order < 5; order++)
+    placement_done (placement, 0, "w0", 7, order, false, 1);
+  CU_ASSERT_EQUAL (placement_free_millicores (placement), all);
+  for (unsigned i = 0; i < 8; i++)
+    for (unsigned order = 0; order < 5; order++)
+      {
+        snprintf (id, sizeof id, "w%u", i);
+        placement_done (placement, 0, id, order, 1, false, 1);
+      }
+  CU_ASSERT_EQUAL (placement_free_millicores (placement), all / 2);
+  placement_tick (placement, later);
+  CU_ASSERT_EQUAL (placement_free_millicores (placement), all);
+  placement_adopt (placement, later, "w0", &task);
+  placement_done (placement, later, "w0", 500, 1, false, 1);
+  CU_ASSERT_EQUAL (placement_free_millicores (placement), all - 32000);
+  placement_done (placement, later, "w0", 501, 1, true, 1);
+  CU_ASSERT_EQUAL (placement_free_millicores (placement), all);
+  placement_free (placement);
+  g_rand_free (random);
+}
+
+/* Guards against urgent work that waits behind resumable work, against
+   evictions of work that cannot resume, and against two plans for one
+   order. */
+static void
+test_urgent (void)
+{
+  GRand *random = g_rand_new_with_seed (1);
+  reliefs_t reliefs = { { 0 }, 0 };
+  placement_t *placement = equal_fleet_new (random, 2, &reliefs);
+  task_t plain = task_of (1, "t", 32000, 1, 0);
+  task_t resumable = task_of (2, "t", 32000, 1, 0);
+  task_t urgent = task_of (3, "t", 16000, 1, 0);
+  task_t other = task_of (4, "t", 16000, 1, 0);
+
+  resumable.resumable = true;
+  urgent.urgent = true;
+  placement_adopt (placement, 0, "w0", &plain);
+  placement_adopt (placement, 0, "w1", &resumable);
+  CU_ASSERT_PTR_NULL (place (placement, 0, other));
+  CU_ASSERT_EQUAL (reliefs.count[ACTION_EVICT], 0);
+  CU_ASSERT_PTR_NULL (place (placement, 0, urgent));
+  CU_ASSERT_PTR_NULL (place (placement, 0, urgent));
+  CU_ASSERT_EQUAL (reliefs.count[ACTION_EVICT], 1);
+  CU_ASSERT_EQUAL (reliefs.order, 2);
+  placement_done (placement, 0, "w1", 2, 1, true, 0);
+  other.millicores = 20000;
+  CU_ASSERT_PTR_NULL (place (placement, 0, other));
+  CU_ASSERT_PTR_NOT_NULL (place (placement, 0, urgent));
+  placement_free (placement);
+  g_rand_free (random);
+}
+
+/* Guards against relief that evicts at once, that alternates, or that hits
+   work which does not slow the service. */
+static void
+test_relief (void)
+{
+  GRand *random = g_rand_new_with_seed (1);
+  reliefs_t reliefs = { { 0 }, 0 };
+  placement_t *placement = equal_fleet_new (random, 2, &reliefs);
+  task_t quiet = task_of (1, "t", 16000, 1, 0);
+  task_t noisy = task_of (2, "t", 8000, 1, 0);
+  usec_t now = 0;
+
+  noisy.class_name = "noisy";
+  noisy.resumable = quiet.resumable = true;
+  /* w0 has both, w1 the quiet one alone: what is learned tells them apart. */
+  placement_adopt (placement, 0, "w0", &quiet);
+  placement_adopt (placement, 0, "w0", &noisy);
+  quiet.order = 3;
+  placement_adopt (placement, 0, "w1", &quiet);
+  for (unsigned i = 0; i < 200; i++)
+    {
+      placement_interference (placement, 0, "w0", "quote", 1500);
+      placement_interference (placement, 0, "w1", "quote", 1000);
+    }
+  for (; now < 4 * USEC_PER_SEC; now += USEC_PER_SEC)
+    {
+      placement_interference (placement, now, "w0", "quote", 1500);
+      placement_tick (placement, now);
+    }
+  CU_ASSERT_EQUAL (reliefs.count[ACTION_THROTTLE], 1);
+  CU_ASSERT_EQUAL (reliefs.order, 2);
+  CU_ASSERT_EQUAL (reliefs.count[ACTION_EVICT], 0);
+  for (; now < 40 * USEC_PER_SEC; now += USEC_PER_SEC)
+    {
+      placement_interference (placement, now, "w0", "quote", 1500);
+      placement_tick (placement, now);
+    }
+  CU_ASSERT_TRUE (reliefs.count[ACTION_EVICT] >= 1);
+  CU_ASSERT_TRUE (reliefs.count[ACTION_EVICT] <= 2);
+  /* Between the limits nothing changes; only well below them it does. */
+  CU_ASSERT_EQUAL (reliefs.count[ACTION_UNTHROTTLE], 0);
+  for (; now < 60 * USEC_PER_SEC; now += USEC_PER_SEC)
+    {
+      placement_interference (placement, now, "w0", "quote", 1180);
+      placement_tick (placement, now);
+    }
+  CU_ASSERT_EQUAL (reliefs.count[ACTION_UNTHROTTLE], 0);
+  for (; now < 90 * USEC_PER_SEC; now += USEC_PER_SEC)
+    {
+      placement_interference (placement, now, "w0", "quote", 1000);
+      placement_tick (placement, now);
+    }
+  CU_ASSERT_TRUE (reliefs.count[ACTION_UNTHROTTLE] >= 1);
+  /* New work of the noisy class goes where no service is slowed. */
+  noisy.order = 9;
+  CU_ASSERT_STRING_EQUAL (place (placement, now, noisy), "w1");
+  placement_free (placement);
+  g_rand_free (random);
+}
+
+/* Guards against a class whose attempts all share a rack or zone. */
+static void
+test_spread (void)
+{
+  GRand *random = g_rand_new_with_seed (1);
+  placement_t *placement = equal_fleet_new (random, 16, NULL);
+  unsigned racks[4] = { 0 };
+
+  for (unsigned i = 0; i < 16; i++)
+    {
+      const char *worker
+          = place (placement, 0, task_of (i, "t", 20000, 60000, 0));
+
+      if (worker)
+        racks[(unsigned)g_ascii_strtoull (worker + 1, NULL, 10) / 4]++;
+      if (i == 7)
+        for (unsigned rack = 0; rack < 4; rack++)
+          CU_ASSERT_TRUE (racks[rack] >= 1 && racks[rack] <= 3);
+    }
+  placement_free (placement);
+  g_rand_free (random);
+}
+
 int
 main (void)
 {
@@ -153,6 +382,11 @@
   CU_add_test (suite, "room", test_room);
   CU_add_test (suite, "room comes back", test_room_comes_back);
   CU_add_test (suite, "quota", test_quota);
+  CU_add_test (suite, "correction", test_correction);
+  CU_add_test (suite, "set aside", test_set_aside);
+  CU_add_test (suite, "urgent", test_urgent);
+  CU_add_test (suite, "relief", test_relief);
+  CU_add_test (suite, "spread", test_spread);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
