--- a/src/placement/estimate.c
+++ b/src/placement/estimate.c
@@ -14,9 +14,19 @@
 #define MAX_RATIO 3.0
 /* A new attempt is measured with a lag and grows at first. */
 #define SETTLE_TIME (30 * USEC_PER_SEC)
+/* Reports are older than what started since: learning from them would take
+   new noisy work for harmless. */
+#define REPORT_LAG (10 * USEC_PER_SEC)
 #define MEASURED_MARGIN 1.15
 #define SMOOTHING 0.3
+/* Slowdown swings with the demand on the service.  What counts is the worst,
+   so it is learned quickly and forgotten slowly. */
 #define LEARNING_RATE 0.2
+#define FORGETTING_RATE 0.005
+#define LEAST_FACTOR 0.05
+/* Factor of a class not yet seen beside a service: a quarter of a worker is
+   risked at first. */
+#define FIRST_FACTOR 1.0
 /* Below this share of cores a slowdown says nothing about batch work. */
 #define MIN_SHARE 0.02
 
@@ -147,15 +157,34 @@
 interference_of (const service_class_t *service, const batch_class_t *class_,
                  double share)
 {
-  return class_->number < service->slowdown_by->len
-             ? *slowdown_by (service, class_) * share
-             : 0.0;
+  return *slowdown_by (service, class_) * share;
 }
 
-/* Normalized least mean squares: the constant rate forgets old behaviour. */
 void
-interference_learn (const service_class_t *service, const worker_t *worker,
-                    double slowdown)
+interference_expect (worker_t *worker)
+{
+  for (guint i = 0; i < worker->services->len; i++)
+    {
+      presence_t *presence = &g_array_index (worker->services, presence_t, i);
+
+      presence->expected = 0.0;
+      for (guint r = 0; r < worker->running->len; r++)
+        {
+          const running_t *running
+              = (const running_t *)g_ptr_array_index (worker->running, r);
+
+          presence->expected += interference_of (
+              presence->service, running->class_, share_of (worker, running));
+        }
+    }
+}
+
+/* Normalized least mean squares; the constant rates forget old behaviour.
+   Each class is corrected in proportion to its factor, so that a class known
+   to be harmless does not take the blame for one that is not. */
+void
+interference_learn (const service_class_t *service, usec_t now,
+                    const worker_t *worker, double slowdown)
 {
   double expected = 0.0;
   double norm = 0.0;
@@ -165,12 +194,15 @@
     {
       const running_t *running
           = (const running_t *)g_ptr_array_index (worker->running, i);
+      double factor = *slowdown_by (service, running->class_);
       double share = share_of (worker, running);
 
-      expected += *slowdown_by (service, running->class_) * share;
-      norm += share * share;
+      if (now - running->since < REPORT_LAG)
+        return;
+      expected += factor * share;
+      norm += share * share * (factor + LEAST_FACTOR);
     }
-  if (norm < MIN_SHARE * MIN_SHARE)
+  if (norm < MIN_SHARE * MIN_SHARE * LEAST_FACTOR)
     return;
   error = slowdown - 1.0 - expected;
   for (guint i = 0; i < worker->running->len; i++)
@@ -179,7 +211,9 @@
           = (const running_t *)g_ptr_array_index (worker->running, i);
       double *factor = slowdown_by (service, running->class_);
 
-      *factor += LEARNING_RATE * error * share_of (worker, running) / norm;
+      *factor += (error > 0 ? LEARNING_RATE : FORGETTING_RATE) * error
+                 * share_of (worker, running) * (*factor + LEAST_FACTOR)
+                 / norm;
       *factor = MAX (*factor, 0.0);
     }
 }
@@ -214,8 +248,10 @@
 static double *
 slowdown_by (const service_class_t *service, const batch_class_t *class_)
 {
-  if (class_->number >= service->slowdown_by->len)
-    g_array_set_size (service->slowdown_by, class_->number + 1);
+  double first = FIRST_FACTOR;
+
+  while (class_->number >= service->slowdown_by->len)
+    g_array_append_val (service->slowdown_by, first);
   return &g_array_index (service->slowdown_by, double, class_->number);
 }
 
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -12,12 +12,18 @@
 #include <string.h>
 
 #define TICK_INTERVAL (1 * USEC_PER_SEC)
+/* Workers looked at in one tick.  All 14,000 at once took up to 9 ms, during
+   which latency-critical requests would wait. */
+#define TICK_SLICE 256U
 
 /* Random samples find room quickly in a fleet that is not full; only if they
    do not are all workers scanned. */
 #define SAMPLES 48U
 #define ENOUGH_SAMPLED 6U
 #define MAX_CANDIDATES 12U
+/* Bounds the time of a scan past workers that have room but whose services
+   would be slowed too much; the next one begins elsewhere. */
+#define MAX_CONSIDERED 1000U
 
 /* A worker on which three orders in a row failed is set aside. */
 #define FAILURES_BEFORE_ASIDE 3U
@@ -34,6 +40,9 @@
 #define WEIGHT_SAME_ZONE 0.25
 #define WEIGHT_FAILURE 0.5
 #define SLOWED 1.1
+/* Work that is not urgent is kept off workers whose services it would slow by
+   more than this in all. */
+#define MAX_EXPECTED_SLOWDOWN 0.25
 #define SLOWDOWN_SMOOTHING 0.5
 
 typedef struct
@@ -46,16 +55,19 @@
   worker_t *best;
   double best_score;
   unsigned candidates;
+  unsigned considered;
 } search_t;
 
 static void search_sample (placement_t *placement, usec_t now,
                            search_t *search);
 static void search_scan (placement_t *placement, usec_t now, search_t *search);
+static bool search_done (const search_t *search);
 static void consider (placement_t *placement, usec_t now, search_t *search,
                       guint index);
 static bool packed_fits (const free_t *open, const uint32_t *need);
 static bool fits (const search_t *search, usec_t now, const worker_t *worker);
 static bool takes_work (usec_t now, const worker_t *worker);
+static bool slows_too_much (const search_t *search, const worker_t *worker);
 static double score (const search_t *search, const worker_t *worker);
 static uint32_t holders (const placement_t *placement, const room_t *need);
 static bool within (const room_t *need, const room_t *size);
@@ -286,7 +298,7 @@
       = presence_of (worker, placement_service (placement, service_class));
   presence->slowdown += SLOWDOWN_SMOOTHING * (slowdown - presence->slowdown);
   presence->at = now;
-  interference_learn (presence->service, worker, slowdown);
+  interference_learn (presence->service, now, worker, slowdown);
 }
 
 uint64_t
@@ -302,16 +314,22 @@
 usec_t
 placement_tick (placement_t *placement, usec_t now)
 {
+  guint count = placement->workers->len;
+  guint slice = MIN (count, TICK_SLICE);
+
   if (now < placement->tick_due)
     return placement->tick_due;
-  for (guint i = 0; i < placement->workers->len; i++)
+  for (guint i = 0; i < slice; i++)
     {
-      worker_t *worker = (worker_t *)g_ptr_array_index (placement->workers, i);
+      worker_t *worker = (worker_t *)g_ptr_array_index (
+          placement->workers, placement->tick_next++ % count);
 
+      interference_expect (worker);
       relief_tick (placement, now, worker);
       placement_refresh (placement, now, worker);
     }
-  placement->tick_due = now + TICK_INTERVAL;
+  placement->tick_due
+      = now + (slice ? TICK_INTERVAL * slice / count : TICK_INTERVAL);
   return placement->tick_due;
 }
 
@@ -386,20 +404,28 @@
 
   for (int i = 0; i < DIMENSIONS; i++)
     need[i] = (uint32_t)MIN (search->need.of[i], UINT32_MAX);
-  for (guint i = first; i < count && search->candidates < MAX_CANDIDATES; i++)
+  for (guint i = first; i < count && !search_done (search); i++)
     if (packed_fits (&open[i], need))
       consider (placement, now, search, i);
-  for (guint i = 0; i < first && search->candidates < MAX_CANDIDATES; i++)
+  for (guint i = 0; i < first && !search_done (search); i++)
     if (packed_fits (&open[i], need))
       consider (placement, now, search, i);
 }
 
+static bool
+search_done (const search_t *search)
+{
+  return search->candidates >= MAX_CANDIDATES
+         || search->considered >= MAX_CONSIDERED;
+}
+
 static void
 consider (placement_t *placement, usec_t now, search_t *search, guint index)
 {
   worker_t *worker = (worker_t *)g_ptr_array_index (placement->workers, index);
   double value;
 
+  search->considered++;
   if (worker == search->avoid || !fits (search, now, worker))
     return;
   search->candidates++;
@@ -430,7 +456,25 @@
             + search->need.of[i]
         > worker->size.of[i])
       return false;
-  return true;
+  return search->task->urgent || !slows_too_much (search, worker);
+}
+
+static bool
+slows_too_much (const search_t *search, const worker_t *worker)
+{
+  double share = (double)search->need.of[CORES]
+                 / (double)MAX (worker->size.of[CORES], 1);
+
+  for (guint i = 0; i < worker->services->len; i++)
+    {
+      const presence_t *presence
+          = &g_array_index (worker->services, presence_t, i);
+      double more = interference_of (presence->service, search->class_, share);
+
+      if (more > 0.0 && presence->expected + more > MAX_EXPECTED_SLOWDOWN)
+        return true;
+    }
+  return false;
 }
 
 static bool
@@ -529,6 +573,15 @@
   count_class (running, 1);
   g_ptr_array_add (worker->running, running);
   g_hash_table_replace (placement->running, running, running);
+  for (guint i = 0; i < worker->services->len; i++)
+    {
+      presence_t *presence = &g_array_index (worker->services, presence_t, i);
+
+      presence->expected
+          += interference_of (presence->service, running->class_,
+                              (double)running->reserved.of[CORES]
+                                  / (double)MAX (worker->size.of[CORES], 1));
+    }
   placement_refresh (placement, now, worker);
 }
 
@@ -622,7 +675,7 @@
 static presence_t *
 presence_of (worker_t *worker, service_class_t *service)
 {
-  presence_t added = { service, 1.0, 0 };
+  presence_t added = { service, 1.0, 0.0, 0 };
 
   for (guint i = 0; i < worker->services->len; i++)
     {
--- a/src/placement/placement_private.h
+++ b/src/placement/placement_private.h
@@ -54,6 +54,7 @@
 {
   service_class_t *service;
   double slowdown; /**< smoothed, 1 = usual */
+  double expected; /**< slowdown beyond 1 expected from what runs beside it */
   usec_t at;
 } presence_t;
 
@@ -138,6 +139,7 @@
   GPtrArray *holding;   /**< worker_t with room held, some expired */
   uint32_t set_aside;   /**< workers */
   usec_t tick_due;
+  guint tick_next; /**< worker at which the next tick begins */
 };
 
 /* estimate.c: what is learned. */
@@ -154,8 +156,10 @@
 /** Slowdown of a service expected from a share of cores in use by a class. */
 double interference_of (const service_class_t *service,
                         const batch_class_t *class_, double share);
+/** Sets what the worker's services are expected to suffer. */
+void interference_expect (worker_t *worker);
 /** Learns from the slowdown of a service beside what runs on the worker. */
-void interference_learn (const service_class_t *service,
+void interference_learn (const service_class_t *service, usec_t now,
                          const worker_t *worker, double slowdown);
 
 /* relief.c */
--- a/src/placement/relief.c
+++ b/src/placement/relief.c
@@ -15,6 +15,7 @@
 #define REPORT_AGE (10 * USEC_PER_SEC) /* older reports say nothing */
 #define HOLD_TIME (5 * USEC_PER_SEC)
 #define EVICT_TIME (20 * USEC_PER_SEC) /* after it an eviction is given up */
+#define THROTTLED_PART 0.5 /* of its speed that a throttle takes away */
 #define MAX_VICTIMS 64U
 #define MAX_LOOKED_AT 256U /* bounds the time of one decision */
 #define FULL 1.0           /* of a worker's size, measured */
@@ -31,6 +32,8 @@
 static running_t *most_to_blame (const worker_t *worker, bool for_eviction,
                                  bool by_memory);
 static running_t *throttled_least_to_blame (const worker_t *worker);
+static bool throttle (placement_t *placement, usec_t now, worker_t *worker,
+                      double slowdown);
 static void relieve (placement_t *placement, usec_t now, running_t *running,
                      relief_t relief);
 static unsigned plan_evictions (const worker_t *worker, const room_t *need,
@@ -63,11 +66,12 @@
   else if (hot && now >= worker->hot_since + HOT_TIME
            && now >= worker->relieved_at + THROTTLE_PAUSE)
     {
-      running = most_to_blame (worker, false, false);
+      if (throttle (placement, now, worker, load.slowdown))
+        return;
+      running = now >= worker->relieved_at + EVICT_PAUSE
+                    ? most_to_blame (worker, true, false)
+                    : NULL;
       if (running)
-        relieve (placement, now, running, ACTION_THROTTLE);
-      else if (now >= worker->relieved_at + EVICT_PAUSE
-               && (running = most_to_blame (worker, true, false)))
         relieve (placement, now, running, ACTION_EVICT);
     }
   else if (cool && now >= worker->cool_since + COOL_TIME
@@ -208,6 +212,29 @@
   return least;
 }
 
+/* Throttles as many as are expected to help enough, the worst first.
+   Returns whether there were any. */
+static bool
+throttle (placement_t *placement, usec_t now, worker_t *worker,
+          double slowdown)
+{
+  double excess = MAX (slowdown - COOL, 0.0);
+  bool any = false;
+  running_t *running;
+
+  do
+    {
+      running = most_to_blame (worker, false, false);
+      if (!running)
+        break;
+      excess -= blame (worker, running) * THROTTLED_PART;
+      relieve (placement, now, running, ACTION_THROTTLE);
+      any = true;
+    }
+  while (excess > 0.0);
+  return any;
+}
+
 static void
 relieve (placement_t *placement, usec_t now, running_t *running,
          relief_t relief)
