Attempts: step only attempts that are due; mend the mutants target

Cause: every tick stepped every attempt of the node; with thousands of them and renewals spread over time a tick is due all the time.

Ruled out: a least pause between ticks; it would delay starts and ends.

Change: attempts are kept in a sequence by the time of their next step. The script links only the matrix.

Conclusion: the cost of a tick follows what is due, not what runs.

--- a/scripts/mutants-attempts.sh
+++ b/scripts/mutants-attempts.sh
@@ -11,13 +11,15 @@
 done
 shift
 rest=$*
+sources="$(ls src/attempts/*.c | grep -v /test_ | tr '\n' ' ')"
+sources="$sources src/attempts/test_attempts_matrix.c"
 names=$(grep -oh 'MUTATED ([A-Z_]*)' src/attempts/*.c | tr -d '()' |
 	awk '{ print $2 }' | sort -u)
 mkdir -p "$build"
-export build compile rest
+export build compile rest sources
 printf '%s\n' $names | xargs -P 4 -n 1 sh -c '
 	program=$build/$1
-	if ! eval "$compile -DATTEMPTS_MUTATE_$1 -o $program src/attempts/*.c $rest" \
+	if ! eval "$compile -DATTEMPTS_MUTATE_$1 -o $program $sources $rest" \
 		2>"$program.log"; then
 		echo "FAIL $1 does not build"
 		exit 1
--- a/src/attempts/attempt.c
+++ b/src/attempts/attempt.c
@@ -97,7 +97,7 @@
       due = steps[phase](attempts, now, attempt);
     }
   while (attempt->phase != phase);
-  attempts_wake (attempts, due);
+  attempts_set_timer (attempts, attempt, due);
 }
 
 void
--- a/src/attempts/attempts.c
+++ b/src/attempts/attempts.c
@@ -46,6 +46,7 @@
 static shard_t *shard_of (attempts_t *attempts, uint32_t number);
 static bool worker_silent (const attempts_t *attempts, usec_t now,
                            const worker_t *worker);
+static int compare_due (gconstpointer a, gconstpointer b, gpointer ctx);
 static void worker_free (gpointer data);
 static void attempt_free (gpointer data);
 
@@ -70,6 +71,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   attempts->tickets
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  attempts->timers = g_sequence_new (NULL);
   attempts->next_call = 1;
   attempts->due = USEC_NEVER;
   attempts->place_due = DUE_NEVER;
@@ -83,6 +85,7 @@
 {
   if (!attempts)
     return;
+  g_sequence_free (attempts->timers);
   g_hash_table_destroy (attempts->tickets);
   g_hash_table_destroy (attempts->calls);
   g_hash_table_destroy (attempts->attempts);
@@ -289,7 +292,7 @@
     return;
   attempt->ticket = 0;
   attempt->retry_at = now + attempts->config.retry_interval;
-  attempts_wake (attempts, attempt->retry_at);
+  attempts_set_timer (attempts, attempt, attempt->retry_at);
 }
 
 void
@@ -356,7 +359,7 @@
            && attempts->ops->rules_of (attempts->ctx, known->class_name)
                   .resumable)
     attempt->evicting = true;
-  attempts_wake (attempts, now);
+  attempts_set_timer (attempts, attempt, now);
 }
 
 usec_t
@@ -364,8 +367,6 @@
 {
   GHashTableIter iter;
   gpointer value;
-  gpointer *keys;
-  guint count;
 
   if (now < attempts->due)
     return attempts->due;
@@ -373,13 +374,25 @@
   g_hash_table_iter_init (&iter, attempts->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     worker_tick (attempts, now, (worker_t *)value);
-  keys = g_hash_table_get_keys_as_array (attempts->attempts, &count);
-  for (guint i = 0; i < count; i++)
-    attempt_step (attempts, now,
-                  find_attempt (attempts, *(const order_id_t *)keys[i]));
-  g_free (keys);
+  while (!g_sequence_is_empty (attempts->timers))
+    {
+      attempt_t *attempt = (attempt_t *)g_sequence_get (
+          g_sequence_get_begin_iter (attempts->timers));
+
+      if (attempt->due > now)
+        break;
+      attempts_set_timer (attempts, attempt, DUE_NEVER);
+      attempt_step (attempts, now, attempt);
+      if (attempt->due <= now)
+        attempts_set_timer (attempts, attempt, now + 1);
+    }
   turns_tick (attempts, now);
   place_tick (attempts, now);
+  if (!g_sequence_is_empty (attempts->timers))
+    attempts_wake (attempts,
+                   ((const attempt_t *)g_sequence_get (
+                        g_sequence_get_begin_iter (attempts->timers)))
+                       ->due);
   return attempts->due;
 }
 
@@ -415,6 +428,22 @@
                     (json_int_t)waiting_others (attempts->waiting));
 }
 
+void
+attempts_set_timer (attempts_t *attempts, attempt_t *attempt, usec_t at)
+{
+  if (attempt->timer && attempt->due == at)
+    return;
+  if (attempt->timer)
+    g_sequence_remove (attempt->timer);
+  attempt->timer = NULL;
+  attempt->due = at;
+  if (at == DUE_NEVER)
+    return;
+  attempt->timer = g_sequence_insert_sorted (attempts->timers, attempt,
+                                             compare_due, NULL);
+  attempts_wake (attempts, at);
+}
+
 void
 attempts_wake (attempts_t *attempts, usec_t at)
 {
@@ -480,6 +509,7 @@
 {
   order_id_t order = attempt->order;
 
+  attempts_set_timer (attempts, attempt, DUE_NEVER);
   attempt_unreserve (attempts, now, attempt, true, 0);
   if (attempt->worker)
     g_ptr_array_remove_fast (attempt->worker->attempts, attempt);
@@ -516,6 +546,7 @@
   attempt->renew_at = now;
   task.attempt = order->attempt;
   placement_adopt (attempts->placement, now, worker->id, &task);
+  attempts_set_timer (attempts, attempt, now);
 }
 
 static void
@@ -825,6 +856,16 @@
   return now >= worker->answered_at + attempts->config.silent_after;
 }
 
+static int
+compare_due (gconstpointer a, gconstpointer b, gpointer ctx)
+{
+  usec_t first = ((const attempt_t *)a)->due;
+  usec_t second = ((const attempt_t *)b)->due;
+
+  (void)ctx;
+  return (first > second) - (first < second);
+}
+
 static void
 worker_free (gpointer data)
 {
--- a/src/attempts/attempts_private.h
+++ b/src/attempts/attempts_private.h
@@ -80,7 +80,9 @@
   uint32_t percent; /**< speed confirmed by the worker */
   uint32_t percent_wanted;
   GBytes *checkpoint;
-  uint64_t ticket; /**< of the entry under way, 0 for none */
+  uint64_t ticket;      /**< of the entry under way, 0 for none */
+  usec_t due;           /**< of the next step */
+  GSequenceIter *timer; /**< NULL: no step is due */
   /* In PHASE_DECIDED: */
   message_type_t decision; /**< MSG_ORDER_END or MSG_ORDER_REQUEUE */
   outcome_t outcome;
@@ -111,6 +113,7 @@
   GHashTable *attempts; /**< order -> attempt_t */
   GHashTable *calls;    /**< id -> call_t */
   GHashTable *tickets;  /**< ticket -> order */
+  GSequence *timers;    /**< attempt_t by due; not owned */
   uint64_t next_call;
   usec_t due;       /**< nothing is due before */
   usec_t place_due; /**< DUE_NEVER: nothing changed since the last pass */
@@ -119,7 +122,9 @@
   size_t turns_left; /**< orders to ask is_turn for in this round */
 };
 
-/** Has the next tick run the attempt or pass no later than AT. */
+/** Has the attempt stepped at AT, DUE_NEVER for not before the next event. */
+void attempts_set_timer (attempts_t *attempts, attempt_t *attempt, usec_t at);
+/** Has the next tick run no later than AT. */
 void attempts_wake (attempts_t *attempts, usec_t at);
 /** Room or waiting orders changed: a pass follows. */
 void attempts_place_soon (attempts_t *attempts, usec_t now);
