--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -4,6 +4,11 @@
  * At any moment at most one process may act on a shard.  The rules are in
  * docs/design.md, "Claims protocol".  Does no I/O and reads no clock.  All
  * times are this process's monotonic clock, suspended time included.
+ *
+ * NOW must be read after the message that is passed was received, and SENT_AT
+ * before the request was sent.  A time cached by the event loop will not do:
+ * after a freeze it lies before the message, and waits would end early.
+ * Call claims_tick after each batch of events.
  */
 #ifndef CLAIMS_CLAIMS_H
 #define CLAIMS_CLAIMS_H
@@ -31,6 +36,9 @@
   node_id_t node;
   incarnation_t incarnation;
   uint32_t zone;
+  /** Keeps what it owns but takes no new shards: it is draining, or does not
+      reach the log. */
+  bool keeps_only;
 } claims_candidate_t;
 
 typedef struct
@@ -59,8 +67,9 @@
     process reaches the same verdict on every entry. */
 void claims_apply (claims_t *claims, usec_t now, const message_t *entry);
 
-/** Nodes that are live and not draining, this one included if it takes
-    shards.  Claims and handovers follow rendezvous hashing over them. */
+/** Nodes that are live, this one included.  A shard whose owner is not among
+    them is claimed by others.  Claims and handovers follow rendezvous hashing
+   over them. */
 void claims_candidates (claims_t *claims, usec_t now,
                         const claims_candidate_t *candidates, size_t count);
 
@@ -70,12 +79,15 @@
 
 /** Confirmation (b): a peer answered that its log read, begun after it got
     our question sent at SENT_AT, showed a newer claim for none of our shards
-    but those in SUPERSEDED (pairs shard, epoch). */
+    but those in SUPERSEDED (pairs shard, epoch).  The question must have
+    been all that claims_holds_wanted returned. */
 void claims_relay_confirmed (claims_t *claims, usec_t now, usec_t sent_at,
                              const u64_list_t *superseded);
 
-/** Pairs (shard, epoch) for which a witness is asked for holds; the list
-    is freed with g_free (items). */
+/** Pairs (shard, epoch) for which a witness is asked for holds: all shards
+    we own, since the same list is the relay question.  Bit 32 of the shard
+    asks whether the witness has applied exactly this claim, which repeats a
+    CLAIM_ACK that was lost.  The list is freed with g_free (items). */
 u64_list_t claims_holds_wanted (const claims_t *claims, usec_t now,
                                 incarnation_t witness);
 
@@ -95,7 +107,8 @@
 void claims_acknowledged (claims_t *claims, usec_t now, incarnation_t witness,
                           uint32_t shard, uint64_t epoch);
 
-/** An incarnation surely ended (evidence, rule (d)). */
+/** An incarnation surely ended (evidence, rule (d)).  A process that appends
+    LEAVE, or closes its peer port, has stopped acting before. */
 void claims_ended (claims_t *claims, usec_t now, incarnation_t incarnation);
 
 /** A peer said that it released shards (pairs shard, epoch). */
@@ -114,7 +127,9 @@
 /** @return the shard's epoch by the applied log, 0 if never claimed */
 uint64_t claims_epoch (const claims_t *claims, uint32_t shard);
 
-/** Releases one shard; the caller has stopped all work on its VMs. */
+/** Releases one shard; the caller has stopped all work on its VMs.  Also
+    for a shard lost to a newer claim: once its work has ended, a release
+    spares the successor the wait of rule (w). */
 void claims_release (claims_t *claims, usec_t now, uint32_t shard);
 
 /** Asks whether a shard should go to another node (rendezvous order) and
@@ -124,7 +139,7 @@
 /** Takes no new shards from now on (planned stop). */
 void claims_drain (claims_t *claims);
 
-/** Appends claims that are due, activates and lapses shards.
+/** Appends claims that are due, repeats releases, activates and lapses shards.
     @return when to call again */
 usec_t claims_tick (claims_t *claims, usec_t now);
 
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -4,7 +4,8 @@
  *
  * Does no I/O: the caller passes the time and the messages, and sends what
  * the callbacks hand out.  A peer is known by its node number and
- * incarnation; a new incarnation of a node is proof that the former ended.
+ * incarnation; a new incarnation at the same address is proof that the former
+ * ended (A6), one at another address is not.
  */
 #ifndef PEERS_PEERS_H
 #define PEERS_PEERS_H
@@ -53,7 +54,8 @@
 {
   /** Sends a message to a node. */
   void (*send) (void *ctx, node_id_t node, const message_t *message);
-  /** Fills the load fields and holds_asked of a heartbeat to a peer. */
+  /** Fills the load fields and holds_asked of a heartbeat to a peer; the
+      items of holds_asked are freed with g_free after the send. */
   void (*fill_heartbeat) (void *ctx, const peer_t *peer,
                           msg_heartbeat_t *heartbeat);
   /** A peer's state changed. */
@@ -83,11 +85,13 @@
                     const message_t *message);
 
 /** A connection to NODE was refused by its VM (assumption A6): whatever
-    incarnation was known there has ended. */
+    incarnation was known there has ended.  Ignored within suspect_after of
+    the HELLO of that incarnation. */
 void peers_refused (peers_t *peers, usec_t now, node_id_t node);
 
 /** The platform's list as of NOW; nodes it has not named for list_lag are
-    taken as ended (assumption A7).  NODES are the entry VMs it names. */
+    taken as ended (assumption A7) unless they are heard from.  NODES are the
+   entry VMs it names. */
 void peers_listed (peers_t *peers, usec_t now, const node_id_t *nodes,
                    size_t count);
 
