Settings and bundles: parse, check, sign, verify, diff, adopt

Cause: the headers of both slices had no code behind them, and the process could be driven by nothing.

Ruled out: one hand-written check for each key (drifts from the reference page), and inih's own line handling: Debian's build passes no line numbers, splits lines of more than 200 bytes and does not report empty sections.

Change: base/inifile reads INI text by tables of keys (kind, unit, range, default) and reports all problems at once with line and key. settings and bundle are tables over it, plus rules across keys. bundle_store keeps the version in force at the log position apart from a newer one taken from a peer.

--- a/src/bundle/bundle.h
+++ b/src/bundle/bundle.h
@@ -5,11 +5,20 @@
 #ifndef BUNDLE_BUNDLE_H
 #define BUNDLE_BUNDLE_H
 
+#include "base/inifile.h"
 #include "base/messages.h"
 
 #include <glib.h>
 #include <jansson.h>
 
+/** Longest run limit of a latency-critical class.  The successor on a shard
+    waits drain_ms (at least this long) for the former owner's requests, so a
+    longer one could leave a slot in use when the successor starts. */
+#define BUNDLE_RUN_LIMIT_MAX_MS 1500U
+
+/** Longest text of a bundle, so that it fits into one frame and record. */
+#define BUNDLE_TEXT_MAX 524288U
+
 typedef struct
 {
   char *name;
@@ -60,15 +69,8 @@
   GPtrArray *vm_kinds; /**< vm_kind_t */
 } bundle_t;
 
-/** A problem found in a settings file or a bundle. */
-typedef struct
-{
-  int line;
-  char key[64];
-  char text[160]; /**< what is wrong and what is allowed */
-} problem_t;
-
-/** Parses and checks a bundle; all problems are reported at once.
+/** Parses and checks a bundle of at most BUNDLE_TEXT_MAX bytes; all problems
+   are reported at once.
     @param problems filled with problem_t rows
     @return the bundle, NULL if there are problems */
 bundle_t *bundle_parse (blob_t text, GArray *problems);
@@ -77,6 +79,9 @@
 const work_class_t *bundle_class (const bundle_t *bundle, const char *name);
 const vm_kind_t *bundle_vm_kind (const bundle_t *bundle, const char *name);
 
+/** BLAKE2b-256, of bearer keys and of texts. */
+void bundle_hash_key (blob_t key, uint8_t hash[32]);
+
 /** Finds the member by its bearer key; compares in constant time and takes
     the same time whichever member matches.  @return NULL if none does */
 const member_t *bundle_member (const bundle_t *bundle, blob_t key);
@@ -101,6 +106,12 @@
 int bundle_verify (blob_t text, blob_t signature, const signer_t *signers,
                    size_t count, err_t *err);
 
+/** Parses a text and checks its signature block.
+    @param bundle set to the bundle, NULL on error
+    @return as bundle_verify; -EINVAL if the text is no good bundle */
+int bundle_open_signed (blob_t text, blob_t signature, const signer_t *signers,
+                        size_t count, bundle_t **bundle, err_t *err);
+
 /** Lines that differ in meaning between two bundles; free with g_free. */
 char *bundle_diff (const bundle_t *a, const bundle_t *b);
 
@@ -111,11 +122,22 @@
 void bundle_store_free (bundle_store_t *store);
 
 /** Applies a BUNDLE entry of the log: valid iff it is signed and its parent
-    is the version in force in the log's order, and version = parent + 1.
-    @return 0; -ESTALE if another one won; -EPERM; -EINVAL */
+    is the version in force in the log's order, and version = parent + 1.  A
+    snapshot (parent = version) is valid iff its version is not older than the
+    one in force.
+    @return 0, also for a repetition of the entry in force; -ESTALE if another
+    one won; -EPERM; -EINVAL */
 int bundle_store_apply (bundle_store_t *store, const msg_bundle_t *entry,
                         err_t *err);
 
+/** Checks a bundle that an operator wants to roll, before it is appended.
+    A snapshot is refused: only a process that has read the bundle in force
+    may append one.
+    @return 0; -ESTALE if it does not follow the version in force; -EPERM;
+    -EINVAL */
+int bundle_store_check_roll (const bundle_store_t *store,
+                             const msg_bundle_t *entry, err_t *err);
+
 /** Takes the bundle that a peer has in force, if newer and signed.
     @return 0; -EALREADY if not newer; -EPERM; -EINVAL */
 int bundle_store_offer (bundle_store_t *store, const msg_bundle_t *bundle,
@@ -127,4 +149,10 @@
 /** Fills MESSAGE with the text and signature in force; false if none. */
 bool bundle_store_message (const bundle_store_t *store, msg_bundle_t *message);
 
+/** Fills MESSAGE with the snapshot entry of the bundle in force, to be
+    appended before the records of the log expire.
+    @return false unless the bundle in force has been read from the log */
+bool bundle_store_snapshot (const bundle_store_t *store,
+                            msg_bundle_t *message);
+
 #endif
--- /dev/null
+++ b/src/settings/settings.c
@@ -0,0 +1,386 @@
+/** @file
+ * Settings of a process.
+ */
+#include "settings/settings.h"
+#include "base/log.h"
+
+#include <errno.h>
+#include <sodium.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define SETTINGS_FILE_MAX 262144U
+
+/* One heartbeat asks for holds of all shards of a node; 4096 pairs of
+   numbers stay far below the frame limit.  */
+#define SETTINGS_MAX_SHARDS 4096U
+
+typedef struct
+{
+  node_id_t node;
+  char address[INI_ADDRESS_MAX];
+  char *zone;
+} peer_row_t;
+
+/* What the file says, before names of zones are resolved.  */
+typedef struct
+{
+  settings_t s;
+  char *node_zone;
+  char **zones;
+  int level;
+  peer_row_t peers[SETTINGS_MAX_PEERS];
+} draft_t;
+
+/* Words of [log] level and their levels, in the same order.  */
+#define LEVEL_WORDS "err warning notice info debug"
+static const int levels[]
+    = { LOG_LEVEL_ERR, LOG_LEVEL_WARNING, LOG_LEVEL_NOTICE, LOG_LEVEL_INFO,
+        LOG_LEVEL_DEBUG };
+
+static void *open_draft (void *context, const char *name, const char **why);
+static void *open_peer (void *context, const char *name, const char **why);
+static void *open_signer (void *context, const char *name, const char **why);
+static void check_draft (void *context, ini_file_t *file);
+static void resolve_zones (draft_t *draft, ini_file_t *file);
+static void resolve_peers (draft_t *draft, ini_file_t *file);
+static void check_addresses (const draft_t *draft, ini_file_t *file);
+static void check_timing (const settings_t *settings, ini_file_t *file);
+static void check_signers (const settings_t *settings, ini_file_t *file);
+static void draft_free (draft_t *draft);
+
+#define ROW(key_name, key_kind, member)                                       \
+  .name = (key_name), .kind = (key_kind), .offset = offsetof (draft_t, member)
+#define RANGE(least, most) .min = (least), .max = (most)
+
+static const ini_key_t node_keys[] = {
+  { ROW ("id", INI_U32, s.node), RANGE (1, UINT32_MAX) },
+  { ROW ("zone", INI_NAME, node_zone) },
+};
+static const ini_key_t site_keys[] = {
+  { ROW ("zones", INI_NAMES, zones), RANGE (1, SETTINGS_MAX_ZONES) },
+  { ROW ("shards_per_zone", INI_U32, s.shards_per_zone), RANGE (1, 256),
+    .preset = "8" },
+};
+static const ini_key_t listen_keys[] = {
+  { ROW ("callers", INI_ADDRESS, s.listen_callers) },
+  { ROW ("operators", INI_ADDRESS, s.listen_operators) },
+  { ROW ("peers", INI_ADDRESS, s.listen_peers) },
+};
+static const ini_key_t platform_keys[] = {
+  { ROW ("log", INI_URL, s.log_url) },
+  { ROW ("list", INI_URL, s.list_url) },
+  { ROW ("list_interval_ms", INI_MSEC, s.list_interval), RANGE (100, 60000),
+    .preset = "1000", .unit = "ms" },
+  { ROW ("list_lag_ms", INI_MSEC, s.list_lag), RANGE (1000, 600000),
+    .preset = "10000", .unit = "ms" },
+  { ROW ("log_retention_s", INI_U64, s.log_retention_s), RANGE (60, 31536000),
+    .preset = "86400", .unit = "s" },
+};
+/* drain_ms may not be below the longest run limit that a bundle may state:
+   a successor on a shard waits drain_ms for the requests of the former owner
+   to end.  */
+static const ini_key_t timing_keys[] = {
+  { ROW ("heartbeat_ms", INI_MSEC, s.heartbeat), RANGE (50, 10000),
+    .preset = "250", .unit = "ms" },
+  { ROW ("suspect_ms", INI_MSEC, s.suspect_after), RANGE (100, 60000),
+    .preset = "1000", .unit = "ms" },
+  { ROW ("lease_ms", INI_MSEC, s.lease), RANGE (200, 60000), .preset = "2000",
+    .unit = "ms" },
+  { ROW ("drain_ms", INI_MSEC, s.drain),
+    RANGE (BUNDLE_RUN_LIMIT_MAX_MS, 60000), .preset = "1500", .unit = "ms" },
+  { ROW ("journal_group_ms", INI_MSEC, s.journal_group), RANGE (1, 1000),
+    .preset = "30", .unit = "ms" },
+};
+static const ini_key_t limit_keys[] = {
+  { ROW ("caller_connections", INI_U32, s.max_connections), RANGE (1, 65536),
+    .preset = "1024", .unit = "connections" },
+  { ROW ("body_bytes", INI_U32, s.max_body), RANGE (1, 786432),
+    .preset = "262144", .unit = "bytes" },
+  { ROW ("queue", INI_U32, s.max_queue), RANGE (1, 1000000), .preset = "10000",
+    .unit = "requests" },
+  { ROW ("caller_timeout_ms", INI_MSEC, s.caller_timeout), RANGE (100, 600000),
+    .preset = "10000", .unit = "ms" },
+};
+static const ini_key_t log_keys[] = {
+  { ROW ("level", INI_CHOICE, level), .preset = "notice",
+    .choices = LEVEL_WORDS },
+};
+static const ini_key_t peer_keys[] = {
+  { .name = "address",
+    .kind = INI_ADDRESS,
+    .offset = offsetof (peer_row_t, address) },
+  { .name = "zone", .kind = INI_NAME, .offset = offsetof (peer_row_t, zone) },
+};
+static const ini_key_t signer_keys[] = {
+  { .name = "key", .kind = INI_HASH, .offset = offsetof (signer_t, key) },
+};
+
+#define KEYS(table) .keys = (table), .key_count = G_N_ELEMENTS (table)
+static const ini_section_t sections[] = {
+  { "node", KEYS (node_keys), .open = open_draft },
+  { "site", KEYS (site_keys), .open = open_draft },
+  { "listen", KEYS (listen_keys), .open = open_draft },
+  { "platform", KEYS (platform_keys), .open = open_draft },
+  { "timing", KEYS (timing_keys), .open = open_draft },
+  { "limits", KEYS (limit_keys), .open = open_draft },
+  { "log", KEYS (log_keys), .open = open_draft },
+  { "peer", .named = true, KEYS (peer_keys), .open = open_peer },
+  { "signer", .named = true, KEYS (signer_keys), .open = open_signer },
+};
+
+int
+settings_load (const char *path, settings_t *settings, GArray *problems,
+               err_t *err)
+{
+  GError *error = NULL;
+  char *text;
+  gsize len;
+  int code = 0;
+
+  if (!g_file_get_contents (path, &text, &len, &error))
+    {
+      code = err_set (err, -ENOENT, "settings", path, "%s", error->message);
+      g_error_free (error);
+      return code;
+    }
+  if (len > SETTINGS_FILE_MAX)
+    code = err_set (err, -EFBIG, "settings", path,
+                    "%zu bytes; at most %u are allowed", len,
+                    SETTINGS_FILE_MAX);
+  else
+    code = settings_parse ((blob_t){ text, (uint32_t)len }, settings, problems,
+                           err);
+  g_free (text);
+  return code;
+}
+
+int
+settings_parse (blob_t text, settings_t *settings, GArray *problems,
+                err_t *err)
+{
+  draft_t *draft = g_new0 (draft_t, 1);
+  guint before = problems->len;
+
+  ini_read (text, sections, G_N_ELEMENTS (sections), draft, check_draft,
+            problems);
+  *settings = draft->s;
+  draft_free (draft);
+  if (problems->len == before)
+    return 0;
+  return err_set (err, -EINVAL, "settings", "", "%u problems",
+                  problems->len - before);
+}
+
+int
+settings_address (const char *text, char host[48], uint16_t *port)
+{
+  return ini_address (text, host, port);
+}
+
+uint32_t
+settings_shard (const settings_t *settings, uint32_t zone, const char *vm)
+{
+  uint64_t hash = XXH64 (vm, strlen (vm), 0);
+
+  return zone * settings->shards_per_zone
+         + (uint32_t)(hash % settings->shards_per_zone);
+}
+
+uint32_t
+settings_shard_count (const settings_t *settings)
+{
+  return (uint32_t)settings->zone_count * settings->shards_per_zone;
+}
+
+int
+settings_zone (const settings_t *settings, const char *name)
+{
+  for (size_t i = 0; i < settings->zone_count; i++)
+    if (strcmp (settings->zones[i], name) == 0)
+      return (int)i;
+  return -ENOENT;
+}
+
+static void *
+open_draft (void *context, const char *name, const char **why)
+{
+  (void)name;
+  (void)why;
+  return context;
+}
+
+static void *
+open_peer (void *context, const char *name, const char **why)
+{
+  draft_t *draft = context;
+  guint64 node;
+
+  /* A leading zero would allow one node under two names.  */
+  if (name[0] == '0'
+      || !g_ascii_string_to_unsigned (name, 10, 1, UINT32_MAX, &node, NULL))
+    {
+      *why = "the name of a peer is its node id, a number from 1";
+      return NULL;
+    }
+  if (draft->s.peer_count == SETTINGS_MAX_PEERS)
+    {
+      *why = "at most " G_STRINGIFY (SETTINGS_MAX_PEERS) " peers are allowed";
+      return NULL;
+    }
+  draft->peers[draft->s.peer_count].node = (node_id_t)node;
+  return &draft->peers[draft->s.peer_count++];
+}
+
+static void *
+open_signer (void *context, const char *name, const char **why)
+{
+  draft_t *draft = context;
+  signer_t *signer;
+
+  if (draft->s.signer_count == SETTINGS_MAX_SIGNERS)
+    {
+      *why = "at most " G_STRINGIFY (SETTINGS_MAX_SIGNERS) " are allowed";
+      return NULL;
+    }
+  signer = &draft->s.signers[draft->s.signer_count++];
+  g_strlcpy (signer->name, name, sizeof signer->name);
+  return signer;
+}
+
+static void
+check_draft (void *context, ini_file_t *file)
+{
+  draft_t *draft = context;
+
+  resolve_zones (draft, file);
+  resolve_peers (draft, file);
+  check_addresses (draft, file);
+  check_timing (&draft->s, file);
+  check_signers (&draft->s, file);
+  draft->s.log_level = levels[draft->level];
+}
+
+static void
+resolve_zones (draft_t *draft, ini_file_t *file)
+{
+  settings_t *settings = &draft->s;
+  int zone;
+
+  for (size_t i = 0; draft->zones && draft->zones[i]; i++)
+    g_strlcpy (settings->zones[settings->zone_count++], draft->zones[i],
+               sizeof settings->zones[0]);
+  if (settings_shard_count (settings) > SETTINGS_MAX_SHARDS)
+    ini_problem (file, "site", "shards_per_zone",
+                 "%u shards in all zones; at most %u are allowed",
+                 settings_shard_count (settings), SETTINGS_MAX_SHARDS);
+  if (!draft->node_zone)
+    return;
+  zone = settings_zone (settings, draft->node_zone);
+  settings->zone = zone < 0 ? 0 : (uint32_t)zone;
+  if (zone < 0)
+    ini_problem (file, "node", "zone",
+                 "\"%s\" is not among the zones of [site]", draft->node_zone);
+}
+
+static void
+resolve_peers (draft_t *draft, ini_file_t *file)
+{
+  for (size_t i = 0; i < draft->s.peer_count; i++)
+    {
+      const peer_row_t *row = &draft->peers[i];
+      settings_peer_t *peer = &draft->s.peers[i];
+      int zone = row->zone ? settings_zone (&draft->s, row->zone) : 0;
+      char title[32];
+
+      g_snprintf (title, sizeof title, "peer %u", row->node);
+      peer->node = row->node;
+      peer->zone = zone < 0 ? 0 : (uint32_t)zone;
+      g_strlcpy (peer->address, row->address, sizeof peer->address);
+      if (zone < 0)
+        ini_problem (file, title, "zone",
+                     "\"%s\" is not among the zones of [site]", row->zone);
+      if (row->node == draft->s.node)
+        ini_problem (file, title, "",
+                     "is this node itself; only other nodes are allowed");
+    }
+}
+
+/* Two ports at one address would make one of them unusable.  */
+static void
+check_addresses (const draft_t *draft, ini_file_t *file)
+{
+  const settings_t *settings = &draft->s;
+  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
+  const struct
+  {
+    const char *key;
+    const char *address;
+  } own[] = { { "callers", settings->listen_callers },
+              { "operators", settings->listen_operators },
+              { "peers", settings->listen_peers } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (own); i++)
+    if (*own[i].address && !g_hash_table_add (seen, (char *)own[i].address))
+      ini_problem (file, "listen", own[i].key,
+                   "the address is used twice; each needs its own");
+  for (size_t i = 0; i < settings->peer_count; i++)
+    {
+      const settings_peer_t *peer = &settings->peers[i];
+      char title[32];
+
+      g_snprintf (title, sizeof title, "peer %u", draft->peers[i].node);
+      if (*peer->address && !g_hash_table_add (seen, (char *)peer->address))
+        ini_problem (file, title, "address",
+                     "the address is used twice; each needs its own");
+    }
+  g_hash_table_destroy (seen);
+}
+
+static void
+check_timing (const settings_t *settings, ini_file_t *file)
+{
+  if (settings->suspect_after < 2 * settings->heartbeat)
+    ini_problem (file, "timing", "suspect_ms",
+                 "must be at least twice heartbeat_ms, or one lost heartbeat "
+                 "makes a peer suspect");
+  if (settings->lease < settings->suspect_after)
+    ini_problem (file, "timing", "lease_ms",
+                 "must be at least suspect_ms, or the lease lapses before a "
+                 "peer is suspected");
+}
+
+/* One key under two names would let an author sign with the second name.  */
+static void
+check_signers (const settings_t *settings, ini_file_t *file)
+{
+  if (!settings->signer_count)
+    ini_problem (file, "signer", "",
+                 "missing; at least one [signer NAME] is required, or no "
+                 "bundle can come into force");
+  for (size_t i = 0; i < settings->signer_count; i++)
+    for (size_t k = 0; k < i; k++)
+      if (!sodium_is_zero (settings->signers[i].key,
+                           sizeof settings->signers[i].key)
+          && !memcmp (settings->signers[i].key, settings->signers[k].key,
+                      sizeof settings->signers[i].key))
+        {
+          char title[64];
+
+          g_snprintf (title, sizeof title, "signer %s",
+                      settings->signers[i].name);
+          ini_problem (file, title, "key",
+                       "is the key of signer %s; each needs its own",
+                       settings->signers[k].name);
+        }
+}
+
+static void
+draft_free (draft_t *draft)
+{
+  g_free (draft->node_zone);
+  g_strfreev (draft->zones);
+  for (size_t i = 0; i < SETTINGS_MAX_PEERS; i++)
+    g_free (draft->peers[i].zone);
+  g_free (draft);
+}
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -56,6 +56,10 @@
 int settings_load (const char *path, settings_t *settings, GArray *problems,
                    err_t *err);
 
+/** Parses the text of a settings file.  @return 0, or -EINVAL with problems */
+int settings_parse (blob_t text, settings_t *settings, GArray *problems,
+                    err_t *err);
+
 /** Splits "IP:port". @return 0 or -EINVAL */
 int settings_address (const char *text, char host[48], uint16_t *port);
 
--- /dev/null
+++ b/src/settings/test_settings.c
@@ -0,0 +1,244 @@
+/* Tests of settings files. */
+#include "base/log.h"
+#include "settings/settings.h"
+
+#include <CUnit/Basic.h>
+#include <errno.h>
+#include <string.h>
+#include <unistd.h>
+
+#define KEY "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+#define KEY2 "ff112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+#define HEAD                                                                  \
+  "[node]\nid=1\nzone=b\n[site]\nzones=a\n b c\n"                             \
+  "[listen]\ncallers=127.0.0.1:1\noperators=127.0.0.1:2\n"                    \
+  "peers=127.0.0.1:3\n"                                                       \
+  "[platform]\nlog=http://127.0.0.1:4\nlist=http://127.0.0.1:5\n"
+#define GOOD HEAD "[signer s]\nkey=" KEY "\n"
+#define GOOD_LINES 15
+
+static GArray *
+parse (blob_t text, settings_t *settings)
+{
+  GArray *problems = g_array_new (FALSE, FALSE, sizeof (problem_t));
+  int code = settings_parse (text, settings, problems, NULL);
+
+  CU_ASSERT_EQUAL (code, problems->len ? -EINVAL : 0);
+  return problems;
+}
+
+/* Guards against a default that differs from the reference page, and against
+   lists cut off at a line end. */
+static void
+test_defaults (void)
+{
+  settings_t settings;
+  GArray *problems = parse (
+      blob_of (GOOD "[peer 7]\naddress=[::1]:9\nzone=c\n"), &settings);
+
+  CU_ASSERT_EQUAL (problems->len, 0);
+  CU_ASSERT_EQUAL (settings.zone_count, 3);
+  CU_ASSERT_EQUAL (settings.zone, 1);
+  CU_ASSERT_EQUAL (settings.heartbeat, 250 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (settings.lease, 2000 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (settings.drain, 1500 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (settings.list_lag, 10 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (settings.log_level, LOG_LEVEL_NOTICE);
+  CU_ASSERT_EQUAL (settings.peer_count, 1);
+  CU_ASSERT_EQUAL (settings.peers[0].node, 7);
+  CU_ASSERT_EQUAL (settings.peers[0].zone, 2);
+  CU_ASSERT_STRING_EQUAL (settings.signers[0].name, "s");
+  CU_ASSERT_EQUAL (settings.signers[0].key[1], 0x11);
+  CU_ASSERT_EQUAL (settings_shard_count (&settings), 24);
+  CU_ASSERT_EQUAL (settings_shard (&settings, 2, "vm") / 8, 2);
+  g_array_free (problems, TRUE);
+}
+
+/* Each row: what follows a good file, the line of the one problem counted
+   from the end of the good part, its key and a part of its text.  Guards
+   against bad input that is passed over. */
+static const struct
+{
+  const char *text;
+  int line;
+  const char *key;
+  const char *what;
+} bad[] = {
+  { "[timing]\nheartbeat_ms=49\n", 2, "[timing] heartbeat_ms", "from 50 to" },
+  { "[timing]\nlease_ms=2s\n", 2, "[timing] lease_ms", "(ms)" },
+  { "[timing]\ndrain_ms=-1\n", 2, "[timing] drain_ms", "from 1500" },
+  { "[timing]\ndrain_ms=1499\n", 2, "[timing] drain_ms", "from 1500" },
+  { "[timing]\nsuspect_ms=499\n", 2, "[timing] suspect_ms", "twice" },
+  { "[timing]\nlease_ms=999\n", 2, "[timing] lease_ms", "at least" },
+  { "[timing]\nleese_ms=2000\n", 2, "[timing] leese_ms", "unknown key" },
+  { "[limits]\nqueue=5\nqueue=6\n", 3, "[limits] queue", "line 17" },
+  { "[limits]\nqueue=18446744073709551617\n", 2, "[limits] queue", "from" },
+  { "[limits]\nqueue=5\n 6\n", 3, "[limits] queue", "continued" },
+  { "[timings]\nx=1\n", 1, "[timings]", "unknown section" },
+  { "[site]\nzones=q\n", 1, "[site]", "duplicate section" },
+  { "[node x]\n", 1, "[node x]", "unknown section" },
+  { "[log]\nlevel=loud\n", 2, "[log] level", "err warning" },
+  { "[log]\nlevel\n", 2, "[log]", "neither" },
+  { "[log\nlevel=err\n", 1, "[?]", "no section" },
+  { "[peer 01]\naddress=127.0.0.1:9\nzone=a\n", 1, "[peer 01]", "a number" },
+  { "[peer 1]\naddress=127.0.0.1:9\nzone=a\n", 1, "[peer 1]", "itself" },
+  { "[peer x]\naddress=127.0.0.1:9\nzone=a\n", 1, "[peer x]", "a number" },
+  { "[peer 2]\naddress=localhost:9\nzone=a\n", 2, "[peer 2] address",
+    "IP:port" },
+  { "[peer 2]\naddress=127.0.0.1:70000\nzone=a\n", 2, "[peer 2] address",
+    "IP:port" },
+  { "[peer 2]\naddress=127.0.0.1:3\nzone=a\n", 2, "[peer 2] address",
+    "twice" },
+  { "[peer 2]\naddress=127.0.0.1:9\nzone=z\n", 3, "[peer 2] zone", "among" },
+  { "[peer 2]\naddress=127.0.0.1:9\n", 1, "[peer 2] zone", "missing" },
+  { "[signer t]\nkey=" KEY "\n", 2, "[signer t] key", "signer s" },
+  { "[signer t]\nkey=" KEY2 "0\n", 2, "[signer t] key", "64 hex" },
+  { "[signer T]\nkey=" KEY2 "\n", 1, "[signer T]", "the name" },
+  { "[log]\nlevel=err\x01\n", 2, "[log]", "control" },
+  { "; \xff\n", 1, "[signer s]", "UTF-8" },
+};
+
+static void
+test_bad_input (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      settings_t settings;
+      char *text = g_strconcat (GOOD, bad[i].text, NULL);
+      GArray *problems = parse (blob_of (text), &settings);
+      problem_t first = { 0 };
+
+      if (problems->len)
+        first = g_array_index (problems, problem_t, 0);
+      if (problems->len != 1 || first.line != GOOD_LINES + bad[i].line
+          || strcmp (first.key, bad[i].key) != 0
+          || !strstr (first.text, bad[i].what))
+        {
+          printf ("row %zu: %u problems, line %d, %s: %s\n", i, problems->len,
+                  first.line - GOOD_LINES, first.key, first.text);
+          CU_FAIL ("wrong problem");
+        }
+      g_array_free (problems, TRUE);
+      g_free (text);
+    }
+  CU_PASS ("all rows");
+}
+
+/* Guards against reports that stop at the first problem. */
+static void
+test_all_at_once (void)
+{
+  settings_t settings;
+  GArray *problems = parse (
+      blob_of ("id=1\n[node]\nid=x\n[log]\nlevel=x\ny=1\n"), &settings);
+
+  /* before the first section, id, zone, level, y, four missing sections */
+  CU_ASSERT_EQUAL (problems->len, 9);
+  for (guint i = 1; i < problems->len; i++)
+    CU_ASSERT (g_array_index (problems, problem_t, i - 1).line
+               <= g_array_index (problems, problem_t, i).line);
+  g_array_free (problems, TRUE);
+}
+
+/* Guards against a line longer than inih's buffer, which would be read as two
+   lines, against a NUL that hides the rest, and against a huge file. */
+static void
+test_oversize (void)
+{
+  settings_t settings;
+  char *blanks = g_strnfill (200, ' ');
+  char *text = g_strconcat (GOOD "[log]\nlevel=err", blanks, "x=1\n", NULL);
+  GArray *problems = parse (blob_of (text), &settings);
+  static const char nul[] = GOOD "\0\n[log]\nlevel=x\n";
+  char *path = g_build_filename (g_get_tmp_dir (), "settings-XXXXXX", NULL);
+  int file = g_mkstemp (path);
+  char *big = g_strnfill (300000, '\n');
+  err_t err;
+
+  CU_ASSERT_EQUAL (problems->len, 1);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (g_array_index (problems, problem_t, 0).text, "at most 190"));
+  g_array_free (problems, TRUE);
+  problems = parse ((blob_t){ nul, sizeof nul - 1 }, &settings);
+  CU_ASSERT_EQUAL (problems->len, 2);
+  CU_ASSERT (file >= 0 && g_file_set_contents (path, big, -1, NULL));
+  CU_ASSERT_EQUAL (settings_load (path, &settings, problems, &err), -EFBIG);
+  CU_ASSERT_EQUAL (settings_load ("/", &settings, problems, &err), -ENOENT);
+  (void)unlink (path);
+  (void)close (file);
+  g_array_free (problems, TRUE);
+  g_free (path);
+  g_free (big);
+  g_free (text);
+  g_free (blanks);
+}
+
+/* Guards against example files that the reader refuses. */
+static void
+test_examples (void)
+{
+  for (int i = 1; i <= 3; i++)
+    {
+      settings_t settings;
+      char *path = g_strdup_printf ("examples/node%d.ini", i);
+      GArray *problems = g_array_new (FALSE, FALSE, sizeof (problem_t));
+
+      CU_ASSERT_EQUAL (settings_load (path, &settings, problems, NULL), 0);
+      CU_ASSERT_EQUAL (settings.node, i);
+      CU_ASSERT_EQUAL (settings.peer_count, 2);
+      g_array_free (problems, TRUE);
+      g_free (path);
+    }
+}
+
+/* Guards against addresses that a resolver would have to look up. */
+static void
+test_address (void)
+{
+  static const struct
+  {
+    const char *text;
+    int code;
+  } rows[] = { { "127.0.0.1:80", 0 },
+               { "[::1]:65535", 0 },
+               { "127.0.0.1", -EINVAL },
+               { "127.0.0.1:", -EINVAL },
+               { "127.0.0.1:0", -EINVAL },
+               { "127.0.0.1:+80", -EINVAL },
+               { "127.0.0.1:080x", -EINVAL },
+               { "::1:80", -EINVAL },
+               { "[::1:80", -EINVAL },
+               { "127.1:80", -EINVAL },
+               { ":80", -EINVAL },
+               { "[]:80", -EINVAL } };
+  char host[48];
+  uint16_t port = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    CU_ASSERT_EQUAL (settings_address (rows[i].text, host, &port),
+                     rows[i].code);
+  CU_ASSERT_EQUAL (settings_address ("[::1]:65535", host, &port), 0);
+  CU_ASSERT_STRING_EQUAL (host, "::1");
+  CU_ASSERT_EQUAL (port, 65535);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  if (CU_initialize_registry () != CUE_SUCCESS)
+    return 2;
+  suite = CU_add_suite ("settings", NULL, NULL);
+  CU_add_test (suite, "defaults", test_defaults);
+  CU_add_test (suite, "bad input", test_bad_input);
+  CU_add_test (suite, "all at once", test_all_at_once);
+  CU_add_test (suite, "oversize", test_oversize);
+  CU_add_test (suite, "examples", test_examples);
+  CU_add_test (suite, "address", test_address);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? 1 : 0;
+}
