--- a/src/base/messages.h
+++ b/src/base/messages.h
@@ -24,7 +24,9 @@
   F (U64, queued)                                                             \
   F (U64, free_millicores)                                                    \
   F (U64, bundle_version)                                                     \
-  F (U64, log_offset) F (U64, draining) F (U64S, holds_asked)
+  F (U64, log_offset)                                                         \
+  F (U64, log_ok)                                                             \
+  F (U64, draining) F (U64S, holds_asked)
 #define HEARTBEAT_ACK_FIELDS(F)                                               \
   F (U64, seq) F (U64, log_ok) F (U64, log_offset) F (U64S, holds_granted)
 #define LOG_RELAY_FIELDS(F)                                                   \
@@ -98,6 +100,8 @@
 #define BUNDLE_FIELDS(F)                                                      \
   F (U64, version) F (U64, parent) F (BLOB, text) F (BLOB, signature)
 
+#define RECORD_FIELDS(F) F (U64, incarnation) F (U64, seq)
+
 /* M (type number, identifier, structure) */
 #define PEER_MESSAGES(M)                                                      \
   M (1, HELLO, hello)                                                         \
@@ -122,7 +126,8 @@
   M (39, ORDER_REQUEUE, order_requeue)                                        \
   M (40, ORDER_CANCEL, order_cancel)                                          \
   M (41, ORDER_SNAPSHOT, order_snapshot)                                      \
-  M (42, BUNDLE, bundle)
+  M (42, BUNDLE, bundle)                                                      \
+  M (43, RECORD, record)
 
 #define MESSAGE_TABLE(M) PEER_MESSAGES (M) LOG_ENTRIES (M)
 
--- /dev/null
+++ b/src/net/address.h
@@ -0,0 +1,12 @@
+/** @file
+ * Addresses of the form IP:port.
+ */
+#ifndef NET_ADDRESS_H
+#define NET_ADDRESS_H
+
+#include <netinet/in.h>
+
+/** Parses "IP:port" (IPv4). @return 0 or -EINVAL */
+int address_parse (const char *text, struct sockaddr_in *address);
+
+#endif
--- /dev/null
+++ b/src/net/clock.h
@@ -0,0 +1,12 @@
+/** @file
+ * The process's clock.
+ */
+#ifndef NET_CLOCK_H
+#define NET_CLOCK_H
+
+#include "base/types.h"
+
+/** @return monotonic time with suspended time counted (CLOCK_BOOTTIME) */
+usec_t clock_now (void);
+
+#endif
--- /dev/null
+++ b/src/net/http_client.c
@@ -0,0 +1,335 @@
+/** @file
+ * HTTP requests by libcurl's multi interface on a libev loop.
+ */
+#include "net/http_client.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <string.h>
+
+#define CONNECT_TIMEOUT_MS 500L
+#define IDLE_CONNECTION_MAX_AGE_S 20L
+#define MAX_IDLE_CONNECTIONS 2048L
+#define MAX_ANSWER_BYTES (64U << 20)
+#define MAX_IDLE_HANDLES 256U
+
+typedef struct transfer transfer_t;
+
+struct http_client
+{
+  struct ev_loop *loop;
+  CURLM *multi;
+  ev_timer timer;
+  GPtrArray *idle;    /* CURL handles for reuse */
+  GHashTable *active; /* transfer_t set */
+};
+
+struct transfer
+{
+  http_client_t *client;
+  CURL *easy;
+  struct curl_slist *headers;
+  char *body;
+  size_t body_len;
+  size_t body_sent;
+  bool body_ended; /* the whole body was handed to libcurl */
+  GByteArray *answer;
+  bool leaving;
+  http_done_t done;
+  void *ctx;
+};
+
+typedef struct
+{
+  ev_io io;
+  http_client_t *client;
+} watch_t;
+
+static int on_socket (CURL *easy, curl_socket_t fd, int what, void *ctx,
+                      void *socket_ctx);
+static int on_timer (CURLM *multi, long timeout_ms, void *ctx);
+static void on_timer_fired (EV_P_ ev_timer *timer, int events);
+static void on_io (EV_P_ ev_io *io, int events);
+static void finish_transfers (http_client_t *client);
+static void finish (http_client_t *client, transfer_t *transfer,
+                    CURLcode code);
+static size_t on_body_read (char *buffer, size_t size, size_t count,
+                            void *ctx);
+static size_t on_answer (char *data, size_t size, size_t count, void *ctx);
+static size_t on_header (char *data, size_t size, size_t count, void *ctx);
+static void transfer_free (void *data);
+static void set_options (transfer_t *transfer, const http_request_t *request);
+
+http_client_t *
+http_client_new (struct ev_loop *loop)
+{
+  http_client_t *client = g_new0 (http_client_t, 1);
+
+  client->loop = loop;
+  client->multi = curl_multi_init ();
+  client->idle = g_ptr_array_new ();
+  client->active = g_hash_table_new_full (NULL, NULL, transfer_free, NULL);
+  ev_init (&client->timer, on_timer_fired);
+  client->timer.data = client;
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS,
+                     MAX_IDLE_CONNECTIONS);
+  curl_multi_setopt (client->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  return client;
+}
+
+void
+http_client_free (http_client_t *client)
+{
+  if (!client)
+    return;
+  g_hash_table_destroy (client->active);
+  for (guint i = 0; i < client->idle->len; i++)
+    curl_easy_cleanup (client->idle->pdata[i]);
+  g_ptr_array_free (client->idle, TRUE);
+  curl_multi_cleanup (client->multi);
+  ev_timer_stop (client->loop, &client->timer);
+  g_free (client);
+}
+
+void
+http_client_send (http_client_t *client, const http_request_t *request,
+                  http_done_t done, void *ctx)
+{
+  transfer_t *transfer = g_new0 (transfer_t, 1);
+
+  transfer->client = client;
+  transfer->done = done;
+  transfer->ctx = ctx;
+  transfer->body = g_memdup2 (request->body.data, request->body.len);
+  transfer->body_len = request->body.len;
+  transfer->answer = g_byte_array_new ();
+  if (client->idle->len)
+    transfer->easy
+        = g_ptr_array_remove_index_fast (client->idle, client->idle->len - 1);
+  else
+    transfer->easy = curl_easy_init ();
+  set_options (transfer, request);
+  g_hash_table_add (client->active, transfer);
+  curl_multi_add_handle (client->multi, transfer->easy);
+}
+
+static void
+set_options (transfer_t *transfer, const http_request_t *request)
+{
+  CURL *easy = transfer->easy;
+
+  /* Without an Expect header the body goes out with the headers. */
+  transfer->headers = curl_slist_append (NULL, "Expect:");
+  for (const char *const *h = request->headers; h && *h; h++)
+    transfer->headers = curl_slist_append (transfer->headers, *h);
+  curl_easy_setopt (easy, CURLOPT_URL, request->url);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, transfer);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
+                    (long)(request->timeout / USEC_PER_MSEC));
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, IDLE_CONNECTION_MAX_AGE_S);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_answer);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, transfer);
+  if (strcmp (request->method, "GET") != 0)
+    {
+      /* A body from a callback that cannot rewind keeps libcurl from
+         sending the request a second time when a reused connection breaks;
+         an empty body gives no such protection. */
+      curl_easy_setopt (easy, CURLOPT_POST, 1L);
+      curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)request->body.len);
+      curl_easy_setopt (easy, CURLOPT_READFUNCTION, on_body_read);
+      curl_easy_setopt (easy, CURLOPT_READDATA, transfer);
+      if (request->fresh || !request->body.len)
+        curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, transfer->headers);
+}
+
+static int
+on_socket (CURL *easy, curl_socket_t fd, int what, void *ctx, void *socket_ctx)
+{
+  http_client_t *client = ctx;
+  watch_t *watch = socket_ctx;
+  int events = 0;
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (watch)
+        ev_io_stop (client->loop, &watch->io);
+      g_free (watch);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    events |= EV_READ;
+  if (what & CURL_POLL_OUT)
+    events |= EV_WRITE;
+  if (!watch)
+    {
+      watch = g_new0 (watch_t, 1);
+      watch->client = client;
+      ev_init (&watch->io, on_io);
+      watch->io.data = watch;
+      curl_multi_assign (client->multi, fd, watch);
+    }
+  ev_io_stop (client->loop, &watch->io);
+  ev_io_set (&watch->io, fd, events);
+  ev_io_start (client->loop, &watch->io);
+  return 0;
+}
+
+static int
+on_timer (CURLM *multi, long timeout_ms, void *ctx)
+{
+  http_client_t *client = ctx;
+
+  (void)multi;
+  ev_timer_stop (client->loop, &client->timer);
+  if (timeout_ms >= 0)
+    {
+      ev_timer_set (&client->timer, (double)timeout_ms / 1e3, 0.);
+      ev_timer_start (client->loop, &client->timer);
+    }
+  return 0;
+}
+
+static void
+on_timer_fired (EV_P_ ev_timer *timer, int events)
+{
+  http_client_t *client = timer->data;
+  int running;
+
+  (void)loop;
+  (void)events;
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  finish_transfers (client);
+}
+
+static void
+on_io (EV_P_ ev_io *io, int events)
+{
+  watch_t *watch = io->data;
+  http_client_t *client = watch->client;
+  int flags = 0;
+  int running;
+
+  (void)loop;
+  if (events & EV_READ)
+    flags |= CURL_CSELECT_IN;
+  if (events & EV_WRITE)
+    flags |= CURL_CSELECT_OUT;
+  curl_multi_socket_action (client->multi, io->fd, flags, &running);
+  finish_transfers (client);
+}
+
+static void
+finish_transfers (http_client_t *client)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)))
+    {
+      char *private_data = NULL;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE,
+                         &private_data);
+      finish (client, (transfer_t *)private_data, message->data.result);
+    }
+}
+
+static void
+finish (http_client_t *client, transfer_t *transfer, CURLcode code)
+{
+  http_answer_t answer = { .end = HTTP_CUT };
+  long status = 0;
+  long request_bytes = 0;
+
+  curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (transfer->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  if (code == CURLE_OK)
+    answer.end = HTTP_ANSWERED;
+  else if (!request_bytes)
+    answer.end = HTTP_NOT_SENT;
+  answer.status = answer.end == HTTP_ANSWERED ? (int)status : 0;
+  answer.body
+      = (blob_t){ (char *)transfer->answer->data, transfer->answer->len };
+  answer.leaving = transfer->leaving;
+  answer.error = curl_easy_strerror (code);
+  g_hash_table_steal (client->active, transfer);
+  curl_multi_remove_handle (client->multi, transfer->easy);
+  transfer->done (transfer->ctx, &answer);
+  transfer_free (transfer);
+}
+
+static void
+transfer_free (void *data)
+{
+  transfer_t *transfer = data;
+  http_client_t *client = transfer->client;
+
+  if (client->idle->len < MAX_IDLE_HANDLES)
+    {
+      curl_multi_remove_handle (client->multi, transfer->easy);
+      curl_easy_reset (transfer->easy);
+      g_ptr_array_add (client->idle, transfer->easy);
+    }
+  else
+    curl_easy_cleanup (transfer->easy);
+  curl_slist_free_all (transfer->headers);
+  g_byte_array_free (transfer->answer, TRUE);
+  g_free (transfer->body);
+  g_free (transfer);
+}
+
+static size_t
+on_body_read (char *buffer, size_t size, size_t count, void *ctx)
+{
+  transfer_t *transfer = ctx;
+  size_t left = transfer->body_len - transfer->body_sent;
+  size_t len = MIN (left, size * count);
+
+  /* A second pass over the body would be a second send. */
+  if (!len && transfer->body_ended)
+    return CURL_READFUNC_ABORT;
+  memcpy (buffer, transfer->body + transfer->body_sent, len);
+  transfer->body_sent += len;
+  if (!len)
+    transfer->body_ended = true;
+  return len;
+}
+
+static size_t
+on_answer (char *data, size_t size, size_t count, void *ctx)
+{
+  transfer_t *transfer = ctx;
+
+  if (transfer->answer->len + size * count > MAX_ANSWER_BYTES)
+    return 0;
+  g_byte_array_append (transfer->answer, (const guint8 *)data,
+                       (guint)(size * count));
+  return size * count;
+}
+
+static size_t
+on_header (char *data, size_t size, size_t count, void *ctx)
+{
+  static const char name[] = "limpethinge-leaving:";
+  transfer_t *transfer = ctx;
+
+  if (size * count >= sizeof name - 1
+      && g_ascii_strncasecmp (data, name, sizeof name - 1) == 0)
+    transfer->leaving = true;
+  return size * count;
+}
--- /dev/null
+++ b/src/net/httpd.h
@@ -0,0 +1,71 @@
+/** @file
+ * HTTP server by libmicrohttpd on a libev loop.
+ *
+ * A request is handed over whole.  It may be answered at once or later; the
+ * connection is suspended meanwhile.
+ */
+#ifndef NET_HTTPD_H
+#define NET_HTTPD_H
+
+#include "base/table.h"
+
+#include <ev.h>
+
+typedef struct httpd httpd_t;
+
+typedef struct
+{
+  handle_t handle; /**< for the later answer */
+  const char *method;
+  const char *path;
+  blob_t body;
+} httpd_request_t;
+
+typedef struct
+{
+  int status;
+  const char *content_type; /**< NULL for application/json */
+  const char *outcome;      /**< Limpethinge-Outcome, NULL for none */
+  uint32_t retry_after_s;   /**< Retry-After, 0 for none */
+  blob_t body;              /**< copied */
+} httpd_answer_t;
+
+typedef struct
+{
+  /** A whole request arrived; call httpd_answer for its handle now or
+      later, exactly once.  REQUEST is valid during the call. */
+  void (*request) (void *ctx, const httpd_request_t *request);
+  /** The caller went away before its answer; the handle is stale. */
+  void (*abandoned) (void *ctx, handle_t handle);
+} httpd_ops_t;
+
+typedef struct
+{
+  const char *address; /**< IP:port */
+  uint32_t max_connections;
+  uint32_t max_body; /**< bytes; a larger one is answered with 413 */
+  usec_t timeout;    /**< silent connections are closed */
+} httpd_config_t;
+
+/** @return NULL with ERR filled if the address cannot be bound */
+httpd_t *httpd_new (struct ev_loop *loop, const httpd_config_t *config,
+                    const httpd_ops_t *ops, void *ctx, err_t *err);
+
+/** Closes the listening socket; connections go on. */
+void httpd_quiesce (httpd_t *httpd);
+void httpd_free (httpd_t *httpd);
+
+/** @return a header of a request that is being handed over, or NULL */
+const char *httpd_header (httpd_t *httpd, handle_t handle, const char *name);
+
+/** @return a query parameter of a request that is being handed over */
+const char *httpd_query (httpd_t *httpd, handle_t handle, const char *name);
+
+/** Answers a request; a stale handle is ignored. */
+void httpd_answer (httpd_t *httpd, handle_t handle,
+                   const httpd_answer_t *answer);
+
+/** @return requests not yet answered and not yet fully sent */
+size_t httpd_open_requests (const httpd_t *httpd);
+
+#endif
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,437 @@
+/** @file
+ * The entry process: start, timers, planned stop.
+ */
+#include "node/node.h"
+#include "base/counters.h"
+#include "base/log.h"
+#include "net/clock.h"
+#include "node/node_private.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#define MAX_SLEEP (100 * USEC_PER_MSEC)
+#define MIN_SLEEP (1 * USEC_PER_MSEC)
+#define DRAIN_LIMIT (30 * USEC_PER_SEC)
+#define LEAVE_LIMIT (3 * USEC_PER_SEC)
+#define JOURNAL_RETRY_MIN (100 * USEC_PER_MSEC)
+#define JOURNAL_RETRY_MAX (1 * USEC_PER_SEC)
+#define JOURNAL_POLL_MS 500U
+#define JOURNAL_RECORD_BYTES (512U << 10)
+#define JOURNAL_QUEUE_BYTES (32U << 20)
+#define JOURNAL_READ_MAX 1000U
+#define RETRY_MIN (20 * USEC_PER_MSEC)
+#define RETRY_PERCENT 10U
+#define CLAIM_RETRY (500 * USEC_PER_MSEC)
+#define OPERATOR_CONNECTIONS 64U
+#define OPERATOR_BODY (1U << 20)
+
+static int node_start (node_t *node, err_t *err);
+static void node_init_slices (node_t *node);
+static int node_init_sockets (node_t *node, err_t *err);
+static void node_init_watchers (node_t *node);
+static void node_free (node_t *node);
+static void add_configured_peers (node_t *node);
+static void on_timer (EV_P_ ev_timer *timer, int events);
+static void on_prepare (EV_P_ ev_prepare *prepare, int events);
+static void on_signal (EV_P_ ev_signal *signal, int events);
+/* USEC_NEVER from a tick means that nothing is due. */
+static usec_t earlier (usec_t a, usec_t b);
+static usec_t run_ticks (node_t *node, usec_t now);
+static void drain_tick (node_t *node, usec_t now);
+static bool shards_released (node_t *node, usec_t now);
+static void order_changed (void *ctx, usec_t now, const order_t *order);
+static uint64_t order_epoch_of (void *ctx, uint32_t shard);
+
+static const orders_ops_t orders_ops = { order_changed, order_epoch_of };
+
+int
+node_main (const settings_t *settings)
+{
+  node_t *node = g_new0 (node_t, 1);
+  err_t err = { 0 };
+  int code;
+
+  node->settings = settings;
+  code = node_start (node, &err);
+  if (code)
+    {
+      log_err (LOG_LEVEL_ERR, &err);
+      node_free (node);
+      return code;
+    }
+  log_line (LOG_LEVEL_NOTICE, "start", NULL, "node %u started, version %s",
+            settings->node, VERSION);
+  ev_run (node->loop, 0);
+  log_line (LOG_LEVEL_NOTICE, "stop", NULL, "node %u stopped", settings->node);
+  node_free (node);
+  return 0;
+}
+
+void
+node_wake (node_t *node)
+{
+  node->due = true;
+}
+
+uint64_t
+node_new_id (node_t *node)
+{
+  /* The multiplier is odd, so that no number repeats within 2^64. */
+  node->next_id++;
+  return (node->incarnation ^ node->next_id * 0x9e3779b97f4a7c15ULL) | 1U;
+}
+
+bool
+node_may_act (node_t *node, usec_t now, uint32_t shard)
+{
+  uint64_t epoch;
+
+  return claims_may_act (node->claims, now, shard, &epoch);
+}
+
+void
+node_start_drain (node_t *node, const char *why)
+{
+  if (node->draining)
+    return;
+  node->draining = true;
+  node->drain_limit = clock_now () + DRAIN_LIMIT;
+  log_line (LOG_LEVEL_NOTICE, "drain", NULL, "stopping: %s", why);
+  for (guint i = 0; i < node->order_waits->len; i++)
+    g_array_index (node->order_waits, order_wait_t, i).until = USEC_NEVER;
+  claims_drain (node->claims);
+  node_candidates (node, clock_now ());
+  node_wake (node);
+}
+
+const bundle_t *
+node_bundle (const node_t *node)
+{
+  return bundle_store_current (node->bundles);
+}
+
+void
+node_bundle_changed (node_t *node)
+{
+  const bundle_t *bundle = bundle_store_current (node->bundles);
+
+  if (!bundle || bundle->version == node->announced_bundle)
+    return;
+  node->announced_bundle = bundle->version;
+  log_line (LOG_LEVEL_NOTICE, "bundle", NULL, "version %lu in force",
+            (unsigned long)bundle->version);
+  routing_kick (node->routing, clock_now ());
+  node_wake (node);
+}
+
+void
+node_answer_json (httpd_t *httpd, handle_t http, int status,
+                  const char *outcome, uint32_t retry_after_s, json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+  httpd_answer_t answer = { .status = status,
+                            .outcome = outcome,
+                            .retry_after_s = retry_after_s,
+                            .body = blob_of (text ? text : "") };
+
+  httpd_answer (httpd, http, &answer);
+  free (text);
+  json_decref (body);
+}
+
+void
+node_answer_error (httpd_t *httpd, handle_t http, int status,
+                   const char *outcome, uint32_t retry_after_s,
+                   const char *text)
+{
+  json_t *body = json_pack ("{s:s}", "error", text);
+
+  if (outcome)
+    json_object_set_new (body, "outcome", json_string (outcome));
+  node_answer_json (httpd, http, status, outcome, retry_after_s, body);
+}
+
+static int
+node_start (node_t *node, err_t *err)
+{
+  int code;
+
+  if (sodium_init () < 0)
+    return err_set (err, -EIO, "start", NULL, "libsodium cannot start");
+  node->loop = ev_default_loop (0);
+  randombytes_buf (&node->incarnation, sizeof node->incarnation);
+  node->random = g_rand_new_with_seed (randombytes_random ());
+  node->bundle_due = USEC_NEVER;
+  node_init_slices (node);
+  code = node_init_sockets (node, err);
+  if (code)
+    return code;
+  add_configured_peers (node);
+  node_init_watchers (node);
+  return 0;
+}
+
+static void
+node_init_slices (node_t *node)
+{
+  const settings_t *settings = node->settings;
+  journal_config_t journal = { .group_interval = settings->journal_group,
+                               .retry_min = JOURNAL_RETRY_MIN,
+                               .retry_max = JOURNAL_RETRY_MAX,
+                               .poll_wait_ms = JOURNAL_POLL_MS,
+                               .max_record_bytes = JOURNAL_RECORD_BYTES,
+                               .max_queue_bytes = JOURNAL_QUEUE_BYTES,
+                               .max_read = JOURNAL_READ_MAX };
+  peers_config_t peers = { .node = settings->node,
+                           .incarnation = node->incarnation,
+                           .zone = settings->zone,
+                           .heartbeat_interval = settings->heartbeat,
+                           .suspect_after = settings->suspect_after,
+                           .list_lag = settings->list_lag };
+  claims_config_t claims = { .node = settings->node,
+                             .incarnation = node->incarnation,
+                             .zone = settings->zone,
+                             .shard_count = settings_shard_count (settings),
+                             .lease = settings->lease,
+                             .drain = settings->drain,
+                             .claim_retry = CLAIM_RETRY };
+  routing_config_t routing = { .zone = settings->zone,
+                               .max_queue = settings->max_queue,
+                               .retry_min = RETRY_MIN,
+                               .retry_percent = RETRY_PERCENT };
+
+  node->journal
+      = journal_new (&journal, node->incarnation, &node_journal_ops, node);
+  node->peers = peers_new (&peers, &node_peers_ops, node);
+  node->claims = claims_new (&claims, &node_claims_ops, node);
+  node->limits = limits_new ();
+  node->routing = routing_new (&routing, node->limits, node->random,
+                               &node_routing_ops, node);
+  node->orders = orders_new (&orders_ops, node);
+  node->bundles = bundle_store_new (settings->signers, settings->signer_count);
+  node->lc = table_new (sizeof (lc_t));
+  node->routes = g_hash_table_new (NULL, NULL);
+  node->forwards
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  node->unsent = g_array_new (FALSE, FALSE, sizeof (unsent_t));
+  node->waiters
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  node->order_waits = g_array_new (FALSE, FALSE, sizeof (order_wait_t));
+  node->relays = g_array_new (FALSE, FALSE, sizeof (relay_t));
+  node->releasing = g_new0 (bool, claims.shard_count);
+  node->lost_work = g_new0 (bool, claims.shard_count);
+}
+
+static int
+node_init_sockets (node_t *node, err_t *err)
+{
+  const settings_t *settings = node->settings;
+  httpd_config_t callers = { .address = settings->listen_callers,
+                             .max_connections = settings->max_connections,
+                             .max_body = settings->max_body,
+                             .timeout = settings->caller_timeout };
+  httpd_config_t operators = { .address = settings->listen_operators,
+                               .max_connections = OPERATOR_CONNECTIONS,
+                               .max_body = OPERATOR_BODY,
+                               .timeout = settings->caller_timeout };
+  msg_hello_t hello = { .protocol = MESSAGE_PROTOCOL,
+                        .node = settings->node,
+                        .incarnation = node->incarnation,
+                        .zone = settings->zone,
+                        .address = blob_of (settings->listen_peers) };
+
+  node->link = peerlink_new (node->loop, settings->listen_peers, &hello,
+                             &node_peerlink_ops, node, err);
+  if (!node->link)
+    return err->code;
+  node->callers
+      = httpd_new (node->loop, &callers, &node_caller_ops, node, err);
+  if (!node->callers)
+    return err->code;
+  node->operators
+      = httpd_new (node->loop, &operators, &node_operator_ops, node, err);
+  if (!node->operators)
+    return err->code;
+  node->platform = http_client_new (node->loop);
+  node->upstreams = http_client_new (node->loop);
+  return 0;
+}
+
+static void
+add_configured_peers (node_t *node)
+{
+  const settings_t *settings = node->settings;
+
+  for (size_t i = 0; i < settings->peer_count; i++)
+    {
+      const settings_peer_t *peer = &settings->peers[i];
+
+      if (peer->node == settings->node)
+        continue;
+      peers_add (node->peers, clock_now (), peer->node, peer->zone);
+      peerlink_add (node->link, peer->node, peer->address);
+    }
+}
+
+static void
+node_init_watchers (node_t *node)
+{
+  ev_init (&node->timer, on_timer);
+  ev_prepare_init (&node->prepare, on_prepare);
+  ev_signal_init (&node->term, on_signal, SIGTERM);
+  ev_signal_init (&node->interrupt, on_signal, SIGINT);
+  node->timer.data = node;
+  node->prepare.data = node;
+  node->term.data = node;
+  node->interrupt.data = node;
+  node->due = true;
+  ev_prepare_start (node->loop, &node->prepare);
+  ev_signal_start (node->loop, &node->term);
+  ev_signal_start (node->loop, &node->interrupt);
+}
+
+static void
+node_free (node_t *node)
+{
+  http_client_free (node->upstreams);
+  http_client_free (node->platform);
+  httpd_free (node->callers);
+  httpd_free (node->operators);
+  peerlink_free (node->link);
+  routing_free (node->routing);
+  limits_free (node->limits);
+  orders_free (node->orders);
+  claims_free (node->claims);
+  peers_free (node->peers);
+  journal_free (node->journal);
+  bundle_store_free (node->bundles);
+  table_free (node->lc);
+  if (node->random)
+    g_rand_free (node->random);
+  g_free (node);
+}
+
+static void
+on_timer (EV_P_ ev_timer *timer, int events)
+{
+  node_t *node = timer->data;
+
+  (void)loop;
+  (void)events;
+  node->due = true;
+}
+
+static void
+on_prepare (EV_P_ ev_prepare *prepare, int events)
+{
+  node_t *node = prepare->data;
+  usec_t now;
+  usec_t sleep;
+
+  (void)events;
+  if (!node->due)
+    return;
+  node->due = false;
+  now = clock_now ();
+  sleep = run_ticks (node, now) - now;
+  sleep = CLAMP (sleep, MIN_SLEEP, MAX_SLEEP);
+  ev_timer_stop (EV_A_ & node->timer);
+  ev_timer_set (&node->timer, (double)sleep / USEC_PER_SEC, 0.);
+  ev_timer_start (EV_A_ & node->timer);
+}
+
+static void
+on_signal (EV_P_ ev_signal *signal, int events)
+{
+  node_t *node = signal->data;
+
+  (void)loop;
+  (void)events;
+  node_start_drain (node, "signal");
+}
+
+static usec_t
+earlier (usec_t a, usec_t b)
+{
+  return b == USEC_NEVER ? a : MIN (a, b);
+}
+
+static usec_t
+run_ticks (node_t *node, usec_t now)
+{
+  usec_t next = now + MAX_SLEEP;
+
+  node_log_tick (node, now);
+  next = earlier (next, journal_tick (node->journal, now));
+  next = earlier (next, peers_tick (node->peers, now));
+  next = earlier (next, claims_tick (node->claims, now));
+  node_lc_tick (node, now);
+  next = earlier (next, routing_tick (node->routing, now));
+  node_vms_tick (node, now);
+  node_callers_tick (node, now);
+  node_peers_tick (node, now);
+  if (node->draining)
+    drain_tick (node, now);
+  return next;
+}
+
+/* The planned stop: what runs is finished, shards are released, then the
+   process says in the log that it has left. */
+static void
+drain_tick (node_t *node, usec_t now)
+{
+  bool late = now >= node->drain_limit;
+  message_t entry = { .type = MSG_LEAVE };
+
+  if (!node->released)
+    {
+      if (!late
+          && (table_count (node->lc) || g_hash_table_size (node->waiters)
+              || !shards_released (node, now)))
+        return;
+      node->released = true;
+      node->drain_limit = now + LEAVE_LIMIT;
+      entry.u.leave.node = node->settings->node;
+      entry.u.leave.incarnation = node->incarnation;
+      node->leave_ticket = journal_put (node->journal, now, &entry, true);
+      httpd_quiesce (node->callers);
+      return;
+    }
+  if ((node->left && !httpd_open_requests (node->callers)) || late)
+    ev_break (node->loop, EVBREAK_ALL);
+}
+
+static bool
+shards_released (node_t *node, usec_t now)
+{
+  uint32_t shards = settings_shard_count (node->settings);
+
+  for (uint32_t shard = 0; shard < shards; shard++)
+    if (node_may_act (node, now, shard))
+      return false;
+  return true;
+}
+
+static void
+order_changed (void *ctx, usec_t now, const order_t *order)
+{
+  node_t *node = ctx;
+
+  (void)now;
+  if (order->state == ORDER_ENDED)
+    counter_add (COUNTER_ORDERS_ENDED, 1);
+  else if (order->state == ORDER_WAITING && !order->attempt)
+    counter_add (COUNTER_ORDERS_ACCEPTED, 1);
+  node_order_changed (node, order);
+}
+
+static uint64_t
+order_epoch_of (void *ctx, uint32_t shard)
+{
+  node_t *node = ctx;
+
+  if (shard >= settings_shard_count (node->settings))
+    return 0;
+  return claims_epoch (node->claims, shard);
+}
--- /dev/null
+++ b/src/node/node_log.c
@@ -0,0 +1,282 @@
+/** @file
+ * The platform's log of the entry process: HTTP calls, entries applied,
+ * what is appended again before it expires.
+ */
+#include "base/counters.h"
+#include "base/log.h"
+#include "net/clock.h"
+#include "node/node_private.h"
+
+#include <inttypes.h>
+#include <msgpack.h>
+
+#define LOG_TIMEOUT (2 * USEC_PER_SEC)
+#define URL_BYTES 256
+#define STATUS_OK 200
+#define RENEWALS_PER_RETENTION 3
+
+typedef void (*applier_t) (node_t *node, usec_t now, uint64_t offset,
+                           const message_t *entry, uint64_t ticket);
+
+static void begin_append (void *ctx, blob_t record);
+static void begin_read (void *ctx, uint64_t from, uint32_t max,
+                        uint32_t wait_ms);
+static void apply (void *ctx, usec_t now, uint64_t offset,
+                   const message_t *entry, uint64_t ticket);
+static void confirmed (void *ctx, usec_t now, usec_t sent_at);
+static void on_append_done (void *ctx, const http_answer_t *answer);
+static void on_read_done (void *ctx, const http_answer_t *answer);
+static int take_read (node_t *node, usec_t now, blob_t body, uint64_t *first,
+                      uint64_t *end);
+static void apply_member (node_t *node, usec_t now, uint64_t offset,
+                          const message_t *entry, uint64_t ticket);
+static void apply_claim (node_t *node, usec_t now, uint64_t offset,
+                         const message_t *entry, uint64_t ticket);
+static void apply_order (node_t *node, usec_t now, uint64_t offset,
+                         const message_t *entry, uint64_t ticket);
+static void apply_bundle (node_t *node, usec_t now, uint64_t offset,
+                          const message_t *entry, uint64_t ticket);
+static void register_self (node_t *node, usec_t now);
+static void renew_bundle (node_t *node, usec_t now);
+
+const journal_ops_t node_journal_ops
+    = { begin_append, begin_read, apply, confirmed };
+
+static const applier_t appliers[MSG_TYPE_LIMIT] = {
+  [MSG_MEMBER] = apply_member,      [MSG_LEAVE] = apply_claim,
+  [MSG_CLAIM] = apply_claim,        [MSG_RELEASE] = apply_claim,
+  [MSG_ORDER_ACCEPT] = apply_order, [MSG_ORDER_START] = apply_order,
+  [MSG_ORDER_END] = apply_order,    [MSG_ORDER_REQUEUE] = apply_order,
+  [MSG_ORDER_CANCEL] = apply_order, [MSG_ORDER_SNAPSHOT] = apply_order,
+  [MSG_BUNDLE] = apply_bundle,
+};
+
+void
+node_log_tick (node_t *node, usec_t now)
+{
+  if (!journal_ready (node->journal) || node->draining)
+    return;
+  if (now >= node->register_due)
+    register_self (node, now);
+  if (now >= node->bundle_due)
+    renew_bundle (node, now);
+}
+
+static void
+begin_append (void *ctx, blob_t record)
+{
+  node_t *node = ctx;
+  char url[URL_BYTES];
+  http_request_t request = {
+    .method = "POST", .url = url, .body = record, .timeout = LOG_TIMEOUT
+  };
+
+  g_snprintf (url, sizeof url, "%s/log/append?client=%u",
+              node->settings->log_url, node->settings->node);
+  http_client_send (node->platform, &request, on_append_done, node);
+}
+
+static void
+begin_read (void *ctx, uint64_t from, uint32_t max, uint32_t wait_ms)
+{
+  node_t *node = ctx;
+  char url[URL_BYTES];
+  http_request_t request
+      = { .method = "GET",
+          .url = url,
+          .timeout = LOG_TIMEOUT + wait_ms * USEC_PER_MSEC };
+
+  g_snprintf (url, sizeof url,
+              "%s/log/read?from=%" PRIu64 "&max=%u&wait_ms=%u&client=%u",
+              node->settings->log_url, from, max, wait_ms,
+              node->settings->node);
+  http_client_send (node->platform, &request, on_read_done, node);
+}
+
+static void
+on_append_done (void *ctx, const http_answer_t *answer)
+{
+  node_t *node = ctx;
+  bool good = answer->end == HTTP_ANSWERED && answer->status == STATUS_OK;
+
+  journal_append_done (node->journal, clock_now (), good ? 0 : -EIO);
+  node_wake (node);
+}
+
+static void
+on_read_done (void *ctx, const http_answer_t *answer)
+{
+  node_t *node = ctx;
+  usec_t now = clock_now ();
+  uint64_t first = 0;
+  uint64_t end = 0;
+  int code = -EIO;
+  bool healthy = journal_healthy (node->journal);
+
+  if (answer->end == HTTP_ANSWERED && answer->status == STATUS_OK)
+    code = take_read (node, now, answer->body, &first, &end);
+  journal_read_done (node->journal, now, code, first, end);
+  if (healthy != journal_healthy (node->journal))
+    {
+      log_line (LOG_LEVEL_NOTICE, "log-read", node->settings->log_url, "%s",
+                healthy ? "log lost" : "log reached");
+      node_candidates (node, now);
+    }
+  node_wake (node);
+}
+
+static int
+take_read (node_t *node, usec_t now, blob_t body, uint64_t *first,
+           uint64_t *end)
+{
+  msgpack_unpacked unpacked;
+  const msgpack_object *top;
+  const msgpack_object *rows;
+  size_t used = 0;
+  int code = -EBADMSG;
+
+  msgpack_unpacked_init (&unpacked);
+  if (body.len
+      && msgpack_unpack_next (&unpacked, body.data, body.len, &used)
+             == MSGPACK_UNPACK_SUCCESS
+      && unpacked.data.type == MSGPACK_OBJECT_ARRAY
+      && unpacked.data.via.array.size == 3
+      && unpacked.data.via.array.ptr[2].type == MSGPACK_OBJECT_ARRAY)
+    {
+      top = unpacked.data.via.array.ptr;
+      rows = &top[2];
+      *first = top[0].via.u64;
+      *end = top[1].via.u64;
+      code = 0;
+      for (uint32_t i = 0; i < rows->via.array.size; i++)
+        {
+          const msgpack_object *row = &rows->via.array.ptr[i];
+
+          if (row->type != MSGPACK_OBJECT_ARRAY || row->via.array.size != 2
+              || row->via.array.ptr[1].type != MSGPACK_OBJECT_BIN)
+            {
+              code = -EBADMSG;
+              break;
+            }
+          journal_read_record (node->journal, now,
+                               row->via.array.ptr[0].via.u64,
+                               (blob_t){ row->via.array.ptr[1].via.bin.ptr,
+                                         row->via.array.ptr[1].via.bin.size });
+        }
+    }
+  msgpack_unpacked_destroy (&unpacked);
+  return code;
+}
+
+static void
+apply (void *ctx, usec_t now, uint64_t offset, const message_t *entry,
+       uint64_t ticket)
+{
+  node_t *node = ctx;
+  applier_t applier = appliers[entry->type];
+
+  if (applier)
+    applier (node, now, offset, entry, ticket);
+}
+
+static void
+confirmed (void *ctx, usec_t now, usec_t sent_at)
+{
+  node_t *node = ctx;
+
+  claims_log_confirmed (node->claims, now, sent_at);
+  node_relay (node, now, sent_at);
+}
+
+static void
+apply_member (node_t *node, usec_t now, uint64_t offset,
+              const message_t *entry, uint64_t ticket)
+{
+  const msg_member_t *member = &entry->u.member;
+
+  (void)offset;
+  (void)ticket;
+  claims_apply (node->claims, now, entry);
+  if (member->node != node->settings->node)
+    {
+      g_autofree char *address = blob_dup (member->address);
+
+      peers_add (node->peers, now, (node_id_t)member->node,
+                 (uint32_t)member->zone);
+      peerlink_add (node->link, (node_id_t)member->node, address);
+    }
+  else if (member->incarnation == node->incarnation && !node->registered)
+    {
+      node->registered = true;
+      node_candidates (node, now);
+    }
+}
+
+static void
+apply_claim (node_t *node, usec_t now, uint64_t offset, const message_t *entry,
+             uint64_t ticket)
+{
+  (void)offset;
+  claims_apply (node->claims, now, entry);
+  if (ticket && ticket == node->leave_ticket)
+    node->left = true;
+}
+
+static void
+apply_order (node_t *node, usec_t now, uint64_t offset, const message_t *entry,
+             uint64_t ticket)
+{
+  order_id_t order = 0;
+  order_verdict_t verdict
+      = orders_apply (node->orders, now, offset, entry, &order);
+
+  if (ticket)
+    node_order_read_back (node, ticket, verdict, order);
+}
+
+static void
+apply_bundle (node_t *node, usec_t now, uint64_t offset,
+              const message_t *entry, uint64_t ticket)
+{
+  err_t err = { 0 };
+  int code = bundle_store_apply (node->bundles, &entry->u.bundle, &err);
+
+  (void)now;
+  (void)offset;
+  if (code == 0)
+    node_bundle_changed (node);
+  if (ticket)
+    node_roll_read_back (node, ticket, code, &err);
+}
+
+/* The entry is repeated so that a process that starts later finds it even
+   after the first one has expired. */
+static void
+register_self (node_t *node, usec_t now)
+{
+  message_t entry = { .type = MSG_MEMBER };
+
+  entry.u.member.node = node->settings->node;
+  entry.u.member.incarnation = node->incarnation;
+  entry.u.member.zone = node->settings->zone;
+  entry.u.member.address = blob_of (node->settings->listen_peers);
+  if (journal_put (node->journal, now, &entry, true))
+    node->register_due = now
+                         + (usec_t)node->settings->log_retention_s
+                               * USEC_PER_SEC / RENEWALS_PER_RETENTION;
+}
+
+/* Any process may do this; a copy of the version in force changes nothing
+   for those that have it. */
+static void
+renew_bundle (node_t *node, usec_t now)
+{
+  message_t entry = { .type = MSG_BUNDLE };
+  usec_t interval = (usec_t)node->settings->log_retention_s * USEC_PER_SEC
+                    / RENEWALS_PER_RETENTION;
+
+  if (node->bundle_due != USEC_NEVER
+      && bundle_store_snapshot (node->bundles, &entry.u.bundle))
+    journal_put (node->journal, now, &entry, false);
+  node->bundle_due = now + interval;
+}
--- /dev/null
+++ b/src/node/node_vms.c
@@ -0,0 +1,150 @@
+/** @file
+ * The platform's list of VMs.
+ */
+#include "base/log.h"
+#include "net/clock.h"
+#include "node/node_private.h"
+
+#include <string.h>
+
+#define LIST_TIMEOUT (2 * USEC_PER_SEC)
+#define URL_BYTES 256
+#define STATUS_OK 200
+
+static void on_list (void *ctx, const http_answer_t *answer);
+static void take_list (node_t *node, usec_t now, const json_t *list);
+static void take_entry (node_t *node, const json_t *row, node_id_t *nodes,
+                        size_t *count);
+static void take_instance (node_t *node, const json_t *row, GHashTable *seen);
+static void mark_gone (node_t *node, GHashTable *seen);
+static const char *text_of (const json_t *row, const char *key);
+static uint32_t number_of (const json_t *row, const char *key);
+
+void
+node_vms_tick (node_t *node, usec_t now)
+{
+  char url[URL_BYTES];
+  http_request_t request
+      = { .method = "GET", .url = url, .timeout = LIST_TIMEOUT };
+
+  if (node->list_busy || now < node->list_due)
+    return;
+  node->list_busy = true;
+  node->list_due = now + node->settings->list_interval;
+  g_snprintf (url, sizeof url, "%s/vms", node->settings->list_url);
+  http_client_send (node->platform, &request, on_list, node);
+}
+
+static void
+on_list (void *ctx, const http_answer_t *answer)
+{
+  node_t *node = ctx;
+  json_t *list;
+
+  node->list_busy = false;
+  if (answer->end != HTTP_ANSWERED || answer->status != STATUS_OK)
+    return;
+  list = json_loadb (answer->body.data, answer->body.len, 0, NULL);
+  if (json_is_array (list))
+    take_list (node, clock_now (), list);
+  json_decref (list);
+  node_wake (node);
+}
+
+static void
+take_list (node_t *node, usec_t now, const json_t *list)
+{
+  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
+  node_id_t nodes[PEERS_MAX];
+  size_t node_count = 0;
+  size_t i;
+  json_t *row;
+
+  json_array_foreach (list, i, row)
+  {
+    const char *kind = text_of (row, "kind");
+
+    if (strcmp (kind, "entry") == 0)
+      take_entry (node, row, nodes, &node_count);
+    else if (strcmp (kind, "instance") == 0)
+      take_instance (node, row, seen);
+  }
+  if (node_count)
+    peers_listed (node->peers, now, nodes, node_count);
+  mark_gone (node, seen);
+  routing_kick (node->routing, now);
+  g_hash_table_destroy (seen);
+}
+
+static void
+take_entry (node_t *node, const json_t *row, node_id_t *nodes, size_t *count)
+{
+  node_id_t id = number_of (row, "node");
+
+  if (*count < PEERS_MAX)
+    nodes[(*count)++] = id;
+  if (id == node->settings->node
+      && strcmp (text_of (row, "state"), "leaving") == 0)
+    node_start_drain (node, "the list says this VM is leaving");
+}
+
+static void
+take_instance (node_t *node, const json_t *row, GHashTable *seen)
+{
+  const char *id = text_of (row, "id");
+  handle_t known = limits_find (node->limits, id);
+  const vm_t *before = limits_vm (node->limits, known);
+  int zone = settings_zone (node->settings, text_of (row, "zone"));
+  vm_t vm = { 0 };
+
+  if (!*id || zone < 0)
+    return;
+  g_strlcpy (vm.id, id, sizeof vm.id);
+  g_strlcpy (vm.address, text_of (row, "address"), sizeof vm.address);
+  vm.zone = (uint32_t)zone;
+  vm.shard = settings_shard (node->settings, vm.zone, vm.id);
+  vm.slots = number_of (row, "slots");
+  vm.connections = number_of (row, "connections");
+  vm.state
+      = strcmp (text_of (row, "state"), "leaving") == 0 ? VM_LEAVING : VM_LIVE;
+  /* The list lags: a VM that said itself that it leaves stays so. */
+  if (before && before->state == VM_LEAVING)
+    vm.state = VM_LEAVING;
+  if (before && before->state != vm.state)
+    log_line (LOG_LEVEL_NOTICE, "list", vm.id, "VM is %s",
+              vm.state == VM_LEAVING ? "leaving" : "live");
+  limits_set_vm (node->limits, &vm);
+  g_hash_table_add (seen, (gpointer)id);
+}
+
+static void
+mark_gone (node_t *node, GHashTable *seen)
+{
+  for (handle_t h = limits_next (node->limits, HANDLE_NONE); h != HANDLE_NONE;
+       h = limits_next (node->limits, h))
+    {
+      vm_t vm = *limits_vm (node->limits, h);
+
+      if (vm.state == VM_GONE || g_hash_table_contains (seen, vm.id))
+        continue;
+      vm.state = VM_GONE;
+      log_line (LOG_LEVEL_NOTICE, "list", vm.id, "VM is gone");
+      limits_set_vm (node->limits, &vm);
+    }
+}
+
+static const char *
+text_of (const json_t *row, const char *key)
+{
+  const char *text = json_string_value (json_object_get (row, key));
+
+  return text ? text : "";
+}
+
+static uint32_t
+number_of (const json_t *row, const char *key)
+{
+  json_int_t number = json_integer_value (json_object_get (row, key));
+
+  return number > 0 && number <= UINT32_MAX ? (uint32_t)number : 0;
+}
