Command line: serve, check, bundle, operator and caller subcommands

Ruled out: retries inside submit and order submit. Repeating work whose outcome is unknown is the caller's decision; the exit code tells apart 75 (not run, try again) and 1 (refused or unknown). Also ruled out: a bundle file given to serve. A process that restarts with an old file would put an old version into force before it has read the log (invariant 9); the first bundle is rolled like any other.

Change: a table of subcommands, each with its own GOptionContext; HTTP by libcurl's easy interface; the body of an answer goes to standard output, outcome, status and Retry-After to standard error. Addresses are IPv4, as the listeners take nothing else.

--- a/src/base/inifile.h
+++ b/src/base/inifile.h
@@ -102,7 +102,7 @@
     and '-', the first a letter or digit. */
 bool ini_name_valid (const char *text);
 
-/** Splits a numeric address "IP:port" or "[IPv6]:port".
+/** Splits a numeric IPv4 address "IP:port".
     @return 0 or -EINVAL */
 int ini_address (const char *text, char host[48], uint16_t *port);
 
--- a/src/base/inivalue.c
+++ b/src/base/inivalue.c
@@ -58,7 +58,7 @@
   [INI_NAMES]
   = { parse_names, text_names, "different names, separated by blanks" },
   [INI_ADDRESS]
-  = { parse_address, text_chars, "a numeric address and port, IP:port" },
+  = { parse_address, text_chars, "a numeric IPv4 address and port, IP:port" },
   [INI_URL] = { parse_url, text_chars, "http://IP:port" },
   [INI_HASH] = { parse_hash, text_hash, "64 hex digits" },
 };
@@ -116,25 +116,16 @@
 int
 ini_address (const char *text, char host[48], uint16_t *port)
 {
-  const char *colon = strrchr (text, ':');
-  bool v6 = text[0] == '[';
+  const char *colon = strchr (text, ':');
+  struct in_addr binary;
   guint64 number;
-  unsigned char binary[16];
-  size_t len;
 
-  if (!colon || !g_ascii_isdigit (colon[1])
+  if (!colon || colon - text >= 48 || !g_ascii_isdigit (colon[1])
       || !g_ascii_string_to_unsigned (colon + 1, 10, 1, UINT16_MAX, &number,
                                       NULL))
     return -EINVAL;
-  len = (size_t)(colon - text);
-  if (v6 && (len < 2 || text[len - 1] != ']'))
-    return -EINVAL;
-  len -= v6 ? 2 : 0;
-  if (len >= 48)
-    return -EINVAL;
-  memcpy (host, text + (v6 ? 1 : 0), len);
-  host[len] = '\0';
-  if (inet_pton (v6 ? AF_INET6 : AF_INET, host, binary) != 1)
+  g_strlcpy (host, text, (gsize)(colon - text) + 1);
+  if (inet_pton (AF_INET, host, &binary) != 1)
     return -EINVAL;
   *port = (uint16_t)number;
   return 0;
--- a/src/bundle/bundle.h
+++ b/src/bundle/bundle.h
@@ -16,8 +16,9 @@
     longer one could leave a slot in use when the successor starts. */
 #define BUNDLE_RUN_LIMIT_MAX_MS 1500U
 
-/** Longest text of a bundle, so that it fits into one frame and record. */
-#define BUNDLE_TEXT_MAX 524288U
+/** Longest text of a bundle; as a JSON string, a frame and a log record it
+    stays below their limits, the smallest of which is 512 KiB. */
+#define BUNDLE_TEXT_MAX 262144U
 
 typedef struct
 {
@@ -115,6 +116,9 @@
 /** Lines that differ in meaning between two bundles; free with g_free. */
 char *bundle_diff (const bundle_t *a, const bundle_t *b);
 
+/** States in plain words what is promised to whom; free with g_free. */
+char *bundle_describe (const bundle_t *bundle);
+
 /** The bundle in force on this process; versions only go up. */
 typedef struct bundle_store bundle_store_t;
 
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -1,19 +1,34 @@
 /** @file
- * The program: one binary, a subcommand a job.
+ * The program: one binary, one subcommand for each job.
  */
-#include "base/log.h"
+#include "cli/cli.h"
 
-#include <stdio.h>
-#include <string.h>
+#include <curl/curl.h>
+#include <sodium.h>
+
+static const cli_command_t commands[] = {
+  { "serve", cli_serve, "run an entry process" },
+  { "check", cli_check, "check settings files and bundles" },
+  { "bundle", cli_bundle_command,
+    "write, sign, verify, compare and explain bundles" },
+  { "roll", cli_roll, "put a signed bundle into force" },
+  { "status", cli_status, "show the state of a process" },
+  { "dump", cli_dump, "show the whole state of a process" },
+  { "counters", cli_counters, "show the counters of a process" },
+  { "submit", cli_submit, "send a latency-critical request" },
+  { "order", cli_order, "submit, show, list, watch and cancel batch orders" },
+  { "drain", cli_drain, "stop a process after its work in progress" },
+};
 
 int
 main (int argc, char **argv)
 {
-  if (argc == 2 && strcmp (argv[1], "--version") == 0)
-    {
-      puts ("limpethinge " VERSION);
-      return 0;
-    }
-  fputs ("usage: limpethinge --version\n", stderr);
-  return 64;
+  int code;
+
+  if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT))
+    return cli_fail (CLI_REFUSED, "a library cannot be initialized");
+  code = cli_dispatch ("limpethinge", commands, G_N_ELEMENTS (commands), argc,
+                       argv);
+  curl_global_cleanup ();
+  return code;
 }
