--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -174,6 +174,13 @@
                   problems->len - before);
 }
 
+const ini_section_t *
+settings_sections (size_t *count)
+{
+  *count = G_N_ELEMENTS (sections);
+  return sections;
+}
+
 int
 settings_address (const char *text, char host[48], uint16_t *port)
 {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -60,6 +60,9 @@
 int settings_parse (blob_t text, settings_t *settings, GArray *problems,
                     err_t *err);
 
+/** @return the table of sections and keys */
+const ini_section_t *settings_sections (size_t *count);
+
 /** Splits "IP:port". @return 0 or -EINVAL */
 int settings_address (const char *text, char host[48], uint16_t *port);
 
