--- a/src/base/messages.h
+++ b/src/base/messages.h
@@ -24,7 +24,7 @@
   F (U64, queued)                                                             \
   F (U64, free_millicores)                                                    \
   F (U64, bundle_version)                                                     \
-  F (U64, log_offset) F (U64, draining) F (U64S, holds_asked)
+  F (U64, log_offset) F (U64, draining) F (U64S, holds_asked) F (U64, live)
 #define HEARTBEAT_ACK_FIELDS(F)                                               \
   F (U64, seq) F (U64, log_ok) F (U64, log_offset) F (U64S, holds_granted)
 #define LOG_RELAY_FIELDS(F)                                                   \
--- a/src/claims/claims.c
+++ b/src/claims/claims.c
@@ -20,6 +20,8 @@
 #define ASK_APPLIED (1ULL << 32)
 /* Longest time between two calls of claims_tick. */
 #define TICK_MAX (250 * USEC_PER_MSEC)
+/* Longest pause before a contested claim, in waits of rule (w). */
+#define CONTEST_MAX 2
 /* How often a release is repeated to peers until the log shows it. */
 #define RELEASE_REPEAT (1 * USEC_PER_SEC)
 #define ADDRESS_MAX 64U
@@ -63,11 +65,13 @@
   usec_t renewal_since; /* since when the witness list is poor */
 } shard_t;
 
+/* An incarnation that the log has named in a MEMBER entry. */
 typedef struct
 {
-  incarnation_t incarnation;
   char address[ADDRESS_MAX];
-} registration_t;
+  bool retired;        /* replaced by another of its node, or left */
+  usec_t absent_since; /* first list without it, USEC_NEVER if named */
+} member_t;
 
 struct claims
 {
@@ -75,7 +79,8 @@
   claims_ops_t ops;
   void *ctx;
   shard_t *shards;
-  GHashTable *registered; /* node -> registration_t */
+  GHashTable *registered; /* node -> incarnation_t, by the log alone */
+  GHashTable *members;    /* incarnation -> member_t, by the log alone */
   GHashTable *ended;      /* incarnation -> usec_t, when evidence arrived */
   claims_candidate_t *candidates;
   size_t candidate_count;
@@ -90,6 +95,9 @@
 static void apply_leave (claims_t *claims, usec_t now, const message_t *m);
 static void apply_claim (claims_t *claims, usec_t now, const message_t *m);
 static void apply_release (claims_t *claims, usec_t now, const message_t *m);
+static incarnation_t registered (const claims_t *claims, node_id_t node);
+static member_t *member_of (const claims_t *claims, incarnation_t incarnation);
+static bool same_host (const char *a, const char *b);
 static bool claim_valid (const claims_t *claims, const msg_claim_t *entry);
 static void push_claim (claims_t *claims, usec_t now, shard_t *shard,
                         const msg_claim_t *entry);
@@ -117,6 +125,8 @@
 static void give_up (claims_t *claims, usec_t now, shard_t *shard);
 static void announce_release (claims_t *claims, usec_t now, shard_t *shard);
 static void tick_claim (claims_t *claims, usec_t now, shard_t *shard);
+static bool vacant (const claims_t *claims, usec_t now, const shard_t *shard);
+static bool resolvable (const claims_t *claims, const claim_t *former);
 static void tick_renew (claims_t *claims, usec_t now, shard_t *shard);
 static void tick_give_up (claims_t *claims, usec_t now, shard_t *shard);
 static void append_claim (claims_t *claims, usec_t now, shard_t *shard);
@@ -157,6 +167,8 @@
   claims->ctx = ctx;
   claims->registered
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  claims->members
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   claims->ended
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   claims->first_candidates_at = USEC_NEVER;
@@ -184,6 +196,7 @@
   g_free (claims->shards);
   g_free (claims->candidates);
   g_hash_table_destroy (claims->registered);
+  g_hash_table_destroy (claims->members);
   g_hash_table_destroy (claims->ended);
   g_free (claims);
 }
@@ -367,6 +380,32 @@
     refresh (claims, now, &claims->shards[i]);
 }
 
+void
+claims_listed (claims_t *claims, usec_t now, const char *const *addresses,
+               size_t count)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, claims->members);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      member_t *member = value;
+      incarnation_t incarnation = *(const incarnation_t *)key;
+      bool named = candidate (claims, incarnation) != NULL;
+
+      for (size_t i = 0; i < count && !named; i++)
+        named = same_host (member->address, addresses[i]);
+      if (named)
+        member->absent_since = USEC_NEVER;
+      else if (member->absent_since == USEC_NEVER)
+        member->absent_since = now;
+      else if (now - member->absent_since > claims->config.list_lag)
+        claims_ended (claims, now, incarnation);
+    }
+}
+
 void
 claims_released (claims_t *claims, usec_t now, incarnation_t from,
                  const u64_list_t *released)
@@ -480,44 +519,73 @@
                     (int)claims->candidate_count, "shards", shards);
 }
 
-/* The address must be the same for the former incarnation to be known as
-   ended: the node number of a VM that is only frozen may be given to its
-   replacement. */
+/* Whoever was registered at the same address has ended, since the port is
+   bound before the entry is appended.  At another address nothing is known of
+   the former incarnation of the node: the node number of a VM that is only
+   frozen may be given to its replacement.  Whether the entry registers depends
+   on the log alone, not on evidence, which differs between processes. */
 static void
 apply_member (claims_t *claims, usec_t now, const message_t *m)
 {
   const msg_member_t *entry = &m->u.member;
-  gpointer key = GUINT_TO_POINTER ((guint)entry->node);
-  const registration_t *former = g_hash_table_lookup (claims->registered, key);
-  registration_t *registration;
-  usec_t at;
-
-  if (ended_at (claims, entry->incarnation, &at)
-      || (former && former->incarnation == entry->incarnation))
+  gpointer node = GUINT_TO_POINTER ((guint)entry->node);
+  incarnation_t former = registered (claims, (node_id_t)entry->node);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  member_t *member;
+
+  if (member_of (claims, entry->incarnation))
     return;
-  registration = g_new0 (registration_t, 1);
-  registration->incarnation = entry->incarnation;
-  memcpy (registration->address,
-          entry->address.data ? entry->address.data : "",
+  member = g_new0 (member_t, 1);
+  member->absent_since = USEC_NEVER;
+  memcpy (member->address, entry->address.data ? entry->address.data : "",
           MIN (entry->address.len, ADDRESS_MAX - 1));
-  if (former && strcmp (former->address, registration->address) == 0)
-    claims_ended (claims, now, former->incarnation);
-  g_hash_table_insert (claims->registered, key, registration);
+  g_hash_table_insert (
+      claims->members,
+      g_memdup2 (&entry->incarnation, sizeof entry->incarnation), member);
+  g_hash_table_insert (
+      claims->registered, node,
+      g_memdup2 (&entry->incarnation, sizeof entry->incarnation));
+  if (former)
+    member_of (claims, former)->retired = true;
+  g_hash_table_iter_init (&iter, claims->members);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (value != member
+        && strcmp (((member_t *)value)->address, member->address) == 0)
+      claims_ended (claims, now, *(const incarnation_t *)key);
 }
 
 static void
 apply_leave (claims_t *claims, usec_t now, const message_t *m)
 {
   const msg_leave_t *entry = &m->u.leave;
-  gpointer key = GUINT_TO_POINTER ((guint)entry->node);
-  const registration_t *registration
-      = g_hash_table_lookup (claims->registered, key);
+  member_t *member = member_of (claims, entry->incarnation);
 
-  if (registration && registration->incarnation == entry->incarnation)
-    g_hash_table_remove (claims->registered, key);
+  if (registered (claims, (node_id_t)entry->node) == entry->incarnation)
+    g_hash_table_remove (claims->registered,
+                         GUINT_TO_POINTER ((guint)entry->node));
+  if (member)
+    member->retired = true;
   claims_ended (claims, now, entry->incarnation);
 }
 
+/* @return the registered incarnation of a node, 0 if none */
+static incarnation_t
+registered (const claims_t *claims, node_id_t node)
+{
+  const incarnation_t *found
+      = g_hash_table_lookup (claims->registered, GUINT_TO_POINTER (node));
+
+  return found ? *found : 0;
+}
+
+static member_t *
+member_of (const claims_t *claims, incarnation_t incarnation)
+{
+  return g_hash_table_lookup (claims->members, &incarnation);
+}
+
 static void
 apply_claim (claims_t *claims, usec_t now, const message_t *m)
 {
@@ -547,15 +615,26 @@
     forget_released (claims, now, shard, entry->epoch);
 }
 
+/* Compares addresses IP:port without the port: the list names another port
+   than the one peers use. */
+static bool
+same_host (const char *a, const char *b)
+{
+  const char *a_port = strrchr (a, ':');
+  const char *b_port = strrchr (b, ':');
+  size_t a_len = a_port ? (size_t)(a_port - a) : strlen (a);
+  size_t b_len = b_port ? (size_t)(b_port - b) : strlen (b);
+
+  return a_len == b_len && memcmp (a, b, a_len) == 0;
+}
+
 static bool
 claim_valid (const claims_t *claims, const msg_claim_t *entry)
 {
   const shard_t *shard = shard_of (claims, entry->shard);
-  const registration_t *registration = g_hash_table_lookup (
-      claims->registered, GUINT_TO_POINTER ((guint)entry->node));
 
-  return shard && entry->epoch == shard->epoch + 1 && registration
-         && registration->incarnation == entry->incarnation
+  return shard && entry->epoch == shard->epoch + 1
+         && registered (claims, (node_id_t)entry->node) == entry->incarnation
          && entry->witnesses.count <= CLAIMS_MAX_WITNESSES;
 }
 
@@ -874,20 +953,17 @@
     }
 }
 
-/* Claims a shard that is free or whose owner is not among the candidates.
-   Each rank of the rendezvous order waits longer, so that a preferred node
-   that cannot reach the log does not keep the shard unowned. */
+/* Claims a shard that is free or whose owner ended or is not among the
+   candidates.  Each rank of the rendezvous order waits longer, so that a
+   preferred node that cannot reach the log does not keep the shard unowned. */
 static void
 tick_claim (claims_t *claims, usec_t now, shard_t *shard)
 {
-  bool vacant = !shard->chain->len
-                || !candidate (claims, current (shard)->incarnation);
   const claims_candidate_t *self
       = candidate (claims, claims->config.incarnation);
   usec_t pause = claims->config.claim_retry;
-  usec_t at;
 
-  if (!vacant || shard->pending.epoch)
+  if (shard->pending.epoch || !vacant (claims, now, shard))
     {
       shard->claimable_at = USEC_NEVER;
       return;
@@ -897,16 +973,59 @@
   if (!self || !may_take (claims, self) || !log_fresh (claims, now)
       || now < shard->retry_at)
     return;
-  /* A fresh process has not heard of all its peers yet. */
-  if (shard->chain->len
-      && !ended_at (claims, current (shard)->incarnation, &at)
-      && now < claims->first_candidates_at + claims->config.lease)
-    return;
   if (now >= shard->claimable_at
                  + (usec_t)rank (claims, number_of (claims, shard)) * pause)
     append_claim (claims, now, shard);
 }
 
+/* Tells whether a claim of the shard makes sense.  A claim over an owner that
+   may be alive stops it, so it is made only if it can be resolved, and two
+   processes that do not hear each other leave each other time to act. */
+static bool
+vacant (const claims_t *claims, usec_t now, const shard_t *shard)
+{
+  const claim_t *claim;
+  usec_t pause = scaled (claims->config.lease + claims->config.drain)
+                 + claims->config.lease;
+  usec_t at;
+
+  if (!shard->chain->len)
+    return true;
+  claim = current (shard);
+  if (ended_at (claims, claim->incarnation, &at))
+    return claim->incarnation != claims->config.incarnation;
+  if (candidate (claims, claim->incarnation))
+    return false;
+  /* A fresh process has not heard of all its peers yet. */
+  if (now < claims->first_candidates_at + claims->config.lease)
+    return false;
+  for (guint c = 0; c < shard->chain->len; c++)
+    if (!resolvable (claims, chain_at (shard, c)))
+      return false;
+  return now >= claim->applied_at
+                    + pause * MIN ((usec_t)shard->chain->len - 1, CONTEST_MAX);
+}
+
+/* A majority of the witnesses could acknowledge a newer claim or has ended. */
+static bool
+resolvable (const claims_t *claims, const claim_t *former)
+{
+  uint32_t count = 0;
+  usec_t at;
+
+  if (!former->count || ended_at (claims, former->incarnation, &at)
+      || former->incarnation == claims->config.incarnation)
+    return true;
+  for (uint32_t i = 0; i < former->count; i++)
+    {
+      const claims_candidate_t *c = candidate (claims, former->witnesses[i]);
+
+      count += (c && !c->keeps_only)
+               || ended_at (claims, former->witnesses[i], &at);
+    }
+  return count * 2 > former->count;
+}
+
 /* Renews after witnesses were lost or new ones came up, and after a takeover
    so that the chain of older claims ends. */
 static void
@@ -986,12 +1105,10 @@
     for (size_t i = 0; i < claims->candidate_count; i++)
       {
         const claims_candidate_t *c = &claims->candidates[i];
-        const registration_t *registration = g_hash_table_lookup (
-            claims->registered, GUINT_TO_POINTER (c->node));
 
         if (count == CLAIMS_MAX_WITNESSES || c->keeps_only != (pass == 1)
-            || c->incarnation == claims->config.incarnation || !registration
-            || registration->incarnation != c->incarnation)
+            || c->incarnation == claims->config.incarnation
+            || registered (claims, c->node) != c->incarnation)
           continue;
         out[count++] = c->incarnation;
       }
--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -27,6 +27,7 @@
   uint32_t shard_count; /**< shards are 0 .. shard_count - 1 */
   usec_t lease;         /**< 2000 ms */
   usec_t drain;         /**< 1500 ms: the run limit of LC work (A3) */
+  usec_t list_lag;      /**< 10 s; assumption A7 */
   usec_t claim_retry;   /**< pause before a void or lost claim is repeated */
 } claims_config_t;
 
@@ -67,7 +68,8 @@
     process reaches the same verdict on every entry. */
 void claims_apply (claims_t *claims, usec_t now, const message_t *entry);
 
-/** Nodes that are live, this one included.  A shard whose owner is not among
+/** Nodes that are live or that live peers report as live (with keeps_only),
+    this one included.  A shard whose owner is not among
     them is claimed by others.  Claims and handovers follow rendezvous hashing
    over them. */
 void claims_candidates (claims_t *claims, usec_t now,
@@ -111,6 +113,12 @@
     LEAVE, or closes its peer port, has stopped acting before. */
 void claims_ended (claims_t *claims, usec_t now, incarnation_t incarnation);
 
+/** The platform's list as of NOW, by the addresses (IP:port) of the entry VMs
+    that it names: incarnations registered at a host that was absent for
+    list_lag have ended (A7).  Covers those that this process never met. */
+void claims_listed (claims_t *claims, usec_t now, const char *const *addresses,
+                    size_t count);
+
 /** A peer said that it released shards (pairs shard, epoch). */
 void claims_released (claims_t *claims, usec_t now, incarnation_t from,
                       const u64_list_t *released);
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -10,12 +10,17 @@
 
 #include <string.h>
 
+#define LIVE_BITS 64U
 /* Heartbeats whose send times are remembered: 16 s at 250 ms, longer than
    any lease, so that an older acknowledgement proves nothing. */
 #define SENT_RING 64U
 /* A smoothed round trip moves by 1/8 of each new sample. */
 #define ROUND_TRIP_SHIFT 3
 #define ADDRESS_MAX 64U
+/* Ended incarnations remembered for each node, against late HELLOs. */
+#define ENDED_RING 16U
+/* Incarnations of a node whose end is not proved yet. */
+#define FORMER_MAX 4U
 
 typedef struct
 {
@@ -27,7 +32,9 @@
 {
   peer_t peer;
   char address[ADDRESS_MAX];
-  usec_t hello_at;     /* first message of the incarnation */
+  incarnation_t former[FORMER_MAX]; /* at the same address, 0 for none */
+  incarnation_t ended[ENDED_RING];
+  size_t ended_count;
   usec_t acked_at;     /* send time of the newest acknowledged heartbeat */
   usec_t absent_since; /* first list without it, USEC_NEVER if named */
   usec_t next_heartbeat;
@@ -47,7 +54,10 @@
 static row_t *find (const peers_t *peers, node_id_t node);
 static void set_state (peers_t *peers, usec_t now, row_t *row,
                        peer_state_t state);
-static void end_incarnation (peers_t *peers, usec_t now, row_t *row);
+static bool has_ended (const row_t *row, incarnation_t incarnation);
+static void end_incarnation (peers_t *peers, usec_t now, row_t *row,
+                             incarnation_t incarnation);
+static void replace_former (row_t *row, incarnation_t out, incarnation_t in);
 static void on_hello (peers_t *peers, usec_t now, row_t *row,
                       const message_t *message);
 static void on_heartbeat (peers_t *peers, usec_t now, row_t *row,
@@ -104,7 +114,6 @@
       row->peer.node = node;
       row->peer.heard_at = USEC_NEVER;
       row->peer.load_at = USEC_NEVER;
-      row->hello_at = USEC_NEVER;
       row->acked_at = USEC_NEVER;
       row->absent_since = USEC_NEVER;
       row->next_heartbeat = now;
@@ -129,15 +138,12 @@
 }
 
 void
-peers_refused (peers_t *peers, usec_t now, node_id_t node)
+peers_refused (peers_t *peers, usec_t now, node_id_t node, incarnation_t known)
 {
   row_t *row = find (peers, node);
 
-  /* The refusal may answer a connect that began before this incarnation
-     bound its port; the next refusal is then taken. */
-  if (!row || within (now, row->hello_at, peers->config.suspect_after))
-    return;
-  end_incarnation (peers, now, row);
+  if (row)
+    end_incarnation (peers, now, row, known);
 }
 
 void
@@ -157,7 +163,7 @@
       else if (now - row->absent_since > peers->config.list_lag
                && !within (now, row->peer.heard_at,
                            peers->config.suspect_after))
-        end_incarnation (peers, now, row);
+        end_incarnation (peers, now, row, row->peer.incarnation);
     }
 }
 
@@ -205,6 +211,20 @@
   return sent->seq == seq ? sent->at : USEC_NEVER;
 }
 
+bool
+peers_seen_by_others (const peers_t *peers, node_id_t node)
+{
+  for (size_t i = 0; i < peers->count; i++)
+    {
+      const peer_t *other = &peers->rows[i]->peer;
+
+      if (other->state == PEER_LIVE && other->node != node && node < LIVE_BITS
+          && (other->live_nodes >> node & 1))
+        return true;
+    }
+  return false;
+}
+
 size_t
 peers_list (const peers_t *peers, const peer_t **out, size_t max)
 {
@@ -235,46 +255,76 @@
   peers->ops.changed (peers->ctx, now, &row->peer, before);
 }
 
+static bool
+has_ended (const row_t *row, incarnation_t incarnation)
+{
+  for (size_t i = 0; i < ENDED_RING; i++)
+    if (row->ended[i] == incarnation)
+      return true;
+  return false;
+}
+
 static void
-end_incarnation (peers_t *peers, usec_t now, row_t *row)
+end_incarnation (peers_t *peers, usec_t now, row_t *row,
+                 incarnation_t incarnation)
 {
-  if (!row->peer.incarnation || row->peer.state == PEER_ENDED)
+  if (!incarnation || has_ended (row, incarnation))
     return;
-  set_state (peers, now, row, PEER_ENDED);
-  peers->ops.ended (peers->ctx, now, row->peer.node, row->peer.incarnation);
+  row->ended[row->ended_count++ % ENDED_RING] = incarnation;
+  if (incarnation == row->peer.incarnation)
+    set_state (peers, now, row, PEER_ENDED);
+  peers->ops.ended (peers->ctx, now, row->peer.node, incarnation);
 }
 
-/* A new incarnation at the same address proves that the former ended (A6).
-   At another address it does not: the platform may have replaced a VM that
-   is only frozen or cut off. */
+/* A new incarnation at the same address makes the present one a former one;
+   at another address nothing is known of the present one: the platform may
+   have replaced a VM that is only frozen or cut off. */
 static void
 on_hello (peers_t *peers, usec_t now, row_t *row, const message_t *message)
 {
   const msg_hello_t *hello = &message->u.hello;
-  incarnation_t former = row->peer.incarnation;
+  incarnation_t before = row->peer.incarnation;
   char address[ADDRESS_MAX] = "";
 
-  if (hello->incarnation == former)
+  if (has_ended (row, hello->incarnation))
+    return;
+  if (hello->incarnation == before)
     {
-      if (row->peer.state != PEER_ENDED)
-        row->peer.heard_at = now;
+      row->peer.heard_at = now;
       return;
     }
   memcpy (address, hello->address.data ? hello->address.data : "",
           MIN (hello->address.len, ADDRESS_MAX - 1));
-  if (former && strcmp (address, row->address) == 0)
-    end_incarnation (peers, now, row);
+  if (strcmp (address, row->address) != 0)
+    memset (row->former, 0, sizeof row->former);
+  else
+    replace_former (row, hello->incarnation, before);
   memcpy (row->address, address, sizeof address);
   row->peer.incarnation = hello->incarnation;
   row->peer.zone = (uint32_t)hello->zone;
   row->peer.heard_at = now;
-  row->hello_at = now;
   row->acked_at = USEC_NEVER;
   row->next_heartbeat = now;
   memset (row->sent, 0, sizeof row->sent);
   set_state (peers, now, row, PEER_UNKNOWN);
 }
 
+/* Takes OUT off the former incarnations and puts IN among them.  With all
+   places in use IN is not remembered: evidence is missed, not invented. */
+static void
+replace_former (row_t *row, incarnation_t out, incarnation_t in)
+{
+  for (size_t i = 0; i < FORMER_MAX; i++)
+    if (row->former[i] == out)
+      row->former[i] = 0;
+  for (size_t i = 0; i < FORMER_MAX; i++)
+    if (!row->former[i])
+      {
+        row->former[i] = in;
+        return;
+      }
+}
+
 static void
 on_heartbeat (peers_t *peers, usec_t now, row_t *row, const message_t *message)
 {
@@ -288,6 +338,7 @@
   row->peer.bundle_version = heartbeat->bundle_version;
   row->peer.log_offset = heartbeat->log_offset;
   row->peer.draining = heartbeat->draining != 0;
+  row->peer.live_nodes = heartbeat->live;
   review (peers, now, row);
 }
 
@@ -309,6 +360,13 @@
   row->acked_at = MAX (row->acked_at, sent_at);
   row->peer.log_ok = ack->log_ok != 0;
   row->peer.log_offset = ack->log_offset;
+  /* The heartbeat was sent after the HELLO of this incarnation, so it was
+     alive when the former ones were already known: they ended before. */
+  for (size_t i = 0; i < FORMER_MAX; i++)
+    {
+      end_incarnation (peers, now, row, row->former[i]);
+      row->former[i] = 0;
+    }
   review (peers, now, row);
   peers->ops.acknowledged (peers->ctx, now, sent_at, &row->peer, ack);
 }
@@ -322,6 +380,10 @@
   row->next_heartbeat = now + peers->config.heartbeat_interval;
   heartbeat->seq = ++row->seq;
   row->sent[heartbeat->seq % SENT_RING] = (sent_t){ heartbeat->seq, now };
+  for (size_t i = 0; i < peers->count; i++)
+    if (peers->rows[i]->peer.state == PEER_LIVE
+        && peers->rows[i]->peer.node < LIVE_BITS)
+      heartbeat->live |= 1ULL << peers->rows[i]->peer.node;
   peers->ops.fill_heartbeat (peers->ctx, &row->peer, heartbeat);
   peers->ops.send (peers->ctx, row->peer.node, &message);
   g_free (heartbeat->holds_asked.items);
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -4,8 +4,9 @@
  *
  * Does no I/O: the caller passes the time and the messages, and sends what
  * the callbacks hand out.  A peer is known by its node number and
- * incarnation; a new incarnation at the same address is proof that the former
- * ended (A6), one at another address is not.
+ * incarnation.  A new incarnation at the same address is proof that the former
+ * ended (A6) once it has acknowledged a heartbeat: its HELLO alone may have
+ * been delayed and be the older of the two.  One at another address is none.
  */
 #ifndef PEERS_PEERS_H
 #define PEERS_PEERS_H
@@ -35,9 +36,10 @@
   uint64_t free_slots;
   uint64_t queued;
   uint64_t free_millicores;
-  usec_t heard_at;   /**< last message, USEC_NEVER for none */
-  usec_t round_trip; /**< smoothed heartbeat round trip, microseconds */
-  usec_t load_at;    /**< when the load report arrived */
+  uint64_t live_nodes; /**< bit N: it heard node N when it last reported */
+  usec_t heard_at;     /**< last message, USEC_NEVER for none */
+  usec_t round_trip;   /**< smoothed heartbeat round trip, microseconds */
+  usec_t load_at;      /**< when the load report arrived */
 } peer_t;
 
 typedef struct
@@ -80,14 +82,17 @@
 
 /** A HELLO, HEARTBEAT or HEARTBEAT_ACK arrived from NODE.  Heartbeats are
     not acknowledged here: the owner of the claims does that, since it must
-    fill holds_granted. */
+    fill holds_granted.  Messages other than HELLO, of any type, are taken only
+    from a connection whose HELLO named the incarnation that peers_get shows;
+    another connection of the node is closed, so that it says HELLO again. */
 void peers_receive (peers_t *peers, usec_t now, node_id_t node,
                     const message_t *message);
 
-/** A connection to NODE was refused by its VM (assumption A6): whatever
-    incarnation was known there has ended.  Ignored within suspect_after of
-    the HELLO of that incarnation. */
-void peers_refused (peers_t *peers, usec_t now, node_id_t node);
+/** A connection to NODE was refused by its VM (assumption A6).
+    @param known the incarnation that peers_get showed when the connect began:
+    that one has ended, a later one may have started meanwhile */
+void peers_refused (peers_t *peers, usec_t now, node_id_t node,
+                    incarnation_t known);
 
 /** The platform's list as of NOW; nodes it has not named for list_lag are
     taken as ended (assumption A7) unless they are heard from.  NODES are the
@@ -107,6 +112,11 @@
     remembered */
 usec_t peers_sent_at (const peers_t *peers, node_id_t node, uint64_t seq);
 
+/** Tells whether a live peer reports NODE as live.  Such a node is not
+    suspected for a silent link between it and this process.  Node numbers
+    from 64 on are never reported. */
+bool peers_seen_by_others (const peers_t *peers, node_id_t node);
+
 /** Lists all known peers. @return how many were written, at most MAX */
 size_t peers_list (const peers_t *peers, const peer_t **out, size_t max);
 
