Claims: mutation check of the fault matrix

Cause: a matrix that passes says little unless it fails without each mechanism of the protocol. Ruled out: counting any failure as a kill (without the epoch check some cases only fail to find an owner); a kill needs a violation of exclusive ownership. Change: CLAIMS_MUTANT selects one of 8 mutants; make mutants builds the matrix with each.

--- a/src/claims/claims.c
+++ b/src/claims/claims.c
@@ -26,6 +26,25 @@
 #define RELEASE_REPEAT (1 * USEC_PER_SEC)
 #define ADDRESS_MAX 64U
 
+/* Each mutant lacks one mechanism; make mutants requires that the fault matrix
+   fails with it.  Built with -DCLAIMS_MUTANT=MUTANT_<name>. */
+enum
+{
+  MUTANT_NONE,
+  MUTANT_NO_WAIT_W,
+  MUTANT_NO_WAIT_D,
+  MUTANT_CONFIRM_AT_RECEIPT,
+  MUTANT_NO_EPOCH_CHECK,
+  MUTANT_NO_ACKNOWLEDGEMENT,
+  MUTANT_NO_REFUSAL,
+  MUTANT_ONE_WITNESS_LIST,
+  MUTANT_NO_CHAIN
+};
+#ifndef CLAIMS_MUTANT
+#define CLAIMS_MUTANT MUTANT_NONE
+#endif
+#define MUTATED(name) (CLAIMS_MUTANT == MUTANT_##name)
+
 /* A claim of the log. */
 typedef struct
 {
@@ -223,6 +242,8 @@
 void
 claims_log_confirmed (claims_t *claims, usec_t now, usec_t sent_at)
 {
+  if (MUTATED (CONFIRM_AT_RECEIPT))
+    sent_at = now;
   claims->log_confirmed = MAX (claims->log_confirmed, sent_at);
   for (uint32_t i = 0; i < claims->config.shard_count; i++)
     {
@@ -238,6 +259,8 @@
 claims_relay_confirmed (claims_t *claims, usec_t now, usec_t sent_at,
                         const u64_list_t *superseded)
 {
+  if (MUTATED (CONFIRM_AT_RECEIPT))
+    sent_at = now;
   for (uint32_t i = 0; i < claims->config.shard_count; i++)
     {
       shard_t *shard = &claims->shards[i];
@@ -283,6 +306,8 @@
 claims_holds_granted (claims_t *claims, usec_t now, usec_t sent_at,
                       incarnation_t witness, const u64_list_t *granted)
 {
+  if (MUTATED (CONFIRM_AT_RECEIPT))
+    sent_at = now;
   for (uint32_t n = 0; n + 1 < granted->count; n += 2)
     {
       uint64_t number = granted->items[n];
@@ -322,7 +347,7 @@
       uint64_t epoch = asked->items[n + 1];
       const shard_t *shard = shard_of (claims, number & ~ASK_APPLIED);
 
-      if (!shard || shard->epoch > epoch)
+      if (!shard || (shard->epoch > epoch && !MUTATED (NO_REFUSAL)))
         continue;
       if ((number & ASK_APPLIED) && shard->epoch != epoch)
         continue;
@@ -633,7 +658,9 @@
 {
   const shard_t *shard = shard_of (claims, entry->shard);
 
-  return shard && entry->epoch == shard->epoch + 1
+  return shard
+         && (entry->epoch == shard->epoch + 1
+             || (MUTATED (NO_EPOCH_CHECK) && entry->epoch >= shard->epoch))
          && registered (claims, (node_id_t)entry->node) == entry->incarnation
          && entry->witnesses.count <= CLAIMS_MAX_WITNESSES;
 }
@@ -789,7 +816,7 @@
   const claim_t *claim = current (shard);
   usec_t held = majority_time (claim, claim->held);
 
-  if (shard->pending.epoch)
+  if (shard->pending.epoch && !MUTATED (ONE_WITNESS_LIST))
     held = MIN (held, majority_time (&shard->pending, shard->pending.held));
   return MAX (shard->own.confirmed, held);
 }
@@ -805,6 +832,8 @@
     {
       const claim_t *former = chain_at (shard, c);
 
+      if (MUTATED (NO_CHAIN) && c + 2 < shard->chain->len)
+        continue;
       if (former->incarnation != claims->config.incarnation)
         at = MAX (at, claim_resolved_at (claims, former, applied_at));
     }
@@ -826,7 +855,9 @@
   usec_t at;
 
   if (ended_at (claims, former->incarnation, &at))
-    best = at + drain;
+    best = at + (MUTATED (NO_WAIT_D) ? 0 : drain);
+  if (MUTATED (NO_WAIT_W))
+    lease = drain = 0;
   for (uint32_t i = 0; i < former->count; i++)
     {
       blocked[i] = USEC_NEVER;
@@ -838,7 +869,7 @@
   acked = majority_time (former, blocked);
   if (acked != USEC_NEVER)
     best = MIN (best, MAX (-acked, applied_at) + lease + drain);
-  if (!former->count)
+  if (!former->count || MUTATED (NO_ACKNOWLEDGEMENT))
     best = MIN (best, applied_at + lease + drain);
   return best;
 }
