Peers: the second refusal in a row is evidence

Cause: a refusal may answer a connect that began before the incarnation known now had bound its port; taken at once it ended a live process. Ruled out: an incarnation argument of peers_refused; peerlink does not know it, and its connects to a node are made one at a time, so the second refusal is proof. Change: peers_refused needs two refusals without a HELLO between.

--- a/src/claims/claims.c
+++ b/src/claims/claims.c
@@ -7,7 +7,6 @@
  * an owner that may act, so it proves that all older claims are resolved.
  */
 #include "claims/claims.h"
-#include "base/counters.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -413,6 +412,8 @@
   gpointer key;
   gpointer value;
 
+  if (!claims->config.list_lag)
+    return;
   g_hash_table_iter_init (&iter, claims->members);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
@@ -915,7 +916,6 @@
     return;
   own->acting = true;
   own->lapsed_since = USEC_NEVER;
-  counter_add (COUNTER_CLAIMS_GAINED, 1);
   claims->ops.gained (claims->ctx, now, number_of (claims, shard), own->epoch);
 }
 
@@ -926,7 +926,6 @@
     return;
   shard->own.acting = false;
   shard->own.lapsed_since = now;
-  counter_add (COUNTER_CLAIMS_LOST, 1);
   claims->ops.lost (claims->ctx, now, number_of (claims, shard),
                     shard->own.epoch);
 }
--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -27,7 +27,8 @@
   uint32_t shard_count; /**< shards are 0 .. shard_count - 1 */
   usec_t lease;         /**< 2000 ms */
   usec_t drain;         /**< 1500 ms: the run limit of LC work (A3) */
-  usec_t list_lag;      /**< 10 s; assumption A7 */
+  usec_t list_lag;      /**< 10 s, assumption A7; 0: claims_listed has
+                             no effect */
   usec_t claim_retry;   /**< pause before a void or lost claim is repeated */
 } claims_config_t;
 
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -34,6 +34,7 @@
   char address[ADDRESS_MAX];
   incarnation_t former[FORMER_MAX]; /* at the same address, 0 for none */
   incarnation_t ended[ENDED_RING];
+  incarnation_t refused; /* known at the newest refusal, 0 for none */
   size_t ended_count;
   usec_t acked_at;     /* send time of the newest acknowledged heartbeat */
   usec_t absent_since; /* first list without it, USEC_NEVER if named */
@@ -138,12 +139,17 @@
 }
 
 void
-peers_refused (peers_t *peers, usec_t now, node_id_t node, incarnation_t known)
+peers_refused (peers_t *peers, usec_t now, node_id_t node)
 {
   row_t *row = find (peers, node);
 
-  if (row)
-    end_incarnation (peers, now, row, known);
+  if (!row || !row->peer.incarnation)
+    return;
+  /* The first refusal may answer a connect that began before this incarnation
+     bound its port; the second one's connect began after the first. */
+  if (row->refused == row->peer.incarnation)
+    end_incarnation (peers, now, row, row->refused);
+  row->refused = row->peer.incarnation;
 }
 
 void
@@ -305,6 +311,7 @@
   row->peer.heard_at = now;
   row->acked_at = USEC_NEVER;
   row->next_heartbeat = now;
+  row->refused = 0;
   memset (row->sent, 0, sizeof row->sent);
   set_state (peers, now, row, PEER_UNKNOWN);
 }
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -88,11 +88,10 @@
 void peers_receive (peers_t *peers, usec_t now, node_id_t node,
                     const message_t *message);
 
-/** A connection to NODE was refused by its VM (assumption A6).
-    @param known the incarnation that peers_get showed when the connect began:
-    that one has ended, a later one may have started meanwhile */
-void peers_refused (peers_t *peers, usec_t now, node_id_t node,
-                    incarnation_t known);
+/** A connection to NODE was refused by its VM (assumption A6).  The second
+    refusal without a HELLO between proves that the incarnation known there
+    has ended; one connect at a time is made to a node. */
+void peers_refused (peers_t *peers, usec_t now, node_id_t node);
 
 /** The platform's list as of NOW; nodes it has not named for list_lag are
     taken as ended (assumption A7) unless they are heard from.  NODES are the
