--- a/src/claims/claims.c
+++ b/src/claims/claims.c
@@ -7,7 +7,6 @@
  * an owner that may act, so it proves that all older claims are resolved.
  */
 #include "claims/claims.h"
-#include "base/counters.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -20,10 +19,31 @@
 #define ASK_APPLIED (1ULL << 32)
 /* Longest time between two calls of claims_tick. */
 #define TICK_MAX (250 * USEC_PER_MSEC)
+/* Longest pause before a contested claim, in waits of rule (w). */
+#define CONTEST_MAX 2
 /* How often a release is repeated to peers until the log shows it. */
 #define RELEASE_REPEAT (1 * USEC_PER_SEC)
 #define ADDRESS_MAX 64U
 
+/* Each mutant lacks one mechanism; make mutants requires that the fault matrix
+   fails with it.  Built with -DCLAIMS_MUTANT=MUTANT_<name>. */
+enum
+{
+  MUTANT_NONE,
+  MUTANT_NO_WAIT_W,
+  MUTANT_NO_WAIT_D,
+  MUTANT_CONFIRM_AT_RECEIPT,
+  MUTANT_NO_EPOCH_CHECK,
+  MUTANT_NO_ACKNOWLEDGEMENT,
+  MUTANT_NO_REFUSAL,
+  MUTANT_ONE_WITNESS_LIST,
+  MUTANT_NO_CHAIN
+};
+#ifndef CLAIMS_MUTANT
+#define CLAIMS_MUTANT MUTANT_NONE
+#endif
+#define MUTATED(name) (CLAIMS_MUTANT == MUTANT_##name)
+
 /* A claim of the log. */
 typedef struct
 {
@@ -63,11 +83,13 @@
   usec_t renewal_since; /* since when the witness list is poor */
 } shard_t;
 
+/* An incarnation that the log has named in a MEMBER entry. */
 typedef struct
 {
-  incarnation_t incarnation;
   char address[ADDRESS_MAX];
-} registration_t;
+  bool retired;        /* replaced by another of its node, or left */
+  usec_t absent_since; /* first list without it, USEC_NEVER if named */
+} member_t;
 
 struct claims
 {
@@ -75,7 +97,8 @@
   claims_ops_t ops;
   void *ctx;
   shard_t *shards;
-  GHashTable *registered; /* node -> registration_t */
+  GHashTable *registered; /* node -> incarnation_t, by the log alone */
+  GHashTable *members;    /* incarnation -> member_t, by the log alone */
   GHashTable *ended;      /* incarnation -> usec_t, when evidence arrived */
   claims_candidate_t *candidates;
   size_t candidate_count;
@@ -90,6 +113,9 @@
 static void apply_leave (claims_t *claims, usec_t now, const message_t *m);
 static void apply_claim (claims_t *claims, usec_t now, const message_t *m);
 static void apply_release (claims_t *claims, usec_t now, const message_t *m);
+static incarnation_t registered (const claims_t *claims, node_id_t node);
+static member_t *member_of (const claims_t *claims, incarnation_t incarnation);
+static bool same_host (const char *a, const char *b);
 static bool claim_valid (const claims_t *claims, const msg_claim_t *entry);
 static void push_claim (claims_t *claims, usec_t now, shard_t *shard,
                         const msg_claim_t *entry);
@@ -117,6 +143,8 @@
 static void give_up (claims_t *claims, usec_t now, shard_t *shard);
 static void announce_release (claims_t *claims, usec_t now, shard_t *shard);
 static void tick_claim (claims_t *claims, usec_t now, shard_t *shard);
+static bool vacant (const claims_t *claims, usec_t now, const shard_t *shard);
+static bool resolvable (const claims_t *claims, const claim_t *former);
 static void tick_renew (claims_t *claims, usec_t now, shard_t *shard);
 static void tick_give_up (claims_t *claims, usec_t now, shard_t *shard);
 static void append_claim (claims_t *claims, usec_t now, shard_t *shard);
@@ -157,6 +185,8 @@
   claims->ctx = ctx;
   claims->registered
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  claims->members
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   claims->ended
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   claims->first_candidates_at = USEC_NEVER;
@@ -184,6 +214,7 @@
   g_free (claims->shards);
   g_free (claims->candidates);
   g_hash_table_destroy (claims->registered);
+  g_hash_table_destroy (claims->members);
   g_hash_table_destroy (claims->ended);
   g_free (claims);
 }
@@ -210,6 +241,8 @@
 void
 claims_log_confirmed (claims_t *claims, usec_t now, usec_t sent_at)
 {
+  if (MUTATED (CONFIRM_AT_RECEIPT))
+    sent_at = now;
   claims->log_confirmed = MAX (claims->log_confirmed, sent_at);
   for (uint32_t i = 0; i < claims->config.shard_count; i++)
     {
@@ -225,6 +258,8 @@
 claims_relay_confirmed (claims_t *claims, usec_t now, usec_t sent_at,
                         const u64_list_t *superseded)
 {
+  if (MUTATED (CONFIRM_AT_RECEIPT))
+    sent_at = now;
   for (uint32_t i = 0; i < claims->config.shard_count; i++)
     {
       shard_t *shard = &claims->shards[i];
@@ -270,6 +305,8 @@
 claims_holds_granted (claims_t *claims, usec_t now, usec_t sent_at,
                       incarnation_t witness, const u64_list_t *granted)
 {
+  if (MUTATED (CONFIRM_AT_RECEIPT))
+    sent_at = now;
   for (uint32_t n = 0; n + 1 < granted->count; n += 2)
     {
       uint64_t number = granted->items[n];
@@ -309,7 +346,7 @@
       uint64_t epoch = asked->items[n + 1];
       const shard_t *shard = shard_of (claims, number & ~ASK_APPLIED);
 
-      if (!shard || shard->epoch > epoch)
+      if (!shard || (shard->epoch > epoch && !MUTATED (NO_REFUSAL)))
         continue;
       if ((number & ASK_APPLIED) && shard->epoch != epoch)
         continue;
@@ -367,6 +404,34 @@
     refresh (claims, now, &claims->shards[i]);
 }
 
+void
+claims_listed (claims_t *claims, usec_t now, const char *const *addresses,
+               size_t count)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  if (!claims->config.list_lag)
+    return;
+  g_hash_table_iter_init (&iter, claims->members);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      member_t *member = value;
+      incarnation_t incarnation = *(const incarnation_t *)key;
+      bool named = candidate (claims, incarnation) != NULL;
+
+      for (size_t i = 0; i < count && !named; i++)
+        named = same_host (member->address, addresses[i]);
+      if (named)
+        member->absent_since = USEC_NEVER;
+      else if (member->absent_since == USEC_NEVER)
+        member->absent_since = now;
+      else if (now - member->absent_since > claims->config.list_lag)
+        claims_ended (claims, now, incarnation);
+    }
+}
+
 void
 claims_released (claims_t *claims, usec_t now, incarnation_t from,
                  const u64_list_t *released)
@@ -480,44 +545,73 @@
                     (int)claims->candidate_count, "shards", shards);
 }
 
-/* The address must be the same for the former incarnation to be known as
-   ended: the node number of a VM that is only frozen may be given to its
-   replacement. */
+/* Whoever was registered at the same address has ended, since the port is
+   bound before the entry is appended.  At another address nothing is known of
+   the former incarnation of the node: the node number of a VM that is only
+   frozen may be given to its replacement.  Whether the entry registers depends
+   on the log alone, not on evidence, which differs between processes. */
 static void
 apply_member (claims_t *claims, usec_t now, const message_t *m)
 {
   const msg_member_t *entry = &m->u.member;
-  gpointer key = GUINT_TO_POINTER ((guint)entry->node);
-  const registration_t *former = g_hash_table_lookup (claims->registered, key);
-  registration_t *registration;
-  usec_t at;
-
-  if (ended_at (claims, entry->incarnation, &at)
-      || (former && former->incarnation == entry->incarnation))
+  gpointer node = GUINT_TO_POINTER ((guint)entry->node);
+  incarnation_t former = registered (claims, (node_id_t)entry->node);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  member_t *member;
+
+  if (member_of (claims, entry->incarnation))
     return;
-  registration = g_new0 (registration_t, 1);
-  registration->incarnation = entry->incarnation;
-  memcpy (registration->address,
-          entry->address.data ? entry->address.data : "",
+  member = g_new0 (member_t, 1);
+  member->absent_since = USEC_NEVER;
+  memcpy (member->address, entry->address.data ? entry->address.data : "",
           MIN (entry->address.len, ADDRESS_MAX - 1));
-  if (former && strcmp (former->address, registration->address) == 0)
-    claims_ended (claims, now, former->incarnation);
-  g_hash_table_insert (claims->registered, key, registration);
+  g_hash_table_insert (
+      claims->members,
+      g_memdup2 (&entry->incarnation, sizeof entry->incarnation), member);
+  g_hash_table_insert (
+      claims->registered, node,
+      g_memdup2 (&entry->incarnation, sizeof entry->incarnation));
+  if (former)
+    member_of (claims, former)->retired = true;
+  g_hash_table_iter_init (&iter, claims->members);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (value != member
+        && strcmp (((member_t *)value)->address, member->address) == 0)
+      claims_ended (claims, now, *(const incarnation_t *)key);
 }
 
 static void
 apply_leave (claims_t *claims, usec_t now, const message_t *m)
 {
   const msg_leave_t *entry = &m->u.leave;
-  gpointer key = GUINT_TO_POINTER ((guint)entry->node);
-  const registration_t *registration
-      = g_hash_table_lookup (claims->registered, key);
+  member_t *member = member_of (claims, entry->incarnation);
 
-  if (registration && registration->incarnation == entry->incarnation)
-    g_hash_table_remove (claims->registered, key);
+  if (registered (claims, (node_id_t)entry->node) == entry->incarnation)
+    g_hash_table_remove (claims->registered,
+                         GUINT_TO_POINTER ((guint)entry->node));
+  if (member)
+    member->retired = true;
   claims_ended (claims, now, entry->incarnation);
 }
 
+/* @return the registered incarnation of a node, 0 if none */
+static incarnation_t
+registered (const claims_t *claims, node_id_t node)
+{
+  const incarnation_t *found
+      = g_hash_table_lookup (claims->registered, GUINT_TO_POINTER (node));
+
+  return found ? *found : 0;
+}
+
+static member_t *
+member_of (const claims_t *claims, incarnation_t incarnation)
+{
+  return g_hash_table_lookup (claims->members, &incarnation);
+}
+
 static void
 apply_claim (claims_t *claims, usec_t now, const message_t *m)
 {
@@ -547,15 +641,28 @@
     forget_released (claims, now, shard, entry->epoch);
 }
 
+/* Compares addresses IP:port without the port: the list names another port
+   than the one peers use. */
+static bool
+same_host (const char *a, const char *b)
+{
+  const char *a_port = strrchr (a, ':');
+  const char *b_port = strrchr (b, ':');
+  size_t a_len = a_port ? (size_t)(a_port - a) : strlen (a);
+  size_t b_len = b_port ? (size_t)(b_port - b) : strlen (b);
+
+  return a_len == b_len && memcmp (a, b, a_len) == 0;
+}
+
 static bool
 claim_valid (const claims_t *claims, const msg_claim_t *entry)
 {
   const shard_t *shard = shard_of (claims, entry->shard);
-  const registration_t *registration = g_hash_table_lookup (
-      claims->registered, GUINT_TO_POINTER ((guint)entry->node));
 
-  return shard && entry->epoch == shard->epoch + 1 && registration
-         && registration->incarnation == entry->incarnation
+  return shard
+         && (entry->epoch == shard->epoch + 1
+             || (MUTATED (NO_EPOCH_CHECK) && entry->epoch >= shard->epoch))
+         && registered (claims, (node_id_t)entry->node) == entry->incarnation
          && entry->witnesses.count <= CLAIMS_MAX_WITNESSES;
 }
 
@@ -710,7 +817,7 @@
   const claim_t *claim = current (shard);
   usec_t held = majority_time (claim, claim->held);
 
-  if (shard->pending.epoch)
+  if (shard->pending.epoch && !MUTATED (ONE_WITNESS_LIST))
     held = MIN (held, majority_time (&shard->pending, shard->pending.held));
   return MAX (shard->own.confirmed, held);
 }
@@ -726,6 +833,8 @@
     {
       const claim_t *former = chain_at (shard, c);
 
+      if (MUTATED (NO_CHAIN) && c + 2 < shard->chain->len)
+        continue;
       if (former->incarnation != claims->config.incarnation)
         at = MAX (at, claim_resolved_at (claims, former, applied_at));
     }
@@ -747,7 +856,9 @@
   usec_t at;
 
   if (ended_at (claims, former->incarnation, &at))
-    best = at + drain;
+    best = at + (MUTATED (NO_WAIT_D) ? 0 : drain);
+  if (MUTATED (NO_WAIT_W))
+    lease = drain = 0;
   for (uint32_t i = 0; i < former->count; i++)
     {
       blocked[i] = USEC_NEVER;
@@ -759,7 +870,7 @@
   acked = majority_time (former, blocked);
   if (acked != USEC_NEVER)
     best = MIN (best, MAX (-acked, applied_at) + lease + drain);
-  if (!former->count)
+  if (!former->count || MUTATED (NO_ACKNOWLEDGEMENT))
     best = MIN (best, applied_at + lease + drain);
   return best;
 }
@@ -805,7 +916,6 @@
     return;
   own->acting = true;
   own->lapsed_since = USEC_NEVER;
-  counter_add (COUNTER_CLAIMS_GAINED, 1);
   claims->ops.gained (claims->ctx, now, number_of (claims, shard), own->epoch);
 }
 
@@ -816,7 +926,6 @@
     return;
   shard->own.acting = false;
   shard->own.lapsed_since = now;
-  counter_add (COUNTER_CLAIMS_LOST, 1);
   claims->ops.lost (claims->ctx, now, number_of (claims, shard),
                     shard->own.epoch);
 }
@@ -874,20 +983,17 @@
     }
 }
 
-/* Claims a shard that is free or whose owner is not among the candidates.
-   Each rank of the rendezvous order waits longer, so that a preferred node
-   that cannot reach the log does not keep the shard unowned. */
+/* Claims a shard that is free or whose owner ended or is not among the
+   candidates.  Each rank of the rendezvous order waits longer, so that a
+   preferred node that cannot reach the log does not keep the shard unowned. */
 static void
 tick_claim (claims_t *claims, usec_t now, shard_t *shard)
 {
-  bool vacant = !shard->chain->len
-                || !candidate (claims, current (shard)->incarnation);
   const claims_candidate_t *self
       = candidate (claims, claims->config.incarnation);
   usec_t pause = claims->config.claim_retry;
-  usec_t at;
 
-  if (!vacant || shard->pending.epoch)
+  if (shard->pending.epoch || !vacant (claims, now, shard))
     {
       shard->claimable_at = USEC_NEVER;
       return;
@@ -897,16 +1003,59 @@
   if (!self || !may_take (claims, self) || !log_fresh (claims, now)
       || now < shard->retry_at)
     return;
-  /* A fresh process has not heard of all its peers yet. */
-  if (shard->chain->len
-      && !ended_at (claims, current (shard)->incarnation, &at)
-      && now < claims->first_candidates_at + claims->config.lease)
-    return;
   if (now >= shard->claimable_at
                  + (usec_t)rank (claims, number_of (claims, shard)) * pause)
     append_claim (claims, now, shard);
 }
 
+/* Tells whether a claim of the shard makes sense.  A claim over an owner that
+   may be alive stops it, so it is made only if it can be resolved, and two
+   processes that do not hear each other leave each other time to act. */
+static bool
+vacant (const claims_t *claims, usec_t now, const shard_t *shard)
+{
+  const claim_t *claim;
+  usec_t pause = scaled (claims->config.lease + claims->config.drain)
+                 + claims->config.lease;
+  usec_t at;
+
+  if (!shard->chain->len)
+    return true;
+  claim = current (shard);
+  if (ended_at (claims, claim->incarnation, &at))
+    return claim->incarnation != claims->config.incarnation;
+  if (candidate (claims, claim->incarnation))
+    return false;
+  /* A fresh process has not heard of all its peers yet. */
+  if (now < claims->first_candidates_at + claims->config.lease)
+    return false;
+  for (guint c = 0; c < shard->chain->len; c++)
+    if (!resolvable (claims, chain_at (shard, c)))
+      return false;
+  return now >= claim->applied_at
+                    + pause * MIN ((usec_t)shard->chain->len - 1, CONTEST_MAX);
+}
+
+/* A majority of the witnesses could acknowledge a newer claim or has ended. */
+static bool
+resolvable (const claims_t *claims, const claim_t *former)
+{
+  uint32_t count = 0;
+  usec_t at;
+
+  if (!former->count || ended_at (claims, former->incarnation, &at)
+      || former->incarnation == claims->config.incarnation)
+    return true;
+  for (uint32_t i = 0; i < former->count; i++)
+    {
+      const claims_candidate_t *c = candidate (claims, former->witnesses[i]);
+
+      count += (c && !c->keeps_only)
+               || ended_at (claims, former->witnesses[i], &at);
+    }
+  return count * 2 > former->count;
+}
+
 /* Renews after witnesses were lost or new ones came up, and after a takeover
    so that the chain of older claims ends. */
 static void
@@ -986,12 +1135,10 @@
     for (size_t i = 0; i < claims->candidate_count; i++)
       {
         const claims_candidate_t *c = &claims->candidates[i];
-        const registration_t *registration = g_hash_table_lookup (
-            claims->registered, GUINT_TO_POINTER (c->node));
 
         if (count == CLAIMS_MAX_WITNESSES || c->keeps_only != (pass == 1)
-            || c->incarnation == claims->config.incarnation || !registration
-            || registration->incarnation != c->incarnation)
+            || c->incarnation == claims->config.incarnation
+            || registered (claims, c->node) != c->incarnation)
           continue;
         out[count++] = c->incarnation;
       }
