--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -44,6 +44,7 @@
   uint32_t hops;
   usec_t deadline;
   usec_t run_limit;
+  uint64_t tag;
   uint64_t sequence; /* order of arrival */
   GSequenceIter *queued;
   GSequenceIter *timer;
@@ -185,6 +186,14 @@
   return request_of (routing, request) ? request : HANDLE_NONE;
 }
 
+uint64_t
+routing_tag (const routing_t *routing, handle_t request)
+{
+  const request_t *r = request_of (routing, request);
+
+  return r ? r->tag : 0;
+}
+
 void
 routing_abandon (routing_t *routing, usec_t now, handle_t request)
 {
@@ -403,6 +412,7 @@
   r->deadline = info->deadline;
   r->run_limit = info->run_limit;
   r->idempotent = info->idempotent;
+  r->tag = info->tag;
   r->sequence = routing->sequence++;
   r->state = REQUEST_WAITING;
   return r;
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -26,6 +26,7 @@
   usec_t run_limit;  /**< of one attempt */
   bool idempotent;   /**< may be sent again after its run limit */
   uint32_t hops;     /**< 1 if it came over the peer link */
+  uint64_t tag;      /**< the caller's own name of it, see routing_tag */
 } request_info_t;
 
 typedef struct
@@ -72,6 +73,11 @@
 handle_t routing_submit (routing_t *routing, usec_t now,
                          const request_info_t *info);
 
+/** @return the tag given with the request, 0 if the handle is stale.  The
+    callbacks may run before routing_submit has returned the handle; the tag
+    tells them which request is meant. */
+uint64_t routing_tag (const routing_t *routing, handle_t request);
+
 /** The caller went away; a request that waits is dropped. */
 void routing_abandon (routing_t *routing, usec_t now, handle_t request);
 
