Queue in its own module; own requests pass hopped ones to a peer

Cause: a request that came over the peer link may not hop again; at the head of the queue it kept those behind it from idle slots of peers. Change: queue.c holds the waiting requests by member, lane and source; the pump takes the best for a VM, and the best own one for a peer. No fair shares and no second lane yet.

--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -5,6 +5,7 @@
 
 #include "base/counters.h"
 #include "base/messages.h"
+#include "routing/queue.h"
 
 #include <string.h>
 
@@ -37,19 +38,20 @@
   usec_t mean;
 } class_t;
 
+typedef struct
+{
+  usec_t due;
+  handle_t request;
+} due_t;
+
 typedef struct
 {
   class_t *class;
-  uint32_t priority;
-  uint32_t hops;
-  usec_t deadline;
+  queue_item_t item;    /* as pushed into the queue */
+  queue_item_t *queued; /* NULL unless it waits */
+  GSequenceIter *timer; /* of a due_t */
   usec_t run_limit;
   uint64_t tag;
-  uint64_t sequence; /* order of arrival */
-  GSequenceIter *queued;
-  GSequenceIter *timer;
-  usec_t due; /* of the timer */
-  handle_t self;
   handle_t vm;
   uint32_t attempts;
   uint32_t rerouted; /* forwards that came back */
@@ -63,7 +65,8 @@
 {
   node_id_t node;
   uint32_t zone;
-  uint64_t free_slots; /* reported, less what was forwarded since */
+  uint64_t free_slots; /* reported */
+  uint64_t sent;       /* forwarded there since the report */
   uint64_t queued;
   usec_t delay;
   bool usable;
@@ -78,9 +81,9 @@
   void *ctx;
   table_t *requests;
   GHashTable *classes; /* name -> class_t */
-  GSequence *queue;    /* handles by priority, deadline */
-  GSequence *timers;   /* handles by due time */
-  GArray *peers;       /* peer_t */
+  queue_t *queue;
+  GSequence *timers; /* due_t */
+  GArray *peers;     /* peer_t */
   uint64_t sequence;
   uint64_t tokens;
   usec_t mean; /* run time over all classes */
@@ -90,6 +93,8 @@
 
 static request_t *request_of (const routing_t *routing, handle_t request);
 static request_t *request_new (routing_t *routing, const request_info_t *info);
+static const due_t *first_due (const routing_t *routing);
+static usec_t earlier (usec_t a, usec_t b);
 static void request_remove (routing_t *routing, handle_t request);
 static class_t *class_of (routing_t *routing, const char *name);
 static void class_free (gpointer data);
@@ -99,17 +104,17 @@
 static usec_t retry_after (const routing_t *routing);
 static void give_up (routing_t *routing, usec_t now, handle_t request);
 static void enqueue (routing_t *routing, handle_t request);
-static void dequeue (request_t *r);
+static void dequeue (routing_t *routing, request_t *r);
 static void set_timer (routing_t *routing, handle_t request, usec_t due);
-static bool place (routing_t *routing, usec_t now, handle_t request);
+static bool place_on_vm (routing_t *routing, usec_t now, handle_t request);
+static bool place_on_peer (routing_t *routing, usec_t now, handle_t request);
 static handle_t pick_vm (routing_t *routing, usec_t now);
-static peer_t *pick_peer (const routing_t *routing);
+static peer_t *pick_peer (const routing_t *routing, const request_t *r);
 static void pump (routing_t *routing, usec_t now);
 static void retry (routing_t *routing, usec_t now, handle_t request,
                    usec_t wait);
 static void refresh_groups (routing_t *routing);
 static void drop_shard (routing_t *routing, usec_t now, uint32_t shard);
-static gint by_order (gconstpointer a, gconstpointer b, gpointer data);
 static gint by_due (gconstpointer a, gconstpointer b, gpointer data);
 
 routing_t *
@@ -126,8 +131,8 @@
   routing->requests = table_new (sizeof (request_t));
   routing->classes
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, class_free);
-  routing->queue = g_sequence_new (NULL);
-  routing->timers = g_sequence_new (NULL);
+  routing->queue = queue_new ();
+  routing->timers = g_sequence_new (g_free);
   routing->peers = g_array_new (FALSE, TRUE, sizeof (peer_t));
   routing->tokens = RETRY_TOKENS_START;
   routing->recheck_at = USEC_NEVER;
@@ -142,7 +147,7 @@
     return;
   table_free (routing->requests);
   g_hash_table_destroy (routing->classes);
-  g_sequence_free (routing->queue);
+  queue_free (routing->queue);
   g_sequence_free (routing->timers);
   g_array_free (routing->peers, TRUE);
   g_free (routing);
@@ -156,33 +161,31 @@
 
   if (!r)
     return HANDLE_NONE;
-  request = r->self;
+  request = r->item.request;
   routing->tokens = MIN (routing->tokens + routing->config.retry_percent,
                          RETRY_TOKENS_MAX);
-  if (now + expected_run (r->class) > r->deadline)
+  if (now + expected_run (r->class) > r->item.deadline)
     {
       give_up (routing, now, request);
       return HANDLE_NONE;
     }
-  if (!routing_queued (routing) && place (routing, now, request))
+  if (!routing_queued (routing)
+      && (place_on_vm (routing, now, request)
+          || place_on_peer (routing, now, request)))
     return request;
   enqueue (routing, request);
   pump (routing, now);
   r = request_of (routing, request);
   if (!r || r->state != REQUEST_WAITING)
     return r ? request : HANDLE_NONE;
-  if (now + expected_wait (routing, r) + expected_run (r->class) > r->deadline)
+  if (now + expected_wait (routing, r) + expected_run (r->class)
+      > r->item.deadline)
     {
       give_up (routing, now, request);
       return HANDLE_NONE;
     }
   if (routing_queued (routing) > routing->config.max_queue)
-    {
-      GSequenceIter *end = g_sequence_get_end_iter (routing->queue);
-      GSequenceIter *last = g_sequence_iter_prev (end);
-
-      give_up (routing, now, GPOINTER_TO_UINT (g_sequence_get (last)));
-    }
+    give_up (routing, now, queue_worst (routing->queue)->request);
   return request_of (routing, request) ? request : HANDLE_NONE;
 }
 
@@ -312,45 +315,34 @@
 uint64_t
 routing_queued (const routing_t *routing)
 {
-  return (uint64_t)g_sequence_get_length (routing->queue);
+  return queue_length (routing->queue);
 }
 
 usec_t
 routing_tick (routing_t *routing, usec_t now)
 {
   usec_t next = limits_tick (routing->limits, now);
+  const due_t *first;
 
   if (routing->recheck_at != USEC_NEVER && routing->recheck_at <= now)
     {
       routing->recheck_at = USEC_NEVER;
       refresh_groups (routing);
     }
-  while (!g_sequence_is_empty (routing->timers))
+  while ((first = first_due (routing)) && first->due <= now)
     {
-      GSequenceIter *first = g_sequence_get_begin_iter (routing->timers);
-      handle_t request = GPOINTER_TO_UINT (g_sequence_get (first));
-      request_t *r = request_of (routing, request);
+      handle_t request = first->request;
 
-      if (r->due > now)
-        break;
-      if (r->state == REQUEST_BACKOFF)
+      if (request_of (routing, request)->state == REQUEST_BACKOFF)
         enqueue (routing, request);
       else
         give_up (routing, now, request);
     }
   pump (routing, now);
-  if (!g_sequence_is_empty (routing->timers))
-    {
-      GSequenceIter *first = g_sequence_get_begin_iter (routing->timers);
-      handle_t request = GPOINTER_TO_UINT (g_sequence_get (first));
-      usec_t due = request_of (routing, request)->due;
-
-      next = next == USEC_NEVER ? due : MIN (next, due);
-    }
-  if (routing->recheck_at != USEC_NEVER)
-    next = next == USEC_NEVER ? routing->recheck_at
-                              : MIN (next, routing->recheck_at);
-  return next;
+  first = first_due (routing);
+  if (first)
+    next = earlier (next, first->due);
+  return earlier (next, routing->recheck_at);
 }
 
 json_t *
@@ -405,25 +397,44 @@
 
   if (!r)
     return NULL;
-  r->self = request;
+  r->item.request = request;
   r->class = class_of (routing, info->class_name);
-  r->priority = info->priority;
-  r->hops = info->hops;
-  r->deadline = info->deadline;
+  r->item.priority = info->priority;
+  r->item.hopped = info->hops > 0;
+  r->item.deadline = info->deadline;
+  r->item.sequence = routing->sequence++;
+  r->item.share = queue_share (routing->queue, info->member, info->weight);
   r->run_limit = info->run_limit;
   r->idempotent = info->idempotent;
   r->tag = info->tag;
-  r->sequence = routing->sequence++;
   r->state = REQUEST_WAITING;
   return r;
 }
 
+/** @return the first timer, NULL if there is none */
+static const due_t *
+first_due (const routing_t *routing)
+{
+  if (g_sequence_is_empty (routing->timers))
+    return NULL;
+  return g_sequence_get (g_sequence_get_begin_iter (routing->timers));
+}
+
+/** @return the earlier of two times of which each may be USEC_NEVER */
+static usec_t
+earlier (usec_t a, usec_t b)
+{
+  if (a == USEC_NEVER || b == USEC_NEVER)
+    return a == USEC_NEVER ? b : a;
+  return MIN (a, b);
+}
+
 static void
 request_remove (routing_t *routing, handle_t request)
 {
   request_t *r = request_of (routing, request);
 
-  dequeue (r);
+  dequeue (routing, r);
   table_remove (routing->requests, request);
 }
 
@@ -474,7 +485,8 @@
 {
   uint64_t slots = limits_capacity (routing->limits, GROUP_NEAR)
                    + limits_capacity (routing->limits, GROUP_FAR);
-  gint ahead = r->queued ? g_sequence_iter_get_position (r->queued) : 0;
+  usec_t ahead = r->queued ? (usec_t)queue_ahead (routing->queue, r->queued)
+                           : (usec_t)queue_length (routing->queue);
 
   return slots ? (ahead + 1) * routing->mean / (usec_t)slots : 0;
 }
@@ -502,7 +514,7 @@
   bool may_have_run = r->may_have_run;
   bool abandoned = r->abandoned;
 
-  dequeue (r);
+  dequeue (routing, r);
   if (!abandoned)
     routing->ops.give_up (routing->ctx, now, request,
                           may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
@@ -517,18 +529,17 @@
 {
   request_t *r = request_of (routing, request);
 
-  dequeue (r);
+  dequeue (routing, r);
   r->state = REQUEST_WAITING;
-  r->queued = g_sequence_insert_sorted (
-      routing->queue, GUINT_TO_POINTER (request), by_order, routing);
-  set_timer (routing, request, r->deadline - expected_run (r->class) + 1);
+  r->queued = queue_push (routing->queue, &r->item);
+  set_timer (routing, request, r->item.deadline - expected_run (r->class) + 1);
 }
 
 static void
-dequeue (request_t *r)
+dequeue (routing_t *routing, request_t *r)
 {
   if (r->queued)
-    g_sequence_remove (r->queued);
+    queue_remove (routing->queue, r->queued);
   if (r->timer)
     g_sequence_remove (r->timer);
   r->queued = NULL;
@@ -540,34 +551,41 @@
 {
   request_t *r = request_of (routing, request);
 
-  r->due = due;
-  r->timer = g_sequence_insert_sorted (
-      routing->timers, GUINT_TO_POINTER (request), by_due, routing);
+  due_t *timer = g_new (due_t, 1);
+
+  *timer = (due_t){ due, request };
+  r->timer = g_sequence_insert_sorted (routing->timers, timer, by_due, NULL);
 }
 
-/** Sends a request to a VM or a peer. @return false if none has room */
+/** @return false if no VM has room */
 static bool
-place (routing_t *routing, usec_t now, handle_t request)
+place_on_vm (routing_t *routing, usec_t now, handle_t request)
 {
   handle_t vm = pick_vm (routing, now);
   request_t *r = request_of (routing, request);
-  peer_t *peer;
 
-  if (vm != HANDLE_NONE)
-    {
-      dequeue (r);
-      r->state = REQUEST_RUNNING;
-      r->vm = vm;
-      r->attempts++;
-      routing->ops.dispatch (routing->ctx, now, request, vm);
-      return true;
-    }
-  peer = r->hops ? NULL : pick_peer (routing);
+  if (vm == HANDLE_NONE)
+    return false;
+  dequeue (routing, r);
+  r->state = REQUEST_RUNNING;
+  r->vm = vm;
+  r->attempts++;
+  routing->ops.dispatch (routing->ctx, now, request, vm);
+  return true;
+}
+
+/** @return false if no peer is the better choice */
+static bool
+place_on_peer (routing_t *routing, usec_t now, handle_t request)
+{
+  request_t *r = request_of (routing, request);
+  peer_t *peer = r->item.hopped ? NULL : pick_peer (routing, r);
+
   if (!peer)
     return false;
-  dequeue (r);
+  dequeue (routing, r);
   r->state = REQUEST_FORWARDED;
-  peer->free_slots--;
+  peer->sent++;
   routing->ops.forward (routing->ctx, now, request, peer->node);
   return true;
 }
@@ -595,16 +613,19 @@
 }
 
 static peer_t *
-pick_peer (const routing_t *routing)
+pick_peer (const routing_t *routing, const request_t *r)
 {
   peer_t *best = NULL;
 
+  (void)r;
   for (guint i = 0; i < routing->peers->len; i++)
     {
       peer_t *peer = &g_array_index (routing->peers, peer_t, i);
 
-      if (peer->usable && peer->free_slots
-          && (!best || peer->free_slots > best->free_slots))
+      if (peer->usable && peer->free_slots > peer->sent
+          && (!best
+              || peer->free_slots - peer->sent
+                     > best->free_slots - best->sent))
         best = peer;
     }
   return best;
@@ -615,16 +636,17 @@
 static void
 pump (routing_t *routing, usec_t now)
 {
+  const queue_item_t *item;
+
   if (routing->pumping)
     return;
   routing->pumping = true;
-  while (!g_sequence_is_empty (routing->queue))
-    {
-      GSequenceIter *first = g_sequence_get_begin_iter (routing->queue);
-
-      if (!place (routing, now, GPOINTER_TO_UINT (g_sequence_get (first))))
-        break;
-    }
+  while ((item = queue_best (routing->queue, LANE_SHORT, false))
+         && place_on_vm (routing, now, item->request))
+    ;
+  while ((item = queue_best (routing->queue, LANE_SHORT, true))
+         && place_on_peer (routing, now, item->request))
+    ;
   routing->pumping = false;
 }
 
@@ -636,7 +658,7 @@
   request_t *r = request_of (routing, request);
 
   if (r->abandoned || routing->tokens < RETRY_COST
-      || now + wait + expected_run (r->class) > r->deadline)
+      || now + wait + expected_run (r->class) > r->item.deadline)
     {
       give_up (routing, now, request);
       return;
@@ -676,26 +698,12 @@
       limits_assign (routing->limits, h, LIMITS_GROUP_NONE, 0);
 }
 
-static gint
-by_order (gconstpointer a, gconstpointer b, gpointer data)
-{
-  const request_t *x = request_of (data, GPOINTER_TO_UINT (a));
-  const request_t *y = request_of (data, GPOINTER_TO_UINT (b));
-
-  if (x->priority != y->priority)
-    return x->priority < y->priority ? -1 : 1;
-  if (x->deadline != y->deadline)
-    return x->deadline < y->deadline ? -1 : 1;
-  return (x->sequence > y->sequence) - (x->sequence < y->sequence);
-}
-
 static gint
 by_due (gconstpointer a, gconstpointer b, gpointer data)
 {
-  const request_t *x = request_of (data, GPOINTER_TO_UINT (a));
-  const request_t *y = request_of (data, GPOINTER_TO_UINT (b));
+  const due_t *x = a;
+  const due_t *y = b;
 
-  if (x->due != y->due)
-    return x->due < y->due ? -1 : 1;
-  return (x->sequence > y->sequence) - (x->sequence < y->sequence);
+  (void)data;
+  return (x->due > y->due) - (x->due < y->due);
 }
