Choose a peer from two drawn at random, near ones first, by its cost

Cause: with reports every 250 ms all processes chose the same peer, and a process with few slots could hand on no more than the reported free slots between two reports, though slots free up every 65 ms. Change: of two random peers the one with more free slots is taken, in the own zone first; only if the hop there and back is shorter than the expected wait here. A forward that ended gives its slot at the peer back at once instead of at the next report. The request that is last in the queue is handed on, since the first one gets the next slot here.

--- a/src/routing/queue.c
+++ b/src/routing/queue.c
@@ -117,7 +117,7 @@
 }
 
 const queue_item_t *
-queue_worst (const queue_t *queue)
+queue_worst (const queue_t *queue, bool own_only)
 {
   const queue_item_t *worst = NULL;
 
@@ -130,7 +130,7 @@
           GSequence *list = share->waiting[k / SOURCES][k % SOURCES];
           const queue_item_t *item;
 
-          if (g_sequence_is_empty (list))
+          if (g_sequence_is_empty (list) || (own_only && k % SOURCES))
             continue;
           item = g_sequence_get (
               g_sequence_iter_prev (g_sequence_get_end_iter (list)));
--- a/src/routing/queue.h
+++ b/src/routing/queue.h
@@ -43,13 +43,15 @@
 queue_item_t *queue_push (queue_t *queue, const queue_item_t *item);
 void queue_remove (queue_t *queue, queue_item_t *item);
 
-/** @param own_only leave out what came over the peer link
+/** @param own_only leave out what came over the peer link, which may not be
+    handed on
     @return the next one to serve, NULL if none waits */
 const queue_item_t *queue_best (const queue_t *queue, lane_t lane,
                                 bool own_only);
 
-/** @return the last one to be served, NULL if none waits */
-const queue_item_t *queue_worst (const queue_t *queue);
+/** @param own_only as for queue_best
+    @return the last one to be served, NULL if none waits */
+const queue_item_t *queue_worst (const queue_t *queue, bool own_only);
 
 /** @return how many wait before ITEM, at most (the exact place of those of
     other members is not looked up) */
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -53,6 +53,8 @@
   usec_t run_limit;
   uint64_t tag;
   handle_t vm;
+  node_id_t peer;  /* that it was forwarded to */
+  uint64_t report; /* of the peer, the last one then */
   uint32_t attempts;
   uint32_t rerouted; /* forwards that came back */
   request_state_t state;
@@ -66,7 +68,8 @@
   node_id_t node;
   uint32_t zone;
   uint64_t free_slots; /* reported */
-  uint64_t sent;       /* forwarded there since the report */
+  uint64_t reports;
+  uint64_t sent; /* forwarded there since the report and not ended */
   uint64_t queued;
   usec_t delay;
   bool usable;
@@ -109,7 +112,11 @@
 static bool place_on_vm (routing_t *routing, usec_t now, handle_t request);
 static bool place_on_peer (routing_t *routing, usec_t now, handle_t request);
 static handle_t pick_vm (routing_t *routing, usec_t now);
-static peer_t *pick_peer (const routing_t *routing, const request_t *r);
+static peer_t *pick_peer (const routing_t *routing, usec_t wait);
+static peer_t *find_peer (const routing_t *routing, node_id_t node);
+static int64_t peer_free (const peer_t *peer);
+static peer_t *draw_peer (const routing_t *routing, bool near,
+                          const peer_t *except);
 static void pump (routing_t *routing, usec_t now);
 static void retry (routing_t *routing, usec_t now, handle_t request,
                    usec_t wait);
@@ -185,7 +192,7 @@
       return HANDLE_NONE;
     }
   if (routing_queued (routing) > routing->config.max_queue)
-    give_up (routing, now, queue_worst (routing->queue)->request);
+    give_up (routing, now, queue_worst (routing->queue, false)->request);
   return request_of (routing, request) ? request : HANDLE_NONE;
 }
 
@@ -252,9 +259,13 @@
                        attempt_end_t end)
 {
   request_t *r = request_of (routing, request);
+  peer_t *peer;
 
   if (!r || r->state != REQUEST_FORWARDED)
     return;
+  peer = find_peer (routing, r->peer);
+  if (peer && peer->reports == r->report)
+    peer->sent--;
   if (end == ATTEMPT_RAN || end == ATTEMPT_FAILED)
     {
       request_remove (routing, request);
@@ -280,21 +291,22 @@
               uint64_t free_slots, uint64_t queued, usec_t link_delay,
               bool usable)
 {
-  peer_t row = { .node = peer,
-                 .zone = zone,
-                 .free_slots = free_slots,
-                 .queued = queued,
-                 .delay = link_delay,
-                 .usable = usable };
-  guint i = 0;
-
-  while (i < routing->peers->len
-         && g_array_index (routing->peers, peer_t, i).node != peer)
-    i++;
-  if (i == routing->peers->len)
-    g_array_append_val (routing->peers, row);
-  else
-    g_array_index (routing->peers, peer_t, i) = row;
+  peer_t *row = find_peer (routing, peer);
+
+  if (!row)
+    {
+      peer_t fresh = { .node = peer };
+
+      g_array_append_val (routing->peers, fresh);
+      row = find_peer (routing, peer);
+    }
+  row->zone = zone;
+  row->free_slots = free_slots;
+  row->queued = queued;
+  row->delay = link_delay;
+  row->usable = usable;
+  row->reports++;
+  row->sent = 0;
   pump (routing, now);
 }
 
@@ -579,12 +591,15 @@
 place_on_peer (routing_t *routing, usec_t now, handle_t request)
 {
   request_t *r = request_of (routing, request);
-  peer_t *peer = r->item.hopped ? NULL : pick_peer (routing, r);
+  usec_t wait = routing->mean ? expected_wait (routing, r) : INT64_MAX;
+  peer_t *peer = r->item.hopped ? NULL : pick_peer (routing, wait);
 
   if (!peer)
     return false;
   dequeue (routing, r);
   r->state = REQUEST_FORWARDED;
+  r->peer = peer->node;
+  r->report = peer->reports;
   peer->sent++;
   routing->ops.forward (routing->ctx, now, request, peer->node);
   return true;
@@ -612,23 +627,60 @@
   return HANDLE_NONE;
 }
 
+/** Of two peers drawn at random the one with more free slots is taken, so
+    that the processes do not all choose the same one between two reports.
+    @param wait what the request is expected to wait here
+    @return NULL if no peer is the better choice */
+static peer_t *
+pick_peer (const routing_t *routing, usec_t wait)
+{
+  for (int near = 1; near >= 0; near--)
+    {
+      peer_t *a = draw_peer (routing, near, NULL);
+      peer_t *b = draw_peer (routing, near, a);
+
+      if (b && peer_free (b) > peer_free (a))
+        a = b;
+      if (a && peer_free (a) > 0 && 2 * a->delay < wait)
+        return a;
+    }
+  return NULL;
+}
+
+static peer_t *
+find_peer (const routing_t *routing, node_id_t node)
+{
+  for (guint i = 0; i < routing->peers->len; i++)
+    if (g_array_index (routing->peers, peer_t, i).node == node)
+      return &g_array_index (routing->peers, peer_t, i);
+  return NULL;
+}
+
+/** @return free slots by the last report, less what was sent there since */
+static int64_t
+peer_free (const peer_t *peer)
+{
+  return (int64_t)peer->free_slots - (int64_t)peer->sent;
+}
+
+/** @param near in the own availability zone, or else in another
+    @return a random usable peer that is not EXCEPT, NULL if there is none */
 static peer_t *
-pick_peer (const routing_t *routing, const request_t *r)
+draw_peer (const routing_t *routing, bool near, const peer_t *except)
 {
-  peer_t *best = NULL;
+  peer_t *drawn = NULL;
+  gint32 seen = 0;
 
-  (void)r;
   for (guint i = 0; i < routing->peers->len; i++)
     {
       peer_t *peer = &g_array_index (routing->peers, peer_t, i);
 
-      if (peer->usable && peer->free_slots > peer->sent
-          && (!best
-              || peer->free_slots - peer->sent
-                     > best->free_slots - best->sent))
-        best = peer;
+      if (peer->usable && peer != except
+          && (peer->zone == routing->config.zone) == near
+          && g_rand_int_range (routing->random, 0, ++seen) == 0)
+        drawn = peer;
     }
-  return best;
+  return drawn;
 }
 
 /** Places waiting requests as long as there is room.  A callback that calls
@@ -644,7 +696,7 @@
   while ((item = queue_best (routing->queue, LANE_SHORT, false))
          && place_on_vm (routing, now, item->request))
     ;
-  while ((item = queue_best (routing->queue, LANE_SHORT, true))
+  while ((item = queue_worst (routing->queue, true))
          && place_on_peer (routing, now, item->request))
     ;
   routing->pumping = false;
--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -96,8 +96,9 @@
   world_free (w);
 }
 
-/* Guards against idle slots at a peer while work waits here, a second hop,
-   and a VM of another zone used before a near one. */
+/* Guards against idle slots at a peer while work waits here, more forwards
+   than a peer reported slots, a second hop, and a VM of another zone used
+   before a near one. */
 static void
 test_peers (void)
 {
@@ -119,6 +120,13 @@
   expect (w, "f:7");
   routing_forward_ended (w->routing, MS, forwarded, ATTEMPT_CUT);
   expect (w, "g:3");
+  routing_peer (w->routing, MS, 7, 1, 1, 0, MS, true);
+  forwarded = submit (w, MS, 1, 100 * MS, false, 0);
+  submit (w, MS, 1, 100 * MS, false, 0);
+  expect (w, "f:7");
+  routing_forward_ended (w->routing, 2 * MS, forwarded, ATTEMPT_RAN);
+  routing_tick (w->routing, 2 * MS);
+  expect (w, "f:7");
   world_free (w);
 }
 
