Learn run times as quantiles; drop what would probably be late

Cause: at overload the requests served are those started at their latest start. With the mean run time as margin, about half of them ended late. Change: run times of each class are counted in quarter-octave buckets that are halved from time to time; the latest start leaves the 98th percentile, or half of the remaining time for a class that often runs longer than that. Ruled out: the exact reservoir of run times; a bucket costs no memory and no sorting.

--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -6,6 +6,7 @@
 #include "base/counters.h"
 #include "base/messages.h"
 #include "routing/queue.h"
+#include "routing/run_times.h"
 
 #include <string.h>
 
@@ -17,8 +18,6 @@
 #define RETRY_TOKENS_MAX 10000U  /* 100 retries in a burst */
 #define RETRY_TOKENS_START 1000U /* 10 retries before any load */
 #define RETRY_DOUBLINGS 6U       /* of the backoff, at most */
-#define MIN_SAMPLES 8U           /* run times before a class is known */
-#define RUN_TIME_SHIFT 4         /* a new run time counts a sixteenth */
 #define RETRY_AFTER_MIN (100 * USEC_PER_MSEC)
 #define RECHECK_INTERVAL (50 * USEC_PER_MSEC)
 
@@ -34,8 +33,7 @@
 typedef struct
 {
   char *name;
-  uint64_t samples;
-  usec_t mean;
+  run_times_t times;
 } class_t;
 
 typedef struct
@@ -89,7 +87,7 @@
   GArray *peers;     /* peer_t */
   uint64_t sequence;
   uint64_t tokens;
-  usec_t mean; /* run time over all classes */
+  run_times_t times; /* of all classes */
   usec_t recheck_at;
   bool pumping;
 };
@@ -101,12 +99,12 @@
 static void request_remove (routing_t *routing, handle_t request);
 static class_t *class_of (routing_t *routing, const char *name);
 static void class_free (gpointer data);
-static void learn (routing_t *routing, class_t *class, usec_t run_time);
 static usec_t expected_run (const class_t *class);
+static usec_t latest_start (const request_t *r, usec_t now);
 static usec_t expected_wait (const routing_t *routing, const request_t *r);
 static usec_t retry_after (const routing_t *routing);
 static void give_up (routing_t *routing, usec_t now, handle_t request);
-static void enqueue (routing_t *routing, handle_t request);
+static void enqueue (routing_t *routing, usec_t now, handle_t request);
 static void dequeue (routing_t *routing, request_t *r);
 static void set_timer (routing_t *routing, handle_t request, usec_t due);
 static bool place_on_vm (routing_t *routing, usec_t now, handle_t request);
@@ -180,13 +178,12 @@
       && (place_on_vm (routing, now, request)
           || place_on_peer (routing, now, request)))
     return request;
-  enqueue (routing, request);
+  enqueue (routing, now, request);
   pump (routing, now);
   r = request_of (routing, request);
   if (!r || r->state != REQUEST_WAITING)
     return r ? request : HANDLE_NONE;
-  if (now + expected_wait (routing, r) + expected_run (r->class)
-      > r->item.deadline)
+  if (now + expected_wait (routing, r) > latest_start (r, now))
     {
       give_up (routing, now, request);
       return HANDLE_NONE;
@@ -231,7 +228,10 @@
     limits_give (routing->limits, r->vm);
   r->vm = HANDLE_NONE;
   if (end == ATTEMPT_RAN)
-    learn (routing, r->class, run_time);
+    {
+      run_times_add (&r->class->times, run_time);
+      run_times_add (&routing->times, run_time);
+    }
   if (end == ATTEMPT_RAN || end == ATTEMPT_FAILED)
     request_remove (routing, request);
   else if (end == ATTEMPT_NOT_STARTED)
@@ -346,7 +346,7 @@
       handle_t request = first->request;
 
       if (request_of (routing, request)->state == REQUEST_BACKOFF)
-        enqueue (routing, request);
+        enqueue (routing, now, request);
       else
         give_up (routing, now, request);
     }
@@ -383,9 +383,11 @@
       const class_t *class = value;
 
       json_array_append_new (
-          classes, json_pack ("{s:s,s:I,s:I}", "name", class->name, "samples",
-                              (json_int_t) class->samples, "run_time_us",
-                              (json_int_t) class->mean));
+          classes, json_pack ("{s:s,s:I,s:I,s:I,s:I}", "name", class->name,
+                              "samples", (json_int_t) class->times.samples,
+                              "mean_us", (json_int_t) class->times.mean,
+                              "median_us", (json_int_t) class->times.median,
+                              "high_us", (json_int_t) class->times.high));
     }
   return json_pack ("{s:I,s:I,s:I,s:I,s:o,s:o}", "requests",
                     (json_int_t)table_count (routing->requests), "queued",
@@ -472,22 +474,27 @@
   g_free (class);
 }
 
-static void
-learn (routing_t *routing, class_t *class, usec_t run_time)
+/** @return 0 until enough run times of the class have been seen */
+static usec_t
+expected_run (const class_t *class)
 {
-  if (!class->samples++)
-    class->mean = run_time;
-  class->mean += (run_time - class->mean) >> RUN_TIME_SHIFT;
-  if (!routing->mean)
-    routing->mean = run_time;
-  routing->mean += (run_time - routing->mean) >> RUN_TIME_SHIFT;
+  return run_times_known (&class->times) ? class->times.median : 0;
 }
 
-/** @return 0 until enough run times of the class have been seen */
+/** The latest start after which the work would probably miss its deadline.
+    What waits is nearly always started just before this when the queue is
+    long, so that a start with the median run time left would waste half of
+    the starts.  A class whose long runs exceed its deadline still waits for
+    half of its time. */
 static usec_t
-expected_run (const class_t *class)
+latest_start (const request_t *r, usec_t now)
 {
-  return class->samples < MIN_SAMPLES ? 0 : class->mean;
+  usec_t left = r->item.deadline - now;
+  usec_t run = 0;
+
+  if (run_times_known (&r->class->times))
+    run = MIN (r->class->times.high, MAX (left / 2, r->class->times.median));
+  return r->item.deadline - run;
 }
 
 /** Time until the requests before R have got a slot, from the run times and
@@ -500,7 +507,7 @@
   usec_t ahead = r->queued ? (usec_t)queue_ahead (routing->queue, r->queued)
                            : (usec_t)queue_length (routing->queue);
 
-  return slots ? (ahead + 1) * routing->mean / (usec_t)slots : 0;
+  return slots ? (ahead + 1) * routing->times.mean / (usec_t)slots : 0;
 }
 
 /** When a refused caller may come back: after the queue has drained, spread
@@ -510,7 +517,7 @@
 {
   uint64_t slots = limits_capacity (routing->limits, GROUP_NEAR)
                    + limits_capacity (routing->limits, GROUP_FAR);
-  usec_t drain = slots ? (usec_t)routing_queued (routing) * routing->mean
+  usec_t drain = slots ? (usec_t)routing_queued (routing) * routing->times.mean
                              / (usec_t)slots
                        : USEC_PER_SEC;
 
@@ -537,14 +544,14 @@
 /** Puts the request into the queue; its timer is the latest start that can
     meet the deadline. */
 static void
-enqueue (routing_t *routing, handle_t request)
+enqueue (routing_t *routing, usec_t now, handle_t request)
 {
   request_t *r = request_of (routing, request);
 
   dequeue (routing, r);
   r->state = REQUEST_WAITING;
   r->queued = queue_push (routing->queue, &r->item);
-  set_timer (routing, request, r->item.deadline - expected_run (r->class) + 1);
+  set_timer (routing, request, latest_start (r, now) + 1);
 }
 
 static void
@@ -591,7 +598,7 @@
 place_on_peer (routing_t *routing, usec_t now, handle_t request)
 {
   request_t *r = request_of (routing, request);
-  usec_t wait = routing->mean ? expected_wait (routing, r) : INT64_MAX;
+  usec_t wait = routing->times.mean ? expected_wait (routing, r) : INT64_MAX;
   peer_t *peer = r->item.hopped ? NULL : pick_peer (routing, wait);
 
   if (!peer)
