Set aside VMs that fail everything; slow start afterwards

Cause: an instance that fails at once is always the least used one and draws the work: with a third of them failing, 31% of the requests failed. Change: health.c compares the share of failures of a VM with that of the better VMs; a VM far above is set aside for 1 s, doubled up to 8 s, then gets one slot, and twice as many after each round of successes. At most half of the VMs of a process are aside; further ones are used only for work that would otherwise be given up. A process with a single VM may set it aside if it has peers.

--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -5,6 +5,7 @@
 
 #include "base/counters.h"
 #include "base/messages.h"
+#include "routing/health.h"
 #include "routing/queue.h"
 #include "routing/run_times.h"
 
@@ -13,6 +14,7 @@
 /* Groups of the limits module: VMs of the own availability zone come first. */
 #define GROUP_NEAR 1U
 #define GROUP_FAR 2U
+#define GROUP_SUSPECT 3U
 
 #define RETRY_COST 100U          /* tokens; a request earns retry_percent */
 #define RETRY_TOKENS_MAX 10000U  /* 100 retries in a burst */
@@ -83,6 +85,7 @@
   table_t *requests;
   GHashTable *classes; /* name -> class_t */
   queue_t *queue;
+  health_t *health;
   GSequence *timers; /* due_t */
   GArray *peers;     /* peer_t */
   uint64_t sequence;
@@ -107,9 +110,10 @@
 static void enqueue (routing_t *routing, usec_t now, handle_t request);
 static void dequeue (routing_t *routing, request_t *r);
 static void set_timer (routing_t *routing, handle_t request, usec_t due);
-static bool place_on_vm (routing_t *routing, usec_t now, handle_t request);
+static bool place_on_vm (routing_t *routing, usec_t now, handle_t request,
+                         uint32_t last);
 static bool place_on_peer (routing_t *routing, usec_t now, handle_t request);
-static handle_t pick_vm (routing_t *routing, usec_t now);
+static handle_t pick_vm (routing_t *routing, usec_t now, uint32_t last);
 static peer_t *pick_peer (const routing_t *routing, usec_t wait);
 static peer_t *find_peer (const routing_t *routing, node_id_t node);
 static int64_t peer_free (const peer_t *peer);
@@ -118,7 +122,10 @@
 static void pump (routing_t *routing, usec_t now);
 static void retry (routing_t *routing, usec_t now, handle_t request,
                    usec_t wait);
+static void leave_vm (routing_t *routing, usec_t now, request_t *r,
+                      attempt_end_t end);
 static void refresh_groups (routing_t *routing);
+static bool assign (routing_t *routing, handle_t vm);
 static void drop_shard (routing_t *routing, usec_t now, uint32_t shard);
 static gint by_due (gconstpointer a, gconstpointer b, gpointer data);
 
@@ -137,6 +144,7 @@
   routing->classes
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, class_free);
   routing->queue = queue_new ();
+  routing->health = health_new ();
   routing->timers = g_sequence_new (g_free);
   routing->peers = g_array_new (FALSE, TRUE, sizeof (peer_t));
   routing->tokens = RETRY_TOKENS_START;
@@ -153,6 +161,7 @@
   table_free (routing->requests);
   g_hash_table_destroy (routing->classes);
   queue_free (routing->queue);
+  health_free (routing->health);
   g_sequence_free (routing->timers);
   g_array_free (routing->peers, TRUE);
   g_free (routing);
@@ -175,7 +184,7 @@
       return HANDLE_NONE;
     }
   if (!routing_queued (routing)
-      && (place_on_vm (routing, now, request)
+      && (place_on_vm (routing, now, request, GROUP_FAR)
           || place_on_peer (routing, now, request)))
     return request;
   enqueue (routing, now, request);
@@ -222,11 +231,7 @@
 
   if (!r || r->state != REQUEST_RUNNING)
     return;
-  if (end == ATTEMPT_CUT)
-    limits_linger (routing->limits, r->vm, now + r->run_limit);
-  else
-    limits_give (routing->limits, r->vm);
-  r->vm = HANDLE_NONE;
+  leave_vm (routing, now, r, end);
   if (end == ATTEMPT_RAN)
     {
       run_times_add (&r->class->times, run_time);
@@ -298,6 +303,7 @@
       peer_t fresh = { .node = peer };
 
       g_array_append_val (routing->peers, fresh);
+      refresh_groups (routing);
       row = find_peer (routing, peer);
     }
   row->zone = zone;
@@ -335,7 +341,13 @@
 {
   usec_t next = limits_tick (routing->limits, now);
   const due_t *first;
+  handle_t vm;
 
+  while ((vm = health_due (routing->health, now)) != HANDLE_NONE)
+    if (limits_vm (routing->limits, vm))
+      assign (routing, vm);
+    else
+      health_forget (routing->health, vm);
   if (routing->recheck_at != USEC_NEVER && routing->recheck_at <= now)
     {
       routing->recheck_at = USEC_NEVER;
@@ -347,13 +359,14 @@
 
       if (request_of (routing, request)->state == REQUEST_BACKOFF)
         enqueue (routing, now, request);
-      else
+      else if (!place_on_vm (routing, now, request, GROUP_SUSPECT))
         give_up (routing, now, request);
     }
   pump (routing, now);
   first = first_due (routing);
   if (first)
     next = earlier (next, first->due);
+  next = earlier (next, health_next (routing->health));
   return earlier (next, routing->recheck_at);
 }
 
@@ -389,12 +402,13 @@
                               "median_us", (json_int_t) class->times.median,
                               "high_us", (json_int_t) class->times.high));
     }
-  return json_pack ("{s:I,s:I,s:I,s:I,s:o,s:o}", "requests",
+  return json_pack ("{s:I,s:I,s:I,s:I,s:I,s:o,s:o}", "requests",
                     (json_int_t)table_count (routing->requests), "queued",
                     (json_int_t)routing_queued (routing), "free_slots",
                     (json_int_t)routing_free_slots (routing), "retry_tokens",
-                    (json_int_t)routing->tokens, "peers", peers, "classes",
-                    classes);
+                    (json_int_t)routing->tokens, "aside",
+                    (json_int_t)health_aside (routing->health), "peers", peers,
+                    "classes", classes);
 }
 
 static request_t *
@@ -578,9 +592,9 @@
 
 /** @return false if no VM has room */
 static bool
-place_on_vm (routing_t *routing, usec_t now, handle_t request)
+place_on_vm (routing_t *routing, usec_t now, handle_t request, uint32_t last)
 {
-  handle_t vm = pick_vm (routing, now);
+  handle_t vm = pick_vm (routing, now, last);
   request_t *r = request_of (routing, request);
 
   if (vm == HANDLE_NONE)
@@ -612,11 +626,12 @@
   return true;
 }
 
-/** @return a VM of which a slot was taken, HANDLE_NONE if all are full */
+/** @param last group to look at, after those before it
+    @return a VM of which a slot was taken, HANDLE_NONE if all are full */
 static handle_t
-pick_vm (routing_t *routing, usec_t now)
+pick_vm (routing_t *routing, usec_t now, uint32_t last)
 {
-  for (uint32_t group = GROUP_NEAR; group <= GROUP_FAR; group++)
+  for (uint32_t group = GROUP_NEAR; group <= last; group++)
     {
       handle_t vm = limits_pick (routing->limits, group);
 
@@ -701,7 +716,7 @@
     return;
   routing->pumping = true;
   while ((item = queue_best (routing->queue, LANE_SHORT, false))
-         && place_on_vm (routing, now, item->request))
+         && place_on_vm (routing, now, item->request, GROUP_FAR))
     ;
   while ((item = queue_worst (routing->queue, true))
          && place_on_peer (routing, now, item->request))
@@ -728,21 +743,51 @@
   set_timer (routing, request, now + wait);
 }
 
+/** Gives back the slot of an attempt that ended. */
+static void
+leave_vm (routing_t *routing, usec_t now, request_t *r, attempt_end_t end)
+{
+  handle_t vm = r->vm;
+  const vm_t *row = limits_vm (routing->limits, vm);
+
+  r->vm = HANDLE_NONE;
+  if (row && row->state == VM_LIVE
+      && health_note (routing->health, now, vm, end == ATTEMPT_RAN))
+    assign (routing, vm);
+  if (end == ATTEMPT_CUT)
+    limits_linger (routing->limits, vm, now + r->run_limit);
+  else
+    limits_give (routing->limits, vm);
+  if (!limits_vm (routing->limits, vm))
+    health_forget (routing->health, vm);
+}
+
 /** Puts each VM into the group from which it may be picked. */
 static void
 refresh_groups (routing_t *routing)
 {
+  uint32_t fleet = 0;
+
   for (handle_t h = limits_next (routing->limits, HANDLE_NONE);
        h != HANDLE_NONE; h = limits_next (routing->limits, h))
-    {
-      const vm_t *vm = limits_vm (routing->limits, h);
-      uint32_t group
-          = vm->zone == routing->config.zone ? GROUP_NEAR : GROUP_FAR;
+    fleet += assign (routing, h);
+  health_set_fleet (routing->health, fleet, routing->peers->len > 0);
+}
 
-      if (!routing->ops.may_act (routing->ctx, vm->shard))
-        group = LIMITS_GROUP_NONE;
-      limits_assign (routing->limits, h, group, 0);
-    }
+/** Puts one VM into its group. @return whether this process may act on it */
+static bool
+assign (routing_t *routing, handle_t vm)
+{
+  const vm_t *row = limits_vm (routing->limits, vm);
+  bool acts = routing->ops.may_act (routing->ctx, row->shard);
+  uint32_t group = row->zone == routing->config.zone ? GROUP_NEAR : GROUP_FAR;
+
+  if (health_state (routing->health, vm) == HEALTH_SUSPECT)
+    group = GROUP_SUSPECT;
+  if (!acts || health_state (routing->health, vm) == HEALTH_ASIDE)
+    group = LIMITS_GROUP_NONE;
+  limits_assign (routing->limits, vm, group, health_cap (routing->health, vm));
+  return acts && row->state == VM_LIVE;
 }
 
 /** Stops choosing VMs of a shard on which this process may not act; looked
--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -190,6 +190,46 @@
   world_free (w);
 }
 
+/* Guards against a VM that fails everything at once and so draws the work,
+   against setting aside more than half when the work itself fails, and
+   against full load on a VM that has just come back. */
+static void
+test_failing_vms (void)
+{
+  static const struct
+  {
+    const char *failing; /* names of the VMs that fail */
+    int most;            /* attempts on them out of 400 */
+    uint64_t least_free; /* slots at the end */
+  } rows[] = { { "b", 10, 24 }, { "bc", 20, 16 }, { "abcd", 400, 16 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      world_t *w = world_new (8, 10);
+      int failed = 0;
+
+      add_vm (w, "b", 1, 8);
+      add_vm (w, "c", 1, 8);
+      add_vm (w, "d", 1, 8);
+      for (int k = 0; k < 400; k++)
+        {
+          handle_t r = submit (w, 0, 1, 500 * MS, false, 0);
+          bool fails = strchr (rows[i].failing, w->log[2]) != NULL;
+
+          failed += fails;
+          routing_attempt_ended (w->routing, 0, r,
+                                 fails ? ATTEMPT_FAILED : ATTEMPT_RAN, MS);
+          w->log[0] = 0;
+        }
+      CU_ASSERT_TRUE (failed <= rows[i].most);
+      CU_ASSERT_TRUE (routing_free_slots (w->routing) >= rows[i].least_free);
+      routing_tick (w->routing, 2000 * MS);
+      if (i == 0)
+        CU_ASSERT_EQUAL (routing_free_slots (w->routing), 25);
+      world_free (w);
+    }
+}
+
 /* Guards against a dispatch to a shard whose lease has lapsed, and against
    one that stays unused after the lease is back. */
 static void
@@ -240,6 +280,7 @@
   CU_add_test (suite, "peers", test_peers);
   CU_add_test (suite, "retries", test_retries);
   CU_add_test (suite, "retry budget", test_retry_budget);
+  CU_add_test (suite, "failing VMs", test_failing_vms);
   CU_add_test (suite, "may act", test_may_act);
   CU_add_test (suite, "abandon", test_abandon);
   CU_basic_run_tests ();
