Fair shares of members; hand on to shorter queues

Cause: a member that floods the site took the others with it, and a process with one VM refused work that its peers would have started at once, since no peer reported free slots under the flood. Change: each member's slot time is counted, old use counting less with a time constant of 1 s; a member above its weighted share waits behind the others of the same priority. The load report to peers (routing_backlog) counts what waits within its share; a request within its share is handed to one of two random peers whose backlog promises a start in half of the time here. Virtual finish times: a member that was idle would have to be let in at the current time, and deadlines would no longer decide within the share.

--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -33,6 +33,7 @@
   F_BACK,     /* seconds after the event until p99 is 1.5 times steady */
   F_OTHERS,   /* percent good during the event, members other than 0 */
   F_AFTER,    /* percent good in the 3 s after the event */
+  F_LATER,    /* slot time of good answers from the event on, percent */
   F_OVER,     /* attempts that found their VM full */
   F_FORWARDS, /* percent of the requests */
   F_RETRIES,  /* percent */
@@ -298,6 +299,8 @@
         f->at[F_GOOD_LONG] += 1;
       if (good)
         f->at[F_WORK] += 100.0 * (double)j->service / slot_time;
+      if (good && j->arrival >= WORLD_EVENT_FROM)
+        f->at[F_LATER] += 100.0 * (double)j->service / slot_time;
     }
   for (int k = F_LATE; k <= F_GOOD; k++)
     f->at[k] *= 100.0 / counted;
@@ -469,9 +472,9 @@
   target ("ruedas tripling: back within, s",
           figure (S_R_TRIPLE, POLICY_OURS, F_BACK),
           figure (S_R_TRIPLE, POLICY_REFERENCE, F_BACK), 3, true);
-  target ("a third fails: goodput / that of the rest alone",
-          figure (S_M_FAILING, POLICY_OURS, F_WORK)
-              / figure (S_M_AWAY, POLICY_OURS, F_WORK),
+  target ("a third fails: goodput (slot time) / that of the rest alone",
+          figure (S_M_FAILING, POLICY_OURS, F_LATER)
+              / figure (S_M_AWAY, POLICY_OURS, F_LATER),
           1, 0.95, false);
   target ("retries, percent of the load (worst run)", retries, 0, 10, true);
   target ("invariant 1: attempts above a VM's slots (all runs)", over, 0, 0,
--- a/bench/routing_nodes.c
+++ b/bench/routing_nodes.c
@@ -203,7 +203,7 @@
       if (to != from && delay >= 0)
         world_post (world, world->now + delay, EVENT_REPORT, from, to,
                     (uint32_t)routing_free_slots (routing),
-                    (uint32_t)routing_queued (routing));
+                    (uint32_t)routing_backlog (routing));
     }
   world_post (world, world->now + REPORT_INTERVAL, EVENT_REPORT_DUE, from, 0,
               0, 0);
--- a/src/routing/queue.c
+++ b/src/routing/queue.c
@@ -7,9 +7,14 @@
  */
 #include "routing/queue.h"
 
-#include <string.h>
+#include <math.h>
 
-#define SOURCES 2 /* own, hopped */
+#define SOURCES 2                 /* own, hopped */
+#define MEMORY (1 * USEC_PER_SEC) /* use counts 1/e after this time */
+#define RESCALE_AT 32.0           /* exponent of the growing weight */
+#define REVIEW_INTERVAL (5 * USEC_PER_MSEC)
+#define OVER_SHARE 1.1    /* times the mean use, by weight */
+#define ACTIVE_SHARE 0.01 /* of the mean use; others do not count */
 
 struct share
 {
@@ -17,15 +22,25 @@
   uint32_t weight;
   GSequence *waiting[LANE_COUNT][SOURCES];
   uint64_t count;
+  double used; /* slot time, in the growing unit of the queue */
+  bool over;   /* has had more than its fair share */
+  bool active; /* counted by the last review */
 };
 
+/* Instead of every member's use shrinking with time, the unit in which new
+   use is counted grows; the ratios between members are the same. */
 struct queue
 {
+  usec_t unit_from;
+  usec_t reviewed_at;
+
   GHashTable *shares; /* member -> share_t */
   GPtrArray *active;  /* shares with requests that wait */
   uint64_t length;
 };
 
+static void rescale (queue_t *queue, double factor);
+static void review (queue_t *queue);
 static void share_free (gpointer data);
 static gint by_order (gconstpointer a, gconstpointer b, gpointer data);
 
@@ -66,6 +81,25 @@
   return share;
 }
 
+void
+queue_charge (queue_t *queue, usec_t now, share_t *share, usec_t cost)
+{
+  double exponent = (double)(now - queue->unit_from) / (double)MEMORY;
+
+  if (exponent > RESCALE_AT)
+    {
+      rescale (queue, exp (-exponent));
+      queue->unit_from = now;
+      exponent = 0;
+    }
+  share->used += (double)cost * exp (exponent);
+  if (now - queue->reviewed_at >= REVIEW_INTERVAL)
+    {
+      queue->reviewed_at = now;
+      review (queue);
+    }
+}
+
 queue_item_t *
 queue_push (queue_t *queue, const queue_item_t *item)
 {
@@ -76,7 +110,11 @@
   copy->place = g_sequence_insert_sorted (
       share->waiting[item->lane][item->hopped], copy, by_order, queue);
   if (!share->count++)
-    g_ptr_array_add (queue->active, share);
+    {
+      g_ptr_array_add (queue->active, share);
+      if (!share->active)
+        review (queue);
+    }
   queue->length++;
   return copy;
 }
@@ -144,8 +182,27 @@
 uint64_t
 queue_ahead (const queue_t *queue, const queue_item_t *item)
 {
-  (void)item;
-  return queue->length - 1;
+  return (item->share->over ? queue->length : queue_within (queue)) - 1;
+}
+
+uint64_t
+queue_within (const queue_t *queue)
+{
+  uint64_t within = 0;
+
+  for (guint i = 0; i < queue->active->len; i++)
+    {
+      const share_t *share = g_ptr_array_index (queue->active, i);
+
+      within += share->over ? 0 : share->count;
+    }
+  return within;
+}
+
+bool
+queue_is_over (const queue_item_t *item)
+{
+  return item->share->over;
 }
 
 uint64_t
@@ -161,11 +218,60 @@
   (void)queue;
   if (a->priority != b->priority)
     return a->priority < b->priority ? -1 : 1;
+  if (a->share->over != b->share->over)
+    return b->share->over ? -1 : 1;
   if (a->deadline != b->deadline)
     return a->deadline < b->deadline ? -1 : 1;
   return (a->sequence > b->sequence) - (a->sequence < b->sequence);
 }
 
+static void
+rescale (queue_t *queue, double factor)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, queue->shares);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((share_t *)value)->used *= factor;
+}
+
+/** Finds the members that have had more than their fair share of the use of
+    all active ones.  Nothing is kept from them while no other waits. */
+static void
+review (queue_t *queue)
+{
+  double used = 0;
+  double weights = 0;
+  double active = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, queue->shares);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      used += ((share_t *)value)->used;
+      weights += ((share_t *)value)->weight;
+    }
+  g_hash_table_iter_init (&iter, queue->shares);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      share_t *share = value;
+
+      share->active
+          = share->count
+            || share->used * weights > ACTIVE_SHARE * used * share->weight;
+      active += share->active ? share->weight : 0;
+    }
+  g_hash_table_iter_init (&iter, queue->shares);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      share_t *share = value;
+
+      share->over = share->used * active > OVER_SHARE * used * share->weight;
+    }
+}
+
 static void
 share_free (gpointer data)
 {
--- a/src/routing/queue.h
+++ b/src/routing/queue.h
@@ -39,6 +39,9 @@
 /** @return the share of a member, made when first seen */
 share_t *queue_share (queue_t *queue, const char *member, uint32_t weight);
 
+/** Notes that a member got COST microseconds of slot time. */
+void queue_charge (queue_t *queue, usec_t now, share_t *share, usec_t cost);
+
 /** Adds a copy of ITEM. @return the copy, valid until queue_remove */
 queue_item_t *queue_push (queue_t *queue, const queue_item_t *item);
 void queue_remove (queue_t *queue, queue_item_t *item);
@@ -58,7 +61,13 @@
 uint64_t queue_ahead (const queue_t *queue, const queue_item_t *item);
 uint64_t queue_length (const queue_t *queue);
 
-/** @return -1, 0 or 1 as A is served before, with or after B */
+/** @return how many wait whose member has not had more than its share */
+uint64_t queue_within (const queue_t *queue);
+bool queue_is_over (const queue_item_t *item);
+
+/** By priority; then members that have had more than their fair share come
+    after the others; then by deadline.
+    @return -1, 0 or 1 as A is served before, with or after B */
 int queue_compare (const queue_t *queue, const queue_item_t *a,
                    const queue_item_t *b);
 
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -71,6 +71,7 @@
   uint64_t reports;
   uint64_t sent; /* forwarded there since the report and not ended */
   uint64_t queued;
+  uint64_t capacity; /* most free slots ever reported: its slots at least */
   usec_t delay;
   bool usable;
 } peer_t;
@@ -104,6 +105,7 @@
 static void class_free (gpointer data);
 static usec_t expected_run (const class_t *class);
 static usec_t latest_start (const request_t *r, usec_t now);
+static uint64_t own_slots (const routing_t *routing);
 static usec_t expected_wait (const routing_t *routing, const request_t *r);
 static usec_t retry_after (const routing_t *routing);
 static void give_up (routing_t *routing, usec_t now, handle_t request);
@@ -112,9 +114,12 @@
 static void set_timer (routing_t *routing, handle_t request, usec_t due);
 static bool place_on_vm (routing_t *routing, usec_t now, handle_t request,
                          uint32_t last);
-static bool place_on_peer (routing_t *routing, usec_t now, handle_t request);
+static bool place_on_peer (routing_t *routing, usec_t now, handle_t request,
+                           peer_t *(*pick) (const routing_t *, usec_t));
 static handle_t pick_vm (routing_t *routing, usec_t now, uint32_t last);
 static peer_t *pick_peer (const routing_t *routing, usec_t wait);
+static peer_t *pick_shorter_queue (const routing_t *routing, usec_t wait);
+static usec_t peer_wait (const routing_t *routing, const peer_t *peer);
 static peer_t *find_peer (const routing_t *routing, node_id_t node);
 static int64_t peer_free (const peer_t *peer);
 static peer_t *draw_peer (const routing_t *routing, bool near,
@@ -185,14 +190,15 @@
     }
   if (!routing_queued (routing)
       && (place_on_vm (routing, now, request, GROUP_FAR)
-          || place_on_peer (routing, now, request)))
+          || place_on_peer (routing, now, request, pick_peer)))
     return request;
   enqueue (routing, now, request);
   pump (routing, now);
   r = request_of (routing, request);
   if (!r || r->state != REQUEST_WAITING)
     return r ? request : HANDLE_NONE;
-  if (now + expected_wait (routing, r) > latest_start (r, now))
+  if (own_slots (routing)
+      && now + expected_wait (routing, r) > latest_start (r, now))
     {
       give_up (routing, now, request);
       return HANDLE_NONE;
@@ -309,6 +315,7 @@
   row->zone = zone;
   row->free_slots = free_slots;
   row->queued = queued;
+  row->capacity = MAX (row->capacity, free_slots);
   row->delay = link_delay;
   row->usable = usable;
   row->reports++;
@@ -336,6 +343,12 @@
   return queue_length (routing->queue);
 }
 
+uint64_t
+routing_backlog (const routing_t *routing)
+{
+  return queue_within (routing->queue);
+}
+
 usec_t
 routing_tick (routing_t *routing, usec_t now)
 {
@@ -511,17 +524,25 @@
   return r->item.deadline - run;
 }
 
+/** @return slots of the VMs in use by this process, taken ones included */
+static uint64_t
+own_slots (const routing_t *routing)
+{
+  return limits_capacity (routing->limits, GROUP_NEAR)
+         + limits_capacity (routing->limits, GROUP_FAR);
+}
+
 /** Time until the requests before R have got a slot, from the run times and
-    the slots of this process; 0 while it has none. */
+    the slots of this process; without end while it has none. */
 static usec_t
 expected_wait (const routing_t *routing, const request_t *r)
 {
-  uint64_t slots = limits_capacity (routing->limits, GROUP_NEAR)
-                   + limits_capacity (routing->limits, GROUP_FAR);
+  uint64_t slots = own_slots (routing);
   usec_t ahead = r->queued ? (usec_t)queue_ahead (routing->queue, r->queued)
                            : (usec_t)queue_length (routing->queue);
 
-  return slots ? (ahead + 1) * routing->times.mean / (usec_t)slots : 0;
+  return slots ? (ahead + 1) * routing->times.mean / (usec_t)slots
+               : INT64_MAX / 2;
 }
 
 /** When a refused caller may come back: after the queue has drained, spread
@@ -529,8 +550,7 @@
 static usec_t
 retry_after (const routing_t *routing)
 {
-  uint64_t slots = limits_capacity (routing->limits, GROUP_NEAR)
-                   + limits_capacity (routing->limits, GROUP_FAR);
+  uint64_t slots = own_slots (routing);
   usec_t drain = slots ? (usec_t)routing_queued (routing) * routing->times.mean
                              / (usec_t)slots
                        : USEC_PER_SEC;
@@ -603,17 +623,19 @@
   r->state = REQUEST_RUNNING;
   r->vm = vm;
   r->attempts++;
+  queue_charge (routing->queue, now, r->item.share, expected_run (r->class));
   routing->ops.dispatch (routing->ctx, now, request, vm);
   return true;
 }
 
 /** @return false if no peer is the better choice */
 static bool
-place_on_peer (routing_t *routing, usec_t now, handle_t request)
+place_on_peer (routing_t *routing, usec_t now, handle_t request,
+               peer_t *(*pick) (const routing_t *, usec_t))
 {
   request_t *r = request_of (routing, request);
   usec_t wait = routing->times.mean ? expected_wait (routing, r) : INT64_MAX;
-  peer_t *peer = r->item.hopped ? NULL : pick_peer (routing, wait);
+  peer_t *peer = r->item.hopped ? NULL : pick (routing, wait);
 
   if (!peer)
     return false;
@@ -678,6 +700,34 @@
   return NULL;
 }
 
+/** Where no peer has free slots: one whose queue promises a start in less
+    than half of the time. @param wait as for pick_peer */
+static peer_t *
+pick_shorter_queue (const routing_t *routing, usec_t wait)
+{
+  for (int near = routing->times.mean ? 1 : -1; near >= 0; near--)
+    {
+      peer_t *a = draw_peer (routing, near, NULL);
+      peer_t *b = draw_peer (routing, near, a);
+
+      if (b && peer_wait (routing, b) < peer_wait (routing, a))
+        a = b;
+      if (a && peer_wait (routing, a) < wait / 2)
+        return a;
+    }
+  return NULL;
+}
+
+/** @return time until a request sent to the peer now would start */
+static usec_t
+peer_wait (const routing_t *routing, const peer_t *peer)
+{
+  usec_t ahead = (usec_t)(peer->queued + peer->sent) + 1;
+
+  return 2 * peer->delay
+         + ahead * routing->times.mean / MAX ((usec_t)peer->capacity, 1);
+}
+
 /** @return free slots by the last report, less what was sent there since */
 static int64_t
 peer_free (const peer_t *peer)
@@ -719,7 +769,11 @@
          && place_on_vm (routing, now, item->request, GROUP_FAR))
     ;
   while ((item = queue_worst (routing->queue, true))
-         && place_on_peer (routing, now, item->request))
+         && place_on_peer (routing, now, item->request, pick_peer))
+    ;
+  while ((item = queue_best (routing->queue, LANE_SHORT, true))
+         && !queue_is_over (item)
+         && place_on_peer (routing, now, item->request, pick_shorter_queue))
     ;
   routing->pumping = false;
 }
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -92,7 +92,8 @@
 void routing_forward_ended (routing_t *routing, usec_t now, handle_t request,
                             attempt_end_t end);
 
-/** Load report of a peer. @param link_delay one way, microseconds
+/** Load report of a peer. @param queued its routing_backlog @param link_delay
+   one way, microseconds
     @param usable false if it is not live or draining */
 void routing_peer (routing_t *routing, usec_t now, node_id_t peer,
                    uint32_t zone, uint64_t free_slots, uint64_t queued,
@@ -105,6 +106,10 @@
 uint64_t routing_free_slots (const routing_t *routing);
 uint64_t routing_queued (const routing_t *routing);
 
+/** @return requests that wait and whose member is within its fair share: the
+    QUEUED of the load report to peers */
+uint64_t routing_backlog (const routing_t *routing);
+
 /** Gives up what missed its deadline, runs due retries.
     @return when to call again */
 usec_t routing_tick (routing_t *routing, usec_t now);
