--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -5,19 +5,21 @@
 
 #include "base/counters.h"
 #include "base/messages.h"
+#include "routing/health.h"
+#include "routing/queue.h"
+#include "routing/run_times.h"
 
 #include <string.h>
 
 /* Groups of the limits module: VMs of the own availability zone come first. */
 #define GROUP_NEAR 1U
 #define GROUP_FAR 2U
+#define GROUP_SUSPECT 3U
 
 #define RETRY_COST 100U          /* tokens; a request earns retry_percent */
 #define RETRY_TOKENS_MAX 10000U  /* 100 retries in a burst */
 #define RETRY_TOKENS_START 1000U /* 10 retries before any load */
 #define RETRY_DOUBLINGS 6U       /* of the backoff, at most */
-#define MIN_SAMPLES 8U           /* run times before a class is known */
-#define RUN_TIME_SHIFT 4         /* a new run time counts a sixteenth */
 #define RETRY_AFTER_MIN (100 * USEC_PER_MSEC)
 #define RECHECK_INTERVAL (50 * USEC_PER_MSEC)
 
@@ -33,23 +35,26 @@
 typedef struct
 {
   char *name;
-  uint64_t samples;
-  usec_t mean;
+  run_times_t times;
 } class_t;
 
+typedef struct
+{
+  usec_t due;
+  handle_t request;
+} due_t;
+
 typedef struct
 {
   class_t *class;
-  uint32_t priority;
-  uint32_t hops;
-  usec_t deadline;
+  queue_item_t item;    /* as pushed into the queue */
+  queue_item_t *queued; /* NULL unless it waits */
+  GSequenceIter *timer; /* of a due_t */
   usec_t run_limit;
-  uint64_t sequence; /* order of arrival */
-  GSequenceIter *queued;
-  GSequenceIter *timer;
-  usec_t due; /* of the timer */
-  handle_t self;
+  uint64_t tag;
   handle_t vm;
+  node_id_t peer;  /* that it was forwarded to */
+  uint64_t report; /* of the peer, the last one then */
   uint32_t attempts;
   uint32_t rerouted; /* forwards that came back */
   request_state_t state;
@@ -62,8 +67,11 @@
 {
   node_id_t node;
   uint32_t zone;
-  uint64_t free_slots; /* reported, less what was forwarded since */
+  uint64_t free_slots; /* reported */
+  uint64_t reports;
+  uint64_t sent; /* forwarded there since the report and not ended */
   uint64_t queued;
+  uint64_t capacity; /* most free slots ever reported: its slots at least */
   usec_t delay;
   bool usable;
 } peer_t;
@@ -77,38 +85,53 @@
   void *ctx;
   table_t *requests;
   GHashTable *classes; /* name -> class_t */
-  GSequence *queue;    /* handles by priority, deadline */
-  GSequence *timers;   /* handles by due time */
-  GArray *peers;       /* peer_t */
+  queue_t *queue;
+  health_t *health;
+  GSequence *timers; /* due_t */
+  GArray *peers;     /* peer_t */
   uint64_t sequence;
   uint64_t tokens;
-  usec_t mean; /* run time over all classes */
+  run_times_t times; /* of all classes */
   usec_t recheck_at;
   bool pumping;
 };
 
 static request_t *request_of (const routing_t *routing, handle_t request);
 static request_t *request_new (routing_t *routing, const request_info_t *info);
+static const due_t *first_due (const routing_t *routing);
+static usec_t earlier (usec_t a, usec_t b);
 static void request_remove (routing_t *routing, handle_t request);
 static class_t *class_of (routing_t *routing, const char *name);
 static void class_free (gpointer data);
-static void learn (routing_t *routing, class_t *class, usec_t run_time);
 static usec_t expected_run (const class_t *class);
+static usec_t latest_start (const request_t *r, usec_t now);
+static uint64_t own_slots (const routing_t *routing);
 static usec_t expected_wait (const routing_t *routing, const request_t *r);
 static usec_t retry_after (const routing_t *routing);
 static void give_up (routing_t *routing, usec_t now, handle_t request);
-static void enqueue (routing_t *routing, handle_t request);
-static void dequeue (request_t *r);
+static void enqueue (routing_t *routing, usec_t now, handle_t request);
+static void dequeue (routing_t *routing, request_t *r);
 static void set_timer (routing_t *routing, handle_t request, usec_t due);
-static bool place (routing_t *routing, usec_t now, handle_t request);
-static handle_t pick_vm (routing_t *routing, usec_t now);
-static peer_t *pick_peer (const routing_t *routing);
+static bool place_on_vm (routing_t *routing, usec_t now, handle_t request,
+                         uint32_t last);
+static bool place_on_peer (routing_t *routing, usec_t now, handle_t request,
+                           peer_t *(*pick) (const routing_t *, usec_t));
+static handle_t pick_vm (routing_t *routing, usec_t now, uint32_t last);
+static peer_t *pick_peer (const routing_t *routing, usec_t wait);
+static peer_t *pick_shorter_queue (const routing_t *routing, usec_t wait);
+static usec_t peer_wait (const routing_t *routing, const peer_t *peer);
+static peer_t *find_peer (const routing_t *routing, node_id_t node);
+static int64_t peer_free (const peer_t *peer);
+static peer_t *draw_peer (const routing_t *routing, bool near,
+                          const peer_t *except);
 static void pump (routing_t *routing, usec_t now);
 static void retry (routing_t *routing, usec_t now, handle_t request,
                    usec_t wait);
+static void leave_vm (routing_t *routing, usec_t now, request_t *r,
+                      attempt_end_t end);
 static void refresh_groups (routing_t *routing);
+static bool assign (routing_t *routing, handle_t vm);
 static void drop_shard (routing_t *routing, usec_t now, uint32_t shard);
-static gint by_order (gconstpointer a, gconstpointer b, gpointer data);
 static gint by_due (gconstpointer a, gconstpointer b, gpointer data);
 
 routing_t *
@@ -125,8 +148,9 @@
   routing->requests = table_new (sizeof (request_t));
   routing->classes
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, class_free);
-  routing->queue = g_sequence_new (NULL);
-  routing->timers = g_sequence_new (NULL);
+  routing->queue = queue_new ();
+  routing->health = health_new ();
+  routing->timers = g_sequence_new (g_free);
   routing->peers = g_array_new (FALSE, TRUE, sizeof (peer_t));
   routing->tokens = RETRY_TOKENS_START;
   routing->recheck_at = USEC_NEVER;
@@ -141,7 +165,8 @@
     return;
   table_free (routing->requests);
   g_hash_table_destroy (routing->classes);
-  g_sequence_free (routing->queue);
+  queue_free (routing->queue);
+  health_free (routing->health);
   g_sequence_free (routing->timers);
   g_array_free (routing->peers, TRUE);
   g_free (routing);
@@ -155,36 +180,42 @@
 
   if (!r)
     return HANDLE_NONE;
-  request = r->self;
+  request = r->item.request;
   routing->tokens = MIN (routing->tokens + routing->config.retry_percent,
                          RETRY_TOKENS_MAX);
-  if (now + expected_run (r->class) > r->deadline)
+  if (now + expected_run (r->class) > r->item.deadline)
     {
       give_up (routing, now, request);
       return HANDLE_NONE;
     }
-  if (!routing_queued (routing) && place (routing, now, request))
+  if (!routing_queued (routing)
+      && (place_on_vm (routing, now, request, GROUP_FAR)
+          || place_on_peer (routing, now, request, pick_peer)))
     return request;
-  enqueue (routing, request);
+  enqueue (routing, now, request);
   pump (routing, now);
   r = request_of (routing, request);
   if (!r || r->state != REQUEST_WAITING)
     return r ? request : HANDLE_NONE;
-  if (now + expected_wait (routing, r) + expected_run (r->class) > r->deadline)
+  if (own_slots (routing)
+      && now + expected_wait (routing, r) > latest_start (r, now))
     {
       give_up (routing, now, request);
       return HANDLE_NONE;
     }
   if (routing_queued (routing) > routing->config.max_queue)
-    {
-      GSequenceIter *end = g_sequence_get_end_iter (routing->queue);
-      GSequenceIter *last = g_sequence_iter_prev (end);
-
-      give_up (routing, now, GPOINTER_TO_UINT (g_sequence_get (last)));
-    }
+    give_up (routing, now, queue_worst (routing->queue, false)->request);
   return request_of (routing, request) ? request : HANDLE_NONE;
 }
 
+uint64_t
+routing_tag (const routing_t *routing, handle_t request)
+{
+  const request_t *r = request_of (routing, request);
+
+  return r ? r->tag : 0;
+}
+
 void
 routing_abandon (routing_t *routing, usec_t now, handle_t request)
 {
@@ -206,13 +237,12 @@
 
   if (!r || r->state != REQUEST_RUNNING)
     return;
-  if (end == ATTEMPT_CUT)
-    limits_linger (routing->limits, r->vm, now + r->run_limit);
-  else
-    limits_give (routing->limits, r->vm);
-  r->vm = HANDLE_NONE;
+  leave_vm (routing, now, r, end);
   if (end == ATTEMPT_RAN)
-    learn (routing, r->class, run_time);
+    {
+      run_times_add (&r->class->times, run_time);
+      run_times_add (&routing->times, run_time);
+    }
   if (end == ATTEMPT_RAN || end == ATTEMPT_FAILED)
     request_remove (routing, request);
   else if (end == ATTEMPT_NOT_STARTED)
@@ -240,9 +270,13 @@
                        attempt_end_t end)
 {
   request_t *r = request_of (routing, request);
+  peer_t *peer;
 
   if (!r || r->state != REQUEST_FORWARDED)
     return;
+  peer = find_peer (routing, r->peer);
+  if (peer && peer->reports == r->report)
+    peer->sent--;
   if (end == ATTEMPT_RAN || end == ATTEMPT_FAILED)
     {
       request_remove (routing, request);
@@ -268,21 +302,24 @@
               uint64_t free_slots, uint64_t queued, usec_t link_delay,
               bool usable)
 {
-  peer_t row = { .node = peer,
-                 .zone = zone,
-                 .free_slots = free_slots,
-                 .queued = queued,
-                 .delay = link_delay,
-                 .usable = usable };
-  guint i = 0;
-
-  while (i < routing->peers->len
-         && g_array_index (routing->peers, peer_t, i).node != peer)
-    i++;
-  if (i == routing->peers->len)
-    g_array_append_val (routing->peers, row);
-  else
-    g_array_index (routing->peers, peer_t, i) = row;
+  peer_t *row = find_peer (routing, peer);
+
+  if (!row)
+    {
+      peer_t fresh = { .node = peer };
+
+      g_array_append_val (routing->peers, fresh);
+      refresh_groups (routing);
+      row = find_peer (routing, peer);
+    }
+  row->zone = zone;
+  row->free_slots = free_slots;
+  row->queued = queued;
+  row->capacity = MAX (row->capacity, free_slots);
+  row->delay = link_delay;
+  row->usable = usable;
+  row->reports++;
+  row->sent = 0;
   pump (routing, now);
 }
 
@@ -303,45 +340,47 @@
 uint64_t
 routing_queued (const routing_t *routing)
 {
-  return (uint64_t)g_sequence_get_length (routing->queue);
+  return queue_length (routing->queue);
+}
+
+uint64_t
+routing_backlog (const routing_t *routing)
+{
+  return queue_within (routing->queue);
 }
 
 usec_t
 routing_tick (routing_t *routing, usec_t now)
 {
   usec_t next = limits_tick (routing->limits, now);
+  const due_t *first;
+  handle_t vm;
 
+  while ((vm = health_due (routing->health, now)) != HANDLE_NONE)
+    if (limits_vm (routing->limits, vm))
+      assign (routing, vm);
+    else
+      health_forget (routing->health, vm);
   if (routing->recheck_at != USEC_NEVER && routing->recheck_at <= now)
     {
       routing->recheck_at = USEC_NEVER;
       refresh_groups (routing);
     }
-  while (!g_sequence_is_empty (routing->timers))
+  while ((first = first_due (routing)) && first->due <= now)
     {
-      GSequenceIter *first = g_sequence_get_begin_iter (routing->timers);
-      handle_t request = GPOINTER_TO_UINT (g_sequence_get (first));
-      request_t *r = request_of (routing, request);
-
-      if (r->due > now)
-        break;
-      if (r->state == REQUEST_BACKOFF)
-        enqueue (routing, request);
-      else
+      handle_t request = first->request;
+
+      if (request_of (routing, request)->state == REQUEST_BACKOFF)
+        enqueue (routing, now, request);
+      else if (!place_on_vm (routing, now, request, GROUP_SUSPECT))
         give_up (routing, now, request);
     }
   pump (routing, now);
-  if (!g_sequence_is_empty (routing->timers))
-    {
-      GSequenceIter *first = g_sequence_get_begin_iter (routing->timers);
-      handle_t request = GPOINTER_TO_UINT (g_sequence_get (first));
-      usec_t due = request_of (routing, request)->due;
-
-      next = next == USEC_NEVER ? due : MIN (next, due);
-    }
-  if (routing->recheck_at != USEC_NEVER)
-    next = next == USEC_NEVER ? routing->recheck_at
-                              : MIN (next, routing->recheck_at);
-  return next;
+  first = first_due (routing);
+  if (first)
+    next = earlier (next, first->due);
+  next = earlier (next, health_next (routing->health));
+  return earlier (next, routing->recheck_at);
 }
 
 json_t *
@@ -370,16 +409,19 @@
       const class_t *class = value;
 
       json_array_append_new (
-          classes, json_pack ("{s:s,s:I,s:I}", "name", class->name, "samples",
-                              (json_int_t) class->samples, "run_time_us",
-                              (json_int_t) class->mean));
+          classes, json_pack ("{s:s,s:I,s:I,s:I,s:I}", "name", class->name,
+                              "samples", (json_int_t) class->times.samples,
+                              "mean_us", (json_int_t) class->times.mean,
+                              "median_us", (json_int_t) class->times.median,
+                              "high_us", (json_int_t) class->times.high));
     }
-  return json_pack ("{s:I,s:I,s:I,s:I,s:o,s:o}", "requests",
+  return json_pack ("{s:I,s:I,s:I,s:I,s:I,s:o,s:o}", "requests",
                     (json_int_t)table_count (routing->requests), "queued",
                     (json_int_t)routing_queued (routing), "free_slots",
                     (json_int_t)routing_free_slots (routing), "retry_tokens",
-                    (json_int_t)routing->tokens, "peers", peers, "classes",
-                    classes);
+                    (json_int_t)routing->tokens, "aside",
+                    (json_int_t)health_aside (routing->health), "peers", peers,
+                    "classes", classes);
 }
 
 static request_t *
@@ -396,24 +438,44 @@
 
   if (!r)
     return NULL;
-  r->self = request;
+  r->item.request = request;
   r->class = class_of (routing, info->class_name);
-  r->priority = info->priority;
-  r->hops = info->hops;
-  r->deadline = info->deadline;
+  r->item.priority = info->priority;
+  r->item.hopped = info->hops > 0;
+  r->item.deadline = info->deadline;
+  r->item.sequence = routing->sequence++;
+  r->item.share = queue_share (routing->queue, info->member, info->weight);
   r->run_limit = info->run_limit;
   r->idempotent = info->idempotent;
-  r->sequence = routing->sequence++;
+  r->tag = info->tag;
   r->state = REQUEST_WAITING;
   return r;
 }
 
+/** @return the first timer, NULL if there is none */
+static const due_t *
+first_due (const routing_t *routing)
+{
+  if (g_sequence_is_empty (routing->timers))
+    return NULL;
+  return g_sequence_get (g_sequence_get_begin_iter (routing->timers));
+}
+
+/** @return the earlier of two times of which each may be USEC_NEVER */
+static usec_t
+earlier (usec_t a, usec_t b)
+{
+  if (a == USEC_NEVER || b == USEC_NEVER)
+    return a == USEC_NEVER ? b : a;
+  return MIN (a, b);
+}
+
 static void
 request_remove (routing_t *routing, handle_t request)
 {
   request_t *r = request_of (routing, request);
 
-  dequeue (r);
+  dequeue (routing, r);
   table_remove (routing->requests, request);
 }
 
@@ -439,34 +501,48 @@
   g_free (class);
 }
 
-static void
-learn (routing_t *routing, class_t *class, usec_t run_time)
+/** @return 0 until enough run times of the class have been seen */
+static usec_t
+expected_run (const class_t *class)
 {
-  if (!class->samples++)
-    class->mean = run_time;
-  class->mean += (run_time - class->mean) >> RUN_TIME_SHIFT;
-  if (!routing->mean)
-    routing->mean = run_time;
-  routing->mean += (run_time - routing->mean) >> RUN_TIME_SHIFT;
+  return run_times_known (&class->times) ? class->times.median : 0;
 }
 
-/** @return 0 until enough run times of the class have been seen */
+/** The latest start after which the work would probably miss its deadline.
+    What waits is nearly always started just before this when the queue is
+    long, so that a start with the median run time left would waste half of
+    the starts.  A class whose long runs exceed its deadline still waits for
+    half of its time. */
 static usec_t
-expected_run (const class_t *class)
+latest_start (const request_t *r, usec_t now)
+{
+  usec_t left = r->item.deadline - now;
+  usec_t run = 0;
+
+  if (run_times_known (&r->class->times))
+    run = MIN (r->class->times.high, MAX (left / 2, r->class->times.median));
+  return r->item.deadline - run;
+}
+
+/** @return slots of the VMs in use by this process, taken ones included */
+static uint64_t
+own_slots (const routing_t *routing)
 {
-  return class->samples < MIN_SAMPLES ? 0 : class->mean;
+  return limits_capacity (routing->limits, GROUP_NEAR)
+         + limits_capacity (routing->limits, GROUP_FAR);
 }
 
 /** Time until the requests before R have got a slot, from the run times and
-    the slots of this process; 0 while it has none. */
+    the slots of this process; without end while it has none. */
 static usec_t
 expected_wait (const routing_t *routing, const request_t *r)
 {
-  uint64_t slots = limits_capacity (routing->limits, GROUP_NEAR)
-                   + limits_capacity (routing->limits, GROUP_FAR);
-  gint ahead = r->queued ? g_sequence_iter_get_position (r->queued) : 0;
+  uint64_t slots = own_slots (routing);
+  usec_t ahead = r->queued ? (usec_t)queue_ahead (routing->queue, r->queued)
+                           : (usec_t)queue_length (routing->queue);
 
-  return slots ? (ahead + 1) * routing->mean / (usec_t)slots : 0;
+  return slots ? (ahead + 1) * routing->times.mean / (usec_t)slots
+               : INT64_MAX / 2;
 }
 
 /** When a refused caller may come back: after the queue has drained, spread
@@ -474,9 +550,8 @@
 static usec_t
 retry_after (const routing_t *routing)
 {
-  uint64_t slots = limits_capacity (routing->limits, GROUP_NEAR)
-                   + limits_capacity (routing->limits, GROUP_FAR);
-  usec_t drain = slots ? (usec_t)routing_queued (routing) * routing->mean
+  uint64_t slots = own_slots (routing);
+  usec_t drain = slots ? (usec_t)routing_queued (routing) * routing->times.mean
                              / (usec_t)slots
                        : USEC_PER_SEC;
 
@@ -492,7 +567,7 @@
   bool may_have_run = r->may_have_run;
   bool abandoned = r->abandoned;
 
-  dequeue (r);
+  dequeue (routing, r);
   if (!abandoned)
     routing->ops.give_up (routing->ctx, now, request,
                           may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
@@ -503,22 +578,21 @@
 /** Puts the request into the queue; its timer is the latest start that can
     meet the deadline. */
 static void
-enqueue (routing_t *routing, handle_t request)
+enqueue (routing_t *routing, usec_t now, handle_t request)
 {
   request_t *r = request_of (routing, request);
 
-  dequeue (r);
+  dequeue (routing, r);
   r->state = REQUEST_WAITING;
-  r->queued = g_sequence_insert_sorted (
-      routing->queue, GUINT_TO_POINTER (request), by_order, routing);
-  set_timer (routing, request, r->deadline - expected_run (r->class) + 1);
+  r->queued = queue_push (routing->queue, &r->item);
+  set_timer (routing, request, latest_start (r, now) + 1);
 }
 
 static void
-dequeue (request_t *r)
+dequeue (routing_t *routing, request_t *r)
 {
   if (r->queued)
-    g_sequence_remove (r->queued);
+    queue_remove (routing->queue, r->queued);
   if (r->timer)
     g_sequence_remove (r->timer);
   r->queued = NULL;
@@ -530,43 +604,56 @@
 {
   request_t *r = request_of (routing, request);
 
-  r->due = due;
-  r->timer = g_sequence_insert_sorted (
-      routing->timers, GUINT_TO_POINTER (request), by_due, routing);
+  due_t *timer = g_new (due_t, 1);
+
+  *timer = (due_t){ due, request };
+  r->timer = g_sequence_insert_sorted (routing->timers, timer, by_due, NULL);
 }
 
-/** Sends a request to a VM or a peer. @return false if none has room */
+/** @return false if no VM has room */
 static bool
-place (routing_t *routing, usec_t now, handle_t request)
+place_on_vm (routing_t *routing, usec_t now, handle_t request, uint32_t last)
 {
-  handle_t vm = pick_vm (routing, now);
+  handle_t vm = pick_vm (routing, now, last);
   request_t *r = request_of (routing, request);
-  peer_t *peer;
 
-  if (vm != HANDLE_NONE)
-    {
-      dequeue (r);
-      r->state = REQUEST_RUNNING;
-      r->vm = vm;
-      r->attempts++;
-      routing->ops.dispatch (routing->ctx, now, request, vm);
-      return true;
-    }
-  peer = r->hops ? NULL : pick_peer (routing);
+  if (vm == HANDLE_NONE)
+    return false;
+  dequeue (routing, r);
+  r->state = REQUEST_RUNNING;
+  r->vm = vm;
+  r->attempts++;
+  queue_charge (routing->queue, now, r->item.share, expected_run (r->class));
+  routing->ops.dispatch (routing->ctx, now, request, vm);
+  return true;
+}
+
+/** @return false if no peer is the better choice */
+static bool
+place_on_peer (routing_t *routing, usec_t now, handle_t request,
+               peer_t *(*pick) (const routing_t *, usec_t))
+{
+  request_t *r = request_of (routing, request);
+  usec_t wait = routing->times.mean ? expected_wait (routing, r) : INT64_MAX;
+  peer_t *peer = r->item.hopped ? NULL : pick (routing, wait);
+
   if (!peer)
     return false;
-  dequeue (r);
+  dequeue (routing, r);
   r->state = REQUEST_FORWARDED;
-  peer->free_slots--;
+  r->peer = peer->node;
+  r->report = peer->reports;
+  peer->sent++;
   routing->ops.forward (routing->ctx, now, request, peer->node);
   return true;
 }
 
-/** @return a VM of which a slot was taken, HANDLE_NONE if all are full */
+/** @param last group to look at, after those before it
+    @return a VM of which a slot was taken, HANDLE_NONE if all are full */
 static handle_t
-pick_vm (routing_t *routing, usec_t now)
+pick_vm (routing_t *routing, usec_t now, uint32_t last)
 {
-  for (uint32_t group = GROUP_NEAR; group <= GROUP_FAR; group++)
+  for (uint32_t group = GROUP_NEAR; group <= last; group++)
     {
       handle_t vm = limits_pick (routing->limits, group);
 
@@ -584,20 +671,88 @@
   return HANDLE_NONE;
 }
 
+/** Of two peers drawn at random the one with more free slots is taken, so
+    that the processes do not all choose the same one between two reports.
+    @param wait what the request is expected to wait here
+    @return NULL if no peer is the better choice */
 static peer_t *
-pick_peer (const routing_t *routing)
+pick_peer (const routing_t *routing, usec_t wait)
 {
-  peer_t *best = NULL;
+  for (int near = 1; near >= 0; near--)
+    {
+      peer_t *a = draw_peer (routing, near, NULL);
+      peer_t *b = draw_peer (routing, near, a);
+
+      if (b && peer_free (b) > peer_free (a))
+        a = b;
+      if (a && peer_free (a) > 0 && 2 * a->delay < wait)
+        return a;
+    }
+  return NULL;
+}
+
+static peer_t *
+find_peer (const routing_t *routing, node_id_t node)
+{
+  for (guint i = 0; i < routing->peers->len; i++)
+    if (g_array_index (routing->peers, peer_t, i).node == node)
+      return &g_array_index (routing->peers, peer_t, i);
+  return NULL;
+}
+
+/** Where no peer has free slots: one whose queue promises a start in less
+    than half of the time. @param wait as for pick_peer */
+static peer_t *
+pick_shorter_queue (const routing_t *routing, usec_t wait)
+{
+  for (int near = routing->times.mean ? 1 : -1; near >= 0; near--)
+    {
+      peer_t *a = draw_peer (routing, near, NULL);
+      peer_t *b = draw_peer (routing, near, a);
+
+      if (b && peer_wait (routing, b) < peer_wait (routing, a))
+        a = b;
+      if (a && peer_wait (routing, a) < wait / 2)
+        return a;
+    }
+  return NULL;
+}
+
+/** @return time until a request sent to the peer now would start */
+static usec_t
+peer_wait (const routing_t *routing, const peer_t *peer)
+{
+  usec_t ahead = (usec_t)(peer->queued + peer->sent) + 1;
+
+  return 2 * peer->delay
+         + ahead * routing->times.mean / MAX ((usec_t)peer->capacity, 1);
+}
+
+/** @return free slots by the last report, less what was sent there since */
+static int64_t
+peer_free (const peer_t *peer)
+{
+  return (int64_t)peer->free_slots - (int64_t)peer->sent;
+}
+
+/** @param near in the own availability zone, or else in another
+    @return a random usable peer that is not EXCEPT, NULL if there is none */
+static peer_t *
+draw_peer (const routing_t *routing, bool near, const peer_t *except)
+{
+  peer_t *drawn = NULL;
+  gint32 seen = 0;
 
   for (guint i = 0; i < routing->peers->len; i++)
     {
       peer_t *peer = &g_array_index (routing->peers, peer_t, i);
 
-      if (peer->usable && peer->free_slots
-          && (!best || peer->free_slots > best->free_slots))
-        best = peer;
+      if (peer->usable && peer != except
+          && (peer->zone == routing->config.zone) == near
+          && g_rand_int_range (routing->random, 0, ++seen) == 0)
+        drawn = peer;
     }
-  return best;
+  return drawn;
 }
 
 /** Places waiting requests as long as there is room.  A callback that calls
@@ -605,16 +760,21 @@
 static void
 pump (routing_t *routing, usec_t now)
 {
+  const queue_item_t *item;
+
   if (routing->pumping)
     return;
   routing->pumping = true;
-  while (!g_sequence_is_empty (routing->queue))
-    {
-      GSequenceIter *first = g_sequence_get_begin_iter (routing->queue);
-
-      if (!place (routing, now, GPOINTER_TO_UINT (g_sequence_get (first))))
-        break;
-    }
+  while ((item = queue_best (routing->queue, LANE_SHORT, false))
+         && place_on_vm (routing, now, item->request, GROUP_FAR))
+    ;
+  while ((item = queue_worst (routing->queue, true))
+         && place_on_peer (routing, now, item->request, pick_peer))
+    ;
+  while ((item = queue_best (routing->queue, LANE_SHORT, true))
+         && !queue_is_over (item)
+         && place_on_peer (routing, now, item->request, pick_shorter_queue))
+    ;
   routing->pumping = false;
 }
 
@@ -626,7 +786,7 @@
   request_t *r = request_of (routing, request);
 
   if (r->abandoned || routing->tokens < RETRY_COST
-      || now + wait + expected_run (r->class) > r->deadline)
+      || now + wait + expected_run (r->class) > r->item.deadline)
     {
       give_up (routing, now, request);
       return;
@@ -637,21 +797,51 @@
   set_timer (routing, request, now + wait);
 }
 
+/** Gives back the slot of an attempt that ended. */
+static void
+leave_vm (routing_t *routing, usec_t now, request_t *r, attempt_end_t end)
+{
+  handle_t vm = r->vm;
+  const vm_t *row = limits_vm (routing->limits, vm);
+
+  r->vm = HANDLE_NONE;
+  if (row && row->state == VM_LIVE
+      && health_note (routing->health, now, vm, end == ATTEMPT_RAN))
+    assign (routing, vm);
+  if (end == ATTEMPT_CUT)
+    limits_linger (routing->limits, vm, now + r->run_limit);
+  else
+    limits_give (routing->limits, vm);
+  if (!limits_vm (routing->limits, vm))
+    health_forget (routing->health, vm);
+}
+
 /** Puts each VM into the group from which it may be picked. */
 static void
 refresh_groups (routing_t *routing)
 {
+  uint32_t fleet = 0;
+
   for (handle_t h = limits_next (routing->limits, HANDLE_NONE);
        h != HANDLE_NONE; h = limits_next (routing->limits, h))
-    {
-      const vm_t *vm = limits_vm (routing->limits, h);
-      uint32_t group
-          = vm->zone == routing->config.zone ? GROUP_NEAR : GROUP_FAR;
+    fleet += assign (routing, h);
+  health_set_fleet (routing->health, fleet, routing->peers->len > 0);
+}
 
-      if (!routing->ops.may_act (routing->ctx, vm->shard))
-        group = LIMITS_GROUP_NONE;
-      limits_assign (routing->limits, h, group, 0);
-    }
+/** Puts one VM into its group. @return whether this process may act on it */
+static bool
+assign (routing_t *routing, handle_t vm)
+{
+  const vm_t *row = limits_vm (routing->limits, vm);
+  bool acts = routing->ops.may_act (routing->ctx, row->shard);
+  uint32_t group = row->zone == routing->config.zone ? GROUP_NEAR : GROUP_FAR;
+
+  if (health_state (routing->health, vm) == HEALTH_SUSPECT)
+    group = GROUP_SUSPECT;
+  if (!acts || health_state (routing->health, vm) == HEALTH_ASIDE)
+    group = LIMITS_GROUP_NONE;
+  limits_assign (routing->limits, vm, group, health_cap (routing->health, vm));
+  return acts && row->state == VM_LIVE;
 }
 
 /** Stops choosing VMs of a shard on which this process may not act; looked
@@ -666,26 +856,12 @@
       limits_assign (routing->limits, h, LIMITS_GROUP_NONE, 0);
 }
 
-static gint
-by_order (gconstpointer a, gconstpointer b, gpointer data)
-{
-  const request_t *x = request_of (data, GPOINTER_TO_UINT (a));
-  const request_t *y = request_of (data, GPOINTER_TO_UINT (b));
-
-  if (x->priority != y->priority)
-    return x->priority < y->priority ? -1 : 1;
-  if (x->deadline != y->deadline)
-    return x->deadline < y->deadline ? -1 : 1;
-  return (x->sequence > y->sequence) - (x->sequence < y->sequence);
-}
-
 static gint
 by_due (gconstpointer a, gconstpointer b, gpointer data)
 {
-  const request_t *x = request_of (data, GPOINTER_TO_UINT (a));
-  const request_t *y = request_of (data, GPOINTER_TO_UINT (b));
+  const due_t *x = a;
+  const due_t *y = b;
 
-  if (x->due != y->due)
-    return x->due < y->due ? -1 : 1;
-  return (x->sequence > y->sequence) - (x->sequence < y->sequence);
+  (void)data;
+  return (x->due > y->due) - (x->due < y->due);
 }
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -26,6 +26,7 @@
   usec_t run_limit;  /**< of one attempt */
   bool idempotent;   /**< may be sent again after its run limit */
   uint32_t hops;     /**< 1 if it came over the peer link */
+  uint64_t tag;      /**< the caller's own name of it, see routing_tag */
 } request_info_t;
 
 typedef struct
@@ -72,6 +73,11 @@
 handle_t routing_submit (routing_t *routing, usec_t now,
                          const request_info_t *info);
 
+/** @return the tag given with the request, 0 if the handle is stale.  The
+    callbacks may run before routing_submit has returned the handle; the tag
+    tells them which request is meant. */
+uint64_t routing_tag (const routing_t *routing, handle_t request);
+
 /** The caller went away; a request that waits is dropped. */
 void routing_abandon (routing_t *routing, usec_t now, handle_t request);
 
@@ -86,7 +92,8 @@
 void routing_forward_ended (routing_t *routing, usec_t now, handle_t request,
                             attempt_end_t end);
 
-/** Load report of a peer. @param link_delay one way, microseconds
+/** Load report of a peer. @param queued its routing_backlog @param link_delay
+   one way, microseconds
     @param usable false if it is not live or draining */
 void routing_peer (routing_t *routing, usec_t now, node_id_t peer,
                    uint32_t zone, uint64_t free_slots, uint64_t queued,
@@ -99,6 +106,10 @@
 uint64_t routing_free_slots (const routing_t *routing);
 uint64_t routing_queued (const routing_t *routing);
 
+/** @return requests that wait and whose member is within its fair share: the
+    QUEUED of the load report to peers */
+uint64_t routing_backlog (const routing_t *routing);
+
 /** Gives up what missed its deadline, runs due retries.
     @return when to call again */
 usec_t routing_tick (routing_t *routing, usec_t now);
