--- /dev/null
+++ b/tests/lib.sh
@@ -0,0 +1,291 @@
+# Shared by the whole-process tests and scripts/demo.sh; to be sourced with
+# $1 = build directory.  Everything runs on 127.0.0.1 in one block of 100
+# ports below the kernel's ephemeral range; every process started is ended by
+# its id.
+
+BUILD=$1
+LIMPETHINGE=$BUILD/limpethinge
+WORK=$(mktemp -d)
+PIDS=
+FAILED=0
+ZONES=${ZONES:-a}
+
+cleanup() {
+	status=$?
+	trap - EXIT INT TERM
+	for pid in $PIDS; do
+		kill -CONT "$pid" 2>/dev/null
+		kill -KILL "$pid" 2>/dev/null
+	done
+	wait
+	if [ -n "$KEEP" ] || { [ $status -ne 0 ] && [ -n "$KEEP_FAILED" ]; }; then
+		echo "files kept in $WORK"
+	else
+		rm -rf "$WORK"
+	fi
+	exit $status
+}
+trap cleanup EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+# Prints the first port of a free block of 100, from 20000 up.
+free_block() {
+	try=$(($$ % 90))
+	for i in $(seq 90); do
+		base=$((20000 + (try + i) % 90 * 100))
+		awk -v low=$base 'FNR > 1 {
+			split($2, local, ":")
+			port = 0
+			for (i = 1; i <= 4; i++)
+				port = port * 16 + index("0123456789ABCDEF",
+				    substr(local[2], i, 1)) - 1
+			if (port >= low && port < low + 100)
+				exit 1
+		}' /proc/net/tcp && { echo $base; return; }
+	done
+	echo "no free block of ports" >&2
+	return 1
+}
+
+BASE=$(free_block) || exit 1
+CONTROL=127.0.0.1:$((BASE + 60))
+LOG=http://127.0.0.1:$BASE
+
+# Ports of node N: 61 + 3 * (N - 1) callers, then operators, then peers.
+callers() { echo 127.0.0.1:$((BASE + 58 + 3 * $1)); }
+operators() { echo 127.0.0.1:$((BASE + 59 + 3 * $1)); }
+peers() { echo 127.0.0.1:$((BASE + 60 + 3 * $1)); }
+
+fail() {
+	echo "FAIL: $*"
+	FAILED=1
+}
+
+# check NAME FILE FILTER: the jq filter must be true of the JSON file.
+check() {
+	if [ "$(jq "$3" "$2" 2>&1)" != true ]; then
+		fail "$1: $3"
+		jq -c 'del(.vms, .orders)' "$2" 2>/dev/null || cat "$2"
+	fi
+}
+
+# start NAME COMMAND...: runs it in the background; the id is in $NAME.pid.
+start() {
+	name=$1
+	shift
+	"$@" >"$WORK/$name.out" 2>>"$WORK/$name.err" &
+	echo $! >"$WORK/$name.pid"
+	PIDS="$PIDS $!"
+}
+pid_of() { cat "$WORK/$1.pid"; }
+
+# await SECONDS COMMAND...: until the command succeeds.
+await() {
+	left=$(($1 * 20))
+	shift
+	until "$@" >/dev/null 2>&1; do
+		left=$((left - 1))
+		[ $left -gt 0 ] || { fail "waited in vain for: $*"; return 1; }
+		sleep 0.05
+	done
+}
+
+# Instances are at ports 10 and up, workers after them: 50 in all at most.
+start_platform() {
+	start platform "$BUILD/bin/standin-platform" --base-port "$BASE" \
+	    --control "$CONTROL" --zones "$ZONES" "$@"
+	await 5 curl -sf "$LOG/vms"
+}
+
+# fault NAME VALUE [QUERY]
+fault() {
+	curl -sf -X POST "http://$CONTROL/control?fault=$1&value=$2${3:+&$3}" \
+	    >/dev/null || fail "fault $1=$2 was refused"
+}
+audit() { curl -s "http://$CONTROL/audit" >"$WORK/audit"; }
+
+# write_settings NODES: settings of nodes 1 to NODES, zones taken in turn.
+write_settings() {
+	NODES=$1
+	for node in $(seq "$1"); do
+		{
+			echo "[node]"
+			echo "id = $node"
+			echo "zone = $(zone_of "$node")"
+			echo "[site]"
+			echo "zones = $(echo "$ZONES" | tr , ' ')"
+			echo "shards_per_zone = ${SHARDS:-4}"
+			echo "[listen]"
+			echo "callers = $(callers "$node")"
+			echo "operators = $(operators "$node")"
+			echo "peers = $(peers "$node")"
+			echo "[platform]"
+			echo "log = $LOG"
+			echo "list = $LOG"
+			echo "list_interval_ms = 500"
+			echo "list_lag_ms = 5000"
+			for peer in $(seq "$1"); do
+				[ "$peer" = "$node" ] && continue
+				echo "[peer $peer]"
+				echo "address = $(peers "$peer")"
+				echo "zone = $(zone_of "$peer")"
+			done
+			echo "[signer rosa]"
+			echo "key = $(cat "$WORK/rosa.pub")"
+		} >"$WORK/node-$node.ini"
+	done
+}
+zone_of() {
+	count=$(echo "$ZONES" | tr , '\n' | wc -l)
+	echo "$ZONES" | cut -d, -f$((($1 - 1) % count + 1))
+}
+
+key_hash() { printf %s "$1" | b2sum -l 256 | cut -d' ' -f1; }
+
+# write_bundle VERSION [DEADLINE_MS]: prints a bundle of both sites' classes.
+write_bundle() {
+	cat <<-END
+	[bundle]
+	version = $1
+	parent = $(($1 - 1))
+	author = ana
+	site = magnolia
+	$(lc_class proof 0 "${2:-2500}")
+	$(lc_class quote 5 "${2:-2500}")
+	$(batch_class plate no no 2000 4000)
+	$(batch_class blend no no 4000 8000)
+	$(batch_class sort yes yes 2000 4000)
+	$(batch_class watcher yes yes 500 500)
+	[team prepress]
+	millicores = 400000
+	[member magnolia]
+	key_hash = $(key_hash magnolia-key)
+	classes = proof plate sort watcher
+	team = prepress
+	[member ruedas]
+	key_hash = $(key_hash ruedas-key)
+	classes = quote blend
+	team = prepress
+	[vmkind instance]
+	slots = 8
+	connections = 64
+	END
+}
+lc_class() {
+	printf '[class %s]\nlatency_critical = yes\nidempotent = yes\n' "$1"
+	printf 'priority = %s\ndeadline_ms = %s\nrun_limit_ms = 600\n' "$2" "$3"
+}
+batch_class() {
+	printf '[class %s]\nlatency_critical = no\nidempotent = %s\n' "$1" "$2"
+	printf 'resumable = %s\nmillicores = %s\nmemory_mb = %s\n' "$3" "$4" "$5"
+}
+
+# Keys of the signer, before write_settings.
+make_keys() {
+	"$LIMPETHINGE" bundle keygen "$WORK/rosa" >/dev/null || exit 1
+}
+# sign VERSION [DEADLINE_MS]: writes bundle-VERSION and its signature.
+sign() {
+	write_bundle "$@" >"$WORK/bundle-$1.ini"
+	"$LIMPETHINGE" bundle sign --signer rosa --key "$WORK/rosa.key" \
+	    "$WORK/bundle-$1.ini" >"$WORK/bundle-$1.sig" || fail "sign $1"
+}
+# roll NODE VERSION
+roll() {
+	"$LIMPETHINGE" roll --operators "$(operators "$1")" \
+	    --signature "$WORK/bundle-$2.sig" "$WORK/bundle-$2.ini"
+}
+
+start_node() {
+	start "node-$1" "$LIMPETHINGE" serve --settings "$WORK/node-$1.ini"
+}
+# node_is NODE FILTER: the jq filter must be true of its status.
+node_is() {
+	curl -sf -m 1 "http://$(operators "$1")/status" | jq -e "$2"
+}
+# owned_by_others NODE: a live node sees no shard owned by NODE or idle.
+shards_active() {
+	# shellcheck disable=SC2016
+	for node in $1; do
+		curl -sf -m 1 "http://$(operators "$node")/status"
+	done | jq -es '[.[].shards[] | select(.active)] | length == '"$2"
+}
+owners() {
+	curl -s -m 1 "http://$(operators "$1")/status" |
+	    jq -c '[.shards[] | "\(.shard):\(.owner)"] | join(" ")'
+}
+
+# start_site NODES PLATFORM-ARGUMENTS...: all nodes ready with bundle 1.
+start_site() {
+	count=$1
+	shift
+	for node in $(seq "$count"); do
+		set -- "$@" --entry "$node=$(peers "$node"),$(zone_of "$node")"
+	done
+	start_platform "$@"
+	make_keys
+	write_settings "$count"
+	for node in $(seq "$count"); do
+		start_node "$node"
+	done
+	for node in $(seq "$count"); do
+		await 10 node_is "$node" .log.healthy
+	done
+	sign 1
+	roll 1 1 >"$WORK/roll-1" || fail "roll 1: $(cat "$WORK/roll-1")"
+	for node in $(seq "$count"); do
+		await 10 node_is "$node" '.ready and .bundle == 1'
+	done
+	await 15 shards_active "$(seq -s' ' "$count")" \
+	    $((${SHARDS:-4} * $(echo "$ZONES" | tr , '\n' | wc -l)))
+}
+
+# load NAME ARGUMENTS...: load over all nodes into $NAME.out; see start.
+targets() {
+	for node in $(seq "$NODES"); do
+		printf -- '--target %s ' "$(callers "$node")"
+	done
+}
+run_load() {
+	name=$1
+	shift
+	# shellcheck disable=SC2046
+	"$BUILD/bin/standin-load" $(targets) --audit "$CONTROL" \
+	    --lc proof:1:magnolia-key --lc quote:2:ruedas-key \
+	    --order plate:2:magnolia-key --order blend:1:ruedas-key \
+	    --order sort:1:magnolia-key "$@" >"$WORK/$name" \
+	    2>"$WORK/$name.err"
+}
+start_load() {
+	name=$1
+	shift
+	run_load "$name" "$@" &
+	LOAD_PID=$!
+	PIDS="$PIDS $LOAD_PID"
+}
+wait_load() {
+	wait "$LOAD_PID"
+}
+
+# check_load NAME: every request has its end, answers are the caller's own.
+check_load() {
+	check "$1" "$WORK/$1" '.sent == .answered + .ran_failed + .not_run +
+	    .unknown + .transport_errors + .mismatched and .mismatched == 0 and
+	    .ran_though_not_run == 0 and .missing == 0'
+}
+# check_audit: invariants 1, 2, 6 and 7 as the platform saw them.
+check_audit() {
+	audit
+	check audit "$WORK/audit" '.capacity_violations == 0 and
+	    .connection_violations == 0 and .double_lc == 0 and
+	    .double_runs == 0 and .run_again == 0 and .late_work == 0'
+}
+# stop_node NODE: SIGTERM; must end with status 0 within 10 s.
+stop_node() {
+	pid=$(pid_of "node-$1")
+	kill -TERM "$pid"
+	await 10 not_running "$pid" || return
+	wait "$pid" || fail "node $1 ended with $?"
+}
+not_running() { ! kill -0 "$1"; }
