--- a/Makefile
+++ b/Makefile
@@ -92,3 +92,6 @@
 
 .PHONY: all deps unit check demo bench format lint clean
 .SECONDARY:
+
+# For tests/*.sh and scripts/demo.sh.
+DEPS += curl jq
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -131,8 +131,7 @@
 				echo "address = $(peers "$peer")"
 				echo "zone = $(zone_of "$peer")"
 			done
-			echo "[signer rosa]"
-			echo "key = $(cat "$WORK/rosa.pub")"
+			cat "$WORK/rosa.section"
 		} >"$WORK/node-$node.ini"
 	done
 }
@@ -183,17 +182,18 @@
 
 # Keys of the signer, before write_settings.
 make_keys() {
-	"$LIMPETHINGE" bundle keygen "$WORK/rosa" >/dev/null || exit 1
+	"$LIMPETHINGE" bundle keygen rosa "$WORK/rosa.key" \
+	    >"$WORK/rosa.section" || exit 1
 }
 # sign VERSION [DEADLINE_MS]: writes bundle-VERSION and its signature.
 sign() {
 	write_bundle "$@" >"$WORK/bundle-$1.ini"
-	"$LIMPETHINGE" bundle sign --signer rosa --key "$WORK/rosa.key" \
+	"$LIMPETHINGE" bundle sign --signer rosa --key-file "$WORK/rosa.key" \
 	    "$WORK/bundle-$1.ini" >"$WORK/bundle-$1.sig" || fail "sign $1"
 }
 # roll NODE VERSION
 roll() {
-	"$LIMPETHINGE" roll --operators "$(operators "$1")" \
+	"$LIMPETHINGE" roll --url "http://$(operators "$1")" \
 	    --signature "$WORK/bundle-$2.sig" "$WORK/bundle-$2.ini"
 }
 
@@ -204,19 +204,20 @@
 node_is() {
 	curl -sf -m 1 "http://$(operators "$1")/status" | jq -e "$2"
 }
-# owned_by_others NODE: a live node sees no shard owned by NODE or idle.
-shards_active() {
-	# shellcheck disable=SC2016
+# all_active NODES: each shard is acted on by exactly one of the nodes.
+all_active() {
 	for node in $1; do
 		curl -sf -m 1 "http://$(operators "$node")/status"
-	done | jq -es '[.[].shards[] | select(.active)] | length == '"$2"
+	done | jq -es '[.[].shards[] | select(.active) | .shard] | sort ==
+	    [range('$((${SHARDS:-4} * $(echo "$ZONES" | tr , '\n' | wc -l)))')]'
 }
 owners() {
 	curl -s -m 1 "http://$(operators "$1")/status" |
 	    jq -c '[.shards[] | "\(.shard):\(.owner)"] | join(" ")'
 }
 
-# start_site NODES PLATFORM-ARGUMENTS...: all nodes ready with bundle 1.
+# start_site NODES PLATFORM-ARGUMENTS...: all nodes ready with bundle 1, all
+# shards acted on; ends the script if that fails.
 start_site() {
 	count=$1
 	shift
@@ -237,8 +238,8 @@
 	for node in $(seq "$count"); do
 		await 10 node_is "$node" '.ready and .bundle == 1'
 	done
-	await 15 shards_active "$(seq -s' ' "$count")" \
-	    $((${SHARDS:-4} * $(echo "$ZONES" | tr , '\n' | wc -l)))
+	await 15 all_active "$(seq -s' ' "$count")"
+	[ $FAILED = 0 ] || exit 1
 }
 
 # load NAME ARGUMENTS...: load over all nodes into $NAME.out; see start.
