--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -17,7 +17,7 @@
 BEFORE=$(owners 3)
 say "3 entry processes ready, bundle 1 in force"
 
-start_load load --seed "$SEED" --rate 400 --order-rate 4 \
+start_load load --rate 400 --order-rate 4 \
     --seconds $SECONDS_OF_LOAD --order-wait 15
 curl -s -d "run-ms=12000;watcher" -H "Authorization: Bearer magnolia-key" \
     -H "Idempotency-Key: watcher-1" -H "Limpethinge-Class: watcher" \
@@ -65,13 +65,13 @@
 check_load load
 check_audit
 check watcher "$WORK/watcher" '.state == "ended" and .outcome == "ran"'
-check orders "$WORK/load" \
+check orders "$WORK/load.out" \
     '.orders_sent == .orders_accepted and .orders_pending == 0'
 
 echo
 echo "shards owned before: $BEFORE"
 echo "shards owned after:  $AFTER"
-jq -n -r --slurpfile load "$WORK/load" --slurpfile audit "$WORK/audit" '
+jq -n -r --slurpfile load "$WORK/load.out" --slurpfile audit "$WORK/audit" '
     ($load[0]) as $l | ($audit[0]) as $a |
     ["requests sent", $l.sent], ["answered", $l.answered],
     ["ran and failed", $l.ran_failed], ["not run", $l.not_run],
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -242,36 +242,30 @@
 	[ $FAILED = 0 ] || exit 1
 }
 
-# load NAME ARGUMENTS...: load over all nodes into $NAME.out; see start.
+# start_load NAME ARGUMENTS...: load over all nodes; the report is in
+# $NAME.out.  wait_load waits for the newest one and returns its status.
 targets() {
 	for node in $(seq "$NODES"); do
 		printf -- '--target %s ' "$(callers "$node")"
 	done
 }
-run_load() {
+start_load() {
 	name=$1
 	shift
 	# shellcheck disable=SC2046
-	"$BUILD/bin/standin-load" $(targets) --audit "$CONTROL" \
+	start "$name" "$BUILD/bin/standin-load" $(targets) \
+	    --audit "$CONTROL" \
 	    --lc proof:1:magnolia-key --lc quote:2:ruedas-key \
 	    --order plate:2:magnolia-key --order blend:1:ruedas-key \
-	    --order sort:1:magnolia-key "$@" >"$WORK/$name" \
-	    2>"$WORK/$name.err"
-}
-start_load() {
-	name=$1
-	shift
-	run_load "$name" "$@" &
+	    --order sort:1:magnolia-key --seed "${SEED:-1}" "$@"
 	LOAD_PID=$!
-	PIDS="$PIDS $LOAD_PID"
-}
-wait_load() {
-	wait "$LOAD_PID"
 }
+wait_load() { wait "$LOAD_PID"; }
+run_load() { start_load "$@" && wait_load; }
 
 # check_load NAME: every request has its end, answers are the caller's own.
 check_load() {
-	check "$1" "$WORK/$1" '.sent == .answered + .ran_failed + .not_run +
+	check "$1" "$WORK/$1.out" '.sent == .answered + .ran_failed + .not_run +
 	    .unknown + .transport_errors + .mismatched and .mismatched == 0 and
 	    .ran_though_not_run == 0 and .missing == 0'
 }
@@ -282,6 +276,22 @@
 	    .connection_violations == 0 and .double_lc == 0 and
 	    .double_runs == 0 and .run_again == 0 and .late_work == 0'
 }
+# post NODE MEMBER PATH BODY [CURL-ARGUMENTS...]: answer in $WORK/answer,
+# headers in $WORK/headers; prints the status.
+post() {
+	node=$1
+	member=$2
+	path=$3
+	body=$4
+	shift 4
+	curl -s -m 10 -o "$WORK/answer" -D "$WORK/headers" -w '%{http_code}' \
+	    -H "Authorization: Bearer $member-key" -d "$body" "$@" \
+	    "http://$(callers "$node")$path"
+}
+# expect WHAT WANTED GOT
+expect() { [ "$2" = "$3" ] || fail "$1: wanted $2, got $3"; }
+# milliseconds of a monotonic clock
+now_ms() { awk '{ print int($1 * 1000) }' /proc/uptime; }
 # stop_node NODE: SIGTERM; must end with status 0 within 10 s.
 stop_node() {
 	pid=$(pid_of "node-$1")
--- /dev/null
+++ b/tests/test-freeze.sh
@@ -0,0 +1,23 @@
+#!/bin/sh
+# Guards against a frozen owner that goes on where it stopped after another
+# process took its shards over: double runs, broken slot limits.
+. "$(dirname "$0")/lib.sh"
+
+ZONES=a,b
+start_site 3 --instances 8 --workers 6 --seed 9
+
+start_load load --rate 300 --order-rate 4 --seconds 11 --order-wait 25
+for freeze in 1:0.5 2:4 3:3; do
+	node=${freeze%:*}
+	kill -STOP "$(pid_of "node-$node")"
+	sleep "${freeze#*:}"
+	kill -CONT "$(pid_of "node-$node")"
+	sleep 0.5
+done
+await 10 all_active "1 2 3"
+wait_load || fail "load failed: $(cat "$WORK/load.err")"
+check_load load
+check orders "$WORK/load.out" '.orders_accepted == .orders_sent and
+    .orders_pending == 0'
+check_audit
+exit $FAILED
