Tests of failing workers and silent instances; added latency

Cause: silent connections, dead instances and workers that fail everything had no whole-process test; the added latency had no measurement. Workers of the stand-in also check the epoch of a list. node_is no longer takes a missing answer for a true one (jq -e succeeds on empty input), which made the start of a site fail at random.

--- a/standin/load.c
+++ b/standin/load.c
@@ -64,9 +64,13 @@
 {
   char head[64];
   guint i;
-  int len = snprintf (head, sizeof head, "%llu.%llu.%u.",
-                      (unsigned long long)load->seed, (unsigned long long)id,
-                      tries);
+  int len = load->run_ms
+                ? snprintf (head, sizeof head, "run-ms=%d;", load->run_ms)
+                : 0;
+
+  len += snprintf (head + len, sizeof head - (size_t)len, "%llu.%llu.%u.",
+                   (unsigned long long)load->seed, (unsigned long long)id,
+                   tries);
 
   g_byte_array_set_size (body, (guint)MAX (load->body_bytes, len));
   memcpy (body->data, head, (size_t)len);
--- a/standin/load.h
+++ b/standin/load.h
@@ -58,6 +58,7 @@
   uint64_t seed;
   bool direct;
   int body_bytes;
+  int run_ms; /**< service time asked for in the body, 0: by class */
   int retries;
   int timeout_ms;
   int most_in_flight;
--- a/standin/main_load.c
+++ b/standin/main_load.c
@@ -26,6 +26,7 @@
 static int retries = 2;
 static int timeout_ms = 3000;
 static int body_bytes = 200;
+static int run_ms;
 static int most_in_flight = 4000;
 static gboolean direct;
 static gchar *audit;
@@ -55,6 +56,8 @@
   { "timeout-ms", 0, 0, G_OPTION_ARG_INT, &timeout_ms,
     "time a caller waits for an LC answer", "MS" },
   { "body-bytes", 0, 0, G_OPTION_ARG_INT, &body_bytes, "size of bodies", "N" },
+  { "run-ms", 0, 0, G_OPTION_ARG_INT, &run_ms,
+    "service time of every request and order, 0 for that of the class", "MS" },
   { "most-in-flight", 0, 0, G_OPTION_ARG_INT, &most_in_flight,
     "bound of LC requests under way", "N" },
   { "direct", 0, 0, G_OPTION_ARG_NONE, &direct,
@@ -182,6 +185,7 @@
   load->orders = parse_classes (order_classes);
   load->direct = direct;
   load->body_bytes = body_bytes;
+  load->run_ms = run_ms;
   load->retries = retries;
   load->timeout_ms = timeout_ms;
   load->most_in_flight = most_in_flight;
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -71,6 +71,7 @@
                            json_t *args);
 static void stop_confirmed (void *ctx, request_t *request);
 static bool is_stale (vm_t *vm, json_t *args);
+static json_t *list_args (const request_t *request);
 static void advance (attempt_t *attempt);
 static void attempt_finish (attempt_t *attempt, attempt_state_t state);
 static void on_end (struct ev_loop *loop, ev_timer *watcher, int events);
@@ -100,8 +101,9 @@
   char **parts = g_strsplit (request->path, "/", 4);
   guint count = g_strv_length (parts);
   bool post = !strcmp (request->method, "POST");
-  json_t *args = json_loadb ((char *)request->body->data, request->body->len,
-                             JSON_ALLOW_NUL, NULL);
+  json_t *args = post ? json_loadb ((char *)request->body->data,
+                                    request->body->len, JSON_ALLOW_NUL, NULL)
+                      : list_args (request);
 
   if (!vm->attempts)
     {
@@ -115,6 +117,8 @@
     request_status (request, MHD_HTTP_OK);
   else if (count < 2 || strcmp (parts[1], "attempts") != 0)
     request_status (request, MHD_HTTP_NOT_FOUND);
+  else if (count == 2 && !post && is_stale (vm, args))
+    request_status (request, MHD_HTTP_CONFLICT);
   else if (count == 2 && !post)
     attempts_list (vm, request);
   else if (count == 3 && post)
@@ -363,6 +367,23 @@
   return vm->platform->check_epochs;
 }
 
+/* A list names shard and epoch in its query or its headers. */
+static json_t *
+list_args (const request_t *request)
+{
+  const char *shard = request_query (request, "shard");
+  const char *epoch = request_query (request, "epoch");
+
+  if (!shard)
+    shard = request_header (request, "Limpethinge-Shard");
+  if (!epoch)
+    epoch = request_header (request, "Limpethinge-Epoch");
+  if (!shard || !epoch)
+    return NULL;
+  return json_pack ("{s:I, s:I}", "shard", (json_int_t)number_or (shard, 0),
+                    "epoch", (json_int_t)number_or (epoch, 0));
+}
+
 static void
 advance (attempt_t *attempt)
 {
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -9,6 +9,8 @@
 PIDS=
 FAILED=0
 ZONES=${ZONES:-a}
+ORDER_MIX="--order plate:2:magnolia-key --order blend:1:ruedas-key \
+    --order sort:1:magnolia-key"
 
 cleanup() {
 	status=$?
@@ -200,9 +202,11 @@
 start_node() {
 	start "node-$1" "$LIMPETHINGE" serve --settings "$WORK/node-$1.ini"
 }
-# node_is NODE FILTER: the jq filter must be true of its status.
+# node_is NODE FILTER: the jq filter must be true of its status.  jq -e alone
+# succeeds on empty input, that is, without an answer.
 node_is() {
-	curl -sf -m 1 "http://$(operators "$1")/status" | jq -e "$2"
+	status=$(curl -sf -m 1 "http://$(operators "$1")/status") &&
+	    [ "$(echo "$status" | jq "$2")" = true ]
 }
 # all_active NODES: each shard is acted on by exactly one of the nodes.
 all_active() {
@@ -252,12 +256,11 @@
 start_load() {
 	name=$1
 	shift
-	# shellcheck disable=SC2046
+	# shellcheck disable=SC2046,SC2086
 	start "$name" "$BUILD/bin/standin-load" $(targets) \
 	    --audit "$CONTROL" \
 	    --lc proof:1:magnolia-key --lc quote:2:ruedas-key \
-	    --order plate:2:magnolia-key --order blend:1:ruedas-key \
-	    --order sort:1:magnolia-key --seed "${SEED:-1}" "$@"
+	    --seed "${SEED:-1}" $ORDER_MIX "$@"
 	LOAD_PID=$!
 }
 wait_load() { wait "$LOAD_PID"; }
--- /dev/null
+++ b/tests/test-vm-faults.sh
@@ -0,0 +1,22 @@
+#!/bin/sh
+# Guards against instances that die or whose open connections fall silent for
+# good: callers get answers from the others or over new connections.
+. "$(dirname "$0")/lib.sh"
+
+start_site 2 --instances 6 --workers 1 --seed 31
+
+start_load load --rate 300 --seconds 6
+sleep 1
+fault vm-silent i1 ms=0
+sleep 1.5
+fault vm-kill i2
+audit
+cp "$WORK/audit" "$WORK/before"
+wait_load || fail "load failed: $(cat "$WORK/load.err")"
+check_load load
+# At most the work that i1 and i2 had in their slots may be in doubt.
+check answered "$WORK/load.out" '.answered >= .sent - 16 and
+    .transport_errors == 0'
+check_audit
+check again "$WORK/audit" ".vms.i1.ran > $(jq .vms.i1.ran "$WORK/before")"
+exit $FAILED
--- /dev/null
+++ b/tests/test-workers.sh
@@ -0,0 +1,31 @@
+#!/bin/sh
+# Guards against workers that fail everything they start or die: orders that
+# may run again do so elsewhere, the others run at most once and are never
+# lost (invariants 2, 3 and 6).
+. "$(dirname "$0")/lib.sh"
+
+start_site 2 --instances 1 --workers 6 --seed 37
+
+fault worker-fails-all w1
+fault worker-fails-all w2
+ORDER_MIX="--order sort:1:magnolia-key"
+start_load sort --rate 0 --order-rate 5 --seconds 4 --order-wait 25
+SORT=$LOAD_PID
+ORDER_MIX="--order plate:1:magnolia-key"
+start_load plate --seed 2 --rate 0 --order-rate 5 --seconds 4 \
+    --order-wait 25
+sleep 2
+fault vm-kill w3
+audit
+cp "$WORK/audit" "$WORK/before"
+wait_load || fail "plates: $(cat "$WORK/plate.err")"
+LOAD_PID=$SORT
+wait_load || fail "sorts: $(cat "$WORK/sort.err")"
+check_load plate
+check_load sort
+check sorts "$WORK/sort.out" '.orders_ran == .orders_sent'
+check plates "$WORK/plate.out" ".orders_ran + .orders_failed +
+    .orders_unknown == .orders_sent and
+    .orders_unknown <= $(jq .vms.w3.ran "$WORK/before")"
+check_audit
+exit $FAILED
