--- a/Makefile
+++ b/Makefile
@@ -165,3 +165,5 @@
 	  $(filter-out $(BUILD)/src/attempts/%,$(OBJ)) $(LDLIBS) -lcunit
 
 .PHONY: mutants-attempts
+# For tests/*.sh and scripts/demo.sh.
+DEPS += curl jq
