Entry process: batch orders on workers; candidates follow the peers' state

Cause: orders were accepted but no attempt was started; one process kept all shards, since the candidates were computed only when a peer's state changed, at a moment when it had not yet said that it reaches the log; a START carried the epoch from before the owner's renewal and was void. Ruled out: a fault of the claims slice (its view of the log was fresh).

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -210,6 +210,7 @@
                                &node_routing_ops, node);
   node->orders = orders_new (&orders_ops, node);
   node->bundles = bundle_store_new (settings->signers, settings->signer_count);
+  node_batch_init (node);
   node->lc = table_new (sizeof (lc_t));
   node->routes = g_hash_table_new (NULL, NULL);
   node->forwards
@@ -221,6 +222,7 @@
   node->relays = g_array_new (FALSE, FALSE, sizeof (relay_t));
   node->releasing = g_new0 (bool, claims.shard_count);
   node->lost_work = g_new0 (bool, claims.shard_count);
+  node->epochs = g_new0 (uint64_t, claims.shard_count);
 }
 
 static int
@@ -301,6 +303,7 @@
   peerlink_free (node->link);
   routing_free (node->routing);
   limits_free (node->limits);
+  node_batch_free (node);
   orders_free (node->orders);
   claims_free (node->claims);
   peers_free (node->peers);
@@ -309,6 +312,9 @@
   table_free (node->lc);
   if (node->random)
     g_rand_free (node->random);
+  g_free (node->releasing);
+  g_free (node->lost_work);
+  g_free (node->epochs);
   g_free (node);
 }
 
@@ -368,6 +374,8 @@
   next = earlier (next, claims_tick (node->claims, now));
   node_lc_tick (node, now);
   next = earlier (next, routing_tick (node->routing, now));
+  next = earlier (next, attempts_tick (node->attempts, now));
+  next = earlier (next, placement_tick (node->placement, now));
   node_vms_tick (node, now);
   node_callers_tick (node, now);
   node_peers_tick (node, now);
@@ -418,11 +426,11 @@
 {
   node_t *node = ctx;
 
-  (void)now;
   if (order->state == ORDER_ENDED)
     counter_add (COUNTER_ORDERS_ENDED, 1);
   else if (order->state == ORDER_WAITING && !order->attempt)
     counter_add (COUNTER_ORDERS_ACCEPTED, 1);
+  node_batch_order_changed (node, now, order);
   node_order_changed (node, order);
 }
 
--- /dev/null
+++ b/src/node/node_batch.c
@@ -0,0 +1,354 @@
+/** @file
+ * Batch orders: calls to workers, whose turn it is, quotas of teams.
+ */
+#include "base/counters.h"
+#include "base/log.h"
+#include "net/clock.h"
+#include "node/node_private.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define CALL_TIMEOUT (2 * USEC_PER_SEC)
+#define TASK_LEASE (10 * USEC_PER_SEC)
+#define RENEW_INTERVAL (3 * USEC_PER_SEC)
+#define POLL_INTERVAL (500 * USEC_PER_MSEC)
+#define SILENT_AFTER (5 * USEC_PER_SEC)
+#define CALL_RETRY (500 * USEC_PER_MSEC)
+#define PLACE_INTERVAL (20 * USEC_PER_MSEC)
+/* A waiting order is offered to the next node after this long. */
+#define TURN_INTERVAL (500 * USEC_PER_MSEC)
+#define MAX_FAILURES 3U
+#define URL_BYTES 256
+#define HEADER_BYTES 64
+
+/* A call to a worker under way. */
+typedef struct
+{
+  node_t *node;
+  uint64_t id;
+  worker_call_kind_t kind;
+} worker_http_t;
+
+/* What a started order holds of its team's quota. */
+typedef struct
+{
+  char *team;
+  uint64_t millicores;
+} holding_t;
+
+static void call_worker (void *ctx, const worker_call_t *call);
+static void on_worker_answer (void *ctx, const http_answer_t *answer);
+static bool may_act (void *ctx, uint32_t shard, uint64_t *epoch);
+static uint64_t append (void *ctx, usec_t now, const message_t *entry);
+static bool is_turn (void *ctx, usec_t now, const order_t *order);
+static bool never_fits (void *ctx, const order_t *order);
+static attempt_rules_t rules_of (void *ctx, const char *class_name);
+static void relieve (void *ctx, usec_t now, const char *worker, uint64_t order,
+                     uint64_t attempt, relief_t relief);
+static size_t ranked_nodes (const node_t *node, order_id_t order,
+                            node_id_t *out);
+static bool within_quota (const node_t *node, const order_t *order);
+static void hold_quota (node_t *node, const order_t *order);
+static void release_quota (node_t *node, order_id_t order);
+static void add_used (node_t *node, const char *team, int64_t millicores);
+static void holding_free (void *data);
+
+static const attempts_ops_t attempts_ops
+    = { call_worker, may_act, append, is_turn, never_fits, rules_of };
+static const placement_ops_t placement_ops = { relieve };
+
+void
+node_batch_init (node_t *node)
+{
+  static const attempts_config_t config = { .lease = TASK_LEASE,
+                                            .renew_interval = RENEW_INTERVAL,
+                                            .poll_interval = POLL_INTERVAL,
+                                            .silent_after = SILENT_AFTER,
+                                            .retry_interval = CALL_RETRY,
+                                            .place_interval = PLACE_INTERVAL,
+                                            .turn_interval = TURN_INTERVAL,
+                                            .max_failures = MAX_FAILURES };
+
+  node->placement = placement_new (node->random, &placement_ops, node);
+  node->attempts = attempts_new (&config, &attempts_ops, node, node->orders,
+                                 node->placement);
+  node->workers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  node->holdings = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                          holding_free);
+  node->team_used
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+node_batch_free (node_t *node)
+{
+  if (!node->attempts)
+    return;
+  attempts_free (node->attempts);
+  placement_free (node->placement);
+  g_hash_table_destroy (node->workers);
+  g_hash_table_destroy (node->holdings);
+  g_hash_table_destroy (node->team_used);
+}
+
+void
+node_batch_order_changed (node_t *node, usec_t now, const order_t *order)
+{
+  if (order->state == ORDER_STARTED)
+    hold_quota (node, order);
+  else
+    release_quota (node, order->id);
+  attempts_order_changed (node->attempts, now, order);
+}
+
+static void
+call_worker (void *ctx, const worker_call_t *call)
+{
+  node_t *node = ctx;
+  const worker_t *worker = g_hash_table_lookup (node->workers, call->worker);
+  worker_http_t *http = g_new0 (worker_http_t, 1);
+  g_autofree char *path = worker_call_path (call);
+  char *body = worker_call_json (call);
+  char url[URL_BYTES];
+  char shard[HEADER_BYTES];
+  char epoch[HEADER_BYTES];
+  const char *headers[] = { shard, epoch, NULL };
+  http_request_t request = { .method = body ? "POST" : "GET",
+                             .url = url,
+                             .headers = headers,
+                             .body = blob_of (body ? body : ""),
+                             .timeout = CALL_TIMEOUT,
+                             .fresh = call->kind == CALL_START };
+
+  http->node = node;
+  http->id = call->id;
+  http->kind = call->kind;
+  if (call->kind == CALL_START)
+    counter_add (COUNTER_ATTEMPTS_STARTED, 1);
+  g_snprintf (shard, sizeof shard, "Limpethinge-Shard: %u", call->shard);
+  g_snprintf (epoch, sizeof epoch, "Limpethinge-Epoch: %" PRIu64, call->epoch);
+  g_snprintf (url, sizeof url, "http://%s%s",
+              worker ? worker->address : "0.0.0.0:1", path);
+  http_client_send (node->upstreams, &request, on_worker_answer, http);
+  free (body);
+}
+
+static void
+on_worker_answer (void *ctx, const http_answer_t *answer)
+{
+  static const reply_end_t ends[] = { [HTTP_ANSWERED] = REPLY_ANSWERED,
+                                      [HTTP_NOT_SENT] = REPLY_NOT_SENT,
+                                      [HTTP_CUT] = REPLY_CUT };
+  worker_http_t *http = ctx;
+  node_t *node = http->node;
+  GArray *reports = g_array_new (FALSE, TRUE, sizeof (attempt_report_t));
+  worker_reply_t reply = { .end = ends[answer->end],
+                           .status = answer->status,
+                           .leaving = answer->leaving };
+  json_t *body = NULL;
+
+  if (answer->end == HTTP_ANSWERED)
+    {
+      body = worker_reports_parse (answer->body, reports);
+      if (!body && http->kind == CALL_LIST)
+        reply.end = REPLY_CUT;
+    }
+  if (body)
+    {
+      reply.reports = (const attempt_report_t *)(void *)reports->data;
+      reply.count = reports->len;
+    }
+  attempts_reply (node->attempts, clock_now (), http->id, &reply);
+  json_decref (body);
+  g_array_free (reports, TRUE);
+  g_free (http);
+  node_wake (node);
+}
+
+static bool
+may_act (void *ctx, uint32_t shard, uint64_t *epoch)
+{
+  node_t *node = ctx;
+
+  return claims_may_act (node->claims, clock_now (), shard, epoch);
+}
+
+static uint64_t
+append (void *ctx, usec_t now, const message_t *entry)
+{
+  node_t *node = ctx;
+
+  node_wake (node);
+  return journal_put (node->journal, now, entry, false);
+}
+
+/* Nodes take turns in the order of their rank for the order, so that two of
+   them seldom start the same one; if they do, the log lets one win. */
+static bool
+is_turn (void *ctx, usec_t now, const order_t *order)
+{
+  node_t *node = ctx;
+  node_id_t ranked[PEERS_MAX + 1];
+  size_t count;
+  usec_t age = MAX (now - order->accepted_at, 0);
+
+  if (node->draining || !node_bundle (node))
+    return false;
+  if (!order->cancelled && !within_quota (node, order))
+    return false;
+  count = ranked_nodes (node, order->id, ranked);
+  return count
+         && ranked[(size_t)(age / TURN_INTERVAL) % count]
+                == node->settings->node;
+}
+
+/* Live nodes by descending rendezvous weight for an order. */
+static size_t
+ranked_nodes (const node_t *node, order_id_t order, node_id_t *out)
+{
+  const peer_t *peers[PEERS_MAX];
+  uint64_t weights[PEERS_MAX + 1];
+  size_t known = peers_list (node->peers, peers, PEERS_MAX);
+  size_t count = 0;
+
+  for (size_t i = 0; i <= known; i++)
+    {
+      node_id_t id = i < known ? peers[i]->node : node->settings->node;
+      uint64_t seed[2] = { order, id };
+      uint64_t weight = XXH64 (seed, sizeof seed, 0);
+      size_t place = count;
+
+      if (i < known && (peers[i]->state != PEER_LIVE || peers[i]->draining))
+        continue;
+      for (; place && weights[place - 1] < weight; place--)
+        {
+          weights[place] = weights[place - 1];
+          out[place] = out[place - 1];
+        }
+      weights[place] = weight;
+      out[place] = id;
+      count++;
+    }
+  return count;
+}
+
+static bool
+never_fits (void *ctx, const order_t *order)
+{
+  node_t *node = ctx;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!g_hash_table_size (node->workers))
+    return false;
+  g_hash_table_iter_init (&iter, node->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const worker_t *worker = value;
+
+      if (order->millicores <= worker->millicores
+          && order->memory_mb <= worker->memory_mb
+          && order->accelerators <= worker->accelerators)
+        return false;
+    }
+  return true;
+}
+
+static attempt_rules_t
+rules_of (void *ctx, const char *class_name)
+{
+  node_t *node = ctx;
+  const bundle_t *bundle = node_bundle (node);
+  const work_class_t *class_info
+      = bundle ? bundle_class (bundle, class_name) : NULL;
+  attempt_rules_t rules = { false, false };
+
+  if (class_info)
+    {
+      rules.idempotent = class_info->idempotent;
+      rules.resumable = class_info->resumable;
+    }
+  return rules;
+}
+
+static void
+relieve (void *ctx, usec_t now, const char *worker, uint64_t order,
+         uint64_t attempt, relief_t relief)
+{
+  node_t *node = ctx;
+
+  if (relief == ACTION_EVICT)
+    counter_add (COUNTER_EVICTIONS, 1);
+  attempts_relieve (node->attempts, now, worker, order, attempt, relief);
+}
+
+/* The ledger shows what every team runs on the whole site, so the quota is
+   checked against it and not against the own workers alone.  Two nodes that
+   start at the same moment may exceed it by one task each. */
+static bool
+within_quota (const node_t *node, const order_t *order)
+{
+  const bundle_t *bundle = node_bundle (node);
+  const int64_t *used = g_hash_table_lookup (node->team_used, order->team);
+
+  for (guint i = 0; bundle && i < bundle->teams->len; i++)
+    {
+      const team_t *team = bundle->teams->pdata[i];
+
+      if (strcmp (team->name, order->team) == 0 && team->millicores)
+        return (uint64_t)(used ? *used : 0) + order->millicores
+               <= team->millicores;
+    }
+  return true;
+}
+
+static void
+hold_quota (node_t *node, const order_t *order)
+{
+  holding_t *holding;
+
+  if (g_hash_table_contains (node->holdings, &order->id))
+    return;
+  holding = g_new0 (holding_t, 1);
+  holding->team = g_strdup (order->team);
+  holding->millicores = order->millicores;
+  g_hash_table_insert (node->holdings,
+                       g_memdup2 (&order->id, sizeof order->id), holding);
+  add_used (node, holding->team, (int64_t)holding->millicores);
+}
+
+static void
+release_quota (node_t *node, order_id_t order)
+{
+  const holding_t *holding = g_hash_table_lookup (node->holdings, &order);
+
+  if (!holding)
+    return;
+  add_used (node, holding->team, -(int64_t)holding->millicores);
+  g_hash_table_remove (node->holdings, &order);
+}
+
+static void
+add_used (node_t *node, const char *team, int64_t millicores)
+{
+  int64_t *used = g_hash_table_lookup (node->team_used, team);
+
+  if (!used)
+    {
+      used = g_new0 (int64_t, 1);
+      g_hash_table_insert (node->team_used, g_strdup (team), used);
+    }
+  *used += millicores;
+}
+
+static void
+holding_free (void *data)
+{
+  holding_t *holding = data;
+
+  g_free (holding->team);
+  g_free (holding);
+}
--- a/src/node/node_log.c
+++ b/src/node/node_log.c
@@ -230,8 +230,10 @@
   order_verdict_t verdict
       = orders_apply (node->orders, now, offset, entry, &order);
 
-  if (ticket)
-    node_order_read_back (node, ticket, verdict, order);
+  if (!ticket)
+    return;
+  node_order_read_back (node, ticket, verdict, order);
+  attempts_applied (node->attempts, now, ticket, verdict);
 }
 
 static void
--- a/src/node/node_operators.c
+++ b/src/node/node_operators.c
@@ -102,6 +102,8 @@
   json_object_set_new (dump, "claims", claims_dump (node->claims, now));
   json_object_set_new (dump, "limits", limits_dump (node->limits));
   json_object_set_new (dump, "routing", routing_dump (node->routing, now));
+  json_object_set_new (dump, "attempts", attempts_dump (node->attempts, now));
+  json_object_set_new (dump, "placement", placement_dump (node->placement));
   json_object_set_new (
       dump, "orders",
       json_pack (
--- a/src/node/node_peers.c
+++ b/src/node/node_peers.c
@@ -7,6 +7,7 @@
 #include "node/node_private.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #define BUNDLE_REPEAT (500 * USEC_PER_MSEC)
 #define SILENT_HEARTBEATS 4
@@ -15,6 +16,9 @@
                            incarnation_t incarnation,
                            const message_t *message);
 
+static void add_candidate (claims_candidate_t *candidate, node_id_t id,
+                           incarnation_t incarnation, uint32_t zone,
+                           bool keeps_only);
 static void on_message (void *ctx, node_id_t from, incarnation_t incarnation,
                         const message_t *message);
 static void on_connected (void *ctx, node_id_t peer);
@@ -61,6 +65,8 @@
 static void report_peer (node_t *node, usec_t now, const peer_t *peer);
 static void replace_silent_links (node_t *node, usec_t now);
 static void hand_over (node_t *node, usec_t now);
+static bool should_hand_over (const node_t *node, uint32_t shard);
+static void set_releasing (node_t *node, usec_t now, uint32_t shard, bool on);
 static uint32_t shard_in_use (const node_t *node, uint32_t shard);
 
 const peerlink_ops_t node_peerlink_ops
@@ -90,19 +96,24 @@
   claims_candidate_t candidates[PEERS_MAX + 1];
   size_t known = peers_list (node->peers, peers, PEERS_MAX);
   size_t count = 0;
+  uint64_t digest;
 
+  memset (candidates, 0, sizeof candidates);
   for (size_t i = 0; i < known; i++)
     if (peers[i]->state == PEER_LIVE)
-      candidates[count++]
-          = (claims_candidate_t){ peers[i]->node, peers[i]->incarnation,
-                                  peers[i]->zone,
-                                  peers[i]->draining || !peers[i]->log_ok };
+      add_candidate (&candidates[count++], peers[i]->node,
+                     peers[i]->incarnation, peers[i]->zone,
+                     peers[i]->draining || !peers[i]->log_ok);
   if (node->registered)
-    candidates[count++] = (claims_candidate_t){
-      node->settings->node, node->incarnation, node->settings->zone,
-      node->draining || !journal_healthy (node->journal)
-    };
+    add_candidate (&candidates[count++], node->settings->node,
+                   node->incarnation, node->settings->zone,
+                   node->draining || !journal_healthy (node->journal));
+  digest = XXH64 (candidates, count * sizeof candidates[0], 0);
+  if (digest == node->candidates_digest)
+    return;
+  node->candidates_digest = digest;
   claims_candidates (node->claims, now, candidates, count);
+  attempts_turns_changed (node->attempts, now);
   node_wake (node);
 }
 
@@ -134,10 +145,21 @@
 void
 node_peers_tick (node_t *node, usec_t now)
 {
+  node_candidates (node, now);
   replace_silent_links (node, now);
   hand_over (node, now);
 }
 
+static void
+add_candidate (claims_candidate_t *candidate, node_id_t id,
+               incarnation_t incarnation, uint32_t zone, bool keeps_only)
+{
+  candidate->node = id;
+  candidate->incarnation = incarnation;
+  candidate->zone = zone;
+  candidate->keeps_only = keeps_only;
+}
+
 static void
 on_message (void *ctx, node_id_t from, incarnation_t incarnation,
             const message_t *message)
@@ -184,6 +206,7 @@
   const bundle_t *bundle = bundle_store_current (node->bundles);
 
   heartbeat->free_slots = routing_free_slots (node->routing);
+  heartbeat->free_millicores = placement_free_millicores (node->placement);
   heartbeat->queued = routing_queued (node->routing);
   heartbeat->bundle_version = bundle ? bundle->version : 0;
   heartbeat->log_offset = journal_offset (node->journal);
@@ -256,6 +279,8 @@
             shard, (unsigned long)epoch);
   node->releasing[shard] = false;
   node->lost_work[shard] = false;
+  node->epochs[shard] = epoch;
+  attempts_gained (node->attempts, now, shard, epoch);
   routing_kick (node->routing, now);
   node_wake (node);
 }
@@ -265,12 +290,12 @@
 {
   node_t *node = ctx;
 
-  (void)now;
   counter_add (COUNTER_CLAIMS_LOST, 1);
   log_line (LOG_LEVEL_NOTICE, "claims", NULL,
             "no longer acting on shard %u, epoch %lu", shard,
             (unsigned long)epoch);
   node->lost_work[shard] = true;
+  attempts_lost (node->attempts, now, shard);
   node_wake (node);
 }
 
@@ -462,7 +487,9 @@
 
   for (uint32_t shard = 0; shard < shards; shard++)
     {
-      if (!node_may_act (node, now, shard))
+      uint64_t epoch;
+
+      if (!claims_may_act (node->claims, now, shard, &epoch))
         {
           node->releasing[shard] = false;
           /* The successor need not wait once the last request has ended. */
@@ -473,17 +500,40 @@
             }
           continue;
         }
-      if (!node->draining && !claims_should_release (node->claims, shard))
+      if (epoch != node->epochs[shard])
         {
-          node->releasing[shard] = false;
+          node->epochs[shard] = epoch;
+          attempts_gained (node->attempts, now, shard, epoch);
+        }
+      if (!node->draining && !should_hand_over (node, shard))
+        {
+          set_releasing (node, now, shard, false);
           continue;
         }
-      node->releasing[shard] = true;
-      if (shard_in_use (node, shard) == 0)
+      set_releasing (node, now, shard, true);
+      if (shard_in_use (node, shard) == 0
+          && attempts_idle (node->attempts, shard))
         claims_release (node->claims, now, shard);
     }
 }
 
+/* Without the log no successor could claim the shard. */
+static bool
+should_hand_over (const node_t *node, uint32_t shard)
+{
+  return journal_healthy (node->journal)
+         && claims_should_release (node->claims, shard);
+}
+
+static void
+set_releasing (node_t *node, usec_t now, uint32_t shard, bool on)
+{
+  if (node->releasing[shard] == on)
+    return;
+  node->releasing[shard] = on;
+  attempts_quiesce (node->attempts, now, shard, on);
+}
+
 static uint32_t
 shard_in_use (const node_t *node, uint32_t shard)
 {
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -4,6 +4,7 @@
 #ifndef NODE_NODE_PRIVATE_H
 #define NODE_NODE_PRIVATE_H
 
+#include "attempts/attempts.h"
 #include "base/table.h"
 #include "bundle/bundle.h"
 #include "claims/claims.h"
@@ -15,6 +16,7 @@
 #include "node/node.h"
 #include "orders/orders.h"
 #include "peers/peers.h"
+#include "placement/placement.h"
 #include "routing/routing.h"
 
 #include <errno.h>
@@ -77,6 +79,15 @@
   u64_list_t asked;
 } relay_t;
 
+/** A worker of the platform's list. */
+typedef struct
+{
+  char address[64];
+  uint64_t millicores;
+  uint64_t memory_mb;
+  uint64_t accelerators;
+} worker_t;
+
 typedef struct node node_t;
 
 struct node
@@ -93,6 +104,8 @@
   routing_t *routing;
   orders_t *orders;
   bundle_store_t *bundles;
+  placement_t *placement;
+  attempts_t *attempts;
 
   http_client_t *platform;
   http_client_t *upstreams;
@@ -111,9 +124,15 @@
   GArray *order_waits; /**< order_wait_t */
   GArray *relays;      /**< relay_t */
   bool *releasing;     /**< a flag a shard: takes no new work */
-  bool *lost_work;     /**< a flag a shard: lost, its work may still run */
+  uint64_t *epochs;    /**< an epoch a shard, as the attempts know it */
+  uint64_t candidates_digest;
+  bool *lost_work; /**< a flag a shard: lost, its work may still run */
   usec_t link_reset[PEERS_MAX]; /**< when a silent link was replaced */
 
+  GHashTable *workers;   /**< id -> worker_t */
+  GHashTable *holdings;  /**< order -> what it holds of a quota */
+  GHashTable *team_used; /**< team -> millicores of started orders */
+
   bool registered; /**< the own MEMBER entry was read back */
   usec_t register_due;
   usec_t bundle_due; /**< when the bundle is appended again */
@@ -182,6 +201,12 @@
 /** Reports forwards whose link was down to the routing slice. */
 void node_lc_tick (node_t *node, usec_t now);
 
+/* node_batch.c */
+void node_batch_init (node_t *node);
+void node_batch_free (node_t *node);
+/** From the order table's callback. */
+void node_batch_order_changed (node_t *node, usec_t now, const order_t *order);
+
 /* node_callers.c */
 extern const httpd_ops_t node_caller_ops;
 /** The entry with the ticket was read back. */
--- a/src/node/node_vms.c
+++ b/src/node/node_vms.c
@@ -10,13 +10,17 @@
 #define LIST_TIMEOUT (2 * USEC_PER_SEC)
 #define URL_BYTES 256
 #define STATUS_OK 200
+#define MILLICORES_PER_CORE 1000.0
 
 static void on_list (void *ctx, const http_answer_t *answer);
 static void take_list (node_t *node, usec_t now, const json_t *list);
 static void take_entry (node_t *node, const json_t *row, node_id_t *nodes,
                         size_t *count);
 static void take_instance (node_t *node, const json_t *row, GHashTable *seen);
+static void take_worker (node_t *node, usec_t now, const json_t *row,
+                         GHashTable *seen);
 static void mark_gone (node_t *node, GHashTable *seen);
+static void mark_workers_gone (node_t *node, usec_t now, GHashTable *seen);
 static const char *text_of (const json_t *row, const char *key);
 static uint32_t number_of (const json_t *row, const char *key);
 
@@ -68,10 +72,13 @@
       take_entry (node, row, nodes, &node_count);
     else if (strcmp (kind, "instance") == 0)
       take_instance (node, row, seen);
+    else if (strcmp (kind, "worker") == 0)
+      take_worker (node, now, row, seen);
   }
   if (node_count)
     peers_listed (node->peers, now, nodes, node_count);
   mark_gone (node, seen);
+  mark_workers_gone (node, now, seen);
   routing_kick (node->routing, now);
   g_hash_table_destroy (seen);
 }
@@ -133,6 +140,55 @@
     }
 }
 
+static void
+take_worker (node_t *node, usec_t now, const json_t *row, GHashTable *seen)
+{
+  const char *id = text_of (row, "id");
+  int zone = settings_zone (node->settings, text_of (row, "zone"));
+  worker_t *worker = g_hash_table_lookup (node->workers, id);
+  const json_t *cores = json_object_get (row, "cores");
+  worker_info_t info = { .id = id, .zone = (uint32_t)zone };
+
+  if (!*id || zone < 0)
+    return;
+  if (!worker)
+    {
+      worker = g_new0 (worker_t, 1);
+      g_hash_table_insert (node->workers, g_strdup (id), worker);
+    }
+  g_strlcpy (worker->address, text_of (row, "address"),
+             sizeof worker->address);
+  worker->millicores
+      = (uint64_t)(json_number_value (cores) * MILLICORES_PER_CORE);
+  worker->memory_mb = number_of (row, "memory_mb");
+  worker->accelerators = number_of (row, "accelerators");
+  info.rack = g_str_hash (text_of (row, "rack"));
+  info.millicores = worker->millicores;
+  info.memory_mb = worker->memory_mb;
+  info.accelerators = worker->accelerators;
+  info.leaving = strcmp (text_of (row, "state"), "leaving") == 0;
+  attempts_worker (node->attempts, now, &info,
+                   settings_shard (node->settings, (uint32_t)zone, id));
+  g_hash_table_add (seen, (gpointer)id);
+}
+
+static void
+mark_workers_gone (node_t *node, usec_t now, GHashTable *seen)
+{
+  GHashTableIter iter;
+  gpointer id;
+
+  g_hash_table_iter_init (&iter, node->workers);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    {
+      if (g_hash_table_contains (seen, id))
+        continue;
+      log_line (LOG_LEVEL_NOTICE, "list", id, "worker is gone");
+      attempts_worker_gone (node->attempts, now, id);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
 static const char *
 text_of (const json_t *row, const char *key)
 {
