Keep slots for short work; count overruns as long work

Change: a class that usually runs over 4 times as long as all work is long. Long work leaves free slots for short work, twice the square root of the slots that short work uses on average, fewer the less time the request has left to start; it may always use an eighth of the slots; the highest priority is not held back. An attempt of a short class that runs 8 times its median counts as long work from then on. The latest start is taken from the time that the class has at arrival, not from the time left, and from the run limit until run times are known.

--- a/src/routing/queue.c
+++ b/src/routing/queue.c
@@ -22,6 +22,7 @@
   uint32_t weight;
   GSequence *waiting[LANE_COUNT][SOURCES];
   uint64_t count;
+  uint64_t in_lane[LANE_COUNT];
   double used; /* slot time, in the growing unit of the queue */
   bool over;   /* has had more than its fair share */
   bool active; /* counted by the last review */
@@ -115,6 +116,7 @@
       if (!share->active)
         review (queue);
     }
+  share->in_lane[item->lane]++;
   queue->length++;
   return copy;
 }
@@ -124,6 +126,7 @@
 {
   share_t *share = item->share;
 
+  share->in_lane[item->lane]--;
   if (!--share->count)
     g_ptr_array_remove_fast (queue->active, share);
   queue->length--;
@@ -155,7 +158,7 @@
 }
 
 const queue_item_t *
-queue_worst (const queue_t *queue, bool own_only)
+queue_worst (const queue_t *queue, lane_t lane, bool own_only)
 {
   const queue_item_t *worst = NULL;
 
@@ -168,7 +171,8 @@
           GSequence *list = share->waiting[k / SOURCES][k % SOURCES];
           const queue_item_t *item;
 
-          if (g_sequence_is_empty (list) || (own_only && k % SOURCES))
+          if (g_sequence_is_empty (list) || (own_only && k % SOURCES)
+              || (lane != LANE_ANY && k / SOURCES != (int)lane))
             continue;
           item = g_sequence_get (
               g_sequence_iter_prev (g_sequence_get_end_iter (list)));
@@ -182,7 +186,16 @@
 uint64_t
 queue_ahead (const queue_t *queue, const queue_item_t *item)
 {
-  return (item->share->over ? queue->length : queue_within (queue)) - 1;
+  uint64_t ahead = 0;
+
+  for (guint i = 0; i < queue->active->len; i++)
+    {
+      const share_t *share = g_ptr_array_index (queue->active, i);
+
+      if (item->share->over || !share->over)
+        ahead += share->in_lane[item->lane];
+    }
+  return ahead - 1;
 }
 
 uint64_t
--- a/src/routing/queue.h
+++ b/src/routing/queue.h
@@ -15,7 +15,8 @@
 {
   LANE_SHORT,
   LANE_LONG,
-  LANE_COUNT
+  LANE_COUNT,
+  LANE_ANY = LANE_COUNT
 } lane_t;
 
 typedef struct share share_t; /**< what one member has had */
@@ -54,10 +55,11 @@
 
 /** @param own_only as for queue_best
     @return the last one to be served, NULL if none waits */
-const queue_item_t *queue_worst (const queue_t *queue, bool own_only);
+const queue_item_t *queue_worst (const queue_t *queue, lane_t lane,
+                                 bool own_only);
 
-/** @return how many wait before ITEM, at most (the exact place of those of
-    other members is not looked up) */
+/** @return how many wait before ITEM in its lane, at most (the exact place of
+   those of other members is not looked up) */
 uint64_t queue_ahead (const queue_t *queue, const queue_item_t *item);
 uint64_t queue_length (const queue_t *queue);
 
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -6,6 +6,7 @@
 #include "base/counters.h"
 #include "base/messages.h"
 #include "routing/health.h"
+#include "routing/lanes.h"
 #include "routing/queue.h"
 #include "routing/run_times.h"
 
@@ -20,6 +21,9 @@
 #define RETRY_TOKENS_MAX 10000U  /* 100 retries in a burst */
 #define RETRY_TOKENS_START 1000U /* 10 retries before any load */
 #define RETRY_DOUBLINGS 6U       /* of the backoff, at most */
+#define LONG_FACTOR 4     /* times the median of all work: a long class */
+#define OVERRUN_FACTOR 8  /* times the median of its class: an overrun */
+#define BUDGET_DECAY 1024 /* requests until a shorter deadline is believed */
 #define RETRY_AFTER_MIN (100 * USEC_PER_MSEC)
 #define RECHECK_INTERVAL (50 * USEC_PER_MSEC)
 
@@ -35,6 +39,7 @@
 typedef struct
 {
   char *name;
+  usec_t budget; /* most time that a request had at its arrival */
   run_times_t times;
 } class_t;
 
@@ -53,6 +58,9 @@
   usec_t run_limit;
   uint64_t tag;
   handle_t vm;
+  usec_t arrived_at;
+  usec_t started_at;
+  lane_t lane;     /* of the running attempt */
   node_id_t peer;  /* that it was forwarded to */
   uint64_t report; /* of the peer, the last one then */
   uint32_t attempts;
@@ -76,6 +84,14 @@
   bool usable;
 } peer_t;
 
+/** A start of short work, until it has ended or overrun its class. */
+typedef struct
+{
+  handle_t request;
+  usec_t at;
+  usec_t overrun_at;
+} started_t;
+
 struct routing
 {
   routing_config_t config;
@@ -92,38 +108,52 @@
   uint64_t sequence;
   uint64_t tokens;
   run_times_t times; /* of all classes */
+  run_times_t lane_times[LANE_COUNT];
+  lanes_t lanes;
+  GQueue *started; /* started_t of short work, in order of time */
   usec_t recheck_at;
   bool pumping;
 };
 
 static request_t *request_of (const routing_t *routing, handle_t request);
-static request_t *request_new (routing_t *routing, const request_info_t *info);
+static request_t *request_new (routing_t *routing, usec_t now,
+                               const request_info_t *info);
 static const due_t *first_due (const routing_t *routing);
 static usec_t earlier (usec_t a, usec_t b);
 static void request_remove (routing_t *routing, handle_t request);
 static class_t *class_of (routing_t *routing, const char *name);
 static void class_free (gpointer data);
 static usec_t expected_run (const class_t *class);
-static usec_t latest_start (const request_t *r, usec_t now);
+static usec_t latest_start (const request_t *r);
 static uint64_t own_slots (const routing_t *routing);
+static lane_t lane_of (const routing_t *routing, const class_t *class);
+static bool may_start (const routing_t *routing, usec_t now,
+                       const request_t *r);
+static void note_start (routing_t *routing, usec_t now, request_t *r);
+static void move_overruns (routing_t *routing, usec_t now);
 static usec_t expected_wait (const routing_t *routing, const request_t *r);
 static usec_t retry_after (const routing_t *routing);
 static void give_up (routing_t *routing, usec_t now, handle_t request);
-static void enqueue (routing_t *routing, usec_t now, handle_t request);
+static void enqueue (routing_t *routing, handle_t request);
 static void dequeue (routing_t *routing, request_t *r);
 static void set_timer (routing_t *routing, handle_t request, usec_t due);
 static bool place_on_vm (routing_t *routing, usec_t now, handle_t request,
                          uint32_t last);
 static bool place_on_peer (routing_t *routing, usec_t now, handle_t request,
-                           peer_t *(*pick) (const routing_t *, usec_t));
+                           peer_t *(*pick) (const routing_t *,
+                                            const request_t *, usec_t));
 static handle_t pick_vm (routing_t *routing, usec_t now, uint32_t last);
-static peer_t *pick_peer (const routing_t *routing, usec_t wait);
-static peer_t *pick_shorter_queue (const routing_t *routing, usec_t wait);
+static peer_t *pick_peer (const routing_t *routing, const request_t *r,
+                          usec_t wait);
+static peer_t *pick_shorter_queue (const routing_t *routing,
+                                   const request_t *r, usec_t wait);
 static usec_t peer_wait (const routing_t *routing, const peer_t *peer);
 static peer_t *find_peer (const routing_t *routing, node_id_t node);
 static int64_t peer_free (const peer_t *peer);
 static peer_t *draw_peer (const routing_t *routing, bool near,
                           const peer_t *except);
+static const queue_item_t *next_to_start (const routing_t *routing,
+                                          usec_t now);
 static void pump (routing_t *routing, usec_t now);
 static void retry (routing_t *routing, usec_t now, handle_t request,
                    usec_t wait);
@@ -150,6 +180,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, class_free);
   routing->queue = queue_new ();
   routing->health = health_new ();
+  routing->started = g_queue_new ();
   routing->timers = g_sequence_new (g_free);
   routing->peers = g_array_new (FALSE, TRUE, sizeof (peer_t));
   routing->tokens = RETRY_TOKENS_START;
@@ -167,6 +198,7 @@
   g_hash_table_destroy (routing->classes);
   queue_free (routing->queue);
   health_free (routing->health);
+  g_queue_free_full (routing->started, g_free);
   g_sequence_free (routing->timers);
   g_array_free (routing->peers, TRUE);
   g_free (routing);
@@ -175,7 +207,7 @@
 handle_t
 routing_submit (routing_t *routing, usec_t now, const request_info_t *info)
 {
-  request_t *r = request_new (routing, info);
+  request_t *r = request_new (routing, now, info);
   handle_t request;
 
   if (!r)
@@ -189,22 +221,24 @@
       return HANDLE_NONE;
     }
   if (!routing_queued (routing)
-      && (place_on_vm (routing, now, request, GROUP_FAR)
+      && ((may_start (routing, now, r)
+           && place_on_vm (routing, now, request, GROUP_FAR))
           || place_on_peer (routing, now, request, pick_peer)))
     return request;
-  enqueue (routing, now, request);
+  enqueue (routing, request);
   pump (routing, now);
   r = request_of (routing, request);
   if (!r || r->state != REQUEST_WAITING)
     return r ? request : HANDLE_NONE;
   if (own_slots (routing)
-      && now + expected_wait (routing, r) > latest_start (r, now))
+      && now + expected_wait (routing, r) > latest_start (r))
     {
       give_up (routing, now, request);
       return HANDLE_NONE;
     }
   if (routing_queued (routing) > routing->config.max_queue)
-    give_up (routing, now, queue_worst (routing->queue, false)->request);
+    give_up (routing, now,
+             queue_worst (routing->queue, LANE_ANY, false)->request);
   return request_of (routing, request) ? request : HANDLE_NONE;
 }
 
@@ -238,10 +272,12 @@
   if (!r || r->state != REQUEST_RUNNING)
     return;
   leave_vm (routing, now, r, end);
+  lanes_count (&routing->lanes, now, r->lane, -1);
   if (end == ATTEMPT_RAN)
     {
       run_times_add (&r->class->times, run_time);
       run_times_add (&routing->times, run_time);
+      run_times_add (&routing->lane_times[r->lane], run_time);
     }
   if (end == ATTEMPT_RAN || end == ATTEMPT_FAILED)
     request_remove (routing, request);
@@ -371,7 +407,7 @@
       handle_t request = first->request;
 
       if (request_of (routing, request)->state == REQUEST_BACKOFF)
-        enqueue (routing, now, request);
+        enqueue (routing, request);
       else if (!place_on_vm (routing, now, request, GROUP_SUSPECT))
         give_up (routing, now, request);
     }
@@ -431,7 +467,7 @@
 }
 
 static request_t *
-request_new (routing_t *routing, const request_info_t *info)
+request_new (routing_t *routing, usec_t now, const request_info_t *info)
 {
   handle_t request = table_add (routing->requests);
   request_t *r = request_of (routing, request);
@@ -440,6 +476,10 @@
     return NULL;
   r->item.request = request;
   r->class = class_of (routing, info->class_name);
+  r->arrived_at = now;
+  r->class->budget -= r->class->budget / BUDGET_DECAY;
+  r->class->budget = MAX (r->class->budget, info->deadline - now);
+  r->item.lane = lane_of (routing, r->class);
   r->item.priority = info->priority;
   r->item.hopped = info->hops > 0;
   r->item.deadline = info->deadline;
@@ -511,17 +551,20 @@
 /** The latest start after which the work would probably miss its deadline.
     What waits is nearly always started just before this when the queue is
     long, so that a start with the median run time left would waste half of
-    the starts.  A class whose long runs exceed its deadline still waits for
-    half of its time. */
+    the starts.  Work whose long runs exceed its deadline may wait for half of
+    the time that its class has; the time left would not do, since a request
+    that was handed on has little of it.  Until run times are known the run
+    limit stands for them. */
 static usec_t
-latest_start (const request_t *r, usec_t now)
+latest_start (const request_t *r)
 {
-  usec_t left = r->item.deadline - now;
-  usec_t run = 0;
+  const run_times_t *times = &r->class->times;
 
-  if (run_times_known (&r->class->times))
-    run = MIN (r->class->times.high, MAX (left / 2, r->class->times.median));
-  return r->item.deadline - run;
+  if (!run_times_known (times))
+    return r->item.deadline
+           - MIN (r->run_limit, (r->item.deadline - r->arrived_at) / 2);
+  return r->item.deadline
+         - MIN (times->high, MAX (r->class->budget / 2, times->median));
 }
 
 /** @return slots of the VMs in use by this process, taken ones included */
@@ -532,17 +575,92 @@
          + limits_capacity (routing->limits, GROUP_FAR);
 }
 
+/** Work is long if it usually runs several times as long as all work. */
+static lane_t
+lane_of (const routing_t *routing, const class_t *class)
+{
+  return run_times_known (&class->times)
+                 && class->times.median > LONG_FACTOR * routing->times.median
+             ? LANE_LONG
+             : LANE_SHORT;
+}
+
+/** @return whether a request may take a free slot: a long one leaves those
+    kept for short work, unless its priority is the highest */
+static bool
+may_start (const routing_t *routing, usec_t now, const request_t *r)
+{
+  usec_t last = latest_start (r);
+  double slack;
+
+  if (r->item.lane == LANE_SHORT || r->item.priority == 0
+      || routing->lanes.running[LANE_LONG]
+             < lanes_long_floor (own_slots (routing)))
+    return true;
+  slack = (double)(last - now) / (double)MAX (last - r->arrived_at, 1);
+  return routing_free_slots (routing)
+         > lanes_kept (&routing->lanes, CLAMP (slack, 0.0, 1.0));
+}
+
+/** Counts a started attempt in its lane, and moves those of short work that
+    have run for several times the usual into the long one. */
+static void
+note_start (routing_t *routing, usec_t now, request_t *r)
+{
+  r->lane = r->item.lane;
+  r->started_at = now;
+  lanes_count (&routing->lanes, now, r->lane, 1);
+  if (r->lane == LANE_SHORT && run_times_known (&r->class->times))
+    {
+      started_t *start = g_new (started_t, 1);
+
+      *start = (started_t){ r->item.request, now,
+                            now + OVERRUN_FACTOR * r->class->times.median };
+      g_queue_push_tail (routing->started, start);
+    }
+  move_overruns (routing, now);
+}
+
+static void
+move_overruns (routing_t *routing, usec_t now)
+{
+  const started_t *first;
+
+  while ((first = g_queue_peek_head (routing->started)))
+    {
+      request_t *r = request_of (routing, first->request);
+
+      if (r && r->state == REQUEST_RUNNING && r->started_at == first->at)
+        {
+          if (first->overrun_at > now)
+            return;
+          r->lane = LANE_LONG;
+          lanes_count (&routing->lanes, now, LANE_SHORT, -1);
+          lanes_count (&routing->lanes, now, LANE_LONG, 1);
+        }
+      g_free (g_queue_pop_head (routing->started));
+    }
+}
+
 /** Time until the requests before R have got a slot, from the run times and
-    the slots of this process; without end while it has none. */
+    the slots that its lane has in this process; without end while it has
+    none. */
 static usec_t
 expected_wait (const routing_t *routing, const request_t *r)
 {
   uint64_t slots = own_slots (routing);
+  uint64_t longs = routing->lanes.running[LANE_LONG];
   usec_t ahead = r->queued ? (usec_t)queue_ahead (routing->queue, r->queued)
                            : (usec_t)queue_length (routing->queue);
+  usec_t mean = routing->lane_times[r->item.lane].mean;
 
-  return slots ? (ahead + 1) * routing->times.mean / (usec_t)slots
-               : INT64_MAX / 2;
+  if (!slots)
+    return INT64_MAX / 2;
+  if (r->item.lane == LANE_LONG)
+    slots = MAX (longs, lanes_long_floor (slots));
+  else
+    slots = MAX (slots - MIN (longs, slots), 1);
+  return (ahead + 1) * mean / (usec_t)slots;
 }
 
 /** When a refused caller may come back: after the queue has drained, spread
@@ -578,14 +696,14 @@
 /** Puts the request into the queue; its timer is the latest start that can
     meet the deadline. */
 static void
-enqueue (routing_t *routing, usec_t now, handle_t request)
+enqueue (routing_t *routing, handle_t request)
 {
   request_t *r = request_of (routing, request);
 
   dequeue (routing, r);
   r->state = REQUEST_WAITING;
   r->queued = queue_push (routing->queue, &r->item);
-  set_timer (routing, request, latest_start (r, now) + 1);
+  set_timer (routing, request, latest_start (r) + 1);
 }
 
 static void
@@ -623,6 +741,7 @@
   r->state = REQUEST_RUNNING;
   r->vm = vm;
   r->attempts++;
+  note_start (routing, now, r);
   queue_charge (routing->queue, now, r->item.share, expected_run (r->class));
   routing->ops.dispatch (routing->ctx, now, request, vm);
   return true;
@@ -631,13 +750,13 @@
 /** @return false if no peer is the better choice */
 static bool
 place_on_peer (routing_t *routing, usec_t now, handle_t request,
-               peer_t *(*pick) (const routing_t *, usec_t))
+               peer_t *(*pick) (const routing_t *, const request_t *, usec_t))
 {
   request_t *r = request_of (routing, request);
   usec_t wait = routing->times.mean ? expected_wait (routing, r) : INT64_MAX;
-  peer_t *peer = r->item.hopped ? NULL : pick (routing, wait);
+  peer_t *peer = r->item.hopped ? NULL : pick (routing, r, wait);
 
-  if (!peer)
+  if (!peer || now + peer->delay > latest_start (r))
     return false;
   dequeue (routing, r);
   r->state = REQUEST_FORWARDED;
@@ -676,8 +795,12 @@
     @param wait what the request is expected to wait here
     @return NULL if no peer is the better choice */
 static peer_t *
-pick_peer (const routing_t *routing, usec_t wait)
+pick_peer (const routing_t *routing, const request_t *r, usec_t wait)
 {
+  int64_t kept = r->item.lane == LANE_LONG
+                     ? (int64_t)lanes_kept (&routing->lanes, 1.0)
+                     : 0;
+
   for (int near = 1; near >= 0; near--)
     {
       peer_t *a = draw_peer (routing, near, NULL);
@@ -685,7 +808,7 @@
 
       if (b && peer_free (b) > peer_free (a))
         a = b;
-      if (a && peer_free (a) > 0 && 2 * a->delay < wait)
+      if (a && peer_free (a) > kept && 2 * a->delay < wait)
         return a;
     }
   return NULL;
@@ -703,8 +826,9 @@
 /** Where no peer has free slots: one whose queue promises a start in less
     than half of the time. @param wait as for pick_peer */
 static peer_t *
-pick_shorter_queue (const routing_t *routing, usec_t wait)
+pick_shorter_queue (const routing_t *routing, const request_t *r, usec_t wait)
 {
+  (void)r;
   for (int near = routing->times.mean ? 1 : -1; near >= 0; near--)
     {
       peer_t *a = draw_peer (routing, near, NULL);
@@ -765,19 +889,42 @@
   if (routing->pumping)
     return;
   routing->pumping = true;
-  while ((item = queue_best (routing->queue, LANE_SHORT, false))
+  while ((item = next_to_start (routing, now))
          && place_on_vm (routing, now, item->request, GROUP_FAR))
     ;
-  while ((item = queue_worst (routing->queue, true))
-         && place_on_peer (routing, now, item->request, pick_peer))
-    ;
-  while ((item = queue_best (routing->queue, LANE_SHORT, true))
-         && !queue_is_over (item)
-         && place_on_peer (routing, now, item->request, pick_shorter_queue))
-    ;
+  for (lane_t lane = LANE_SHORT; lane < LANE_COUNT; lane++)
+    {
+      while ((item = queue_worst (routing->queue, lane, true))
+             && place_on_peer (routing, now, item->request, pick_peer))
+        ;
+      while (
+          (item = queue_best (routing->queue, lane, true))
+          && !queue_is_over (item)
+          && place_on_peer (routing, now, item->request, pick_shorter_queue))
+        ;
+    }
   routing->pumping = false;
 }
 
+/** @return the waiting request that gets the next slot here, NULL if none
+    may start.  Up to its floor long work goes first: by deadline alone it
+    would never start while short work waits. */
+static const queue_item_t *
+next_to_start (const routing_t *routing, usec_t now)
+{
+  const queue_item_t *first = queue_best (routing->queue, LANE_SHORT, false);
+  const queue_item_t *other = queue_best (routing->queue, LANE_LONG, false);
+
+  if (!other || !may_start (routing, now, request_of (routing, other->request))
+      || (first && first->priority < other->priority))
+    return first;
+  if (!first || other->priority < first->priority
+      || routing->lanes.running[LANE_LONG]
+             < lanes_long_floor (own_slots (routing)))
+    return other;
+  return first;
+}
+
 /** Lets the request wait and then try again, if its deadline and the retry
     budget allow that; else gives it up. */
 static void
--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -18,6 +18,7 @@
   handle_t last; /* request of the last callback */
   usec_t retry_after;
   const char *member;
+  const char *class_name;
   uint32_t denied; /* shard on which may_act says no */
 } world_t;
 
@@ -75,6 +76,37 @@
   world_free (w);
 }
 
+/* Guards against long work that takes all slots, so that short work waits
+   behind it; against kept slots that stay idle while long work runs out of
+   time; and against an overrun that counts as short work for ever. */
+static void
+test_lanes (void)
+{
+  world_t *w = world_new (16, 100);
+
+  for (int i = 0; i < 40; i++)
+    {
+      w->class_name = i % 4 ? "proof" : "sheet";
+      submit (w, 0, 1, 2000 * MS, false, 0);
+      routing_attempt_ended (w->routing, 0, w->last, ATTEMPT_RAN,
+                             i % 4 ? 1000 * MS : 6000 * MS);
+    }
+  w->class_name = "proof";
+  for (int i = 0; i < 4; i++)
+    submit (w, 0, 1, 90000 * MS, false, 0);
+  w->class_name = "sheet";
+  for (int i = 0; i < 12; i++)
+    submit (w, 5000 * MS, 1, 90000 * MS, false, 0);
+  CU_ASSERT_EQUAL (routing_queued (w->routing), 4);
+  CU_ASSERT_EQUAL (routing_free_slots (w->routing), 4);
+  w->class_name = "proof";
+  submit (w, 5000 * MS, 1, 90000 * MS, false, 0);
+  CU_ASSERT_EQUAL (routing_free_slots (w->routing), 3);
+  routing_tick (w->routing, 60000 * MS);
+  CU_ASSERT_TRUE (routing_free_slots (w->routing) < 3);
+  world_free (w);
+}
+
 /* Guards against a queue without bound and against keeping the less
    important one when it is full. */
 static void
@@ -302,6 +334,7 @@
   suite = CU_add_suite ("routing", NULL, NULL);
   CU_add_test (suite, "order", test_order);
   CU_add_test (suite, "fair shares", test_fair_shares);
+  CU_add_test (suite, "lanes", test_lanes);
   CU_add_test (suite, "full queue", test_full_queue);
   CU_add_test (suite, "deadline", test_deadline);
   CU_add_test (suite, "peers", test_peers);
@@ -379,6 +412,7 @@
   world_t *w = g_new0 (world_t, 1);
 
   w->member = "m";
+  w->class_name = "proof";
   w->limits = limits_new ();
   w->random = g_rand_new_with_seed (1);
   w->routing = routing_new (&config, w->limits, w->random, &ops, w);
@@ -413,7 +447,7 @@
 submit (world_t *w, usec_t now, uint32_t priority, usec_t deadline,
         bool idempotent, uint32_t hops)
 {
-  request_info_t info = { .class_name = "proof",
+  request_info_t info = { .class_name = w->class_name,
                           .member = w->member,
                           .priority = priority,
                           .weight = 1,
