--- a/Makefile
+++ b/Makefile
@@ -105,6 +105,9 @@
 .PHONY: all deps unit check demo bench format lint clean mutants
 .SECONDARY:
 
+# For tests/*.sh and scripts/demo.sh.
+DEPS += curl jq
+
 # Fuzz targets: libFuzzer with AddressSanitizer, clang only.
 SOURCES += $(wildcard fuzz/*.c)
 HEADERS += $(wildcard fuzz/*.h)
