Orders, bundle and registration are appended again before they expire

Cause: records live for a limited time; an order, the bundle or a registration older than the retention would be unknown to a fresh process. Change: node_renew.c appends members and the bundle three times in a retention, and orders older than half of it by the node that ranks first. Lint: an uninitialized address and a multiplication in int. Ruled out: writing them by every process (n copies of each). Conclusion: claims still need the same treatment.

--- a/src/net/peerlink.c
+++ b/src/net/peerlink.c
@@ -211,7 +211,7 @@
 on_accept (EV_P_ ev_io *io, int events)
 {
   peerlink_t *link = io->data;
-  struct sockaddr_in from;
+  struct sockaddr_in from = { 0 };
   socklen_t len = sizeof from;
   int fd = accept4 (io->fd, (struct sockaddr *)&from, &len, SOCK_CLOEXEC);
   in_t *in;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -368,7 +368,7 @@
 {
   usec_t next = now + MAX_SLEEP;
 
-  node_log_tick (node, now);
+  node_renew_tick (node, now);
   next = earlier (next, journal_tick (node->journal, now));
   next = earlier (next, peers_tick (node->peers, now));
   next = earlier (next, claims_tick (node->claims, now));
--- a/src/node/node_batch.c
+++ b/src/node/node_batch.c
@@ -104,6 +104,15 @@
   attempts_order_changed (node->attempts, now, order);
 }
 
+bool
+node_comes_first (const node_t *node, order_id_t order)
+{
+  node_id_t ranked[PEERS_MAX + 1];
+
+  return ranked_nodes (node, order, ranked)
+         && ranked[0] == node->settings->node;
+}
+
 static void
 call_worker (void *ctx, const worker_call_t *call)
 {
--- a/src/node/node_log.c
+++ b/src/node/node_log.c
@@ -1,6 +1,5 @@
 /** @file
- * The platform's log of the entry process: HTTP calls, entries applied,
- * what is appended again before it expires.
+ * The platform's log of the entry process: HTTP calls and entries applied.
  */
 #include "base/counters.h"
 #include "base/log.h"
@@ -13,7 +12,6 @@
 #define LOG_TIMEOUT (2 * USEC_PER_SEC)
 #define URL_BYTES 256
 #define STATUS_OK 200
-#define RENEWALS_PER_RETENTION 3
 
 typedef void (*applier_t) (node_t *node, usec_t now, uint64_t offset,
                            const message_t *entry, uint64_t ticket);
@@ -36,8 +34,6 @@
                          const message_t *entry, uint64_t ticket);
 static void apply_bundle (node_t *node, usec_t now, uint64_t offset,
                           const message_t *entry, uint64_t ticket);
-static void register_self (node_t *node, usec_t now);
-static void renew_bundle (node_t *node, usec_t now);
 
 const journal_ops_t node_journal_ops
     = { begin_append, begin_read, apply, confirmed };
@@ -51,17 +47,6 @@
   [MSG_BUNDLE] = apply_bundle,
 };
 
-void
-node_log_tick (node_t *node, usec_t now)
-{
-  if (!journal_ready (node->journal) || node->draining)
-    return;
-  if (now >= node->register_due)
-    register_self (node, now);
-  if (now >= node->bundle_due)
-    renew_bundle (node, now);
-}
-
 static void
 begin_append (void *ctx, blob_t record)
 {
@@ -250,35 +235,3 @@
   if (ticket)
     node_roll_read_back (node, ticket, code, &err);
 }
-
-/* The entry is repeated so that a process that starts later finds it even
-   after the first one has expired. */
-static void
-register_self (node_t *node, usec_t now)
-{
-  message_t entry = { .type = MSG_MEMBER };
-
-  entry.u.member.node = node->settings->node;
-  entry.u.member.incarnation = node->incarnation;
-  entry.u.member.zone = node->settings->zone;
-  entry.u.member.address = blob_of (node->settings->listen_peers);
-  if (journal_put (node->journal, now, &entry, true))
-    node->register_due = now
-                         + (usec_t)node->settings->log_retention_s
-                               * USEC_PER_SEC / RENEWALS_PER_RETENTION;
-}
-
-/* Any process may do this; a copy of the version in force changes nothing
-   for those that have it. */
-static void
-renew_bundle (node_t *node, usec_t now)
-{
-  message_t entry = { .type = MSG_BUNDLE };
-  usec_t interval = (usec_t)node->settings->log_retention_s * USEC_PER_SEC
-                    / RENEWALS_PER_RETENTION;
-
-  if (node->bundle_due != USEC_NEVER
-      && bundle_store_snapshot (node->bundles, &entry.u.bundle))
-    journal_put (node->journal, now, &entry, false);
-  node->bundle_due = now + interval;
-}
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -135,7 +135,9 @@
 
   bool registered; /**< the own MEMBER entry was read back */
   usec_t register_due;
-  usec_t bundle_due; /**< when the bundle is appended again */
+  usec_t bundle_due;   /**< when the bundle is appended again */
+  usec_t orders_due;   /**< when old orders are looked for */
+  GArray *log_samples; /**< of the log's end, for the age of records */
   usec_t list_due;
   bool list_busy;
   uint64_t announced_bundle;
@@ -175,8 +177,9 @@
 
 /* node_log.c */
 extern const journal_ops_t node_journal_ops;
-/** Registers the process and appends again what would expire. */
-void node_log_tick (node_t *node, usec_t now);
+
+/* node_renew.c */
+void node_renew_tick (node_t *node, usec_t now);
 
 /* node_peers.c */
 extern const peerlink_ops_t node_peerlink_ops;
@@ -204,6 +207,8 @@
 /* node_batch.c */
 void node_batch_init (node_t *node);
 void node_batch_free (node_t *node);
+/** @return whether this node ranks first for an order */
+bool node_comes_first (const node_t *node, order_id_t order);
 /** From the order table's callback. */
 void node_batch_order_changed (node_t *node, usec_t now, const order_t *order);
 
--- /dev/null
+++ b/src/node/node_renew.c
@@ -0,0 +1,133 @@
+/** @file
+ * What is appended again before its records in the log expire: the own
+ * MEMBER entry, the bundle in force, orders.
+ */
+#include "node/node_private.h"
+
+#define RENEWALS_PER_RETENTION 3
+#define SAMPLES_PER_RETENTION 32
+#define MAX_ORDERS_A_TICK 64U
+#define ORDERS_INTERVAL USEC_PER_SEC
+/* How long an ended order can still be shown and its key recognized. */
+#define KEEP_ENDED (24LL * 3600 * USEC_PER_SEC)
+
+/* The log's end at a moment; tells which records are how old. */
+typedef struct
+{
+  usec_t at;
+  uint64_t offset;
+} sample_t;
+
+static void register_self (node_t *node, usec_t now);
+static void renew_bundle (node_t *node, usec_t now);
+static void renew_orders (node_t *node, usec_t now);
+static uint64_t offset_at (node_t *node, usec_t when);
+static void take_sample (node_t *node, usec_t now);
+static usec_t retention (const node_t *node);
+
+void
+node_renew_tick (node_t *node, usec_t now)
+{
+  if (!journal_ready (node->journal) || node->draining)
+    return;
+  take_sample (node, now);
+  if (now >= node->register_due)
+    register_self (node, now);
+  if (now >= node->bundle_due)
+    renew_bundle (node, now);
+  if (now >= node->orders_due)
+    renew_orders (node, now);
+}
+
+/* The entry is repeated so that a process that starts later finds it even
+   after the first one has expired. */
+static void
+register_self (node_t *node, usec_t now)
+{
+  message_t entry = { .type = MSG_MEMBER };
+
+  entry.u.member.node = node->settings->node;
+  entry.u.member.incarnation = node->incarnation;
+  entry.u.member.zone = node->settings->zone;
+  entry.u.member.address = blob_of (node->settings->listen_peers);
+  if (journal_put (node->journal, now, &entry, true))
+    node->register_due = now + retention (node) / RENEWALS_PER_RETENTION;
+}
+
+/* Any process may do this; a copy of the version in force changes nothing
+   for those that have it. */
+static void
+renew_bundle (node_t *node, usec_t now)
+{
+  message_t entry = { .type = MSG_BUNDLE };
+
+  if (node->bundle_due != USEC_NEVER
+      && bundle_store_snapshot (node->bundles, &entry.u.bundle))
+    journal_put (node->journal, now, &entry, false);
+  node->bundle_due = now + retention (node) / RENEWALS_PER_RETENTION;
+}
+
+/* Orders whose records are older than half the retention are appended whole
+   by the node that comes first for them. */
+static void
+renew_orders (node_t *node, usec_t now)
+{
+  order_id_t due[MAX_ORDERS_A_TICK];
+  uint64_t before = offset_at (node, now - retention (node) / 2);
+  size_t count
+      = orders_expiring (node->orders, before, due, MAX_ORDERS_A_TICK);
+
+  node->orders_due = now + ORDERS_INTERVAL;
+  orders_forget (node->orders, now - MIN (KEEP_ENDED, retention (node)));
+  for (size_t i = 0; i < count; i++)
+    {
+      const order_t *order = orders_get (node->orders, due[i]);
+      message_t entry = { .type = MSG_ORDER_SNAPSHOT };
+
+      if (!order || !node_comes_first (node, order->id))
+        continue;
+      orders_snapshot (order, &entry.u.order_snapshot);
+      journal_put (node->journal, now, &entry, false);
+    }
+}
+
+/* The log's end at WHEN, 0 if that was before the first sample. */
+static uint64_t
+offset_at (node_t *node, usec_t when)
+{
+  uint64_t offset = 0;
+
+  for (guint i = 0; i < node->log_samples->len; i++)
+    {
+      const sample_t *sample = &g_array_index (node->log_samples, sample_t, i);
+
+      if (sample->at > when)
+        break;
+      offset = sample->offset;
+    }
+  return offset;
+}
+
+static void
+take_sample (node_t *node, usec_t now)
+{
+  sample_t sample = { now, journal_offset (node->journal) };
+  guint count;
+
+  if (!node->log_samples)
+    node->log_samples = g_array_new (FALSE, FALSE, sizeof (sample_t));
+  count = node->log_samples->len;
+  if (count
+      && now - g_array_index (node->log_samples, sample_t, count - 1).at
+             < retention (node) / SAMPLES_PER_RETENTION)
+    return;
+  if (count >= SAMPLES_PER_RETENTION)
+    g_array_remove_index (node->log_samples, 0);
+  g_array_append_val (node->log_samples, sample);
+}
+
+static usec_t
+retention (const node_t *node)
+{
+  return (usec_t)node->settings->log_retention_s * USEC_PER_SEC;
+}
