Orders: a repeated key is checked by a digest kept after the end

Cause: the body of an ended order is dropped to save memory, and a repeated key was compared with the dropped body, so that it was refused with 422. Ruled out: keeping the body (memory of 400,000 orders); no check at all. Conclusion: a caller whose answer was lost gets its order back.

--- a/src/base/messages.h
+++ b/src/base/messages.h
@@ -96,7 +96,8 @@
   F (U64, status)                                                             \
   F (U64, cancelled)                                                          \
   F (BLOB, result)                                                            \
-  F (BLOB, checkpoint) F (U64, may_have_run) F (U64, as_of) F (U64, failures)
+  F (BLOB, checkpoint)                                                        \
+  F (U64, may_have_run) F (U64, as_of) F (U64, failures) F (U64, body_digest)
 #define BUNDLE_FIELDS(F)                                                      \
   F (U64, version) F (U64, parent) F (BLOB, text) F (BLOB, signature)
 
--- a/src/node/node_callers.c
+++ b/src/node/node_callers.c
@@ -294,15 +294,11 @@
 {
   const order_t *known
       = orders_by_key (call->node->orders, call->member->name, key);
-  gsize len = 0;
-  const char *body;
 
   if (!known)
     return false;
-  body = known->body ? g_bytes_get_data (known->body, &len) : NULL;
   if (strcmp (known->class_name, class_info->name) != 0
-      || len != call->http->body.len
-      || (len && memcmp (body, call->http->body.data, len) != 0))
+      || known->body_digest != orders_body_digest (call->http->body))
     refuse (call, STATUS_UNPROCESSABLE,
             "key was used for another class or body");
   else
--- a/src/orders/orders.c
+++ b/src/orders/orders.c
@@ -252,6 +252,12 @@
     }
 }
 
+uint64_t
+orders_body_digest (blob_t body)
+{
+  return XXH64 (body.data ? body.data : "", body.len, 0);
+}
+
 void
 orders_snapshot (const order_t *order, msg_order_snapshot_t *entry)
 {
@@ -280,6 +286,7 @@
     .may_have_run = order->may_have_run,
     .as_of = order->touched,
     .failures = order->failures,
+    .body_digest = order->body_digest,
   };
 }
 
@@ -561,6 +568,7 @@
     }
   entry = entry_new (orders, now, offset, &accept);
   entry->age = age;
+  entry->order.body_digest = snapshot->body_digest;
   entry->order.attempt = snapshot->attempt;
   entry->order.worker = intern (snapshot->worker);
   entry->order.shard = (uint32_t)snapshot->shard;
@@ -603,6 +611,7 @@
   order->declared_ms = accept->declared_ms;
   order->urgent = accept->urgent != 0;
   order->body = bytes_of (accept->body);
+  order->body_digest = orders_body_digest (accept->body);
   order->accepted_at = now;
   order->offset = offset;
   order->touched = offset;
--- a/src/orders/orders.h
+++ b/src/orders/orders.h
@@ -52,8 +52,9 @@
   uint32_t shard;    /**< of the newest attempt's worker */
   uint64_t epoch;    /**< of the newest attempt */
   outcome_t outcome;
-  uint64_t status; /**< status of the answer when OUTCOME_RAN */
-  GBytes *body;
+  uint64_t status;      /**< status of the answer when OUTCOME_RAN */
+  GBytes *body;         /**< dropped at the end */
+  uint64_t body_digest; /**< orders_body_digest, kept with the key */
   GBytes *result;
   GBytes *checkpoint; /**< NULL for none */
   usec_t accepted_at; /**< local time at which it was applied */
@@ -88,6 +89,9 @@
 order_verdict_t orders_apply (orders_t *orders, usec_t now, uint64_t offset,
                               const message_t *entry, order_id_t *id);
 
+/** Digest by which a repeated key is checked for the same body. */
+uint64_t orders_body_digest (blob_t body);
+
 /** @return the order, NULL if not known */
 const order_t *orders_get (const orders_t *orders, order_id_t id);
 
