--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -847,9 +847,9 @@
 peer_wait (const routing_t *routing, const peer_t *peer)
 {
   usec_t ahead = (usec_t)(peer->queued + peer->sent) + 1;
-  usec_t slots = (usec_t)MAX (peer->capacity, own_slots (routing) / 2);
 
-  return 2 * peer->delay + ahead * routing->times.mean / MAX (slots, 1);
+  return 2 * peer->delay
+         + ahead * routing->times.mean / MAX ((usec_t)peer->capacity, 1);
 }
 
 /** @return free slots by the last report, less what was sent there since */
