Give out the returns of refused callers one after the other

Cause: all callers refused in a peak were told the time in which the queue drains, came back together and made the next peak. Change: each refusal moves the next return by 8 run times over the slots, so that returns make up an eighth of full load, with a quarter of jitter, at most 30 s ahead. Ruled out: a wider random spread: it has to grow with the number of refused callers, which is what the running time does.

--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -25,6 +25,9 @@
 #define OVERRUN_FACTOR 8  /* times the median of its class: an overrun */
 #define BUDGET_DECAY 1024 /* requests until a shorter deadline is believed */
 #define RETRY_AFTER_MIN (100 * USEC_PER_MSEC)
+#define RETRY_AFTER_MAX (30 * USEC_PER_SEC)
+#define RETURN_PART 8 /* refused callers come back at 1/8 of full load */
+#define RUN_TIME_GUESS (10 * USEC_PER_MSEC) /* until one is known */
 #define RECHECK_INTERVAL (50 * USEC_PER_MSEC)
 
 typedef enum
@@ -112,6 +115,7 @@
   lanes_t lanes;
   GQueue *started; /* started_t of short work, in order of time */
   usec_t recheck_at;
+  usec_t return_at; /* of the last caller told to come back */
   bool pumping;
 };
 
@@ -132,7 +136,7 @@
 static void note_start (routing_t *routing, usec_t now, request_t *r);
 static void move_overruns (routing_t *routing, usec_t now);
 static usec_t expected_wait (const routing_t *routing, const request_t *r);
-static usec_t retry_after (const routing_t *routing);
+static usec_t retry_after (routing_t *routing, usec_t now);
 static void give_up (routing_t *routing, usec_t now, handle_t request);
 static void enqueue (routing_t *routing, handle_t request);
 static void dequeue (routing_t *routing, request_t *r);
@@ -663,19 +667,22 @@
   return (ahead + 1) * mean / (usec_t)slots;
 }
 
-/** When a refused caller may come back: after the queue has drained, spread
-    over twice that time. */
+/** When a refused caller may come back.  Returns are given out one after the
+    other at a part of the rate that the slots can carry, so that the callers
+    of a peak do not make the next one. */
 static usec_t
-retry_after (const routing_t *routing)
+retry_after (routing_t *routing, usec_t now)
 {
-  uint64_t slots = own_slots (routing);
-  usec_t drain = slots ? (usec_t)routing_queued (routing) * routing->times.mean
-                             / (usec_t)slots
-                       : USEC_PER_SEC;
+  usec_t slots = (usec_t)own_slots (routing);
+  usec_t mean = MAX (routing->times.mean, RUN_TIME_GUESS);
+  usec_t gap = slots ? mean * RETURN_PART / slots : mean;
+  usec_t wait;
 
-  drain = MAX (drain, RETRY_AFTER_MIN);
-  return (usec_t)((double)drain
-                  * g_rand_double_range (routing->random, 1.0, 3.0));
+  routing->return_at = MAX (routing->return_at, now + RETRY_AFTER_MIN) + gap;
+  routing->return_at = MIN (routing->return_at, now + RETRY_AFTER_MAX);
+  wait = routing->return_at - now;
+  return (usec_t)((double)wait
+                  * g_rand_double_range (routing->random, 0.75, 1.25));
 }
 
 static void
@@ -689,7 +696,7 @@
   if (!abandoned)
     routing->ops.give_up (routing->ctx, now, request,
                           may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
-                          may_have_run ? 0 : retry_after (routing));
+                          may_have_run ? 0 : retry_after (routing, now));
   table_remove (routing->requests, request);
 }
 
--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -127,6 +127,24 @@
   world_free (w);
 }
 
+/* Guards against refused callers that all come back together. */
+static void
+test_retry_after (void)
+{
+  world_t *w = world_new (1, 0);
+  int early = 0;
+
+  submit (w, 0, 1, 500 * MS, false, 0);
+  for (int i = 0; i < 100; i++)
+    {
+      submit (w, 0, 1, 500 * MS, false, 0);
+      early += w->retry_after < 1000 * MS;
+    }
+  CU_ASSERT_TRUE (early > 5 && early < 20);
+  CU_ASSERT_TRUE (w->retry_after > 5000 * MS);
+  world_free (w);
+}
+
 /* Guards against work that waits for a slot although it cannot meet its
    deadline any more. */
 static void
@@ -336,6 +354,7 @@
   CU_add_test (suite, "fair shares", test_fair_shares);
   CU_add_test (suite, "lanes", test_lanes);
   CU_add_test (suite, "full queue", test_full_queue);
+  CU_add_test (suite, "retry after", test_retry_after);
   CU_add_test (suite, "deadline", test_deadline);
   CU_add_test (suite, "peers", test_peers);
   CU_add_test (suite, "retries", test_retries);
