Time each kind of decision; count the retry budget once per request

Cause: the bench timed a submit and an end together, two decisions, and called that one. A forwarded request earned its part of the retry budget at both processes, so that the site could retry a fifth of the load. Change: the bench prints the decision to a free slot, into a queue of 1000 and out of it. Only the process that a request comes to adds to its budget. The pump does not look at the queue while no slot is free, nor for a peer while there is none.

--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -171,6 +171,7 @@
                     double bound, bool most);
 static double peak (policy_id_t policy);
 static double figure (scenario_id_t id, policy_id_t policy, figure_t f);
+static double now_us (void);
 static void time_decisions (uint32_t vms);
 
 static summary_t results[S_COUNT][POLICY_COUNT];
@@ -542,8 +543,18 @@
   return true;
 }
 
-/** Wall time of submit and attempt_ended together, once with a free slot and
-    once with all slots taken and a queue of 1000. */
+static double
+now_us (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_MONOTONIC, &t);
+  return (double)t.tv_sec * 1e6 + (double)t.tv_nsec / 1e3;
+}
+
+/** Wall time of one decision: where a request goes while slots are free,
+    whether it may wait in a queue of 1000, and which one gets a slot that has
+    become free. */
 static void
 time_decisions (uint32_t vms)
 {
@@ -562,7 +573,8 @@
   handle_t last = HANDLE_NONE;
   handle_t *running = g_new (handle_t, vms * 8);
   routing_t *routing;
-  double cost[2];
+  double submit[2] = { 0, 0 };
+  double end[2] = { 0, 0 };
 
   for (uint32_t i = 0; i < vms; i++)
     {
@@ -575,7 +587,6 @@
   for (int full = 0; full < 2; full++)
     {
       uint32_t count = full ? vms * 8 : vms * 8 * 4 / 5;
-      gint64 from;
 
       for (uint32_t i = full ? vms * 8 * 4 / 5 : 0; i < count; i++)
         running[i] = routing_submit (routing, 0, &info);
@@ -584,24 +595,30 @@
           info.deadline += i % 7;
           routing_submit (routing, 0, &info);
         }
-      from = g_get_monotonic_time ();
       for (int i = 0; i < ROUNDS; i++)
         {
           uint32_t k = (uint32_t)g_rand_int_range (random, 0, (gint32)count);
+          double t0 = now_us ();
+          double t1;
 
           if (full)
             routing_submit (routing, i, &info);
+          t1 = now_us ();
           routing_attempt_ended (routing, i, running[k], ATTEMPT_RAN, 40000);
+          end[full] += (now_us () - t1) / ROUNDS;
+          submit[full] += (t1 - t0) / ROUNDS;
+          t0 = now_us ();
           if (!full)
             routing_submit (routing, i, &info);
+          submit[full] += (now_us () - t0) / ROUNDS;
           running[k] = last;
         }
-      cost[full] = (double)(g_get_monotonic_time () - from) / ROUNDS;
     }
-  printf ("decision at %5u VMs: %.2f us with a free slot, %.2f us with a "
-          "queue of %d (submit and end together)%s\n",
-          vms, cost[0], cost[1], QUEUE,
-          MAX (cost[0], cost[1]) <= 2.0 ? " reached" : " NOT REACHED");
+  printf ("decision at %5u VMs, us: to a free slot %.2f, into the queue %.2f, "
+          "out of the queue %.2f%s\n",
+          vms, submit[0], submit[1], end[1],
+          MAX (submit[0], MAX (submit[1], end[1])) <= 2.0 ? " reached"
+                                                          : " NOT REACHED");
   g_free (running);
   routing_free (routing);
   limits_free (limits);
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -217,8 +217,10 @@
   if (!r)
     return HANDLE_NONE;
   request = r->item.request;
-  routing->tokens = MIN (routing->tokens + routing->config.retry_percent,
-                         RETRY_TOKENS_MAX);
+  /* A forwarded request has earned its part where it came in. */
+  if (!info->hops)
+    routing->tokens = MIN (routing->tokens + routing->config.retry_percent,
+                           RETRY_TOKENS_MAX);
   if (now + expected_run (r->class) > r->item.deadline)
     {
       give_up (routing, now, request);
@@ -896,10 +898,11 @@
   if (routing->pumping)
     return;
   routing->pumping = true;
-  while ((item = next_to_start (routing, now))
+  while (routing_free_slots (routing) && (item = next_to_start (routing, now))
          && place_on_vm (routing, now, item->request, GROUP_FAR))
     ;
-  for (lane_t lane = LANE_SHORT; lane < LANE_COUNT; lane++)
+  for (lane_t lane = LANE_SHORT; lane < LANE_COUNT && routing->peers->len;
+       lane++)
     {
       while ((item = queue_worst (routing->queue, lane, true))
              && place_on_peer (routing, now, item->request, pick_peer))
--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -247,16 +247,17 @@
 }
 
 /* Guards against retries that multiply the load: a tenth of it at most,
-   after the few that are allowed from the start. */
+   after the few that are allowed from the start, and counted once for a
+   request that is forwarded. */
 static void
 test_retry_budget (void)
 {
   world_t *w = world_new (1000, 10);
   int retries = 0;
 
-  for (int i = 0; i < 1000; i++)
+  for (uint32_t i = 0; i < 2000; i++)
     {
-      handle_t r = submit (w, 0, 1, 500 * MS, false, 0);
+      handle_t r = submit (w, 0, 1, 500 * MS, false, i % 2);
 
       w->log[0] = 0;
       routing_attempt_ended (w->routing, 0, r, ATTEMPT_NOT_STARTED, 0);
