Use VMs slowed by their neighbours last

Cause: batch work on the same VMs slows them in waves; that shows only in run times. Change: speeds.c keeps, for each VM, the mean of the run time over the median of its class. A VM that runs nothing comes back step by step.

--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -69,6 +69,7 @@
   S_M_FAILING,
   S_M_KILL,
   S_M_ZONE,
+  S_M_NOISY,
   S_COUNT
 } scenario_id_t;
 
@@ -148,6 +149,9 @@
   [S_M_ZONE] = { { "magnolia 60%, zone 0 cut off for 3 s", &magnolia, 0.6,
                    .fault = FAULT_ZONE_CUT, .duration = MS (18000) },
                  WITH (POLICY_LEAST) },
+  [S_M_NOISY] = { { "magnolia 70%, noisy neighbours in waves", &magnolia, 0.7,
+                    .noisy = true, .duration = MS (16000) },
+                  ALL },
 };
 
 static void run (scenario_id_t id, uint32_t seeds, uint32_t policies);
--- a/bench/routing_baselines.c
+++ b/bench/routing_baselines.c
@@ -26,6 +26,7 @@
 static void ended_queued (world_t *world, uint32_t job, attempt_end_t end);
 static void finish (world_t *world, uint32_t job, attempt_end_t end);
 static uint32_t least_used (world_t *world, uint32_t row, uint32_t quota);
+static uint32_t cost (const world_t *world, uint32_t row, uint32_t vm);
 static uint32_t row_of (const world_t *world, const job_t *job);
 static void pump (world_t *world, uint32_t row, uint32_t sender);
 static gint by_arrival (gconstpointer a, gconstpointer b, gpointer data);
@@ -188,12 +189,22 @@
       if (world->instances[vm].away || b->used[row][vm] >= quota
           || (b->knows && world->instances[vm].failing))
         continue;
-      if (best == count || b->used[row][vm] < b->used[row][best])
+      if (best == count || cost (world, row, vm) < cost (world, row, best))
         best = vm;
     }
   return best;
 }
 
+/** @return what is in use; the reference takes slow VMs last */
+static uint32_t
+cost (const world_t *world, uint32_t row, uint32_t vm)
+{
+  const baseline_t *b = world->state;
+
+  return b->used[row][vm]
+         + (b->knows && world->instances[vm].slow ? world->site->slots : 0);
+}
+
 /** @return the queue and counts of a job: its process's or the only one */
 static uint32_t
 row_of (const world_t *world, const job_t *job)
--- a/bench/routing_world.c
+++ b/bench/routing_world.c
@@ -30,6 +30,7 @@
 static void on_vm_done (world_t *world, const event_t *event);
 static void on_answer (world_t *world, const event_t *event);
 static void on_fault (world_t *world, const event_t *event);
+static void on_noise (world_t *world, const event_t *event);
 static void start_work (world_t *world, uint32_t job);
 static void answer (world_t *world, uint32_t job, attempt_end_t end);
 static void add_job (world_t *world, const job_t *job);
@@ -41,7 +42,8 @@
 static const handler_t handlers[]
     = { [EVENT_ARRIVAL] = on_arrival, [EVENT_AT_VM] = on_at_vm,
         [EVENT_VM_DONE] = on_vm_done, [EVENT_ANSWER] = on_answer,
-        [EVENT_FAULT] = on_fault,     [EVENT_RETURN] = on_return };
+        [EVENT_FAULT] = on_fault,     [EVENT_RETURN] = on_return,
+        [EVENT_NOISE] = on_noise };
 
 world_t *
 world_run (const scenario_t *scenario, const policy_t *policy, uint32_t seed)
@@ -77,6 +79,7 @@
     g_queue_clear (&world->instances[i].waiting);
   g_rand_free (world->arrivals);
   g_rand_free (world->links);
+  g_rand_free (world->noise);
   g_rand_free (world->random);
   g_array_free (world->jobs, TRUE);
   g_array_free (world->events, TRUE);
@@ -170,6 +173,7 @@
 
   world->arrivals = g_rand_new_with_seed (seed);
   world->links = g_rand_new_with_seed (seed + 1000);
+  world->noise = g_rand_new_with_seed (seed + 3000);
   world->random = g_rand_new_with_seed (seed + 2000);
   world->jobs = g_array_new (FALSE, TRUE, sizeof (job_t));
   world->events = g_array_new (FALSE, TRUE, sizeof (event_t));
@@ -188,6 +192,10 @@
                                % WORLD_SHARDS_PER_ZONE);
       vm->away = world->scenario->fault == FAULT_THIRD_AWAY && i % 3 == 0;
       g_queue_init (&vm->waiting);
+      if (world->scenario->noisy)
+        world_post (world,
+                    g_rand_int_range (world->noise, 0, WORLD_QUIET_TIME),
+                    EVENT_NOISE, i, 0, 0, 0);
     }
   world_post (world, 0, EVENT_ARRIVAL, 0, 0, 0, 0);
   if (world->scenario->fault != FAULT_NONE)
@@ -332,17 +340,34 @@
   g_queue_push_tail (&vm->waiting, GUINT_TO_POINTER (event->a));
 }
 
+/** A wave of batch work begins or ends on a VM. */
+static void
+on_noise (world_t *world, const event_t *event)
+{
+  instance_t *vm = &world->instances[event->a];
+  double mean;
+
+  vm->slow = !vm->slow;
+  mean = (double)(vm->slow ? WORLD_NOISY_TIME : WORLD_QUIET_TIME);
+  world_post (world,
+              world->now
+                  + (usec_t)(-log (1.0 - g_rand_double (world->noise)) * mean),
+              EVENT_NOISE, event->a, 0, 0, 0);
+}
+
 static void
 start_work (world_t *world, uint32_t job)
 {
   job_t *j = world_job (world, job);
   usec_t limit = world->site->work[j->kind].run_limit;
-  bool ran = j->service <= limit;
+  usec_t time = world->instances[j->vm].slow ? j->service * WORLD_SLOW_FACTOR
+                                             : j->service;
+  bool ran = time <= limit;
 
   world->instances[j->vm].running++;
   j->started = world->now;
-  world_post (world, world->now + (ran ? j->service : limit), EVENT_VM_DONE,
-              job, 0, ran ? ATTEMPT_RAN : ATTEMPT_FAILED, 0);
+  world_post (world, world->now + (ran ? time : limit), EVENT_VM_DONE, job, 0,
+              ran ? ATTEMPT_RAN : ATTEMPT_FAILED, 0);
 }
 
 static void
--- a/bench/routing_world.h
+++ b/bench/routing_world.h
@@ -66,6 +66,7 @@
   bool surge_of_one_member;
   bool callers_return; /**< a refused caller comes back after Retry-After */
   fault_t fault;
+  bool noisy; /**< batch work on the same VMs slows them in waves */
   usec_t duration;
 } scenario_t;
 
@@ -73,6 +74,9 @@
 #define WORLD_WARM_UP (3 * USEC_PER_SEC)
 #define WORLD_EVENT_FROM (8 * USEC_PER_SEC) /**< of a surge or a fault */
 #define WORLD_SURGE_TIME (4 * USEC_PER_SEC)
+#define WORLD_SLOW_FACTOR 2 /**< of the run time on a noisy VM */
+#define WORLD_QUIET_TIME (4 * USEC_PER_SEC) /**< mean */
+#define WORLD_NOISY_TIME (1 * USEC_PER_SEC) /**< mean */
 #define WORLD_CUT_TIME (3 * USEC_PER_SEC)
 
 typedef enum
@@ -121,7 +125,8 @@
   EVENT_FAULT,
   EVENT_DETECTED,
   EVENT_TAKEOVER,
-  EVENT_RETURN
+  EVENT_RETURN,
+  EVENT_NOISE
 } event_kind_t;
 
 typedef struct
@@ -143,6 +148,7 @@
   uint32_t running;
   bool away;
   bool failing;
+  bool slow;
   GQueue waiting; /**< job numbers, only where slots are not respected */
 } instance_t;
 
@@ -169,6 +175,7 @@
   usec_t now;
   GRand *arrivals; /**< the same for every policy */
   GRand *links;
+  GRand *noise;  /**< the same for every policy */
   GRand *random; /**< of the policy */
   GArray *jobs;  /**< job_t */
   GArray *events;
--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -61,7 +61,7 @@
 /** Groups of VMs from which limits_pick chooses.  A new VM is in
     LIMITS_GROUP_NONE. */
 #define LIMITS_GROUP_NONE 0U
-#define LIMITS_GROUPS 4U
+#define LIMITS_GROUPS 5U
 
 /** Puts a VM into a group.
     @param cap most slots that limits_pick fills, 0 for the VM's own limit */
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -9,13 +9,15 @@
 #include "routing/lanes.h"
 #include "routing/queue.h"
 #include "routing/run_times.h"
+#include "routing/speeds.h"
 
 #include <string.h>
 
 /* Groups of the limits module: VMs of the own availability zone come first. */
 #define GROUP_NEAR 1U
 #define GROUP_FAR 2U
-#define GROUP_SUSPECT 3U
+#define GROUP_SLOW 3U
+#define GROUP_SUSPECT 4U
 
 #define RETRY_COST 100U          /* tokens; a request earns retry_percent */
 #define RETRY_TOKENS_MAX 10000U  /* 100 retries in a burst */
@@ -24,6 +26,7 @@
 #define LONG_FACTOR 4     /* times the median of all work: a long class */
 #define OVERRUN_FACTOR 8  /* times the median of its class: an overrun */
 #define BUDGET_DECAY 1024 /* requests until a shorter deadline is believed */
+#define SLOW_COST_PART 2  /* a slow VM costs half of a run time more */
 #define RETRY_AFTER_MIN (100 * USEC_PER_MSEC)
 #define RETRY_AFTER_MAX (30 * USEC_PER_SEC)
 #define RETURN_PART 8 /* refused callers come back at 1/8 of full load */
@@ -106,6 +109,7 @@
   GHashTable *classes; /* name -> class_t */
   queue_t *queue;
   health_t *health;
+  speeds_t *speeds;
   GSequence *timers; /* due_t */
   GArray *peers;     /* peer_t */
   uint64_t sequence;
@@ -158,9 +162,13 @@
                           const peer_t *except);
 static const queue_item_t *next_to_start (const routing_t *routing,
                                           usec_t now);
+static void start_waiting (routing_t *routing, usec_t now, uint32_t last);
 static void pump (routing_t *routing, usec_t now);
 static void retry (routing_t *routing, usec_t now, handle_t request,
                    usec_t wait);
+static void learn (routing_t *routing, usec_t now, const request_t *r,
+                   usec_t run_time);
+static void reassign (void *ctx, handle_t vm);
 static void leave_vm (routing_t *routing, usec_t now, request_t *r,
                       attempt_end_t end);
 static void refresh_groups (routing_t *routing);
@@ -185,6 +193,7 @@
   routing->queue = queue_new ();
   routing->health = health_new ();
   routing->started = g_queue_new ();
+  routing->speeds = speeds_new ();
   routing->timers = g_sequence_new (g_free);
   routing->peers = g_array_new (FALSE, TRUE, sizeof (peer_t));
   routing->tokens = RETRY_TOKENS_START;
@@ -202,6 +211,7 @@
   g_hash_table_destroy (routing->classes);
   queue_free (routing->queue);
   health_free (routing->health);
+  speeds_free (routing->speeds);
   g_queue_free_full (routing->started, g_free);
   g_sequence_free (routing->timers);
   g_array_free (routing->peers, TRUE);
@@ -229,7 +239,9 @@
   if (!routing_queued (routing)
       && ((may_start (routing, now, r)
            && place_on_vm (routing, now, request, GROUP_FAR))
-          || place_on_peer (routing, now, request, pick_peer)))
+          || place_on_peer (routing, now, request, pick_peer)
+          || (may_start (routing, now, r)
+              && place_on_vm (routing, now, request, GROUP_SLOW))))
     return request;
   enqueue (routing, request);
   pump (routing, now);
@@ -277,14 +289,10 @@
 
   if (!r || r->state != REQUEST_RUNNING)
     return;
+  if (end == ATTEMPT_RAN)
+    learn (routing, now, r, run_time);
   leave_vm (routing, now, r, end);
   lanes_count (&routing->lanes, now, r->lane, -1);
-  if (end == ATTEMPT_RAN)
-    {
-      run_times_add (&r->class->times, run_time);
-      run_times_add (&routing->times, run_time);
-      run_times_add (&routing->lane_times[r->lane], run_time);
-    }
   if (end == ATTEMPT_RAN || end == ATTEMPT_FAILED)
     request_remove (routing, request);
   else if (end == ATTEMPT_NOT_STARTED)
@@ -421,6 +429,7 @@
   first = first_due (routing);
   if (first)
     next = earlier (next, first->due);
+  next = earlier (next, speeds_tick (routing->speeds, now, reassign, routing));
   next = earlier (next, health_next (routing->health));
   return earlier (next, routing->recheck_at);
 }
@@ -578,7 +587,8 @@
 own_slots (const routing_t *routing)
 {
   return limits_capacity (routing->limits, GROUP_NEAR)
-         + limits_capacity (routing->limits, GROUP_FAR);
+         + limits_capacity (routing->limits, GROUP_FAR)
+         + limits_capacity (routing->limits, GROUP_SLOW);
 }
 
 /** Work is long if it usually runs several times as long as all work. */
@@ -806,10 +816,13 @@
 static peer_t *
 pick_peer (const routing_t *routing, const request_t *r, usec_t wait)
 {
+  usec_t detour = routing->times.mean / SLOW_COST_PART;
   int64_t kept = r->item.lane == LANE_LONG
                      ? (int64_t)lanes_kept (&routing->lanes, 1.0)
                      : 0;
 
+  if (limits_free_slots (routing->limits, GROUP_SLOW))
+    wait = MAX (wait, detour);
   for (int near = 1; near >= 0; near--)
     {
       peer_t *a = draw_peer (routing, near, NULL);
@@ -888,6 +901,20 @@
   return drawn;
 }
 
+/** Starts waiting requests on free slots up to the group LAST. */
+static void
+start_waiting (routing_t *routing, usec_t now, uint32_t last)
+{
+  const queue_item_t *item;
+
+  while ((routing_free_slots (routing)
+          || (last == GROUP_SLOW
+              && limits_free_slots (routing->limits, GROUP_SLOW)))
+         && (item = next_to_start (routing, now))
+         && place_on_vm (routing, now, item->request, last))
+    ;
+}
+
 /** Places waiting requests as long as there is room.  A callback that calls
     back in finds the guard set, and the loop here goes on for it. */
 static void
@@ -898,21 +925,19 @@
   if (routing->pumping)
     return;
   routing->pumping = true;
-  while (routing_free_slots (routing) && (item = next_to_start (routing, now))
-         && place_on_vm (routing, now, item->request, GROUP_FAR))
-    ;
+  start_waiting (routing, now, GROUP_FAR);
   for (lane_t lane = LANE_SHORT; lane < LANE_COUNT && routing->peers->len;
        lane++)
-    {
-      while ((item = queue_worst (routing->queue, lane, true))
-             && place_on_peer (routing, now, item->request, pick_peer))
-        ;
-      while (
-          (item = queue_best (routing->queue, lane, true))
-          && !queue_is_over (item)
-          && place_on_peer (routing, now, item->request, pick_shorter_queue))
-        ;
-    }
+    while ((item = queue_worst (routing->queue, lane, true))
+           && place_on_peer (routing, now, item->request, pick_peer))
+      ;
+  start_waiting (routing, now, GROUP_SLOW);
+  for (lane_t lane = LANE_SHORT; lane < LANE_COUNT && routing->peers->len;
+       lane++)
+    while ((item = queue_best (routing->queue, lane, true))
+           && !queue_is_over (item)
+           && place_on_peer (routing, now, item->request, pick_shorter_queue))
+      ;
   routing->pumping = false;
 }
 
@@ -954,6 +979,27 @@
   set_timer (routing, request, now + wait);
 }
 
+static void
+learn (routing_t *routing, usec_t now, const request_t *r, usec_t run_time)
+{
+  if (run_times_known (&r->class->times)
+      && speeds_note (routing->speeds, now, r->vm, run_time,
+                      r->class->times.median))
+    reassign (routing, r->vm);
+  run_times_add (&r->class->times, run_time);
+  run_times_add (&routing->times, run_time);
+  run_times_add (&routing->lane_times[r->lane], run_time);
+}
+
+static void
+reassign (void *ctx, handle_t vm)
+{
+  routing_t *routing = ctx;
+
+  if (limits_vm (routing->limits, vm))
+    assign (routing, vm);
+}
+
 /** Gives back the slot of an attempt that ended. */
 static void
 leave_vm (routing_t *routing, usec_t now, request_t *r, attempt_end_t end)
@@ -970,7 +1016,10 @@
   else
     limits_give (routing->limits, vm);
   if (!limits_vm (routing->limits, vm))
-    health_forget (routing->health, vm);
+    {
+      health_forget (routing->health, vm);
+      speeds_forget (routing->speeds, vm);
+    }
 }
 
 /** Puts each VM into the group from which it may be picked. */
@@ -993,6 +1042,8 @@
   bool acts = routing->ops.may_act (routing->ctx, row->shard);
   uint32_t group = row->zone == routing->config.zone ? GROUP_NEAR : GROUP_FAR;
 
+  if (speeds_slow (routing->speeds, vm))
+    group = GROUP_SLOW;
   if (health_state (routing->health, vm) == HEALTH_SUSPECT)
     group = GROUP_SUSPECT;
   if (!acts || health_state (routing->health, vm) == HEALTH_ASIDE)
--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -307,6 +307,33 @@
     }
 }
 
+/* Guards against work on a VM slowed by its neighbours while others have
+   room, and against one that is shunned for ever. */
+static void
+test_slow_vm (void)
+{
+  world_t *w = world_new (4, 10);
+
+  add_vm (w, "b", 1, 4);
+  for (int k = 0; k < 200; k++)
+    {
+      handle_t r = submit (w, 0, 1, 900 * MS, false, 0);
+      bool slow = w->log[2] == 'b';
+
+      routing_attempt_ended (w->routing, 0, r, ATTEMPT_RAN,
+                             slow ? 30 * MS : 10 * MS);
+      w->log[0] = 0;
+    }
+  for (int k = 0; k < 5; k++)
+    submit (w, 0, 1, 90000 * MS, false, 0);
+  expect (w, "d:a d:a d:a d:a d:b");
+  CU_ASSERT_EQUAL (routing_free_slots (w->routing), 0);
+  for (usec_t t = 0; t < 20000 * MS; t += 500 * MS)
+    routing_tick (w->routing, t);
+  CU_ASSERT_EQUAL (routing_free_slots (w->routing), 3);
+  world_free (w);
+}
+
 /* Guards against a dispatch to a shard whose lease has lapsed, and against
    one that stays unused after the lease is back. */
 static void
@@ -361,6 +388,7 @@
   CU_add_test (suite, "retries", test_retries);
   CU_add_test (suite, "retry budget", test_retry_budget);
   CU_add_test (suite, "failing VMs", test_failing_vms);
+  CU_add_test (suite, "slow VM", test_slow_vm);
   CU_add_test (suite, "may act", test_may_act);
   CU_add_test (suite, "abandon", test_abandon);
   CU_basic_run_tests ();
