--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -127,6 +127,24 @@
   world_free (w);
 }
 
+/* Guards against refused callers that all come back together. */
+static void
+test_retry_after (void)
+{
+  world_t *w = world_new (1, 0);
+  int early = 0;
+
+  submit (w, 0, 1, 500 * MS, false, 0);
+  for (int i = 0; i < 100; i++)
+    {
+      submit (w, 0, 1, 500 * MS, false, 0);
+      early += w->retry_after < 1000 * MS;
+    }
+  CU_ASSERT_TRUE (early > 5 && early < 20);
+  CU_ASSERT_TRUE (w->retry_after > 5000 * MS);
+  world_free (w);
+}
+
 /* Guards against work that waits for a slot although it cannot meet its
    deadline any more. */
 static void
@@ -229,16 +247,17 @@
 }
 
 /* Guards against retries that multiply the load: a tenth of it at most,
-   after the few that are allowed from the start. */
+   after the few that are allowed from the start, and counted once for a
+   request that is forwarded. */
 static void
 test_retry_budget (void)
 {
   world_t *w = world_new (1000, 10);
   int retries = 0;
 
-  for (int i = 0; i < 1000; i++)
+  for (uint32_t i = 0; i < 2000; i++)
     {
-      handle_t r = submit (w, 0, 1, 500 * MS, false, 0);
+      handle_t r = submit (w, 0, 1, 500 * MS, false, i % 2);
 
       w->log[0] = 0;
       routing_attempt_ended (w->routing, 0, r, ATTEMPT_NOT_STARTED, 0);
@@ -288,6 +307,33 @@
     }
 }
 
+/* Guards against work on a VM slowed by its neighbours while others have
+   room, and against one that is shunned for ever. */
+static void
+test_slow_vm (void)
+{
+  world_t *w = world_new (4, 10);
+
+  add_vm (w, "b", 1, 4);
+  for (int k = 0; k < 200; k++)
+    {
+      handle_t r = submit (w, 0, 1, 900 * MS, false, 0);
+      bool slow = w->log[2] == 'b';
+
+      routing_attempt_ended (w->routing, 0, r, ATTEMPT_RAN,
+                             slow ? 30 * MS : 10 * MS);
+      w->log[0] = 0;
+    }
+  for (int k = 0; k < 5; k++)
+    submit (w, 0, 1, 90000 * MS, false, 0);
+  expect (w, "d:a d:a d:a d:a d:b");
+  CU_ASSERT_EQUAL (routing_free_slots (w->routing), 0);
+  for (usec_t t = 0; t < 20000 * MS; t += 500 * MS)
+    routing_tick (w->routing, t);
+  CU_ASSERT_EQUAL (routing_free_slots (w->routing), 3);
+  world_free (w);
+}
+
 /* Guards against a dispatch to a shard whose lease has lapsed, and against
    one that stays unused after the lease is back. */
 static void
@@ -336,11 +382,13 @@
   CU_add_test (suite, "fair shares", test_fair_shares);
   CU_add_test (suite, "lanes", test_lanes);
   CU_add_test (suite, "full queue", test_full_queue);
+  CU_add_test (suite, "retry after", test_retry_after);
   CU_add_test (suite, "deadline", test_deadline);
   CU_add_test (suite, "peers", test_peers);
   CU_add_test (suite, "retries", test_retries);
   CU_add_test (suite, "retry budget", test_retry_budget);
   CU_add_test (suite, "failing VMs", test_failing_vms);
+  CU_add_test (suite, "slow VM", test_slow_vm);
   CU_add_test (suite, "may act", test_may_act);
   CU_add_test (suite, "abandon", test_abandon);
   CU_basic_run_tests ();
