Freeze the owner of a shard, not a fixed node

Cause: as long as one node owns all shards, a fixed choice froze processes that had nothing to lose, and the test passed without its fault. Change: the owner of shard 0 at that moment is frozen, three times.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -215,6 +215,13 @@
 	done | jq -es '[.[].shards[] | select(.active) | .shard] | sort ==
 	    [range('$((${SHARDS:-4} * $(echo "$ZONES" | tr , '\n' | wc -l)))')]'
 }
+# owner_of SHARD: the node that owns it, as the first node that answers says.
+owner_of() {
+	for node in $(seq "$NODES"); do
+		curl -sf -m 1 "http://$(operators "$node")/status" |
+		    jq ".shards[$1].owner" && return
+	done
+}
 owners() {
 	curl -s -m 1 "http://$(operators "$1")/status" |
 	    jq -c '[.shards[] | "\(.shard):\(.owner)"] | join(" ")'
--- a/tests/test-freeze.sh
+++ b/tests/test-freeze.sh
@@ -7,11 +7,11 @@
 start_site 3 --instances 8 --workers 6 --seed 9
 
 start_load load --rate 300 --order-rate 4 --seconds 11 --order-wait 25
-for freeze in 1:0.5 2:4 3:3; do
-	node=${freeze%:*}
-	kill -STOP "$(pid_of "node-$node")"
-	sleep "${freeze#*:}"
-	kill -CONT "$(pid_of "node-$node")"
+for seconds in 0.5 4 3; do
+	owner=$(owner_of 0)
+	kill -STOP "$(pid_of "node-$owner")"
+	sleep $seconds
+	kill -CONT "$(pid_of "node-$owner")"
 	sleep 0.5
 done
 await 10 all_active "1 2 3"
