--- a/Makefile
+++ b/Makefile
@@ -162,3 +162,11 @@
 -include $(shell find build-fuzz -name '*.d' 2>/dev/null)
 
 .PHONY: fuzz fuzz-check mutants-bundle clean-fuzz
+# Every mechanism of the slice attempts, disabled, must make its test fail.
+mutants-attempts: $(OBJ)
+	@sh scripts/mutants-attempts.sh $(BUILD) $(CC) $(CFLAGS) -- \
+	  $(filter-out $(BUILD)/src/attempts/%,$(OBJ)) $(LDLIBS) -lcunit
+
+.PHONY: mutants-attempts
+# For tests/*.sh and scripts/demo.sh.
+DEPS += curl jq
