Idle cost counts the polls of workers too

Cause: the figure left out the calls to workers, which are control as well. Change: upstream bytes are part of the sum. Ruled out: nothing else goes over the network while idle.

--- a/scripts/idle-cost.sh
+++ b/scripts/idle-cost.sh
@@ -66,11 +66,11 @@
 	done | awk '{ sum += $1 } END { print sum }'
 }
 
-# Bytes sent to peers, and both ways to the log and the list.
+# Bytes sent to peers, and both ways to the log, the list and the workers.
 control_bytes() {
 	for node in $(seq "$nodes"); do
 		curl -s "http://$(operators "$node")/counters"
-	done | awk '/^limpethinge_(peer_bytes_out|platform_bytes)_total/ {
+	done | awk '/^limpethinge_(peer_bytes_out|platform_bytes|upstream_bytes)_total/ {
 		sum += $2 } END { print sum }'
 }
 
