Attempts: workers without attempts are polled every 2 s

Cause: the list of attempts of each worker was read every 500 ms whether or not anything ran there; it was the largest part of the idle traffic. Ruled out: not polling them (a worker must be known to answer before work is placed there, within silent_after, 5 s). Change: idle_poll_interval, used while a worker is open and has no attempt.

--- a/src/attempts/attempts.c
+++ b/src/attempts/attempts.c
@@ -21,6 +21,8 @@
 
 static void adopt (void *ctx, const order_t *order);
 static void enqueue (attempts_t *attempts, usec_t now, const order_t *order);
+static usec_t poll_interval (const attempts_t *attempts,
+                             const worker_t *worker);
 static void worker_tick (attempts_t *attempts, usec_t now, worker_t *worker);
 static void list_replied (attempts_t *attempts, usec_t now, worker_t *worker,
                           const call_t *call, uint64_t id,
@@ -534,6 +536,16 @@
     attempts_place_soon (attempts, now);
 }
 
+static usec_t
+poll_interval (const attempts_t *attempts, const worker_t *worker)
+{
+  const attempts_config_t *config = &attempts->config;
+
+  if (!worker->attempts->len && worker->open && config->idle_poll_interval)
+    return config->idle_poll_interval;
+  return config->poll_interval;
+}
+
 static void
 worker_tick (attempts_t *attempts, usec_t now, worker_t *worker)
 {
@@ -558,7 +570,7 @@
       worker->list_call = attempts_send (attempts, now, worker, &call);
       worker->list_due
           = now
-            + (worker->list_call ? attempts->config.poll_interval
+            + (worker->list_call ? poll_interval (attempts, worker)
                                  : attempts->config.retry_interval);
     }
   if (!worker->list_call)
--- a/src/attempts/attempts.h
+++ b/src/attempts/attempts.h
@@ -19,13 +19,15 @@
 
 typedef struct
 {
-  usec_t lease;          /**< task lease sent with starts and renewals */
-  usec_t renew_interval; /**< a third of the lease or less */
-  usec_t poll_interval;  /**< of the list of attempts of each worker */
-  usec_t silent_after;   /**< without an answer about an attempt for this
-                              long, it is no longer renewed and its lease is
-                              waited out */
-  usec_t retry_interval; /**< pause before a call or append is repeated */
+  usec_t lease;              /**< task lease sent with starts and renewals */
+  usec_t renew_interval;     /**< a third of the lease or less */
+  usec_t poll_interval;      /**< of the list of attempts of each worker */
+  usec_t idle_poll_interval; /**< of workers without attempts, below
+                                  silent_after; 0: as poll_interval */
+  usec_t silent_after;       /**< without an answer about an attempt for this
+                                  long, it is no longer renewed and its lease is
+                                  waited out */
+  usec_t retry_interval;     /**< pause before a call or append is repeated */
   usec_t place_interval; /**< least pause between two passes over the waiting
                               orders */
   usec_t turn_interval;  /**< pause before is_turn is asked again */
--- a/src/node/node_batch.c
+++ b/src/node/node_batch.c
@@ -14,6 +14,7 @@
 #define TASK_LEASE (10 * USEC_PER_SEC)
 #define RENEW_INTERVAL (3 * USEC_PER_SEC)
 #define POLL_INTERVAL (500 * USEC_PER_MSEC)
+#define IDLE_POLL_INTERVAL (2 * USEC_PER_SEC)
 #define SILENT_AFTER (5 * USEC_PER_SEC)
 #define CALL_RETRY (500 * USEC_PER_MSEC)
 #define PLACE_INTERVAL (20 * USEC_PER_MSEC)
@@ -62,14 +63,16 @@
 void
 node_batch_init (node_t *node)
 {
-  static const attempts_config_t config = { .lease = TASK_LEASE,
-                                            .renew_interval = RENEW_INTERVAL,
-                                            .poll_interval = POLL_INTERVAL,
-                                            .silent_after = SILENT_AFTER,
-                                            .retry_interval = CALL_RETRY,
-                                            .place_interval = PLACE_INTERVAL,
-                                            .turn_interval = TURN_INTERVAL,
-                                            .max_failures = MAX_FAILURES };
+  static const attempts_config_t config
+      = { .lease = TASK_LEASE,
+          .renew_interval = RENEW_INTERVAL,
+          .poll_interval = POLL_INTERVAL,
+          .idle_poll_interval = IDLE_POLL_INTERVAL,
+          .silent_after = SILENT_AFTER,
+          .retry_interval = CALL_RETRY,
+          .place_interval = PLACE_INTERVAL,
+          .turn_interval = TURN_INTERVAL,
+          .max_failures = MAX_FAILURES };
 
   node->placement = placement_new (node->random, &placement_ops, node);
   node->attempts = attempts_new (&config, &attempts_ops, node, node->orders,
