--- a/Makefile
+++ b/Makefile
@@ -101,6 +101,10 @@
 mutants: $(MUTANTS:%=$(BUILD)/mutants/%)
 	@scripts/run-mutants.sh $^
 
+# Exhaustive check of the claims protocol for 2 and 3 nodes with spin.
+model:
+	@scripts/model.sh $(BUILD)/model
+
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
-.PHONY: all deps unit check demo bench format lint clean mutants
+.PHONY: all deps unit check demo bench format lint clean mutants model
 .SECONDARY:
