Report a changed load to peers at once, at most every 25 ms

Change: routing_report_due tells the node when free slots or the backlog have changed by a sixteenth of the slots, or from or to none, so that it sends a load report before the next heartbeat. Nothing is sent while the load is steady or absent. Ruled out: heartbeats every 25 ms (the idle budget of 5 KB/s). Load in each RESULT only: a peer that reported no free slots gets no work and so would not be heard of.

--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -38,6 +38,7 @@
   F_OVER,     /* attempts that found their VM full */
   F_FORWARDS, /* percent of the requests */
   F_RETRIES,  /* percent */
+  F_REPORTS,  /* load reports that one process sends in a second */
   F_COUNT
 } figure_t;
 
@@ -306,6 +307,8 @@
       world, WORLD_EVENT_FROM + WORLD_SURGE_TIME,
       WORLD_EVENT_FROM + WORLD_SURGE_TIME + 3 * USEC_PER_SEC, false);
   f.at[F_OVER] = (double)world->over_slots;
+  f.at[F_REPORTS] = (double)world->reports * (double)USEC_PER_SEC
+                    / ((double)world->now * world->site->nodes);
   f.at[F_FORWARDS]
       = 100.0 * (double)world->forwards / (double)world->jobs->len;
   f.at[F_RETRIES] = 100.0 * (double)world->retries / (double)world->jobs->len;
@@ -451,10 +454,11 @@
 print_header (const scenario_t *scenario)
 {
   printf ("\n%s\n%-12s %5s %21s %6s %6s %5s %5s %5s %19s %5s %5s %6s %6s %4s "
-          "%5s %5s %6s %5s %5s\n",
+          "%5s %5s %6s %5s %5s %5s\n",
           scenario->name, "policy", "p50", "p99 [range] ms", "p99.9", "long99",
           "late%", "ref%", "fail%", "good% [range]", "long%", "work%",
-          "steady", "surge", "back", "oth%", "aft%", "over", "fwd%", "ret%");
+          "steady", "surge", "back", "oth%", "aft%", "over", "fwd%", "ret%",
+          "rep/s");
 }
 
 static void
@@ -464,12 +468,13 @@
 
   printf ("%-12s %5.1f %7.1f [%5.0f,%5.0f] %6.0f %6.0f %5.2f %5.2f %5.2f "
           "%6.2f [%5.1f,%5.1f] %5.1f %5.1f %6.1f %6.1f %4.1f %5.1f %5.1f "
-          "%6.0f %5.1f %5.2f\n",
+          "%6.0f %5.1f %5.2f %5.0f\n",
           name, m[F_P50], m[F_P99], s->low.at[F_P99], s->high.at[F_P99],
           m[F_P999], m[F_LONG_P99], m[F_LATE], m[F_REFUSED], m[F_FAILED],
           m[F_GOOD], s->low.at[F_GOOD], s->high.at[F_GOOD], m[F_GOOD_LONG],
           m[F_WORK], m[F_STEADY], m[F_SURGE], m[F_BACK], m[F_OTHERS],
-          m[F_AFTER], s->high.at[F_OVER], m[F_FORWARDS], m[F_RETRIES]);
+          m[F_AFTER], s->high.at[F_OVER], m[F_FORWARDS], m[F_RETRIES],
+          m[F_REPORTS]);
 }
 
 /** The bounds are those of docs/design.md, "Figures to reach".  Where it has
--- a/bench/routing_nodes.c
+++ b/bench/routing_nodes.c
@@ -39,6 +39,7 @@
 static void ended (world_t *world, uint32_t job, attempt_end_t end);
 static void event (world_t *world, const event_t *event);
 static void on_report_due (world_t *world, const event_t *event);
+static void report (world_t *world, uint32_t from);
 static void on_detected (world_t *world, const event_t *event);
 static handle_t submit_at (world_t *world, uint32_t node, uint32_t job,
                            uint32_t hops, usec_t deadline);
@@ -143,6 +144,8 @@
       if (!world->alive[node])
         break;
       routing_tick (node_of (world, node)->routing, world->now);
+      if (routing_report_due (node_of (world, node)->routing, world->now))
+        report (world, node);
       world_post (world, world->now + TICK_INTERVAL, EVENT_TICK, node, 0, 0,
                   0);
       break;
@@ -190,23 +193,31 @@
 static void
 on_report_due (world_t *world, const event_t *event)
 {
-  uint32_t from = event->a;
+  if (!world->alive[event->a])
+    return;
+  report (world, event->a);
+  world_post (world, world->now + REPORT_INTERVAL, EVENT_REPORT_DUE, event->a,
+              0, 0, 0);
+}
+
+/** Sends a load report to all peers. */
+static void
+report (world_t *world, uint32_t from)
+{
   const routing_t *routing = node_of (world, from)->routing;
 
-  if (!world->alive[from])
-    return;
   for (uint32_t to = 0; to < world->site->nodes; to++)
     {
       usec_t delay = world_link (world, world_node_zone (world, from),
                                  world_node_zone (world, to));
 
-      if (to != from && delay >= 0)
-        world_post (world, world->now + delay, EVENT_REPORT, from, to,
-                    (uint32_t)routing_free_slots (routing),
-                    (uint32_t)routing_backlog (routing));
+      if (to == from || delay < 0)
+        continue;
+      world->reports++;
+      world_post (world, world->now + delay, EVENT_REPORT, from, to,
+                  (uint32_t)routing_free_slots (routing),
+                  (uint32_t)routing_backlog (routing));
     }
-  world_post (world, world->now + REPORT_INTERVAL, EVENT_REPORT_DUE, from, 0,
-              0, 0);
 }
 
 /** Peers noticed a fault: killed processes lose their shards, a zone that is
--- a/bench/routing_world.h
+++ b/bench/routing_world.h
@@ -185,6 +185,7 @@
   bool alive[WORLD_MAX_NODES];
   bool cut;            /**< zone 0 is cut off */
   uint64_t over_slots; /**< attempts that found their instance full */
+  uint64_t reports;    /**< load reports sent, one for each peer */
   uint64_t forwards;
   uint64_t retries; /**< attempts after the first */
 };
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -31,6 +31,8 @@
 #define RETRY_AFTER_MAX (30 * USEC_PER_SEC)
 #define RETURN_PART 8 /* refused callers come back at 1/8 of full load */
 #define RUN_TIME_GUESS (10 * USEC_PER_MSEC) /* until one is known */
+#define REPORT_GAP (25 * USEC_PER_MSEC)
+#define REPORT_STEP 16U /* part of the slots that is worth a report */
 #define RECHECK_INTERVAL (50 * USEC_PER_MSEC)
 
 typedef enum
@@ -118,6 +120,9 @@
   run_times_t lane_times[LANE_COUNT];
   lanes_t lanes;
   GQueue *started; /* started_t of short work, in order of time */
+  usec_t reported_at;
+  uint64_t reported_free;
+  uint64_t reported_backlog;
   usec_t recheck_at;
   usec_t return_at; /* of the last caller told to come back */
   bool pumping;
@@ -126,6 +131,7 @@
 static request_t *request_of (const routing_t *routing, handle_t request);
 static request_t *request_new (routing_t *routing, usec_t now,
                                const request_info_t *info);
+static bool differ_less (uint64_t a, uint64_t b, uint64_t step);
 static const due_t *first_due (const routing_t *routing);
 static usec_t earlier (usec_t a, usec_t b);
 static void request_remove (routing_t *routing, handle_t request);
@@ -399,6 +405,24 @@
   return queue_within (routing->queue);
 }
 
+bool
+routing_report_due (routing_t *routing, usec_t now)
+{
+  uint64_t free_slots = routing_free_slots (routing);
+  uint64_t backlog = routing_backlog (routing);
+  uint64_t step = MAX (own_slots (routing) / REPORT_STEP, 2);
+
+  if (now - routing->reported_at < REPORT_GAP
+      || (differ_less (free_slots, routing->reported_free, step)
+          && differ_less (backlog, routing->reported_backlog, 2 * step)
+          && !free_slots == !routing->reported_free))
+    return false;
+  routing->reported_at = now;
+  routing->reported_free = free_slots;
+  routing->reported_backlog = backlog;
+  return true;
+}
+
 usec_t
 routing_tick (routing_t *routing, usec_t now)
 {
@@ -507,6 +531,12 @@
   return r;
 }
 
+static bool
+differ_less (uint64_t a, uint64_t b, uint64_t step)
+{
+  return a < b + step && b < a + step;
+}
+
 /** @return the first timer, NULL if there is none */
 static const due_t *
 first_due (const routing_t *routing)
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -110,6 +110,11 @@
     QUEUED of the load report to peers */
 uint64_t routing_backlog (const routing_t *routing);
 
+/** @return whether the load differs so much from the last report that peers
+    should get one now instead of at the next heartbeat; true at most every
+    25 ms, and not while the load is steady.  Call it after routing_tick. */
+bool routing_report_due (routing_t *routing, usec_t now);
+
 /** Gives up what missed its deadline, runs due retries.
     @return when to call again */
 usec_t routing_tick (routing_t *routing, usec_t now);
--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -207,6 +207,24 @@
   world_free (w);
 }
 
+/* Guards against peers that choose by an old load, and against reports while
+   nothing changes or many for one burst. */
+static void
+test_report_due (void)
+{
+  world_t *w = world_new (4, 10);
+
+  CU_ASSERT_TRUE (routing_report_due (w->routing, 100 * MS));
+  CU_ASSERT_FALSE (routing_report_due (w->routing, 200 * MS));
+  for (int i = 0; i < 4; i++)
+    submit (w, 200 * MS, 1, 900 * MS, false, 0);
+  CU_ASSERT_TRUE (routing_report_due (w->routing, 200 * MS));
+  routing_attempt_ended (w->routing, 210 * MS, w->last, ATTEMPT_RAN, MS);
+  CU_ASSERT_FALSE (routing_report_due (w->routing, 210 * MS));
+  CU_ASSERT_TRUE (routing_report_due (w->routing, 230 * MS));
+  world_free (w);
+}
+
 /* Guards invariants 2, 5 and 6: what may have run is sent again only if it
    is idempotent and its first attempt has surely ended, and is never called
    not-run. */
@@ -385,6 +403,7 @@
   CU_add_test (suite, "retry after", test_retry_after);
   CU_add_test (suite, "deadline", test_deadline);
   CU_add_test (suite, "peers", test_peers);
+  CU_add_test (suite, "report due", test_report_due);
   CU_add_test (suite, "retries", test_retries);
   CU_add_test (suite, "retry budget", test_retry_budget);
   CU_add_test (suite, "failing VMs", test_failing_vms);
