--- a/src/node/node.c
+++ b/src/node/node.c
@@ -255,8 +255,8 @@
       = httpd_new (node->loop, &operators, &node_operator_ops, node, err);
   if (!node->operators)
     return err->code;
-  node->platform = http_client_new (node->loop);
-  node->upstreams = http_client_new (node->loop);
+  node->platform = http_client_new (node->loop, COUNTER_PLATFORM_BYTES);
+  node->upstreams = http_client_new (node->loop, COUNTER_UPSTREAM_BYTES);
   return 0;
 }
 
@@ -368,7 +368,7 @@
 {
   usec_t next = now + MAX_SLEEP;
 
-  node_log_tick (node, now);
+  node_renew_tick (node, now);
   next = earlier (next, journal_tick (node->journal, now));
   next = earlier (next, peers_tick (node->peers, now));
   next = earlier (next, claims_tick (node->claims, now));
