Claims: a draining witness grants no holds

Ruled out: not counting LEAVE for witnesses, which needs two kinds of evidence. Change: claims_grant refuses holds after claims_drain.

--- a/src/claims/claims.c
+++ b/src/claims/claims.c
@@ -37,7 +37,8 @@
   MUTANT_NO_ACKNOWLEDGEMENT,
   MUTANT_NO_REFUSAL,
   MUTANT_ONE_WITNESS_LIST,
-  MUTANT_NO_CHAIN
+  MUTANT_NO_CHAIN,
+  MUTANT_GRANT_AFTER_DRAIN
 };
 #ifndef CLAIMS_MUTANT
 #define CLAIMS_MUTANT MUTANT_NONE
@@ -348,6 +349,11 @@
 
       if (!shard || (shard->epoch > epoch && !MUTATED (NO_REFUSAL)))
         continue;
+      /* A LEAVE entry counts as the end of a witness, and a draining process
+         may append it at any time. */
+      if (!(number & ASK_APPLIED) && claims->draining
+          && !MUTATED (GRANT_AFTER_DRAIN))
+        continue;
       if ((number & ASK_APPLIED) && shard->epoch != epoch)
         continue;
       list_add (list, number, epoch);
--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -145,7 +145,8 @@
     may be released once its work is done. */
 bool claims_should_release (const claims_t *claims, uint32_t shard);
 
-/** Takes no new shards from now on (planned stop). */
+/** Takes no new shards and grants no holds from now on (planned stop).  Called
+    before LEAVE is appended. */
 void claims_drain (claims_t *claims);
 
 /** Appends claims that are due, repeats releases, activates and lapses shards.
