Never start work past its deadline after a pause

Cause: a process that was paused handed its slots to requests whose deadline had passed, since the queue was served before the timers ran. Change: due timers run before any slot is given out. At its latest start a request gets only a slot kept for short work of which none waits, or a VM that is suspected to fail. The wait of short work is estimated with at least a quarter of the slots, since long work may still run on VMs that are no longer used here. The end of a forward looks at the queue at once. The header says what callbacks may do, when to tick, and what HANDLE_NONE means.

--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -168,6 +168,8 @@
                           const peer_t *except);
 static const queue_item_t *next_to_start (const routing_t *routing,
                                           usec_t now);
+static bool place_late (routing_t *routing, usec_t now, handle_t request);
+static void run_timers (routing_t *routing, usec_t now);
 static void start_waiting (routing_t *routing, usec_t now, uint32_t last);
 static void pump (routing_t *routing, usec_t now);
 static void retry (routing_t *routing, usec_t now, handle_t request,
@@ -248,7 +250,7 @@
           || place_on_peer (routing, now, request, pick_peer)
           || (may_start (routing, now, r)
               && place_on_vm (routing, now, request, GROUP_SLOW))))
-    return request;
+    return request_of (routing, request) ? request : HANDLE_NONE;
   enqueue (routing, request);
   pump (routing, now);
   r = request_of (routing, request);
@@ -336,6 +338,7 @@
   if (end == ATTEMPT_RAN || end == ATTEMPT_FAILED)
     {
       request_remove (routing, request);
+      pump (routing, now);
       return;
     }
   /* After a cut the peer may still start the work at any time until the
@@ -440,15 +443,6 @@
       routing->recheck_at = USEC_NEVER;
       refresh_groups (routing);
     }
-  while ((first = first_due (routing)) && first->due <= now)
-    {
-      handle_t request = first->request;
-
-      if (request_of (routing, request)->state == REQUEST_BACKOFF)
-        enqueue (routing, request);
-      else if (!place_on_vm (routing, now, request, GROUP_SUSPECT))
-        give_up (routing, now, request);
-    }
   pump (routing, now);
   first = first_due (routing);
   if (first)
@@ -705,7 +699,8 @@
   if (r->item.lane == LANE_LONG)
     slots = MAX (longs, lanes_long_floor (slots));
   else
-    slots = MAX (slots - MIN (longs, slots), 1);
+    /* Long work may still run on VMs that are not in use here any more. */
+    slots = MAX (slots - MIN (longs, slots), slots / 4 + 1);
   return (ahead + 1) * mean / (usec_t)slots;
 }
 
@@ -816,12 +811,15 @@
   return true;
 }
 
-/** @param last group to look at, after those before it
+/** @param last group to look at, after those before it; GROUP_SUSPECT for
+    that one alone
     @return a VM of which a slot was taken, HANDLE_NONE if all are full */
 static handle_t
 pick_vm (routing_t *routing, usec_t now, uint32_t last)
 {
-  for (uint32_t group = GROUP_NEAR; group <= last; group++)
+  uint32_t first = last == GROUP_SUSPECT ? GROUP_SUSPECT : GROUP_NEAR;
+
+  for (uint32_t group = first; group <= last; group++)
     {
       handle_t vm = limits_pick (routing->limits, group);
 
@@ -931,6 +929,36 @@
   return drawn;
 }
 
+/** Starts a request at its latest start on a slot kept for short work if
+    none of that waits, or on a VM that is suspected to fail. */
+static bool
+place_late (routing_t *routing, usec_t now, handle_t request)
+{
+  if (!queue_best (routing->queue, LANE_SHORT, false)
+      && place_on_vm (routing, now, request, GROUP_FAR))
+    return true;
+  return place_on_vm (routing, now, request, GROUP_SUSPECT);
+}
+
+/** Runs due retries; gives up what could not start in time. */
+static void
+run_timers (routing_t *routing, usec_t now)
+{
+  const due_t *first;
+
+  while ((first = first_due (routing)) && first->due <= now)
+    {
+      handle_t request = first->request;
+      const request_t *r = request_of (routing, request);
+
+      if (r->state == REQUEST_BACKOFF)
+        enqueue (routing, request);
+      else if (now + expected_run (r->class) > r->item.deadline
+               || !place_late (routing, now, request))
+        give_up (routing, now, request);
+    }
+}
+
 /** Starts waiting requests on free slots up to the group LAST. */
 static void
 start_waiting (routing_t *routing, usec_t now, uint32_t last)
@@ -955,6 +983,7 @@
   if (routing->pumping)
     return;
   routing->pumping = true;
+  run_timers (routing, now);
   start_waiting (routing, now, GROUP_FAR);
   for (lane_t lane = LANE_SHORT; lane < LANE_COUNT && routing->peers->len;
        lane++)
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -68,8 +68,9 @@
 void routing_free (routing_t *routing);
 
 /** Takes in a request; one of the callbacks runs for it now or later.  The
-    strings of INFO are copied. @return its handle, HANDLE_NONE after
-    give_up was called with it */
+    strings of INFO are copied.  The callbacks may call routing functions.
+    @return its handle, HANDLE_NONE if it has ended already (give_up was called
+    with it) or, without a callback, if TABLE_MAX_ROWS requests are open */
 handle_t routing_submit (routing_t *routing, usec_t now,
                          const request_info_t *info);
 
@@ -81,9 +82,10 @@
 /** The caller went away; a request that waits is dropped. */
 void routing_abandon (routing_t *routing, usec_t now, handle_t request);
 
-/** An attempt ended.  After ATTEMPT_RAN and ATTEMPT_FAILED the request is
-    forgotten; after the others it is retried if safe and within budget, or
-    given up. */
+/** An attempt ended.  A VM that refused because it leaves is to be marked
+    with limits_leaving first, so that this does not count as its failure.
+   After ATTEMPT_RAN and ATTEMPT_FAILED the request is forgotten; after the
+   others it is retried if safe and within budget, or given up. */
 void routing_attempt_ended (routing_t *routing, usec_t now, handle_t request,
                             attempt_end_t end, usec_t run_time);
 
@@ -115,8 +117,10 @@
     25 ms, and not while the load is steady.  Call it after routing_tick. */
 bool routing_report_due (routing_t *routing, usec_t now);
 
-/** Gives up what missed its deadline, runs due retries.
-    @return when to call again */
+/** Gives up what missed its deadline, runs due retries and limits_tick.
+    @return when to call again, USEC_NEVER for no need; the other calls may
+    bring that time forward, so that a fixed interval of 5 ms while work is
+    open is the simplest */
 usec_t routing_tick (routing_t *routing, usec_t now);
 
 json_t *routing_dump (const routing_t *routing, usec_t now);
--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -173,6 +173,21 @@
   world_free (w);
 }
 
+/* Guards against work started after its deadline because the process was
+   paused between two ticks. */
+static void
+test_paused_process (void)
+{
+  world_t *w = world_new (1, 10);
+  handle_t running = submit (w, 0, 1, 900 * MS, false, 0);
+
+  submit (w, 0, 1, 100 * MS, false, 0);
+  submit (w, 0, 1, 900 * MS, false, 0);
+  routing_attempt_ended (w->routing, 500 * MS, running, ATTEMPT_RAN, MS);
+  expect (w, "d:a g:1 d:a");
+  world_free (w);
+}
+
 /* Guards against idle slots at a peer while work waits here, more forwards
    than a peer reported slots, a second hop, and a VM of another zone used
    before a near one. */
@@ -402,6 +417,7 @@
   CU_add_test (suite, "full queue", test_full_queue);
   CU_add_test (suite, "retry after", test_retry_after);
   CU_add_test (suite, "deadline", test_deadline);
+  CU_add_test (suite, "paused process", test_paused_process);
   CU_add_test (suite, "peers", test_peers);
   CU_add_test (suite, "report due", test_report_due);
   CU_add_test (suite, "retries", test_retries);
