--- a/src/base/messages.h
+++ b/src/base/messages.h
@@ -24,7 +24,9 @@
   F (U64, queued)                                                             \
   F (U64, free_millicores)                                                    \
   F (U64, bundle_version)                                                     \
-  F (U64, log_offset) F (U64, draining) F (U64S, holds_asked)
+  F (U64, log_offset)                                                         \
+  F (U64, log_ok)                                                             \
+  F (U64, draining) F (U64S, holds_asked) F (U64, live)
 #define HEARTBEAT_ACK_FIELDS(F)                                               \
   F (U64, seq) F (U64, log_ok) F (U64, log_offset) F (U64S, holds_granted)
 #define LOG_RELAY_FIELDS(F)                                                   \
@@ -94,10 +96,15 @@
   F (U64, status)                                                             \
   F (U64, cancelled)                                                          \
   F (BLOB, result)                                                            \
-  F (BLOB, checkpoint) F (U64, may_have_run) F (U64, as_of) F (U64, failures)
+  F (BLOB, checkpoint)                                                        \
+  F (U64, may_have_run) F (U64, as_of) F (U64, failures) F (U64, body_digest)
 #define BUNDLE_FIELDS(F)                                                      \
   F (U64, version) F (U64, parent) F (BLOB, text) F (BLOB, signature)
 
+#define SHARD_FIELDS(F)                                                       \
+  F (U64, shard) F (U64, epoch) F (U64, as_of) F (U64S, chain)
+#define RECORD_FIELDS(F) F (U64, incarnation) F (U64, seq)
+
 /* M (type number, identifier, structure) */
 #define PEER_MESSAGES(M)                                                      \
   M (1, HELLO, hello)                                                         \
@@ -122,7 +129,9 @@
   M (39, ORDER_REQUEUE, order_requeue)                                        \
   M (40, ORDER_CANCEL, order_cancel)                                          \
   M (41, ORDER_SNAPSHOT, order_snapshot)                                      \
-  M (42, BUNDLE, bundle)
+  M (42, BUNDLE, bundle)                                                      \
+  M (43, RECORD, record)                                                      \
+  M (44, SHARD, shard)
 
 #define MESSAGE_TABLE(M) PEER_MESSAGES (M) LOG_ENTRIES (M)
 
