Attempts: bound the time of one tick with many waiting orders

Cause: one tick could ask is_turn for 4096 orders and visit 4096 waiting ones; at 19 us a visit that holds up latency-critical requests for tens of milliseconds.

Ruled out: a small budget alone. Each pass began with the same groups, so groups that find no room would have used up every pass.

Change: 64 visits a pass and 256 is_turn questions every 5 ms; a pass goes on with the groups that the one before did not reach, and a change meanwhile brings another round.

Before: up to 4096 visits a tick (not timed).

Conclusion: the time of a tick no longer grows with the waiting orders.

--- a/src/attempts/attempts.c
+++ b/src/attempts/attempts.c
@@ -8,8 +8,11 @@
 
 #include <inttypes.h>
 
-/* Bounds the time of one tick with 400,000 waiting orders. */
-#define PASS_BUDGET 4096U
+/* These bound the time of one tick, during which latency-critical requests
+   wait.  A visit costs up to 19 us with 14,000 workers. */
+#define PASS_BUDGET 64U
+#define TURN_BUDGET 256U
+#define TURN_PAUSE (5 * USEC_PER_MSEC)
 #define FULL_SPEED 100U
 #define THROTTLED_SPEED 50U
 
@@ -34,6 +37,7 @@
                        const attempt_report_t *report);
 static void turns_tick (attempts_t *attempts, usec_t now);
 static void place_tick (attempts_t *attempts, usec_t now);
+static void schedule_pass (attempts_t *attempts, usec_t now);
 static waiting_visit_t place (void *ctx, order_id_t id);
 static attempt_t *propose (attempts_t *attempts, usec_t now,
                            const order_t *order, worker_t *worker);
@@ -79,6 +83,7 @@
   attempts->place_due = DUE_NEVER;
   attempts->placed_at = USEC_NEVER / 2;
   attempts->turn_due = USEC_NEVER;
+  attempts->turn_pause = USEC_NEVER;
   return attempts;
 }
 
@@ -454,6 +459,13 @@
 
 void
 attempts_place_soon (attempts_t *attempts, usec_t now)
+{
+  attempts->place_again = true;
+  schedule_pass (attempts, now);
+}
+
+static void
+schedule_pass (attempts_t *attempts, usec_t now)
 {
   usec_t at = MAX (now, attempts->placed_at + attempts->config.place_interval);
 
@@ -684,7 +696,13 @@
       attempts->turns_left = waiting_others (attempts->waiting);
       attempts->turn_due = now + attempts->config.turn_interval;
     }
-  for (unsigned i = 0; i < PASS_BUDGET && attempts->turns_left; i++)
+  if (attempts->turns_left && now < attempts->turn_pause)
+    {
+      attempts_wake (attempts, attempts->turn_pause);
+      return;
+    }
+  attempts->turn_pause = now + TURN_PAUSE;
+  for (unsigned i = 0; i < TURN_BUDGET && attempts->turns_left; i++)
     {
       const order_t *order;
 
@@ -698,7 +716,8 @@
         waiting_remove (attempts->waiting, id);
     }
   if (waiting_others (attempts->waiting))
-    attempts_wake (attempts, attempts->turns_left ? now : attempts->turn_due);
+    attempts_wake (attempts, attempts->turns_left ? attempts->turn_pause
+                                                  : attempts->turn_due);
 }
 
 static void
@@ -713,8 +732,12 @@
     }
   attempts->placed_at = now;
   attempts->place_due = DUE_NEVER;
-  if (!waiting_pass (attempts->waiting, PASS_BUDGET, place, &moment))
-    attempts_place_soon (attempts, now);
+  if (!attempts->round_open)
+    attempts->place_again = false;
+  attempts->round_open
+      = !waiting_pass (attempts->waiting, PASS_BUDGET, place, &moment);
+  if (attempts->round_open || attempts->place_again)
+    schedule_pass (attempts, now);
 }
 
 static waiting_visit_t
--- a/src/attempts/attempts_private.h
+++ b/src/attempts/attempts_private.h
@@ -118,7 +118,10 @@
   usec_t due;       /**< nothing is due before */
   usec_t place_due; /**< DUE_NEVER: nothing changed since the last pass */
   usec_t placed_at;
+  bool round_open;  /**< the last pass did not reach all groups */
+  bool place_again; /**< something changed since the round began */
   usec_t turn_due;
+  usec_t turn_pause; /**< until then no more is_turn are asked */
   size_t turns_left; /**< orders to ask is_turn for in this round */
 };
 
--- a/src/attempts/test_attempts.c
+++ b/src/attempts/test_attempts.c
@@ -142,6 +142,21 @@
   CU_ASSERT_EQUAL (waiting_others (waiting), 1);
   CU_ASSERT_TRUE (waiting_next_other (waiting, &other));
   CU_ASSERT_EQUAL (other, 9);
+  /* Large orders that miss must not use up the budget of every pass. */
+  for (order_id_t id = 3; id < 5; id++)
+    {
+      order_t order = { .id = id,
+                        .class_name = "c",
+                        .team = "t",
+                        .millicores = 1000,
+                        .accepted_at = 100 };
+
+      waiting_add (waiting, &order, true);
+    }
+  g_string_truncate (seen, 0);
+  CU_ASSERT_FALSE (waiting_pass (waiting, 4, visit, seen));
+  CU_ASSERT_TRUE (waiting_pass (waiting, 4, visit, seen));
+  CU_ASSERT_STRING_EQUAL (seen->str, "101 102 103 104 3 4 ");
   g_string_free (seen, TRUE);
   waiting_free (waiting);
 }
--- a/src/attempts/waiting.c
+++ b/src/attempts/waiting.c
@@ -15,6 +15,7 @@
   /* During a pass: */
   GSequenceIter *at;
   unsigned misses;
+  uint64_t done_in; /* round in which it was looked at to the end */
 } group_t;
 
 typedef struct
@@ -31,6 +32,7 @@
   GHashTable *items;  /* order -> item_t */
   GHashTable *groups; /* key -> group_t */
   GQueue others;
+  uint64_t round; /* one or more passes over all groups */
 };
 
 static group_t *group_of (waiting_t *waiting, const order_t *order);
@@ -55,6 +57,7 @@
   waiting->groups
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, group_free);
   g_queue_init (&waiting->others);
+  waiting->round = 1;
   return waiting;
 }
 
@@ -125,7 +128,7 @@
       group->misses = 0;
       if (g_sequence_iter_is_end (group->at))
         g_hash_table_iter_remove (&iter);
-      else
+      else if (group->done_in < waiting->round)
         g_ptr_array_add (groups[group->urgent ? 0 : 1], group);
     }
   for (int i = 0; i < 2; i++)
@@ -134,6 +137,8 @@
       whole = whole && pass_over (waiting, groups[i], &budget, visit, ctx);
       g_ptr_array_free (groups[i], TRUE);
     }
+  if (whole)
+    waiting->round++;
   return whole;
 }
 
@@ -209,7 +214,10 @@
         if (visit_one (waiting, group, budget, visit, ctx))
           i++;
         else
-          g_ptr_array_remove_index (groups, i);
+          {
+            group->done_in = waiting->round;
+            g_ptr_array_remove_index (groups, i);
+          }
       }
   return true;
 }
--- a/src/attempts/waiting.h
+++ b/src/attempts/waiting.h
@@ -25,7 +25,8 @@
 
 /** Walks own orders: urgent ones first, then one of each group in turn, in
     each group the oldest first.
-    @return false if BUDGET visits were used up before the end */
+    @return false if BUDGET visits were used up before the end; the next pass
+    then leaves out the groups that this one has done with */
 bool waiting_pass (waiting_t *waiting, unsigned budget,
                    waiting_visit_t (*visit) (void *ctx, order_id_t order),
                    void *ctx);
