Claims: holds are asked for only when the log is silent

Cause: heartbeats asked every witness for holds on every shard although the log confirmed the claims; the bytes grew with the shards, 6.4 KB/s at 304. A relay counts only if the question held all shards, and only for claims that were applied before it was sent.

--- a/src/claims/claims.c
+++ b/src/claims/claims.c
@@ -17,6 +17,9 @@
    but whether the witness has applied exactly this claim, in case the
    CLAIM_ACK was lost. */
 #define ASK_APPLIED (1ULL << 32)
+/* Holds are asked for once the log has not confirmed the claims for this
+   part of a lease. */
+#define HOLDS_AFTER_PART 2
 /* Longest time between two calls of claims_tick. */
 #define TICK_MAX (250 * USEC_PER_MSEC)
 /* Longest pause before a contested claim, in waits of rule (w). */
@@ -48,6 +51,7 @@
 static void apply_leave (claims_t *claims, usec_t now, const message_t *m);
 static void apply_claim (claims_t *claims, usec_t now, const message_t *m);
 static void apply_release (claims_t *claims, usec_t now, const message_t *m);
+static bool holds_due (const claims_t *claims, usec_t sent_at);
 static incarnation_t registered (const claims_t *claims, node_id_t node);
 static member_t *member_of (const claims_t *claims, incarnation_t incarnation);
 static bool same_host (const char *a, const char *b);
@@ -201,6 +205,8 @@
 {
   if (MUTATED (CONFIRM_AT_RECEIPT))
     sent_at = now;
+  if (!holds_due (claims, sent_at))
+    return;
   for (uint32_t i = 0; i < claims->config.shard_count; i++)
     {
       shard_t *shard = &claims->shards[i];
@@ -208,19 +214,30 @@
 
       for (uint32_t n = 0; n + 1 < superseded->count; n += 2)
         newer = newer || superseded->items[n] == i;
-      if (newer || !owns (claims, shard))
+      if (newer || !owns (claims, shard)
+          || current (shard)->applied_at > sent_at)
         continue;
       shard->own.confirmed = MAX (shard->own.confirmed, sent_at);
       refresh (claims, now, shard);
     }
 }
 
+/* While the log confirms the claims, holds would only be traffic.  They are
+   asked for early enough for several tries before a lease lapses.  A relay
+   answers the same question, so it counts only if all shards were in it. */
+static bool
+holds_due (const claims_t *claims, usec_t sent_at)
+{
+  return claims->log_confirmed == USEC_NEVER
+         || sent_at - claims->log_confirmed
+                >= claims->config.lease / HOLDS_AFTER_PART;
+}
+
 u64_list_t
 claims_holds_wanted (const claims_t *claims, usec_t now, incarnation_t witness)
 {
   GArray *list = g_array_new (FALSE, FALSE, sizeof (uint64_t));
 
-  (void)now;
   for (uint32_t i = 0; i < claims->config.shard_count; i++)
     {
       const shard_t *shard = &claims->shards[i];
@@ -228,7 +245,8 @@
 
       if (!owns (claims, shard))
         continue;
-      list_add (list, i, shard->own.epoch);
+      if (holds_due (claims, now))
+        list_add (list, i, shard->own.epoch);
       for (guint n = 0; !shard->own.resolved && n < shard->chain->len; n++)
         {
           const claim_t *former = chain_at (shard, n);
--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -99,7 +99,8 @@
                              const u64_list_t *superseded);
 
 /** Pairs (shard, epoch) for which a witness is asked for holds: all shards
-    we own, since the same list is the relay question.  Bit 32 of the shard
+    we own, since the same list is the relay question; none while the log
+    confirms our claims.  Bit 32 of the shard
     asks whether the witness has applied exactly this claim, which repeats a
     CLAIM_ACK that was lost.  The list is freed with g_free (items). */
 u64_list_t claims_holds_wanted (const claims_t *claims, usec_t now,
