Set a VM aside only after six failures in a row, not four

Cause: with a third of all attempts refused on every VM alike, VMs were set aside by chance, and their load moved to others. Change: a VM must fail half of its attempts more than the better VMs; before 0.35. Ruled out: a longer memory of failures; it would delay setting aside as well and also the return.

--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -72,6 +72,7 @@
   S_M_KILL,
   S_M_ZONE,
   S_M_NOISY,
+  S_M_REFUSALS,
   S_COUNT
 } scenario_id_t;
 
@@ -154,6 +155,9 @@
   [S_M_NOISY] = { { "magnolia 70%, noisy neighbours in waves", &magnolia, 0.7,
                     .noisy = true, .duration = MS (16000) },
                   ALL },
+  [S_M_REFUSALS] = { { "magnolia 60%, 30% of all attempts refused", &magnolia,
+                       0.6, .fault = FAULT_REFUSALS, .duration = MS (18000) },
+                     WITH (POLICY_LEAST) },
 };
 
 static void run (scenario_id_t id, uint32_t seeds, uint32_t policies);
--- a/bench/routing_world.c
+++ b/bench/routing_world.c
@@ -11,6 +11,7 @@
 #define FAIL_TIME (1 * USEC_PER_MSEC)
 #define DETECT_TIME (20 * USEC_PER_MSEC)
 #define SUSPECT_TIME (1000 * USEC_PER_MSEC)
+#define REFUSED_SHARE 0.3
 #define MAX_RETURNS 5U
 #define JITTER_SHARE 0.1     /* mean of the exponential part of a delay */
 #define DROP_SHARE 0.001     /* of the messages between zones */
@@ -323,9 +324,12 @@
 {
   instance_t *vm = &world->instances[world_job (world, event->a)->vm];
 
-  if (vm->failing)
+  bool refused
+      = world->refusing && g_rand_double (world->links) < REFUSED_SHARE;
+
+  if (vm->failing || refused)
     {
-      bool refuses = (vm - world->instances) % 2;
+      bool refuses = refused || (vm - world->instances) % 2;
 
       world_post (world, world->now + FAIL_TIME, EVENT_VM_DONE, event->a, 1,
                   refuses ? ATTEMPT_NOT_STARTED : ATTEMPT_FAILED, 0);
@@ -421,6 +425,7 @@
   if (fault == FAULT_THIRD_FAILS)
     for (uint32_t i = 0; i < world->site->instances; i += 3)
       world->instances[i].failing = true;
+  world->refusing = fault == FAULT_REFUSALS;
   if (fault == FAULT_KILL)
     {
       world->alive[0] = world->alive[3] = false;
--- a/bench/routing_world.h
+++ b/bench/routing_world.h
@@ -53,6 +53,7 @@
   FAULT_THIRD_FAILS, /**< every third instance fails everything at once */
   FAULT_THIRD_AWAY,  /**< every third instance does not exist */
   FAULT_KILL,        /**< two entry processes end */
+  FAULT_REFUSALS,    /**< all instances refuse 30% of the attempts */
   FAULT_ZONE_CUT     /**< zone 0 is cut off from the others for 3 s */
 } fault_t;
 
@@ -183,6 +184,7 @@
   double base_rate; /**< requests a microsecond at full load */
   instance_t instances[WORLD_MAX_INSTANCES];
   bool alive[WORLD_MAX_NODES];
+  bool refusing;       /**< see FAULT_REFUSALS */
   bool cut;            /**< zone 0 is cut off */
   uint64_t over_slots; /**< attempts that found their instance full */
   uint64_t reports;    /**< load reports sent, one for each peer */
--- a/src/routing/health.c
+++ b/src/routing/health.c
@@ -11,7 +11,7 @@
 #include <glib.h>
 
 #define WEIGHT 0.125      /* of one attempt in the share of failures */
-#define EXCESS 0.35       /* over the better VMs: four failures in a row */
+#define EXCESS 0.5        /* over the better VMs: six failures in a row */
 #define EXCESS_END 0.15   /* until here a suspect VM stays one */
 #define FORGET_BELOW 0.01 /* share of failures */
 #define ASIDE_TIME (1 * USEC_PER_SEC) /* doubled each time, up to 8 s */
