test_cli removes its directory

Ruled out: a fixed name; runs at the same time would share it. Change: the suite removes its files and the directory at its end. Figures: one directory left for each run before, none after (make unit). Conclusion: nothing is left behind.

--- a/src/cli/test_cli.c
+++ b/src/cli/test_cli.c
@@ -6,6 +6,7 @@
 #include <microhttpd.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define TEST_KEY "test-bearer-key-0123"
 
@@ -77,6 +78,22 @@
   return 0;
 }
 
+static int
+teardown (void)
+{
+  static const char *const names[] = { "key", "body" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      char *path = g_build_filename (dir, names[i], NULL);
+
+      (void)unlink (path);
+      g_free (path);
+    }
+  MHD_stop_daemon (daemon_handle);
+  return rmdir (dir);
+}
+
 /* Writes a file into the directory of the test.  @return its path */
 static const char *
 file_of (const char *name, const char *text)
@@ -264,13 +281,12 @@
 
   if (CU_initialize_registry () != CUE_SUCCESS)
     return 2;
-  suite = CU_add_suite ("cli", setup, NULL);
+  suite = CU_add_suite ("cli", setup, teardown);
   CU_add_test (suite, "exit codes", test_exit_codes);
   CU_add_test (suite, "key and outcome", test_key_and_outcome);
   CU_add_test (suite, "unreachable", test_unreachable);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
   CU_cleanup_registry ();
-  MHD_stop_daemon (daemon_handle);
   return failures ? 1 : 0;
 }
