Kill and freeze tests keep the slots full

Cause: with the claims mutant NO_WAIT_D (a successor does not wait for the requests of a killed owner) test-kill still passed: at 300 requests/s only two of 64 slots were held, so nothing was exceeded. Conclusion: the test now guards the wait of rule (d).

--- a/standin/load.c
+++ b/standin/load.c
@@ -60,13 +60,12 @@
 }
 
 void
-load_body (const load_t *load, GByteArray *body, uint64_t id, unsigned tries)
+load_body (const load_t *load, GByteArray *body, uint64_t id, unsigned tries,
+           int run_ms)
 {
   char head[64];
   guint i;
-  int len = load->run_ms
-                ? snprintf (head, sizeof head, "run-ms=%d;", load->run_ms)
-                : 0;
+  int len = run_ms ? snprintf (head, sizeof head, "run-ms=%d;", run_ms) : 0;
 
   len += snprintf (head + len, sizeof head - (size_t)len, "%llu.%llu.%u.",
                    (unsigned long long)load->seed, (unsigned long long)id,
--- a/standin/load.h
+++ b/standin/load.h
@@ -58,7 +58,7 @@
   uint64_t seed;
   bool direct;
   int body_bytes;
-  int run_ms; /**< service time asked for in the body, 0: by class */
+  int run_ms; /**< service time of LC requests, 0: by class */
   int retries;
   int timeout_ms;
   int most_in_flight;
@@ -87,9 +87,10 @@
 void load_set_aside (load_t *load, const char *address);
 /** Draws a class of the mix. */
 load_class_t *load_draw (load_t *load, GArray *classes);
-/** Fills BODY with bytes that no other try has. */
+/** Fills BODY with bytes that no other try has.
+    @param run_ms service time asked for, 0 for that of the class */
 void load_body (const load_t *load, GByteArray *body, uint64_t id,
-                unsigned tries);
+                unsigned tries, int run_ms);
 usec_t load_now (void);
 
 #endif
--- a/standin/load_lc.c
+++ b/standin/load_lc.c
@@ -69,7 +69,7 @@
 
   snprintf (item->address, sizeof item->address, "%s",
             load_target (load)->address);
-  load_body (load, item->body, item->id, item->tries);
+  load_body (load, item->body, item->id, item->tries, load->run_ms);
   headers = curl_slist_append (NULL, item->kind->authorization);
   headers = curl_slist_append (headers, "Expect:");
   if (load->direct)
--- a/standin/load_orders.c
+++ b/standin/load_orders.c
@@ -46,7 +46,7 @@
   item->number = load->next_id++;
   item->cancel = g_rand_double (load->random) < load->cancel;
   item->body = g_byte_array_new ();
-  load_body (load, item->body, item->number, 0);
+  load_body (load, item->body, item->number, 0, 0);
   ev_timer_init (&item->timer, on_timer, 0.0, 0.0);
   item->timer.data = item;
   load->orders_sent++;
--- a/standin/main_load.c
+++ b/standin/main_load.c
@@ -60,7 +60,7 @@
     "time a caller waits for an LC answer", "MS" },
   { "body-bytes", 0, 0, G_OPTION_ARG_INT, &body_bytes, "size of bodies", "N" },
   { "run-ms", 0, 0, G_OPTION_ARG_INT, &run_ms,
-    "service time of every request and order, 0 for that of the class", "MS" },
+    "service time of LC requests, 0 for that of the class", "MS" },
   { "most-in-flight", 0, 0, G_OPTION_ARG_INT, &most_in_flight,
     "bound of LC requests under way", "N" },
   { "direct", 0, 0, G_OPTION_ARG_NONE, &direct,
--- a/tests/test-freeze.sh
+++ b/tests/test-freeze.sh
@@ -6,7 +6,8 @@
 ZONES=a,b
 start_site 3 --instances 8 --workers 6 --seed 9
 
-start_load load --rate 300 --order-rate 4 --seconds 11 --order-wait 25
+# Most of the 64 slots are held when an owner is frozen.
+start_load load --rate 130 --run-ms 450 --order-rate 4 --seconds 11 --order-wait 25
 for seconds in 0.5 4 3; do
 	owner=$(owner_of 0)
 	kill -STOP "$(pid_of "node-$owner")"
--- a/tests/test-kill.sh
+++ b/tests/test-kill.sh
@@ -8,8 +8,10 @@
 ZONES=a,b
 start_site 3 --instances 8 --workers 6 --seed 5
 
-start_load load --rate 300 --order-rate 4 --seconds $((KILLS * 4)) \
-    --order-wait 25
+# Most of the 64 slots are held when an owner dies, so that a successor that
+# does not wait for them exceeds the limits.
+start_load load --rate 130 --run-ms 450 --order-rate 4 \
+    --seconds $((KILLS * 4)) --order-wait 25
 worst=0
 for kill in $(seq "$KILLS"); do
 	sleep 1
