--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -2,7 +2,8 @@
  * Bench of the routing policy on a paused clock.
  *
  * Usage: bench_routing [-n SEEDS] [-s SCENARIO] [-o] [-c].  -o runs only
- * routing_t, -c times decisions only.  Prints the median over the seeds, and
+ * routing_t, -c times decisions only, -l prints a table over the load for
+ * docs/routing-load.gp.  Prints the median over the seeds, and
  * the range in brackets.
  */
 #include "routing_policies.h"
@@ -37,6 +38,7 @@
   F_OVER,     /* attempts that found their VM full */
   F_FORWARDS, /* percent of the requests */
   F_RETRIES,  /* percent */
+  F_REPORTS,  /* load reports that one process sends in a second */
   F_COUNT
 } figure_t;
 
@@ -155,6 +157,7 @@
 };
 
 static void run (scenario_id_t id, uint32_t seeds, uint32_t policies);
+static void sweep (uint32_t seeds);
 static summary_t run_policy (const scenario_t *scenario, policy_id_t policy,
                              uint32_t seeds);
 static figures_t measure (const world_t *world);
@@ -188,11 +191,14 @@
   int only = -1;
   uint32_t policies = ALL;
   bool cost_only = false;
+  bool by_load = false;
 
   for (int i = 1; i < argc; i++)
     {
       if (g_str_equal (argv[i], "-c"))
         cost_only = true;
+      else if (g_str_equal (argv[i], "-l"))
+        by_load = true;
       else if (g_str_equal (argv[i], "-o"))
         policies = OURS;
       else if (g_str_equal (argv[i], "-n") && i + 1 < argc)
@@ -201,6 +207,11 @@
         only = (int)strtol (argv[++i], NULL, 10);
     }
   seeds = CLAMP (seeds, 1, SEEDS_MAX);
+  if (by_load)
+    {
+      sweep (seeds);
+      return 0;
+    }
   for (int id = 0; id < S_COUNT && !cost_only; id++)
     if (only < 0 || only == id)
       run ((scenario_id_t)id, seeds, policies);
@@ -228,6 +239,32 @@
   fflush (stdout);
 }
 
+/** Proof p99 and percent good of magnolia over the load. */
+static void
+sweep (uint32_t seeds)
+{
+  static const policy_id_t policies[]
+      = { POLICY_OURS, POLICY_LEAST, POLICY_STATIC, POLICY_REFERENCE };
+
+  printf ("# load, then p99 [ms] and good [%%] of: limpethinge, least "
+          "connections, static division, reference\n");
+  for (int load = 50; load <= 200; load += load < 120 ? 10 : 20)
+    {
+      scenario_t scenario = rows[S_M80].scenario;
+
+      scenario.load = load / 100.0;
+      printf ("%d", load);
+      for (size_t i = 0; i < G_N_ELEMENTS (policies); i++)
+        {
+          summary_t s = run_policy (&scenario, policies[i], seeds);
+
+          printf (" %.1f %.2f", s.median.at[F_P99], s.median.at[F_GOOD]);
+        }
+      printf ("\n");
+      fflush (stdout);
+    }
+}
+
 static summary_t
 run_policy (const scenario_t *scenario, policy_id_t policy, uint32_t seeds)
 {
@@ -270,6 +307,8 @@
       world, WORLD_EVENT_FROM + WORLD_SURGE_TIME,
       WORLD_EVENT_FROM + WORLD_SURGE_TIME + 3 * USEC_PER_SEC, false);
   f.at[F_OVER] = (double)world->over_slots;
+  f.at[F_REPORTS] = (double)world->reports * (double)USEC_PER_SEC
+                    / ((double)world->now * world->site->nodes);
   f.at[F_FORWARDS]
       = 100.0 * (double)world->forwards / (double)world->jobs->len;
   f.at[F_RETRIES] = 100.0 * (double)world->retries / (double)world->jobs->len;
@@ -415,10 +454,11 @@
 print_header (const scenario_t *scenario)
 {
   printf ("\n%s\n%-12s %5s %21s %6s %6s %5s %5s %5s %19s %5s %5s %6s %6s %4s "
-          "%5s %5s %6s %5s %5s\n",
+          "%5s %5s %6s %5s %5s %5s\n",
           scenario->name, "policy", "p50", "p99 [range] ms", "p99.9", "long99",
           "late%", "ref%", "fail%", "good% [range]", "long%", "work%",
-          "steady", "surge", "back", "oth%", "aft%", "over", "fwd%", "ret%");
+          "steady", "surge", "back", "oth%", "aft%", "over", "fwd%", "ret%",
+          "rep/s");
 }
 
 static void
@@ -428,12 +468,13 @@
 
   printf ("%-12s %5.1f %7.1f [%5.0f,%5.0f] %6.0f %6.0f %5.2f %5.2f %5.2f "
           "%6.2f [%5.1f,%5.1f] %5.1f %5.1f %6.1f %6.1f %4.1f %5.1f %5.1f "
-          "%6.0f %5.1f %5.2f\n",
+          "%6.0f %5.1f %5.2f %5.0f\n",
           name, m[F_P50], m[F_P99], s->low.at[F_P99], s->high.at[F_P99],
           m[F_P999], m[F_LONG_P99], m[F_LATE], m[F_REFUSED], m[F_FAILED],
           m[F_GOOD], s->low.at[F_GOOD], s->high.at[F_GOOD], m[F_GOOD_LONG],
           m[F_WORK], m[F_STEADY], m[F_SURGE], m[F_BACK], m[F_OTHERS],
-          m[F_AFTER], m[F_OVER], m[F_FORWARDS], m[F_RETRIES]);
+          m[F_AFTER], s->high.at[F_OVER], m[F_FORWARDS], m[F_RETRIES],
+          m[F_REPORTS]);
 }
 
 /** The bounds are those of docs/design.md, "Figures to reach".  Where it has
--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -173,6 +173,21 @@
   world_free (w);
 }
 
+/* Guards against work started after its deadline because the process was
+   paused between two ticks. */
+static void
+test_paused_process (void)
+{
+  world_t *w = world_new (1, 10);
+  handle_t running = submit (w, 0, 1, 900 * MS, false, 0);
+
+  submit (w, 0, 1, 100 * MS, false, 0);
+  submit (w, 0, 1, 900 * MS, false, 0);
+  routing_attempt_ended (w->routing, 500 * MS, running, ATTEMPT_RAN, MS);
+  expect (w, "d:a g:1 d:a");
+  world_free (w);
+}
+
 /* Guards against idle slots at a peer while work waits here, more forwards
    than a peer reported slots, a second hop, and a VM of another zone used
    before a near one. */
@@ -207,6 +222,24 @@
   world_free (w);
 }
 
+/* Guards against peers that choose by an old load, and against reports while
+   nothing changes or many for one burst. */
+static void
+test_report_due (void)
+{
+  world_t *w = world_new (4, 10);
+
+  CU_ASSERT_TRUE (routing_report_due (w->routing, 100 * MS));
+  CU_ASSERT_FALSE (routing_report_due (w->routing, 200 * MS));
+  for (int i = 0; i < 4; i++)
+    submit (w, 200 * MS, 1, 900 * MS, false, 0);
+  CU_ASSERT_TRUE (routing_report_due (w->routing, 200 * MS));
+  routing_attempt_ended (w->routing, 210 * MS, w->last, ATTEMPT_RAN, MS);
+  CU_ASSERT_FALSE (routing_report_due (w->routing, 210 * MS));
+  CU_ASSERT_TRUE (routing_report_due (w->routing, 230 * MS));
+  world_free (w);
+}
+
 /* Guards invariants 2, 5 and 6: what may have run is sent again only if it
    is idempotent and its first attempt has surely ended, and is never called
    not-run. */
@@ -384,7 +417,9 @@
   CU_add_test (suite, "full queue", test_full_queue);
   CU_add_test (suite, "retry after", test_retry_after);
   CU_add_test (suite, "deadline", test_deadline);
+  CU_add_test (suite, "paused process", test_paused_process);
   CU_add_test (suite, "peers", test_peers);
+  CU_add_test (suite, "report due", test_report_due);
   CU_add_test (suite, "retries", test_retries);
   CU_add_test (suite, "retry budget", test_retry_budget);
   CU_add_test (suite, "failing VMs", test_failing_vms);
