Claims: a relay answer confirms only claims that its question named

Ruled out: remembering the asked list for each heartbeat; the time at which the claim was applied tells the same. Change: claims_relay_confirmed skips claims applied at or after SENT_AT; unit test of relay answers and of grants while draining.

--- a/src/claims/claims.c
+++ b/src/claims/claims.c
@@ -38,7 +38,8 @@
   MUTANT_NO_REFUSAL,
   MUTANT_ONE_WITNESS_LIST,
   MUTANT_NO_CHAIN,
-  MUTANT_GRANT_AFTER_DRAIN
+  MUTANT_GRANT_AFTER_DRAIN,
+  MUTANT_RELAY_UNASKED
 };
 #ifndef CLAIMS_MUTANT
 #define CLAIMS_MUTANT MUTANT_NONE
@@ -270,6 +271,10 @@
         newer = newer || superseded->items[n] == i;
       if (newer || !owns (claims, shard))
         continue;
+      /* A question sent before the claim was applied did not name it, and a
+         newer claim may have followed it in the log by then. */
+      if (sent_at <= current (shard)->applied_at && !MUTATED (RELAY_UNASKED))
+        continue;
       shard->own.confirmed = MAX (shard->own.confirmed, sent_at);
       refresh (claims, now, shard);
     }
--- a/src/claims/test_claims.c
+++ b/src/claims/test_claims.c
@@ -268,6 +268,27 @@
   claims_free (claims);
 }
 
+/* Guards against a relay answer that confirms a claim which the question did
+   not name, for it was applied later, or which was superseded. */
+static void
+test_relay_confirms (void)
+{
+  claims_t *claims = registered ();
+  uint64_t pair[] = { 0, 2 };
+  u64_list_t none = { 0, NULL };
+  u64_list_t superseded = { 2, pair };
+
+  claim (claims, 100 * MS, 1, 11);
+  claims_relay_confirmed (claims, 200 * MS, 100 * MS, &none);
+  CU_ASSERT_FALSE (acts (claims, 200 * MS));
+  claims_relay_confirmed (claims, 200 * MS, 150 * MS, &superseded);
+  CU_ASSERT_FALSE (acts (claims, 200 * MS));
+  claims_relay_confirmed (claims, 200 * MS, 150 * MS, &none);
+  CU_ASSERT_TRUE (acts (claims, 150 * MS + LEASE - 1));
+  CU_ASSERT_FALSE (acts (claims, 150 * MS + LEASE));
+  claims_free (claims);
+}
+
 /* Guards against a witness that grants a hold after a newer claim, or says
    that it has applied a claim that it has not. */
 static void
@@ -295,6 +316,10 @@
   CU_ASSERT_EQUAL (granted.items[1], 2);
   CU_ASSERT_EQUAL (granted.items[2], 1ULL << 32);
   g_free (granted.items);
+  claims_drain (claims);
+  granted = claims_grant (claims, &asked);
+  CU_ASSERT_EQUAL (granted.count, 2);
+  g_free (granted.items);
   granted = claims_superseded (claims, &asked);
   CU_ASSERT_EQUAL (granted.count, 2);
   CU_ASSERT_EQUAL (granted.items[1], 2);
@@ -443,6 +468,7 @@
     { "first claim", test_first_claim_acts },
     { "successor rules", test_successor_rules },
     { "holds", test_holds_confirm },
+    { "relay", test_relay_confirms },
     { "witness", test_witness_refuses_superseded },
     { "void claims", test_void_claims },
     { "member evidence", test_member_evidence_needs_address },
