--- a/src/claims/claims.c
+++ b/src/claims/claims.c
@@ -17,6 +17,9 @@
    but whether the witness has applied exactly this claim, in case the
    CLAIM_ACK was lost. */
 #define ASK_APPLIED (1ULL << 32)
+/* Holds are asked for once the log has not confirmed the claims for this
+   part of a lease. */
+#define HOLDS_AFTER_PART 2
 /* Longest time between two calls of claims_tick. */
 #define TICK_MAX (250 * USEC_PER_MSEC)
 /* Longest pause before a contested claim, in waits of rule (w). */
@@ -37,7 +40,9 @@
   MUTANT_NO_REFUSAL,
   MUTANT_ONE_WITNESS_LIST,
   MUTANT_NO_CHAIN,
-  MUTANT_GRANT_AFTER_DRAIN
+  MUTANT_GRANT_AFTER_DRAIN,
+  MUTANT_RELAY_UNASKED,
+  MUTANT_RELEASE_PENDING
 };
 #ifndef CLAIMS_MUTANT
 #define CLAIMS_MUTANT MUTANT_NONE
@@ -48,7 +53,9 @@
 static void apply_leave (claims_t *claims, usec_t now, const message_t *m);
 static void apply_claim (claims_t *claims, usec_t now, const message_t *m);
 static void apply_release (claims_t *claims, usec_t now, const message_t *m);
-static incarnation_t registered (const claims_t *claims, node_id_t node);
+static bool holds_due (const claims_t *claims, usec_t sent_at);
+static void end_predecessors (claims_t *claims, usec_t now,
+                              incarnation_t incarnation, usec_t alive_at);
 static member_t *member_of (const claims_t *claims, incarnation_t incarnation);
 static bool same_host (const char *a, const char *b);
 static bool claim_valid (const claims_t *claims, const msg_claim_t *entry);
@@ -117,8 +124,6 @@
   claims->config = *config;
   claims->ops = *ops;
   claims->ctx = ctx;
-  claims->registered
-      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   claims->members
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   claims->ended
@@ -151,7 +156,6 @@
     }
   g_free (claims->shards);
   g_free (claims->candidates);
-  g_hash_table_destroy (claims->registered);
   g_hash_table_destroy (claims->members);
   g_hash_table_destroy (claims->ended);
   g_free (claims);
@@ -201,6 +205,8 @@
 {
   if (MUTATED (CONFIRM_AT_RECEIPT))
     sent_at = now;
+  if (!holds_due (claims, sent_at))
+    return;
   for (uint32_t i = 0; i < claims->config.shard_count; i++)
     {
       shard_t *shard = &claims->shards[i];
@@ -210,17 +216,31 @@
         newer = newer || superseded->items[n] == i;
       if (newer || !owns (claims, shard))
         continue;
+      /* A question sent before the claim was applied did not name it, and a
+         newer claim may have followed it in the log by then. */
+      if (sent_at <= current (shard)->applied_at && !MUTATED (RELAY_UNASKED))
+        continue;
       shard->own.confirmed = MAX (shard->own.confirmed, sent_at);
       refresh (claims, now, shard);
     }
 }
 
+/* While the log confirms the claims, holds would only be traffic.  They are
+   asked for early enough for several tries before a lease lapses.  A relay
+   answers the same question, so it counts only if all shards were in it. */
+static bool
+holds_due (const claims_t *claims, usec_t sent_at)
+{
+  return claims->log_confirmed == USEC_NEVER
+         || sent_at - claims->log_confirmed
+                >= claims->config.lease / HOLDS_AFTER_PART;
+}
+
 u64_list_t
 claims_holds_wanted (const claims_t *claims, usec_t now, incarnation_t witness)
 {
   GArray *list = g_array_new (FALSE, FALSE, sizeof (uint64_t));
 
-  (void)now;
   for (uint32_t i = 0; i < claims->config.shard_count; i++)
     {
       const shard_t *shard = &claims->shards[i];
@@ -228,7 +248,8 @@
 
       if (!owns (claims, shard))
         continue;
-      list_add (list, i, shard->own.epoch);
+      if (holds_due (claims, now))
+        list_add (list, i, shard->own.epoch);
       for (guint n = 0; !shard->own.resolved && n < shard->chain->len; n++)
         {
           const claim_t *former = chain_at (shard, n);
@@ -246,6 +267,7 @@
 claims_holds_granted (claims_t *claims, usec_t now, usec_t sent_at,
                       incarnation_t witness, const u64_list_t *granted)
 {
+  end_predecessors (claims, now, witness, sent_at);
   if (MUTATED (CONFIRM_AT_RECEIPT))
     sent_at = now;
   for (uint32_t n = 0; n + 1 < granted->count; n += 2)
@@ -464,6 +486,7 @@
   usec_t next = now + TICK_MAX;
 
   claims->log_fresh = log_fresh (claims, now);
+  end_predecessors (claims, now, claims->config.incarnation, now);
   for (uint32_t i = 0; i < claims->config.shard_count; i++)
     {
       shard_t *shard = &claims->shards[i];
@@ -491,65 +514,56 @@
                     (int)claims->candidate_count, "shards", shards);
 }
 
-/* Whoever was registered at the same address has ended, since the port is
-   bound before the entry is appended.  At another address nothing is known of
-   the former incarnation of the node: the node number of a VM that is only
-   frozen may be given to its replacement.  Whether the entry registers depends
-   on the log alone, not on evidence, which differs between processes. */
+/* The order of two MEMBER entries proves nothing: the append of a process that
+   has ended may land after the one of its successor. */
 static void
 apply_member (claims_t *claims, usec_t now, const message_t *m)
 {
   const msg_member_t *entry = &m->u.member;
-  gpointer node = GUINT_TO_POINTER ((guint)entry->node);
-  incarnation_t former = registered (claims, (node_id_t)entry->node);
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
   member_t *member;
 
   if (member_of (claims, entry->incarnation))
     return;
   member = g_new0 (member_t, 1);
+  member->applied_at = now;
   member->absent_since = USEC_NEVER;
   memcpy (member->address, entry->address.data ? entry->address.data : "",
           MIN (entry->address.len, ADDRESS_MAX - 1));
   g_hash_table_insert (
       claims->members,
       g_memdup2 (&entry->incarnation, sizeof entry->incarnation), member);
-  g_hash_table_insert (
-      claims->registered, node,
-      g_memdup2 (&entry->incarnation, sizeof entry->incarnation));
-  if (former)
-    member_of (claims, former)->retired = true;
-  g_hash_table_iter_init (&iter, claims->members);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    if (value != member
-        && strcmp (((member_t *)value)->address, member->address) == 0)
-      claims_ended (claims, now, *(const incarnation_t *)key);
 }
 
 static void
 apply_leave (claims_t *claims, usec_t now, const message_t *m)
 {
-  const msg_leave_t *entry = &m->u.leave;
-  member_t *member = member_of (claims, entry->incarnation);
-
-  if (registered (claims, (node_id_t)entry->node) == entry->incarnation)
-    g_hash_table_remove (claims->registered,
-                         GUINT_TO_POINTER ((guint)entry->node));
-  if (member)
-    member->retired = true;
-  claims_ended (claims, now, entry->incarnation);
+  claims_ended (claims, now, m->u.leave.incarnation);
 }
 
-/* @return the registered incarnation of a node, 0 if none */
-static incarnation_t
-registered (const claims_t *claims, node_id_t node)
+/* The incarnation was alive at ALIVE_AT or later, so whoever was registered
+   at its address before that has ended: a process binds its port before it
+   appends MEMBER.  At another address nothing is known: the node number of a
+   VM that is only frozen may be given to its replacement. */
+static void
+end_predecessors (claims_t *claims, usec_t now, incarnation_t incarnation,
+                  usec_t alive_at)
 {
-  const incarnation_t *found
-      = g_hash_table_lookup (claims->registered, GUINT_TO_POINTER (node));
+  const member_t *alive = member_of (claims, incarnation);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  if (!alive)
+    return;
+  g_hash_table_iter_init (&iter, claims->members);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const member_t *member = value;
 
-  return found ? *found : 0;
+      if (member != alive && member->applied_at < alive_at
+          && strcmp (member->address, alive->address) == 0)
+        claims_ended (claims, now, *(const incarnation_t *)key);
+    }
 }
 
 static member_t *
@@ -608,7 +622,6 @@
   return shard
          && (entry->epoch == shard->epoch + 1
              || (MUTATED (NO_EPOCH_CHECK) && entry->epoch >= shard->epoch))
-         && registered (claims, (node_id_t)entry->node) == entry->incarnation
          && entry->witnesses.count <= CLAIMS_MAX_WITNESSES;
 }
 
@@ -901,11 +914,14 @@
 }
 
 /* Tells peers, and the log once.  With a renewal on its way the log is told
-   after its outcome; peers are told of both epochs. */
+   after its outcome; peers are told of both epochs.  A claim on its way after
+   the shard was lost is no renewal and stays claimed. */
 static void
 announce_release (claims_t *claims, usec_t now, shard_t *shard)
 {
   uint32_t number = number_of (claims, shard);
+  bool renewing = shard->pending.epoch
+                  && (owns (claims, shard) || MUTATED (RELEASE_PENDING));
   uint64_t pairs[]
       = { number, shard->own.epoch, number, shard->pending.epoch };
   message_t entry
@@ -913,13 +929,12 @@
   message_t told = { .type = MSG_PEER_RELEASE };
 
   shard->own.repeat_at = now + RELEASE_REPEAT;
-  if (!shard->pending.epoch && !shard->own.release_appended)
+  if (!renewing && !shard->own.release_appended)
     {
       shard->own.release_appended = true;
       claims->ops.append (claims->ctx, &entry);
     }
-  told.u.peer_release.released
-      = (u64_list_t){ shard->pending.epoch ? 4 : 2, pairs };
+  told.u.peer_release.released = (u64_list_t){ renewing ? 4 : 2, pairs };
   for (size_t i = 0; i < claims->candidate_count; i++)
     {
       const claims_candidate_t *to = &claims->candidates[i];
@@ -946,7 +961,8 @@
     }
   if (shard->claimable_at == USEC_NEVER)
     shard->claimable_at = now;
-  if (!self || !may_take (claims, self) || !log_fresh (claims, now)
+  if (!self || !member_of (claims, self->incarnation)
+      || !may_take (claims, self) || !log_fresh (claims, now)
       || now < shard->retry_at)
     return;
   if (now >= shard->claimable_at
@@ -1076,6 +1092,7 @@
 choose_witnesses (const claims_t *claims, incarnation_t *out)
 {
   uint32_t count = 0;
+  usec_t at;
 
   for (int pass = 0; pass < 2; pass++)
     for (size_t i = 0; i < claims->candidate_count; i++)
@@ -1084,7 +1101,8 @@
 
         if (count == CLAIMS_MAX_WITNESSES || c->keeps_only != (pass == 1)
             || c->incarnation == claims->config.incarnation
-            || registered (claims, c->node) != c->incarnation)
+            || !member_of (claims, c->incarnation)
+            || ended_at (claims, c->incarnation, &at))
           continue;
         out[count++] = c->incarnation;
       }
--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -99,13 +99,16 @@
                              const u64_list_t *superseded);
 
 /** Pairs (shard, epoch) for which a witness is asked for holds: all shards
-    we own, since the same list is the relay question.  Bit 32 of the shard
+    we own, since the same list is the relay question; none while the log
+    confirms our claims.  Bit 32 of the shard
     asks whether the witness has applied exactly this claim, which repeats a
     CLAIM_ACK that was lost.  The list is freed with g_free (items). */
 u64_list_t claims_holds_wanted (const claims_t *claims, usec_t now,
                                 incarnation_t witness);
 
-/** Confirmation (c): a witness granted holds asked for at SENT_AT. */
+/** Confirmation (c): a witness granted holds asked for at SENT_AT.  Called for
+    each acknowledged heartbeat, also with an empty list: it proves that the
+    witness was alive, so that former processes at its address have ended. */
 void claims_holds_granted (claims_t *claims, usec_t now, usec_t sent_at,
                            incarnation_t witness, const u64_list_t *granted);
 
--- a/src/claims/claims_private.h
+++ b/src/claims/claims_private.h
@@ -55,7 +55,7 @@
 typedef struct
 {
   char address[ADDRESS_MAX];
-  bool retired;        /* replaced by another of its node, or left */
+  usec_t applied_at;
   usec_t absent_since; /* first list without it, USEC_NEVER if named */
 } member_t;
 
@@ -65,9 +65,8 @@
   claims_ops_t ops;
   void *ctx;
   shard_t *shards;
-  GHashTable *registered; /* node -> incarnation_t, by the log alone */
-  GHashTable *members;    /* incarnation -> member_t, by the log alone */
-  GHashTable *ended;      /* incarnation -> usec_t, when evidence arrived */
+  GHashTable *members; /* incarnation -> member_t */
+  GHashTable *ended;   /* incarnation -> usec_t, when evidence arrived */
   claims_candidate_t *candidates;
   size_t candidate_count;
   usec_t first_candidates_at;
