--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -1,18 +1,27 @@
 #!/bin/sh
-# Runs the CUnit programs named as arguments; fails if one fails or if one
-# ran no assertion.
+# Runs the CUnit programs named as arguments, four at a time; fails if one
+# fails or if one ran no assertion.
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+# shellcheck disable=SC2016
+printf '%s\n' "$@" | xargs -P 4 -I {} sh -c '
+	name=$(basename "$2")
+	"$2" >"$1/$name.out" 2>&1
+	echo $? >"$1/$name.code"
+' sh "$work" {}
+
 status=0
 total=0
 for program in "$@"; do
-	output=$("$program" 2>&1)
-	code=$?
-	asserts=$(printf '%s\n' "$output" | awk '$1 == "asserts" { print $2 }')
-	if [ $code -ne 0 ] || [ -z "$asserts" ] || [ "$asserts" -eq 0 ]; then
-		printf '%s\n' "$output"
+	name=$(basename "$program")
+	code=$(cat "$work/$name.code")
+	asserts=$(awk '$1 == "asserts" { print $2 }' "$work/$name.out")
+	if [ "$code" -ne 0 ] || [ "${asserts:-0}" -eq 0 ]; then
+		tail -n 60 "$work/$name.out"
 		echo "FAIL $program (exit $code)"
 		status=1
 	else
-		echo "ok   $(basename "$program") $asserts assertions"
+		echo "ok   $name $asserts assertions"
 		total=$((total + asserts))
 	fi
 done
