--- a/src/claims/claims.h
+++ b/src/claims/claims.h
@@ -69,6 +69,17 @@
     process reaches the same verdict on every entry. */
 void claims_apply (claims_t *claims, usec_t now, const message_t *entry);
 
+/** Tells that the log's records before FROM had expired before this process
+    could read them.  To be called before the first entry is applied. */
+void claims_log_from (claims_t *claims, uint64_t from);
+
+/** Fills an entry that stands for all claims of a shard up to now, to be
+    appended before their records expire; entry->chain.items is freed with
+    g_free.  @param as_of offset up to which the log has been applied
+    @return false if there is nothing to append */
+bool claims_snapshot (const claims_t *claims, uint32_t shard, uint64_t as_of,
+                      msg_shard_t *entry);
+
 /** Nodes that are live or that live peers report as live (with keeps_only),
     this one included.  A shard whose owner is not among
     them is claimed by others.  Claims and handovers follow rendezvous hashing
@@ -88,7 +99,8 @@
                              const u64_list_t *superseded);
 
 /** Pairs (shard, epoch) for which a witness is asked for holds: all shards
-    we own, since the same list is the relay question.  Bit 32 of the shard
+    we own, since the same list is the relay question; none while the log
+    confirms our claims.  Bit 32 of the shard
     asks whether the witness has applied exactly this claim, which repeats a
     CLAIM_ACK that was lost.  The list is freed with g_free (items). */
 u64_list_t claims_holds_wanted (const claims_t *claims, usec_t now,
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -26,6 +26,7 @@
   usec_t run_limit;  /**< of one attempt */
   bool idempotent;   /**< may be sent again after its run limit */
   uint32_t hops;     /**< 1 if it came over the peer link */
+  uint64_t tag;      /**< the caller's own name of it, see routing_tag */
 } request_info_t;
 
 typedef struct
@@ -67,17 +68,24 @@
 void routing_free (routing_t *routing);
 
 /** Takes in a request; one of the callbacks runs for it now or later.  The
-    strings of INFO are copied. @return its handle, HANDLE_NONE after
-    give_up was called with it */
+    strings of INFO are copied.  The callbacks may call routing functions.
+    @return its handle, HANDLE_NONE if it has ended already (give_up was called
+    with it) or, without a callback, if TABLE_MAX_ROWS requests are open */
 handle_t routing_submit (routing_t *routing, usec_t now,
                          const request_info_t *info);
 
+/** @return the tag given with the request, 0 if the handle is stale.  The
+    callbacks may run before routing_submit has returned the handle; the tag
+    tells them which request is meant. */
+uint64_t routing_tag (const routing_t *routing, handle_t request);
+
 /** The caller went away; a request that waits is dropped. */
 void routing_abandon (routing_t *routing, usec_t now, handle_t request);
 
-/** An attempt ended.  After ATTEMPT_RAN and ATTEMPT_FAILED the request is
-    forgotten; after the others it is retried if safe and within budget, or
-    given up. */
+/** An attempt ended.  A VM that refused because it leaves is to be marked
+    with limits_leaving first, so that this does not count as its failure.
+   After ATTEMPT_RAN and ATTEMPT_FAILED the request is forgotten; after the
+   others it is retried if safe and within budget, or given up. */
 void routing_attempt_ended (routing_t *routing, usec_t now, handle_t request,
                             attempt_end_t end, usec_t run_time);
 
@@ -86,7 +94,8 @@
 void routing_forward_ended (routing_t *routing, usec_t now, handle_t request,
                             attempt_end_t end);
 
-/** Load report of a peer. @param link_delay one way, microseconds
+/** Load report of a peer. @param queued its routing_backlog @param link_delay
+   one way, microseconds
     @param usable false if it is not live or draining */
 void routing_peer (routing_t *routing, usec_t now, node_id_t peer,
                    uint32_t zone, uint64_t free_slots, uint64_t queued,
@@ -99,8 +108,19 @@
 uint64_t routing_free_slots (const routing_t *routing);
 uint64_t routing_queued (const routing_t *routing);
 
-/** Gives up what missed its deadline, runs due retries.
-    @return when to call again */
+/** @return requests that wait and whose member is within its fair share: the
+    QUEUED of the load report to peers */
+uint64_t routing_backlog (const routing_t *routing);
+
+/** @return whether the load differs so much from the last report that peers
+    should get one now instead of at the next heartbeat; true at most every
+    25 ms, and not while the load is steady.  Call it after routing_tick. */
+bool routing_report_due (routing_t *routing, usec_t now);
+
+/** Gives up what missed its deadline, runs due retries and limits_tick.
+    @return when to call again, USEC_NEVER for no need; the other calls may
+    bring that time forward, so that a fixed interval of 5 ms while work is
+    open is the simplest */
 usec_t routing_tick (routing_t *routing, usec_t now);
 
 json_t *routing_dump (const routing_t *routing, usec_t now);
--- a/standin/load_lc.c
+++ b/standin/load_lc.c
@@ -69,7 +69,7 @@
 
   snprintf (item->address, sizeof item->address, "%s",
             load_target (load)->address);
-  load_body (load, item->body, item->id, item->tries);
+  load_body (load, item->body, item->id, item->tries, load->run_ms);
   headers = curl_slist_append (NULL, item->kind->authorization);
   headers = curl_slist_append (headers, "Expect:");
   if (load->direct)
@@ -145,7 +145,8 @@
       item_end (item, &load->mismatched);
       return;
     }
-  g_array_append_val (item->kind->latencies, ms);
+  if (item->due >= load->measure_from)
+    g_array_append_val (item->kind->latencies, ms);
   load->longest_gap = MAX (load->longest_gap, now - load->last_answer);
   load->last_answer = now;
   item_end (item, &load->answered);
--- a/standin/main_load.c
+++ b/standin/main_load.c
@@ -19,6 +19,7 @@
 
 static double rate = 100.0;
 static double order_rate;
+static double warm_up_s;
 static double seconds = 5.0;
 static double order_wait_s = 20.0;
 static double cancel;
@@ -26,6 +27,7 @@
 static int retries = 2;
 static int timeout_ms = 3000;
 static int body_bytes = 200;
+static int run_ms;
 static int most_in_flight = 4000;
 static gboolean direct;
 static gchar *audit;
@@ -44,6 +46,8 @@
   { "order-rate", 0, 0, G_OPTION_ARG_DOUBLE, &order_rate, "orders a second",
     "R" },
   { "seconds", 0, 0, G_OPTION_ARG_DOUBLE, &seconds, "time of sending", "S" },
+  { "warm-up", 0, 0, G_OPTION_ARG_DOUBLE, &warm_up_s,
+    "time of sending whose latencies are left out", "S" },
   { "order-wait", 0, 0, G_OPTION_ARG_DOUBLE, &order_wait_s,
     "time after it in which orders may end", "S" },
   { "cancel", 0, 0, G_OPTION_ARG_DOUBLE, &cancel,
@@ -55,6 +59,8 @@
   { "timeout-ms", 0, 0, G_OPTION_ARG_INT, &timeout_ms,
     "time a caller waits for an LC answer", "MS" },
   { "body-bytes", 0, 0, G_OPTION_ARG_INT, &body_bytes, "size of bodies", "N" },
+  { "run-ms", 0, 0, G_OPTION_ARG_INT, &run_ms,
+    "service time of LC requests, 0 for that of the class", "MS" },
   { "most-in-flight", 0, 0, G_OPTION_ARG_INT, &most_in_flight,
     "bound of LC requests under way", "N" },
   { "direct", 0, 0, G_OPTION_ARG_NONE, &direct,
@@ -98,6 +104,7 @@
   setup (&load);
   pacer.start = load_now ();
   pacer.stop = pacer.start + (usec_t)(seconds * USEC_PER_SEC);
+  load.measure_from = pacer.start + (usec_t)(warm_up_s * USEC_PER_SEC);
   load.last_answer = pacer.start;
   load.stop_orders_at = pacer.stop + (usec_t)(order_wait_s * USEC_PER_SEC);
   ev_timer_init (&tick, on_tick, 0.0, TICK_S);
@@ -182,6 +189,7 @@
   load->orders = parse_classes (order_classes);
   load->direct = direct;
   load->body_bytes = body_bytes;
+  load->run_ms = run_ms;
   load->retries = retries;
   load->timeout_ms = timeout_ms;
   load->most_in_flight = most_in_flight;
