--- a/bench/bench_recovery.c
+++ b/bench/bench_recovery.c
@@ -157,6 +157,7 @@
   journal_t *journal
       = journal_new (&config, WRITERS + 1, &journal_ops, &bench);
   usec_t start = clock_now ();
+  uint64_t log_bytes = 0;
   double seconds;
   double mb;
   bool good;
@@ -167,6 +168,7 @@
     {
       GByteArray *record = bench.records->pdata[i];
 
+      log_bytes += record->len;
       journal_read_record (journal, start, i,
                            (blob_t){ (char *)record->data, record->len });
     }
@@ -174,8 +176,9 @@
   seconds = (double)(clock_now () - start) / USEC_PER_SEC;
   mb = (double)(heap_bytes () - before) / BYTES_PER_MB;
   good = orders_count (bench.orders, ORDER_STARTED) == count;
-  printf ("%8u %9.3f %12.2f %9.1f %12.0f\n", count, seconds,
-          seconds * USEC_PER_SEC / count, mb, mb * BYTES_PER_MB / count);
+  printf ("%8u %9.3f %12.2f %9.1f %12.0f %16.0f\n", count, seconds,
+          seconds * USEC_PER_SEC / count, mb, mb * BYTES_PER_MB / count,
+          (double)log_bytes / count);
   if (count == TARGET_ORDERS)
     {
       printf ("target: %u orders within %.0f s and %.0f MB: %s\n", count,
@@ -199,7 +202,8 @@
   bool good = true;
 
   printf ("Recovery from the log (decode and apply; without the network)\n");
-  printf ("  orders   seconds  us an order        MB  bytes/order\n");
+  printf ("  orders   seconds  us an order        MB  bytes/order"
+          "  log bytes/order\n");
   for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
     good = measure (counts[i]) && good;
   return good ? 0 : 1;
