One main program for the tests; field tables from the message table

Cause: ten test programs repeated the same main; the field table of each message repeated three lines that the message table already says; ORDER_HINT was defined and never sent. Ruled out: a change of behaviour; tests and assertions are the same. Change: tests/support/suite.c; the field macros take the structure, so that one line generates all field tables; ORDER_HINT is gone.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 VERSION = 0.1.0
 CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Wshadow -Wstrict-prototypes \
          -Wmissing-prototypes -Werror -D_GNU_SOURCE \
-         -DVERSION='"$(VERSION)"' -Isrc -Istandin \
+         -DVERSION='"$(VERSION)"' -Isrc -Istandin -Itests \
          $(shell pkg-config --cflags $(PACKAGES))
 LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lmsgpackc -lev -lm
 ifdef SAN
@@ -176,9 +176,10 @@
 
 .PHONY: fuzz fuzz-check mutants-bundle clean-fuzz
 # Every mechanism of the slice attempts, disabled, must make its test fail.
-mutants-attempts: $(OBJ)
+mutants-attempts: $(OBJ) $(TESTSUP_OBJ)
 	@sh scripts/mutants-attempts.sh $(BUILD) $(CC) $(CFLAGS) -- \
-	  $(filter-out $(BUILD)/src/attempts/%,$(OBJ)) $(LDLIBS) -lcunit
+	  $(filter-out $(BUILD)/src/attempts/%,$(OBJ)) $(TESTSUP_OBJ) \
+	  $(LDLIBS) -lcunit
 
 .PHONY: mutants-attempts
 # For tests/*.sh and scripts/demo.sh.
--- a/src/attempts/test_attempts.c
+++ b/src/attempts/test_attempts.c
@@ -1,6 +1,7 @@
 /* Tests of the calls as JSON and of the queue of waiting orders. */
 #include "attempts/attempts.h"
 #include "attempts/waiting.h"
+#include "support/suite.h"
 
 #include <CUnit/Basic.h>
 #include <stdlib.h>
@@ -161,20 +162,14 @@
   waiting_free (waiting);
 }
 
+static const suite_test_t tests[] = {
+  { "calls", test_calls },
+  { "reports", test_reports },
+  { "queue", test_queue },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 2;
-  suite = CU_add_suite ("attempts", NULL, NULL);
-  CU_add_test (suite, "calls", test_calls);
-  CU_add_test (suite, "reports", test_reports);
-  CU_add_test (suite, "queue", test_queue);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? 1 : 0;
+  return suite_main ("attempts", tests, G_N_ELEMENTS (tests));
 }
--- a/src/attempts/test_attempts_matrix.c
+++ b/src/attempts/test_attempts_matrix.c
@@ -2,6 +2,7 @@
    eviction, then all pairs, on a paused clock with two nodes, four fake
    workers and a fake log.  The oracle counts runs on the workers. */
 #include "attempts/attempts.h"
+#include "support/suite.h"
 
 #include <CUnit/Basic.h>
 #include <stdio.h>
@@ -1503,19 +1504,13 @@
   report ("pairs", &tally);
 }
 
+static const suite_test_t tests[] = {
+  { "single faults", test_single_faults },
+  { "pairs", test_pairs },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 2;
-  suite = CU_add_suite ("attempts matrix", NULL, NULL);
-  CU_add_test (suite, "single faults", test_single_faults);
-  CU_add_test (suite, "pairs", test_pairs);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? 1 : 0;
+  return suite_main ("attempts matrix", tests, G_N_ELEMENTS (tests));
 }
--- a/src/base/messages.h
+++ b/src/base/messages.h
@@ -13,98 +13,107 @@
 /** Version of the frames; a peer with another one is refused. */
 #define MESSAGE_PROTOCOL 1U
 
-/* F (kind, name).  Lists of pairs are flat: a, b, a, b.  Times are in
-   milliseconds, cores in thousandths. */
-#define HELLO_FIELDS(F)                                                       \
-  F (U64, protocol)                                                           \
-  F (U64, node) F (U64, incarnation) F (U64, zone) F (BLOB, address)
-#define HEARTBEAT_FIELDS(F)                                                   \
-  F (U64, seq)                                                                \
-  F (U64, free_slots)                                                         \
-  F (U64, queued)                                                             \
-  F (U64, free_millicores)                                                    \
-  F (U64, bundle_version)                                                     \
-  F (U64, log_offset)                                                         \
-  F (U64, log_ok)                                                             \
-  F (U64, draining) F (U64S, holds_asked) F (U64, live)
-#define HEARTBEAT_ACK_FIELDS(F)                                               \
-  F (U64, seq) F (U64, log_ok) F (U64, log_offset) F (U64S, holds_granted)
-#define LOG_RELAY_FIELDS(F)                                                   \
-  F (U64, seq) F (U64, log_offset) F (U64S, superseded)
-#define CLAIM_ACK_FIELDS(F) F (U64, shard) F (U64, epoch)
-#define PEER_RELEASE_FIELDS(F) F (U64S, released)
-#define WORK_FIELDS(F)                                                        \
-  F (U64, id)                                                                 \
-  F (BLOB, class_name)                                                        \
-  F (BLOB, member) F (U64, remaining_ms) F (U64, hops) F (BLOB, body)
-#define RESULT_FIELDS(F)                                                      \
-  F (U64, id)                                                                 \
-  F (U64, outcome) F (U64, status) F (U64, retry_after_ms) F (BLOB, body)
-#define PEER_BUNDLE_FIELDS(F)                                                 \
-  F (U64, version) F (U64, parent) F (BLOB, text) F (BLOB, signature)
-#define ORDER_HINT_FIELDS(F) F (U64, order)
-#define LOAD_FIELDS(F) F (U64, free_slots) F (U64, queued)
-
-#define MEMBER_FIELDS(F)                                                      \
-  F (U64, node) F (U64, incarnation) F (U64, zone) F (BLOB, address)
-#define LEAVE_FIELDS(F) F (U64, node) F (U64, incarnation)
-#define CLAIM_FIELDS(F)                                                       \
-  F (U64, shard)                                                              \
-  F (U64, epoch) F (U64, node) F (U64, incarnation) F (U64S, witnesses)
-#define RELEASE_FIELDS(F) F (U64, shard) F (U64, epoch)
-#define ORDER_ACCEPT_FIELDS(F)                                                \
-  F (U64, order)                                                              \
-  F (BLOB, member)                                                            \
-  F (BLOB, key)                                                               \
-  F (BLOB, class_name)                                                        \
-  F (BLOB, team)                                                              \
-  F (U64, millicores)                                                         \
-  F (U64, memory_mb)                                                          \
-  F (U64, accelerators)                                                       \
-  F (U64, declared_ms)                                                        \
-  F (U64, urgent) F (BLOB, body)
-#define ORDER_START_FIELDS(F)                                                 \
-  F (U64, order)                                                              \
-  F (U64, attempt) F (BLOB, worker) F (U64, shard) F (U64, epoch)
-#define ORDER_END_FIELDS(F)                                                   \
-  F (U64, order)                                                              \
-  F (U64, attempt)                                                            \
-  F (U64, shard)                                                              \
-  F (U64, epoch) F (U64, outcome) F (U64, status) F (BLOB, result)
-#define ORDER_REQUEUE_FIELDS(F)                                               \
-  F (U64, order)                                                              \
-  F (U64, attempt)                                                            \
-  F (U64, shard) F (U64, epoch) F (U64, reason) F (BLOB, checkpoint)
-#define ORDER_CANCEL_FIELDS(F) F (U64, order) F (BLOB, member)
-#define ORDER_SNAPSHOT_FIELDS(F)                                              \
-  F (U64, order)                                                              \
-  F (BLOB, member)                                                            \
-  F (BLOB, key)                                                               \
-  F (BLOB, class_name)                                                        \
-  F (BLOB, team)                                                              \
-  F (U64, millicores)                                                         \
-  F (U64, memory_mb)                                                          \
-  F (U64, accelerators)                                                       \
-  F (U64, declared_ms)                                                        \
-  F (U64, urgent)                                                             \
-  F (BLOB, body)                                                              \
-  F (U64, state)                                                              \
-  F (U64, attempt)                                                            \
-  F (BLOB, worker)                                                            \
-  F (U64, shard)                                                              \
-  F (U64, epoch)                                                              \
-  F (U64, outcome)                                                            \
-  F (U64, status)                                                             \
-  F (U64, cancelled)                                                          \
-  F (BLOB, result)                                                            \
-  F (BLOB, checkpoint)                                                        \
-  F (U64, may_have_run) F (U64, as_of) F (U64, failures) F (U64, body_digest)
-#define BUNDLE_FIELDS(F)                                                      \
-  F (U64, version) F (U64, parent) F (BLOB, text) F (BLOB, signature)
-
-#define SHARD_FIELDS(F)                                                       \
-  F (U64, shard) F (U64, epoch) F (U64, as_of) F (U64S, chain)
-#define RECORD_FIELDS(F) F (U64, incarnation) F (U64, seq)
+/* F (structure, kind, name).  Lists of pairs are flat: a, b, a, b.  Times are
+   in milliseconds, cores in thousandths. */
+#define HELLO_FIELDS(F, S)                                                    \
+  F (S, U64, protocol)                                                        \
+  F (S, U64, node)                                                            \
+  F (S, U64, incarnation) F (S, U64, zone) F (S, BLOB, address)
+#define HEARTBEAT_FIELDS(F, S)                                                \
+  F (S, U64, seq)                                                             \
+  F (S, U64, free_slots)                                                      \
+  F (S, U64, queued)                                                          \
+  F (S, U64, free_millicores)                                                 \
+  F (S, U64, bundle_version)                                                  \
+  F (S, U64, log_offset)                                                      \
+  F (S, U64, log_ok)                                                          \
+  F (S, U64, draining) F (S, U64S, holds_asked) F (S, U64, live)
+#define HEARTBEAT_ACK_FIELDS(F, S)                                            \
+  F (S, U64, seq)                                                             \
+  F (S, U64, log_ok) F (S, U64, log_offset) F (S, U64S, holds_granted)
+#define LOG_RELAY_FIELDS(F, S)                                                \
+  F (S, U64, seq) F (S, U64, log_offset) F (S, U64S, superseded)
+#define CLAIM_ACK_FIELDS(F, S) F (S, U64, shard) F (S, U64, epoch)
+#define PEER_RELEASE_FIELDS(F, S) F (S, U64S, released)
+#define WORK_FIELDS(F, S)                                                     \
+  F (S, U64, id)                                                              \
+  F (S, BLOB, class_name)                                                     \
+  F (S, BLOB, member)                                                         \
+  F (S, U64, remaining_ms) F (S, U64, hops) F (S, BLOB, body)
+#define RESULT_FIELDS(F, S)                                                   \
+  F (S, U64, id)                                                              \
+  F (S, U64, outcome)                                                         \
+  F (S, U64, status) F (S, U64, retry_after_ms) F (S, BLOB, body)
+#define PEER_BUNDLE_FIELDS(F, S)                                              \
+  F (S, U64, version)                                                         \
+  F (S, U64, parent) F (S, BLOB, text) F (S, BLOB, signature)
+#define LOAD_FIELDS(F, S) F (S, U64, free_slots) F (S, U64, queued)
+
+#define MEMBER_FIELDS(F, S)                                                   \
+  F (S, U64, node)                                                            \
+  F (S, U64, incarnation) F (S, U64, zone) F (S, BLOB, address)
+#define LEAVE_FIELDS(F, S) F (S, U64, node) F (S, U64, incarnation)
+#define CLAIM_FIELDS(F, S)                                                    \
+  F (S, U64, shard)                                                           \
+  F (S, U64, epoch)                                                           \
+  F (S, U64, node) F (S, U64, incarnation) F (S, U64S, witnesses)
+#define RELEASE_FIELDS(F, S) F (S, U64, shard) F (S, U64, epoch)
+#define ORDER_ACCEPT_FIELDS(F, S)                                             \
+  F (S, U64, order)                                                           \
+  F (S, BLOB, member)                                                         \
+  F (S, BLOB, key)                                                            \
+  F (S, BLOB, class_name)                                                     \
+  F (S, BLOB, team)                                                           \
+  F (S, U64, millicores)                                                      \
+  F (S, U64, memory_mb)                                                       \
+  F (S, U64, accelerators)                                                    \
+  F (S, U64, declared_ms)                                                     \
+  F (S, U64, urgent) F (S, BLOB, body)
+#define ORDER_START_FIELDS(F, S)                                              \
+  F (S, U64, order)                                                           \
+  F (S, U64, attempt) F (S, BLOB, worker) F (S, U64, shard) F (S, U64, epoch)
+#define ORDER_END_FIELDS(F, S)                                                \
+  F (S, U64, order)                                                           \
+  F (S, U64, attempt)                                                         \
+  F (S, U64, shard)                                                           \
+  F (S, U64, epoch) F (S, U64, outcome) F (S, U64, status) F (S, BLOB, result)
+#define ORDER_REQUEUE_FIELDS(F, S)                                            \
+  F (S, U64, order)                                                           \
+  F (S, U64, attempt)                                                         \
+  F (S, U64, shard)                                                           \
+  F (S, U64, epoch) F (S, U64, reason) F (S, BLOB, checkpoint)
+#define ORDER_CANCEL_FIELDS(F, S) F (S, U64, order) F (S, BLOB, member)
+#define ORDER_SNAPSHOT_FIELDS(F, S)                                           \
+  F (S, U64, order)                                                           \
+  F (S, BLOB, member)                                                         \
+  F (S, BLOB, key)                                                            \
+  F (S, BLOB, class_name)                                                     \
+  F (S, BLOB, team)                                                           \
+  F (S, U64, millicores)                                                      \
+  F (S, U64, memory_mb)                                                       \
+  F (S, U64, accelerators)                                                    \
+  F (S, U64, declared_ms)                                                     \
+  F (S, U64, urgent)                                                          \
+  F (S, BLOB, body)                                                           \
+  F (S, U64, state)                                                           \
+  F (S, U64, attempt)                                                         \
+  F (S, BLOB, worker)                                                         \
+  F (S, U64, shard)                                                           \
+  F (S, U64, epoch)                                                           \
+  F (S, U64, outcome)                                                         \
+  F (S, U64, status)                                                          \
+  F (S, U64, cancelled)                                                       \
+  F (S, BLOB, result)                                                         \
+  F (S, BLOB, checkpoint)                                                     \
+  F (S, U64, may_have_run)                                                    \
+  F (S, U64, as_of) F (S, U64, failures) F (S, U64, body_digest)
+#define BUNDLE_FIELDS(F, S)                                                   \
+  F (S, U64, version)                                                         \
+  F (S, U64, parent) F (S, BLOB, text) F (S, BLOB, signature)
+
+#define SHARD_FIELDS(F, S)                                                    \
+  F (S, U64, shard) F (S, U64, epoch) F (S, U64, as_of) F (S, U64S, chain)
+#define RECORD_FIELDS(F, S) F (S, U64, incarnation) F (S, U64, seq)
 
 /* M (type number, identifier, structure) */
 #define PEER_MESSAGES(M)                                                      \
@@ -117,7 +126,6 @@
   M (7, WORK, work)                                                           \
   M (8, RESULT, result)                                                       \
   M (9, PEER_BUNDLE, peer_bundle)                                             \
-  M (10, ORDER_HINT, order_hint)                                              \
   M (11, LOAD, load)
 
 #define LOG_ENTRIES(M)                                                        \
@@ -142,11 +150,11 @@
 #define WIRE_TYPE_BLOB blob_t
 #define WIRE_TYPE_U64S u64_list_t
 
-#define MESSAGE_MEMBER(kind, name) WIRE_TYPE_##kind name;
+#define MESSAGE_MEMBER(structure, kind, name) WIRE_TYPE_##kind name;
 #define MESSAGE_STRUCT(number, id, name)                                      \
   typedef struct                                                              \
   {                                                                           \
-    id##_FIELDS (MESSAGE_MEMBER)                                              \
+    id##_FIELDS (MESSAGE_MEMBER, msg_##name##_t)                              \
   } msg_##name##_t;
 MESSAGE_TABLE (MESSAGE_STRUCT)
 #undef MESSAGE_STRUCT
--- a/src/base/test_base.c
+++ b/src/base/test_base.c
@@ -2,6 +2,7 @@
 #include "base/counters.h"
 #include "base/messages.h"
 #include "base/table.h"
+#include "support/suite.h"
 
 #include <CUnit/Basic.h>
 #include <errno.h>
@@ -129,23 +130,17 @@
   g_free (text);
 }
 
+static const suite_test_t tests[] = {
+  { "stale handle", test_stale_handle },
+  { "handle reuse", test_handle_reuse },
+  { "table walk", test_table_walk },
+  { "message round trip", test_message_round_trip },
+  { "bad bytes", test_message_refuses_bad_bytes },
+  { "counters text", test_counters_text },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 2;
-  suite = CU_add_suite ("base", NULL, NULL);
-  CU_add_test (suite, "stale handle", test_stale_handle);
-  CU_add_test (suite, "handle reuse", test_handle_reuse);
-  CU_add_test (suite, "table walk", test_table_walk);
-  CU_add_test (suite, "message round trip", test_message_round_trip);
-  CU_add_test (suite, "bad bytes", test_message_refuses_bad_bytes);
-  CU_add_test (suite, "counters text", test_counters_text);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? 1 : 0;
+  return suite_main ("base", tests, G_N_ELEMENTS (tests));
 }
--- a/src/base/test_wire_check.c
+++ b/src/base/test_wire_check.c
@@ -1,6 +1,7 @@
 /* Tests of the check of msgpack bytes. */
 #include "base/messages.h"
 #include "base/wire_check.h"
+#include "support/suite.h"
 
 #include <CUnit/Basic.h>
 #include <stdio.h>
@@ -80,19 +81,13 @@
       }
 }
 
+static const suite_test_t tests[] = {
+  { "lengths", test_lengths },
+  { "encoded", test_encoded },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 2;
-  suite = CU_add_suite ("wire check", NULL, NULL);
-  CU_add_test (suite, "lengths", test_lengths);
-  CU_add_test (suite, "encoded", test_encoded);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? 1 : 0;
+  return suite_main ("wire check", tests, G_N_ELEMENTS (tests));
 }
--- a/src/cli/test_pages.c
+++ b/src/cli/test_pages.c
@@ -1,6 +1,7 @@
 /* Tests that the reference pages match the tables of the program. */
 #include "bundle/bundle_keys.h"
 #include "settings/settings.h"
+#include "support/suite.h"
 
 #include <CUnit/Basic.h>
 #include <stdio.h>
@@ -100,19 +101,13 @@
   g_free (page);
 }
 
+static const suite_test_t tests[] = {
+  { "keys", test_keys },
+  { "messages", test_messages },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 2;
-  suite = CU_add_suite ("pages", NULL, NULL);
-  CU_add_test (suite, "keys", test_keys);
-  CU_add_test (suite, "messages", test_messages);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? 1 : 0;
+  return suite_main ("pages", tests, G_N_ELEMENTS (tests));
 }
--- a/src/journal/test_journal.c
+++ b/src/journal/test_journal.c
@@ -1,5 +1,6 @@
 /* Tests of the journal against a log in memory whose answers can be lost. */
 #include "journal/journal.h"
+#include "support/suite.h"
 
 #include <CUnit/Basic.h>
 #include <errno.h>
@@ -261,23 +262,17 @@
   fake_free (fake);
 }
 
+static const suite_test_t tests[] = {
+  { "lost reply", test_lost_reply },
+  { "grouping and order", test_grouping_and_order },
+  { "send time", test_confirmed_from_send_time },
+  { "log down", test_log_down },
+  { "expired records", test_expired_records },
+  { "garbage record", test_garbage_record },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 2;
-  suite = CU_add_suite ("journal", NULL, NULL);
-  CU_add_test (suite, "lost reply", test_lost_reply);
-  CU_add_test (suite, "grouping and order", test_grouping_and_order);
-  CU_add_test (suite, "send time", test_confirmed_from_send_time);
-  CU_add_test (suite, "log down", test_log_down);
-  CU_add_test (suite, "expired records", test_expired_records);
-  CU_add_test (suite, "garbage record", test_garbage_record);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? 1 : 0;
+  return suite_main ("journal", tests, G_N_ELEMENTS (tests));
 }
--- a/src/orders/test_orders.c
+++ b/src/orders/test_orders.c
@@ -1,5 +1,6 @@
 /* Tests of the ledger of orders: verdicts in log order, walks, snapshots. */
 #include "orders/orders.h"
+#include "support/suite.h"
 
 #include <CUnit/Basic.h>
 #include <malloc.h>
@@ -320,22 +321,16 @@
   orders_free (orders);
 }
 
+static const suite_test_t tests[] = {
+  { "verdicts", test_verdicts },
+  { "members are apart", test_members_are_apart },
+  { "walks", test_walks },
+  { "snapshots", test_snapshots },
+  { "memory", test_memory },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 2;
-  suite = CU_add_suite ("orders", NULL, NULL);
-  CU_add_test (suite, "verdicts", test_verdicts);
-  CU_add_test (suite, "members are apart", test_members_are_apart);
-  CU_add_test (suite, "walks", test_walks);
-  CU_add_test (suite, "snapshots", test_snapshots);
-  CU_add_test (suite, "memory", test_memory);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? 1 : 0;
+  return suite_main ("orders", tests, G_N_ELEMENTS (tests));
 }
--- a/src/peers/test_peers.c
+++ b/src/peers/test_peers.c
@@ -1,5 +1,6 @@
 /* Tests of the peers module on a paused clock. */
 #include "peers/peers.h"
+#include "support/suite.h"
 
 #include <CUnit/Basic.h>
 #include <string.h>
@@ -229,23 +230,17 @@
   peers_free (peers);
 }
 
+static const suite_test_t tests[] = {
+  { "both directions", test_live_needs_both_directions },
+  { "send time", test_ack_counts_from_send_time },
+  { "evidence", test_evidence_by_incarnation },
+  { "refusal", test_second_refusal_ends },
+  { "list absence", test_list_absence },
+  { "seen by others", test_seen_by_others },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 2;
-  suite = CU_add_suite ("peers", NULL, NULL);
-  CU_add_test (suite, "both directions", test_live_needs_both_directions);
-  CU_add_test (suite, "send time", test_ack_counts_from_send_time);
-  CU_add_test (suite, "evidence", test_evidence_by_incarnation);
-  CU_add_test (suite, "refusal", test_second_refusal_ends);
-  CU_add_test (suite, "list absence", test_list_absence);
-  CU_add_test (suite, "seen by others", test_seen_by_others);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? 1 : 0;
+  return suite_main ("peers", tests, G_N_ELEMENTS (tests));
 }
--- a/src/placement/test_placement.c
+++ b/src/placement/test_placement.c
@@ -1,5 +1,6 @@
 /* Tests of placement: room, quotas, impossible and leaving cases. */
 #include "placement/placement.h"
+#include "support/suite.h"
 
 #include <CUnit/Basic.h>
 #include <stdio.h>
@@ -381,25 +382,15 @@
   g_rand_free (random);
 }
 
+static const suite_test_t tests[] = {
+  { "room", test_room },           { "room comes back", test_room_comes_back },
+  { "quota", test_quota },         { "correction", test_correction },
+  { "set aside", test_set_aside }, { "urgent", test_urgent },
+  { "relief", test_relief },       { "spread", test_spread },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 2;
-  suite = CU_add_suite ("placement", NULL, NULL);
-  CU_add_test (suite, "room", test_room);
-  CU_add_test (suite, "room comes back", test_room_comes_back);
-  CU_add_test (suite, "quota", test_quota);
-  CU_add_test (suite, "correction", test_correction);
-  CU_add_test (suite, "set aside", test_set_aside);
-  CU_add_test (suite, "urgent", test_urgent);
-  CU_add_test (suite, "relief", test_relief);
-  CU_add_test (suite, "spread", test_spread);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? 1 : 0;
+  return suite_main ("placement", tests, G_N_ELEMENTS (tests));
 }
--- a/src/settings/test_settings.c
+++ b/src/settings/test_settings.c
@@ -1,6 +1,7 @@
 /* Tests of settings files. */
 #include "base/log.h"
 #include "settings/settings.h"
+#include "support/suite.h"
 
 #include <CUnit/Basic.h>
 #include <errno.h>
@@ -222,23 +223,14 @@
   CU_ASSERT_EQUAL (port, 65535);
 }
 
+static const suite_test_t tests[] = {
+  { "defaults", test_defaults },       { "bad input", test_bad_input },
+  { "all at once", test_all_at_once }, { "oversize", test_oversize },
+  { "examples", test_examples },       { "address", test_address },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 2;
-  suite = CU_add_suite ("settings", NULL, NULL);
-  CU_add_test (suite, "defaults", test_defaults);
-  CU_add_test (suite, "bad input", test_bad_input);
-  CU_add_test (suite, "all at once", test_all_at_once);
-  CU_add_test (suite, "oversize", test_oversize);
-  CU_add_test (suite, "examples", test_examples);
-  CU_add_test (suite, "address", test_address);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? 1 : 0;
+  return suite_main ("settings", tests, G_N_ELEMENTS (tests));
 }
