--- a/src/claims/test_claims.c
+++ b/src/claims/test_claims.c
@@ -488,6 +488,29 @@
   claims_free (claims);
 }
 
+/* Guards against service that stops while the log is down for everyone: the
+   owner goes on by the holds of two of its three witnesses. */
+static void
+test_log_down_half_hour (void)
+{
+  static const usec_t half_hour = 1800 * USEC_PER_SEC;
+  claims_t *claims = registered ();
+
+  claim (claims, 0, 1, 11);
+  claims_log_confirmed (claims, 1, 1);
+  for (usec_t now = 250 * MS; now <= half_hour; now += 250 * MS)
+    {
+      hold (claims, now, now - 5 * MS, 12, 1);
+      hold (claims, now, now - 5 * MS, 13, 1);
+      claims_tick (claims, now);
+      if (!acts (claims, now))
+        CU_FAIL_FATAL ("owner stopped");
+    }
+  CU_ASSERT_TRUE (acts (claims, half_hour));
+  CU_ASSERT_FALSE (acts (claims, half_hour + LEASE + MS));
+  claims_free (claims);
+}
+
 /* A reader that knows epochs 1 to 5 of shard 0, all by node 2. */
 static claims_t *
 informed (void)
@@ -556,6 +579,7 @@
     { "release, claim on its way", test_release_with_claim_on_its_way },
     { "unconfirmed owner", test_unconfirmed_owner_gives_up },
     { "expired claims", test_expired_claims },
+    { "log down half an hour", test_log_down_half_hour },
   };
   CU_pSuite suite;
   unsigned failures;
