Claims: a relay answer to an incomplete question confirms nothing

Cause: since holds are asked for only when the log is silent, a question may name no shard, or only those whose acknowledgement is missing; its answer then confirmed shards that were not asked about. Ruled out: asking for all holds always, which costs bytes while idle. Change: claims_relay_confirmed counts only questions sent while holds were due; unit test.

--- a/src/claims/claims.c
+++ b/src/claims/claims.c
@@ -203,6 +203,10 @@
 claims_relay_confirmed (claims_t *claims, usec_t now, usec_t sent_at,
                         const u64_list_t *superseded)
 {
+  /* A question sent while no holds were due named no shard, or only those
+     whose acknowledgement was asked for. */
+  if (!holds_due (claims, sent_at))
+    return;
   if (MUTATED (CONFIRM_AT_RECEIPT))
     sent_at = now;
   if (!holds_due (claims, sent_at))
--- a/src/claims/test_claims.c
+++ b/src/claims/test_claims.c
@@ -289,6 +289,9 @@
   claims_relay_confirmed (claims, 200 * MS, 150 * MS, &none);
   CU_ASSERT_TRUE (acts (claims, 150 * MS + LEASE - 1));
   CU_ASSERT_FALSE (acts (claims, 150 * MS + LEASE));
+  claims_log_confirmed (claims, 3000 * MS, 3000 * MS);
+  claims_relay_confirmed (claims, 3001 * MS, 3001 * MS, &none);
+  CU_ASSERT_FALSE (acts (claims, 3000 * MS + LEASE));
   claims_free (claims);
 }
 
