Entry process: list, silent links, late stop and old incarnations for claims

Memory leaked at the end of the process (19 bytes, seen by the leak check). Ruled out: doing it in the slices, which know no sockets.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -201,6 +201,7 @@
                              .shard_count = settings_shard_count (settings),
                              .lease = settings->lease,
                              .drain = settings->drain,
+                             .list_lag = settings->list_lag,
                              .claim_retry = CLAIM_RETRY };
   routing_config_t routing = { .zone = settings->zone,
                                .max_queue = settings->max_queue,
@@ -224,6 +225,7 @@
   node->waiters
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   node->order_waits = g_array_new (FALSE, FALSE, sizeof (order_wait_t));
+  node->listed_addresses = g_ptr_array_new_with_free_func (g_free);
   node->relays = g_array_new (FALSE, FALSE, sizeof (relay_t));
   node->releasing = g_new0 (bool, claims.shard_count);
   node->lost_work = g_new0 (bool, claims.shard_count);
@@ -306,17 +308,24 @@
   httpd_free (node->callers);
   httpd_free (node->operators);
   peerlink_free (node->link);
+  node_batch_free (node);
   routing_free (node->routing);
   limits_free (node->limits);
-  node_batch_free (node);
   orders_free (node->orders);
   claims_free (node->claims);
   peers_free (node->peers);
   journal_free (node->journal);
   bundle_store_free (node->bundles);
   table_free (node->lc);
-  if (node->random)
-    g_rand_free (node->random);
+  g_clear_pointer (&node->forwards, g_hash_table_destroy);
+  g_clear_pointer (&node->waiters, g_hash_table_destroy);
+  g_clear_pointer (&node->unsent, g_array_unref);
+  g_clear_pointer (&node->order_waits, g_array_unref);
+  g_clear_pointer (&node->relays, g_array_unref);
+  g_clear_pointer (&node->log_samples, g_array_unref);
+  g_clear_pointer (&node->listed_addresses, g_ptr_array_unref);
+  g_clear_pointer (&node->random, g_rand_free);
+  g_free (node->list_tag);
   g_free (node->releasing);
   g_free (node->lost_work);
   g_free (node->epochs);
@@ -418,6 +427,11 @@
           && (table_count (node->lc) || g_hash_table_size (node->waiters)
               || !shards_released (node, now)))
         return;
+      /* What is still held after the limit is given up, so that the LEAVE
+         entry is true. */
+      for (uint32_t shard = 0;
+           late && shard < settings_shard_count (node->settings); shard++)
+        claims_release (node->claims, now, shard);
       node->released = true;
       node->drain_limit = now + LEAVE_LIMIT;
       entry.u.leave.node = node->settings->node;
--- a/src/node/node_peers.c
+++ b/src/node/node_peers.c
@@ -104,10 +104,13 @@
 
   memset (candidates, 0, sizeof candidates);
   for (size_t i = 0; i < known; i++)
-    if (peers[i]->state == PEER_LIVE)
+    if (peers[i]->state == PEER_LIVE
+        || (peers[i]->state != PEER_ENDED && peers[i]->incarnation
+            && peers_seen_by_others (node->peers, peers[i]->node)))
       add_candidate (&candidates[count++], peers[i]->node,
                      peers[i]->incarnation, peers[i]->zone,
-                     peers[i]->draining || !peers[i]->log_ok);
+                     peers[i]->state != PEER_LIVE || peers[i]->draining
+                         || !peers[i]->log_ok);
   if (node->registered)
     add_candidate (&candidates[count++], node->settings->node,
                    node->incarnation, node->settings->zone,
@@ -171,7 +174,12 @@
 {
   node_t *node = ctx;
   handler_t handler = handlers[message->type];
+  const peer_t *peer = peers_get (node->peers, from);
 
+  /* A connection of an incarnation that has been replaced may still deliver
+     what was sent before. */
+  if (message->type != MSG_HELLO && peer && peer->incarnation != incarnation)
+    return;
   if (!handler)
     {
       counter_add (COUNTER_PEER_BAD_FRAMES, 1);
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -141,6 +141,7 @@
   usec_t list_due;
   char *list_tag;              /**< entity tag of the list last read */
   node_id_t listed[PEERS_MAX]; /**< entry VMs that it names */
+  GPtrArray *listed_addresses;
   size_t listed_count;
   bool list_busy;
   bool bundle_known;    /**< a peer has told the one in force */
--- a/src/node/node_vms.c
+++ b/src/node/node_vms.c
@@ -80,6 +80,7 @@
   json_t *row;
 
   node->listed_count = 0;
+  g_ptr_array_set_size (node->listed_addresses, 0);
 
   json_array_foreach (list, i, row)
   {
@@ -103,8 +104,12 @@
 static void
 take_nodes (node_t *node, usec_t now)
 {
-  if (node->listed_count)
-    peers_listed (node->peers, now, node->listed, node->listed_count);
+  if (!node->listed_count)
+    return;
+  peers_listed (node->peers, now, node->listed, node->listed_count);
+  claims_listed (node->claims, now,
+                 (const char *const *)node->listed_addresses->pdata,
+                 node->listed_addresses->len);
 }
 
 static void
@@ -114,6 +119,8 @@
 
   if (node->listed_count < PEERS_MAX)
     node->listed[node->listed_count++] = id;
+  g_ptr_array_add (node->listed_addresses,
+                   g_strdup (text_of (row, "address")));
   if (id == node->settings->node
       && strcmp (text_of (row, "state"), "leaving") == 0)
     node_start_drain (node, "the list says this VM is leaving");
