Load generator frees its random source

Cause: LeakSanitizer made standin-load end with status 1 in a SAN=1 build. Change: g_rand_free at the end. Measured: load over 2 entry processes with the SAN=1 build: no report from standin-load (before: 2500 bytes in 1 object). Conclusion: none beyond that.

--- a/standin/main_load.c
+++ b/standin/main_load.c
@@ -120,6 +120,7 @@
   free (text);
   json_decref (json);
   caller_free (load.caller);
+  g_rand_free (load.random);
   return load.mismatched || load.missing || load.ran_though_not_run;
 }
 
