--- a/scripts/added-latency.sh
+++ b/scripts/added-latency.sh
@@ -11,7 +11,7 @@
 direct=$(for i in $(seq 30); do
 	printf -- '--target 127.0.0.1:%s ' $((BASE + 9 + i))
 done)
-for run in 1 2 3; do
+for run in ${RUNS:-1 2 3}; do
 	# shellcheck disable=SC2086
 	"$BUILD/bin/standin-load" --direct $direct --lc quote:1:x --run-ms 5 \
 	    --rate "$rate" --seconds 4 --warm-up 1 --seed $((run * 2)) >"$WORK/direct.out"
