Claims split into log, lease, take and restore

Change: claims_log.c applies entries, claims_lease.c decides who may act, claims_take.c takes and releases, claims_restore.c as before.

--- a/Makefile
+++ b/Makefile
@@ -93,16 +93,17 @@
           NO_ACKNOWLEDGEMENT NO_REFUSAL ONE_WITNESS_LIST NO_CHAIN
 # These need a rare order of events; the unit tests must fail with them.
 UNIT_MUTANTS = GRANT_AFTER_DRAIN RELAY_UNASKED RELEASE_PENDING
+CLAIMS_SRC = $(filter src/claims/%,$(SRC))
 MUTANT_OBJ = $(BUILD)/src/claims/test_claims_matrix.o \
-             $(filter-out %/claims.o,$(OBJ))
+             $(filter-out $(BUILD)/src/claims/%,$(OBJ))
 
-$(BUILD)/mutants/%: src/claims/claims.c $(MUTANT_OBJ)
+$(BUILD)/mutants/%: $(CLAIMS_SRC) $(MUTANT_OBJ)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -DCLAIMS_MUTANT=MUTANT_$* -o $@ $^ $(LDLIBS) -lcunit
 
-$(BUILD)/mutants/unit-%: src/claims/claims.c \
+$(BUILD)/mutants/unit-%: $(CLAIMS_SRC) \
                         $(BUILD)/src/claims/test_claims.o \
-                        $(filter-out %/claims.o,$(OBJ))
+                        $(filter-out $(BUILD)/src/claims/%,$(OBJ))
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -DCLAIMS_MUTANT=MUTANT_$* -o $@ $^ $(LDLIBS) -lcunit
 
--- a/src/claims/claims_private.h
+++ b/src/claims/claims_private.h
@@ -10,6 +10,28 @@
 
 #define ADDRESS_MAX 64U
 
+/* Each mutant lacks one mechanism; make mutants requires that the fault matrix
+   fails with it.  Built with -DCLAIMS_MUTANT=MUTANT_<name>. */
+enum
+{
+  MUTANT_NONE,
+  MUTANT_NO_WAIT_W,
+  MUTANT_NO_WAIT_D,
+  MUTANT_CONFIRM_AT_RECEIPT,
+  MUTANT_NO_EPOCH_CHECK,
+  MUTANT_NO_ACKNOWLEDGEMENT,
+  MUTANT_NO_REFUSAL,
+  MUTANT_ONE_WITNESS_LIST,
+  MUTANT_NO_CHAIN,
+  MUTANT_GRANT_AFTER_DRAIN,
+  MUTANT_RELAY_UNASKED,
+  MUTANT_RELEASE_PENDING
+};
+#ifndef CLAIMS_MUTANT
+#define CLAIMS_MUTANT MUTANT_NONE
+#endif
+#define MUTATED(name) (CLAIMS_MUTANT == MUTANT_##name)
+
 /* A claim of the log. */
 typedef struct
 {
@@ -77,6 +99,37 @@
   uint64_t log_from; /* first offset of the log that was read */
 };
 
+/* claims.c */
+claim_t *shard_current (const shard_t *shard);
+claim_t *shard_claim (const shard_t *shard, guint index);
+uint32_t shard_number (const claims_t *claims, const shard_t *shard);
+shard_t *claims_shard (const claims_t *claims, uint64_t number);
+bool shard_is_ours (const claims_t *claims, const shard_t *shard);
+
+/* claims_log.c */
+void claims_end_predecessors (claims_t *claims, usec_t now,
+                              incarnation_t incarnation, usec_t alive_at);
+member_t *claims_member (const claims_t *claims, incarnation_t incarnation);
+bool address_same_host (const char *a, const char *b);
+void shard_forget_released (claims_t *claims, usec_t now, shard_t *shard,
+                            uint64_t epoch);
+
+/* claims_lease.c */
+int claim_witness (const claim_t *claim, incarnation_t witness);
+usec_t shard_confirmed_at (const shard_t *shard);
+usec_t shard_resolved_at (const claims_t *claims, const shard_t *shard);
+usec_t clock_scaled (usec_t span);
+bool claims_ended_at (const claims_t *claims, incarnation_t incarnation,
+                      usec_t *at);
+void shard_refresh (claims_t *claims, usec_t now, shard_t *shard);
+void shard_stop_acting (claims_t *claims, usec_t now, shard_t *shard);
+
+/* claims_take.c */
+void shard_announce_release (claims_t *claims, usec_t now, shard_t *shard);
+const claims_candidate_t *claims_candidate (const claims_t *claims,
+                                            incarnation_t incarnation);
+
+/* claims_restore.c */
 /** Keeps a CLAIM or RELEASE entry of a shard that is still unknown.
     @return false if the shard is known and the entry applies now */
 bool claims_restore_defer (claims_t *claims, const message_t *entry);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -225,6 +225,7 @@
   node->waiters
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   node->order_waits = g_array_new (FALSE, FALSE, sizeof (order_wait_t));
+  node->log_samples = g_array_new (FALSE, FALSE, sizeof (sample_t));
   node->listed_addresses = g_ptr_array_new_with_free_func (g_free);
   node->relays = g_array_new (FALSE, FALSE, sizeof (relay_t));
   node->releasing = g_new0 (bool, claims.shard_count);
@@ -303,6 +304,11 @@
 static void
 node_free (node_t *node)
 {
+  if (!node->journal)
+    {
+      g_free (node);
+      return;
+    }
   http_client_free (node->upstreams);
   http_client_free (node->platform);
   httpd_free (node->callers);
@@ -317,14 +323,14 @@
   journal_free (node->journal);
   bundle_store_free (node->bundles);
   table_free (node->lc);
-  g_clear_pointer (&node->forwards, g_hash_table_destroy);
-  g_clear_pointer (&node->waiters, g_hash_table_destroy);
-  g_clear_pointer (&node->unsent, g_array_unref);
-  g_clear_pointer (&node->order_waits, g_array_unref);
-  g_clear_pointer (&node->relays, g_array_unref);
-  g_clear_pointer (&node->log_samples, g_array_unref);
-  g_clear_pointer (&node->listed_addresses, g_ptr_array_unref);
-  g_clear_pointer (&node->random, g_rand_free);
+  g_hash_table_destroy (node->forwards);
+  g_hash_table_destroy (node->waiters);
+  g_array_unref (node->unsent);
+  g_array_unref (node->order_waits);
+  g_array_unref (node->relays);
+  g_array_unref (node->log_samples);
+  g_ptr_array_unref (node->listed_addresses);
+  g_rand_free (node->random);
   g_free (node->list_tag);
   g_free (node->releasing);
   g_free (node->lost_work);
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -88,6 +88,13 @@
   uint64_t accelerators;
 } worker_t;
 
+/** The log's end at a moment; tells which records are how old. */
+typedef struct
+{
+  usec_t at;
+  uint64_t offset;
+} sample_t;
+
 typedef struct node node_t;
 
 struct node
--- a/src/node/node_renew.c
+++ b/src/node/node_renew.c
@@ -11,13 +11,6 @@
 /* How long an ended order can still be shown and its key recognized. */
 #define KEEP_ENDED (24LL * 3600 * USEC_PER_SEC)
 
-/* The log's end at a moment; tells which records are how old. */
-typedef struct
-{
-  usec_t at;
-  uint64_t offset;
-} sample_t;
-
 static void register_self (node_t *node, usec_t now);
 static void renew_bundle (node_t *node, usec_t now);
 static void renew_orders (node_t *node, usec_t now);
@@ -137,8 +130,6 @@
   sample_t sample = { now, journal_offset (node->journal) };
   guint count;
 
-  if (!node->log_samples)
-    node->log_samples = g_array_new (FALSE, FALSE, sizeof (sample_t));
   count = node->log_samples->len;
   if (count
       && now - g_array_index (node->log_samples, sample_t, count - 1).at
