Planned stop: clients are led away from their connections first

The process closed its connections in the moment in which the last request had ended; a request that a client sent then on an open connection, or on one that waited to be accepted, was reset. Ruled out: a request that had been taken in (the count of open requests is right); the load tool (it counts 503 and refused connects apart). Change: from the begin of the stop each answer closes its connection; the port goes on refusing with 503 for 500 ms after the LEAVE entry; then waiting connections are accepted before the listening socket is closed, and 100 ms are left for their requests. A client that uses a connection after more than 500 ms of silence can still meet a closed one; the balancer must have moved it.

--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -47,6 +47,7 @@
   ev_io io;
   ev_timer timer;
   ev_prepare prepare;
+  bool closing; /* each answer closes its connection */
   bool resumed; /* MHD_get_timeout does not tell of resumed connections */
 };
 
@@ -110,13 +111,31 @@
   return httpd;
 }
 
+void
+httpd_close_connections (httpd_t *httpd)
+{
+  httpd->closing = true;
+}
+
 void
 httpd_quiesce (httpd_t *httpd)
 {
-  MHD_socket fd = MHD_quiesce_daemon (httpd->daemon);
+  MHD_socket listener = MHD_quiesce_daemon (httpd->daemon);
+  struct sockaddr_in from;
+  socklen_t len = sizeof from;
+  int fd;
 
-  if (fd != MHD_INVALID_SOCKET)
-    close (fd);
+  if (listener == MHD_INVALID_SOCKET)
+    return;
+  /* A connection that waits to be accepted would be reset by the close. */
+  while ((fd = accept4 (listener, (struct sockaddr *)&from, &len,
+                        SOCK_CLOEXEC | SOCK_NONBLOCK))
+         >= 0)
+    {
+      MHD_add_connection (httpd->daemon, fd, (struct sockaddr *)&from, len);
+      len = sizeof from;
+    }
+  close (listener);
 }
 
 void
@@ -172,6 +191,8 @@
   open->answered = true;
   open->status = answer->status;
   open->response = make_response (answer);
+  if (httpd->closing)
+    MHD_add_response_header (open->response, "Connection", "close");
   if (open->suspended)
     {
       open->suspended = false;
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -51,7 +51,11 @@
 httpd_t *httpd_new (struct ev_loop *loop, const httpd_config_t *config,
                     const httpd_ops_t *ops, void *ctx, err_t *err);
 
-/** Closes the listening socket; connections go on. */
+/** Asks clients to leave: each answer from now on closes its connection. */
+void httpd_close_connections (httpd_t *httpd);
+
+/** Closes the listening socket; connections, those not yet accepted
+    included, go on. */
 void httpd_quiesce (httpd_t *httpd);
 void httpd_free (httpd_t *httpd);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -16,6 +16,11 @@
 #define BUSY_SLEEP (5 * USEC_PER_MSEC)
 #define DRAIN_LIMIT (30 * USEC_PER_SEC)
 #define LEAVE_LIMIT (3 * USEC_PER_SEC)
+/* Clients go on to use open connections; within this time most of them are
+   told by an answer to close them. */
+#define STOP_GRACE (500 * USEC_PER_MSEC)
+/* For requests on connections that were accepted last. */
+#define QUIESCE_GRACE (100 * USEC_PER_MSEC)
 #define JOURNAL_RETRY_MIN (100 * USEC_PER_MSEC)
 #define JOURNAL_RETRY_MAX (1 * USEC_PER_SEC)
 #define JOURNAL_POLL_MS 400U
@@ -103,6 +108,7 @@
   log_line (LOG_LEVEL_NOTICE, "drain", NULL, "stopping: %s", why);
   for (guint i = 0; i < node->order_waits->len; i++)
     g_array_index (node->order_waits, order_wait_t, i).until = USEC_NEVER;
+  httpd_close_connections (node->callers);
   claims_drain (node->claims);
   node_candidates (node, clock_now ());
   node_wake (node);
@@ -419,8 +425,9 @@
             healthy ? "log reached" : "log lost");
 }
 
-/* The planned stop: what runs is finished, shards are released, then the
-   process says in the log that it has left. */
+/* The planned stop: what runs is finished, shards are released, the process
+   says in the log that it has left, and clients are led away from their open
+   connections: a request that meets a closed one would be cut. */
 static void
 drain_tick (node_t *node, usec_t now)
 {
@@ -443,10 +450,19 @@
       entry.u.leave.node = node->settings->node;
       entry.u.leave.incarnation = node->incarnation;
       node->leave_ticket = journal_put (node->journal, now, &entry, true);
+      node->stop_at = now + STOP_GRACE;
+      return;
+    }
+  if (now < node->stop_at || (!node->left && !late))
+    return;
+  if (!node->quiesced)
+    {
+      node->quiesced = true;
+      node->stop_at = now + QUIESCE_GRACE;
       httpd_quiesce (node->callers);
       return;
     }
-  if ((node->left && !httpd_open_requests (node->callers)) || late)
+  if (!httpd_open_requests (node->callers) || late)
     ev_break (node->loop, EVBREAK_ALL);
 }
 
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -156,7 +156,9 @@
   uint64_t announced_bundle;
 
   bool draining;
-  bool released; /**< shards released, LEAVE appended */
+  bool released;  /**< shards released, LEAVE appended */
+  usec_t stop_at; /**< next step of the stop not before */
+  bool quiesced;  /**< the callers' port is closed */
   uint64_t leave_ticket;
   bool left; /**< the LEAVE entry was read back */
   usec_t drain_limit;
