Messages: the data of an order stands once; two more tests use the common main

Ruled out: a change of the encoding; the order of the fields is the same. Change: ORDER_DATA_FIELDS; suite_main in test_limits and test_routing. Measured: all unit tests pass with the same number of assertions, 106623.

--- a/src/base/messages.h
+++ b/src/base/messages.h
@@ -58,7 +58,8 @@
   F (S, U64, epoch)                                                           \
   F (S, U64, node) F (S, U64, incarnation) F (S, U64S, witnesses)
 #define RELEASE_FIELDS(F, S) F (S, U64, shard) F (S, U64, epoch)
-#define ORDER_ACCEPT_FIELDS(F, S)                                             \
+/* What a caller orders; common to ACCEPT and SNAPSHOT. */
+#define ORDER_DATA_FIELDS(F, S)                                               \
   F (S, U64, order)                                                           \
   F (S, BLOB, member)                                                         \
   F (S, BLOB, key)                                                            \
@@ -69,6 +70,7 @@
   F (S, U64, accelerators)                                                    \
   F (S, U64, declared_ms)                                                     \
   F (S, U64, urgent) F (S, BLOB, body)
+#define ORDER_ACCEPT_FIELDS(F, S) ORDER_DATA_FIELDS (F, S)
 #define ORDER_START_FIELDS(F, S)                                              \
   F (S, U64, order)                                                           \
   F (S, U64, attempt) F (S, BLOB, worker) F (S, U64, shard) F (S, U64, epoch)
@@ -84,17 +86,7 @@
   F (S, U64, epoch) F (S, U64, reason) F (S, BLOB, checkpoint)
 #define ORDER_CANCEL_FIELDS(F, S) F (S, U64, order) F (S, BLOB, member)
 #define ORDER_SNAPSHOT_FIELDS(F, S)                                           \
-  F (S, U64, order)                                                           \
-  F (S, BLOB, member)                                                         \
-  F (S, BLOB, key)                                                            \
-  F (S, BLOB, class_name)                                                     \
-  F (S, BLOB, team)                                                           \
-  F (S, U64, millicores)                                                      \
-  F (S, U64, memory_mb)                                                       \
-  F (S, U64, accelerators)                                                    \
-  F (S, U64, declared_ms)                                                     \
-  F (S, U64, urgent)                                                          \
-  F (S, BLOB, body)                                                           \
+  ORDER_DATA_FIELDS (F, S)                                                    \
   F (S, U64, state)                                                           \
   F (S, U64, attempt)                                                         \
   F (S, BLOB, worker)                                                         \
--- a/src/limits/test_limits.c
+++ b/src/limits/test_limits.c
@@ -1,7 +1,9 @@
 /* Tests of the slot counting: capacity, leaving, lingering, choice. */
 #include "limits/limits.h"
+#include "support/suite.h"
 
 #include <CUnit/Basic.h>
+#include <glib.h>
 #include <errno.h>
 #include <stdio.h>
 
@@ -91,22 +93,16 @@
   limits_free (limits);
 }
 
+static const suite_test_t tests[] = {
+  { "capacity", test_capacity },
+  { "leaving", test_leaving },
+  { "pick", test_pick },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 2;
-  suite = CU_add_suite ("limits", NULL, NULL);
-  CU_add_test (suite, "capacity", test_capacity);
-  CU_add_test (suite, "leaving", test_leaving);
-  CU_add_test (suite, "pick", test_pick);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? 1 : 0;
+  return suite_main ("limits", tests, G_N_ELEMENTS (tests));
 }
 
 static handle_t
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -22,7 +22,6 @@
 #include <errno.h>
 #include <ev.h>
 
-#define ORDER_ID_FORMAT "%016" PRIx64
 #define RETRY_AFTER_LOG_S 2U
 
 /** A latency-critical request under way. */
--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -2,8 +2,10 @@
    callbacks write one line of words each: d (dispatch) with the VM, f
    (forward) with the peer, g (give up) with the outcome. */
 #include "routing/routing.h"
+#include "support/suite.h"
 
 #include <CUnit/Basic.h>
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -402,34 +404,28 @@
   world_free (w);
 }
 
+static const suite_test_t tests[] = {
+  { "order", test_order },
+  { "fair shares", test_fair_shares },
+  { "lanes", test_lanes },
+  { "full queue", test_full_queue },
+  { "retry after", test_retry_after },
+  { "deadline", test_deadline },
+  { "paused process", test_paused_process },
+  { "peers", test_peers },
+  { "report due", test_report_due },
+  { "retries", test_retries },
+  { "retry budget", test_retry_budget },
+  { "failing VMs", test_failing_vms },
+  { "slow VM", test_slow_vm },
+  { "may act", test_may_act },
+  { "abandon", test_abandon },
+};
+
 int
 main (void)
 {
-  CU_pSuite suite;
-  unsigned failures;
-
-  if (CU_initialize_registry () != CUE_SUCCESS)
-    return 2;
-  suite = CU_add_suite ("routing", NULL, NULL);
-  CU_add_test (suite, "order", test_order);
-  CU_add_test (suite, "fair shares", test_fair_shares);
-  CU_add_test (suite, "lanes", test_lanes);
-  CU_add_test (suite, "full queue", test_full_queue);
-  CU_add_test (suite, "retry after", test_retry_after);
-  CU_add_test (suite, "deadline", test_deadline);
-  CU_add_test (suite, "paused process", test_paused_process);
-  CU_add_test (suite, "peers", test_peers);
-  CU_add_test (suite, "report due", test_report_due);
-  CU_add_test (suite, "retries", test_retries);
-  CU_add_test (suite, "retry budget", test_retry_budget);
-  CU_add_test (suite, "failing VMs", test_failing_vms);
-  CU_add_test (suite, "slow VM", test_slow_vm);
-  CU_add_test (suite, "may act", test_may_act);
-  CU_add_test (suite, "abandon", test_abandon);
-  CU_basic_run_tests ();
-  failures = CU_get_number_of_failures ();
-  CU_cleanup_registry ();
-  return failures ? 1 : 0;
+  return suite_main ("routing", tests, G_N_ELEMENTS (tests));
 }
 
 static void
