Routing: a process without VMs returns forwarded requests at once

A trial build showed the place: a request had been forwarded to a process whose last VM then left; it may not hop again, so it waited there until 13 ms before its deadline and came back too late to be placed, while its first process had 8 free slots. Ruled out: the retry budget, refusals by admission (the deadline was 3 s away), the load tool. Change: a forwarded request is refused at once by a process without own slots, and given back when the last VM goes; its first process places it again.

--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -179,6 +179,7 @@
 static void reassign (void *ctx, handle_t vm);
 static void leave_vm (routing_t *routing, usec_t now, request_t *r,
                       attempt_end_t end);
+static void return_hopped (routing_t *routing, usec_t now);
 static void refresh_groups (routing_t *routing);
 static bool assign (routing_t *routing, handle_t vm);
 static void drop_shard (routing_t *routing, usec_t now, uint32_t shard);
@@ -239,7 +240,8 @@
   if (!info->hops)
     routing->tokens = MIN (routing->tokens + routing->config.retry_percent,
                            RETRY_TOKENS_MAX);
-  if (now + expected_run (r->class) > r->item.deadline)
+  if (now + expected_run (r->class) > r->item.deadline
+      || (info->hops && !own_slots (routing)))
     {
       give_up (routing, now, request);
       return HANDLE_NONE;
@@ -386,6 +388,7 @@
 routing_kick (routing_t *routing, usec_t now)
 {
   refresh_groups (routing);
+  return_hopped (routing, now);
   pump (routing, now);
 }
 
@@ -442,6 +445,7 @@
     {
       routing->recheck_at = USEC_NEVER;
       refresh_groups (routing);
+      return_hopped (routing, now);
     }
   pump (routing, now);
   first = first_due (routing);
@@ -1082,6 +1086,28 @@
 }
 
 /** Puts each VM into the group from which it may be picked. */
+/* What came over the peer link may not be handed on, so without an own VM it
+   would wait here until its deadline; the process it came from can still
+   find another place. */
+static void
+return_hopped (routing_t *routing, usec_t now)
+{
+  handle_t next;
+
+  if (own_slots (routing))
+    return;
+  for (handle_t h = table_next (routing->requests, HANDLE_NONE);
+       h != HANDLE_NONE; h = next)
+    {
+      const request_t *r = request_of (routing, h);
+
+      next = table_next (routing->requests, h);
+      if (r->item.hopped
+          && (r->state == REQUEST_WAITING || r->state == REQUEST_BACKOFF))
+        give_up (routing, now, h);
+    }
+}
+
 static void
 refresh_groups (routing_t *routing)
 {
--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -404,7 +404,30 @@
   world_free (w);
 }
 
+/* Guards against a forwarded request that waits until its deadline at a
+   process whose last VM leaves, while others have free slots. */
+static void
+test_no_own_vm (void)
+{
+  world_t *w = world_new (1, 10);
+
+  submit (w, 0, 1, 500 * MS, false, 0);
+  submit (w, 0, 1, 500 * MS, false, 1);
+  expect (w, "d:a");
+  CU_ASSERT_EQUAL (routing_queued (w->routing), 1);
+  limits_leaving (w->limits, limits_find (w->limits, "a"));
+  routing_kick (w->routing, MS);
+  expect (w, "g:1");
+  submit (w, MS, 1, 500 * MS, false, 1);
+  expect (w, "g:1");
+  submit (w, MS, 1, 500 * MS, false, 0);
+  expect (w, "");
+  CU_ASSERT_EQUAL (routing_queued (w->routing), 1);
+  world_free (w);
+}
+
 static const suite_test_t tests[] = {
+  { "no own VM", test_no_own_vm },
   { "order", test_order },
   { "fair shares", test_fair_shares },
   { "lanes", test_lanes },
