Entry process: placement ticks once; state that nobody read is gone

Cause: a last read of the whole change. run_ticks called placement_tick although attempts_tick does so already, twice the work on each pass; a caller who waits for an order kept a copy of the member that nothing read; node_relay took a time that it did not use. Change: the three are removed; behaviour is the same. Measured: unit tests 106629 assertions pass, lint is clean, test-serve, test-workers, test-log-outage, test-stop and test-kill pass.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -402,7 +402,6 @@
   node_lc_tick (node, now);
   next = earlier (next, routing_tick (node->routing, now));
   next = earlier (next, attempts_tick (node->attempts, now));
-  next = earlier (next, placement_tick (node->placement, now));
   node_vms_tick (node, now);
   node_callers_tick (node, now);
   node_peers_tick (node, now);
--- a/src/node/node_callers.c
+++ b/src/node/node_callers.c
@@ -111,7 +111,6 @@
           continue;
         }
       answer_order (node, wait->http, STATUS_OK, order);
-      g_free (wait->member);
       g_array_remove_index_fast (node->order_waits, i);
     }
 }
@@ -148,7 +147,6 @@
       order = orders_get (node->orders, wait->order);
       if (order)
         answer_order (node, wait->http, STATUS_OK, order);
-      g_free (wait->member);
       g_array_remove_index_fast (node->order_waits, i);
     }
 }
@@ -378,7 +376,6 @@
       return;
     }
   wait.order = order->id;
-  wait.member = g_strdup (call->member->name);
   g_array_append_val (call->node->order_waits, wait);
 }
 
--- a/src/node/node_log.c
+++ b/src/node/node_log.c
@@ -179,7 +179,7 @@
   node_t *node = ctx;
 
   claims_log_confirmed (node->claims, now, sent_at);
-  node_relay (node, now, sent_at);
+  node_relay (node, sent_at);
 }
 
 static void
--- a/src/node/node_peers.c
+++ b/src/node/node_peers.c
@@ -125,9 +125,8 @@
 }
 
 void
-node_relay (node_t *node, usec_t now, usec_t sent_at)
+node_relay (node_t *node, usec_t sent_at)
 {
-  (void)now;
   for (guint i = 0; i < node->relays->len;)
     {
       relay_t *relay = &g_array_index (node->relays, relay_t, i);
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -65,7 +65,6 @@
 {
   handle_t http;
   order_id_t order;
-  char *member;
   usec_t until;
 } order_wait_t;
 
@@ -201,7 +200,7 @@
 extern const claims_ops_t node_claims_ops;
 void node_candidates (node_t *node, usec_t now);
 /** Relays wait for a log read that began after they were asked for. */
-void node_relay (node_t *node, usec_t now, usec_t sent_at);
+void node_relay (node_t *node, usec_t sent_at);
 /** Replaces silent links, hands over shards. */
 void node_peers_tick (node_t *node, usec_t now);
 
