Shards as large as one entry VM can serve; small VMs decide last

Ruled out: too little processor time for one owner; its busiest half second used 0.13 (350 workers) and 0.34 cores (490) of 0.5. Change: the number of shards follows from the processor time of the VM that decides; a VM that would divide further waits for larger ones.

--- a/src/scheduler/sched_layout.c
+++ b/src/scheduler/sched_layout.c
@@ -3,7 +3,8 @@
  * into.
  *
  * It is decided once, when the site starts for the first time, from the
- * number of workers, and kept in the store: an identifier belongs to one shard
+ * number of workers and the processor time of the entry VM that decides, and
+ * kept in the store: an identifier belongs to one shard
  * for good.  Of several processes that decide at once, the first append
  * counts.
  */
@@ -11,13 +12,14 @@
 
 #include <stdio.h>
 
-/* Workers that one owner serves: an owner of 48 workers and 110 starts a
-   second uses 0.034 cores, the largest entry VMs have half a core.  Few shards
-   are better: what one shard has no room for does not go to another. */
-#define WORKERS_PER_SHARD 250U
-/* What an owner needs of a core: twice what was measured, for bursts. */
+/* What an owner needs of a core.  Owners of 350 and 490 workers used at most
+   0.13 and 0.34 cores on days with bursts. */
 #define CORES_OF_OWNER 0.02
-#define CORES_PER_WORKER 0.001
+#define CORES_PER_WORKER 0.0008
+/* A process that would divide the site further than a larger VM would lets
+   larger ones decide first. */
+#define DEFER_PER_SHARD (300 * USEC_PER_MSEC)
+#define DEFER_MOST (3 * USEC_PER_SEC)
 #define LOOK_INTERVAL (200 * USEC_PER_MSEC)
 /* Workers of a site that starts register within seconds; the count must have
    stood still for so long. */
@@ -28,15 +30,29 @@
 static void on_layout (void *ctx, const store_records_t *records);
 static void count_workers (scheduler_t *s);
 static void on_counted (void *ctx, const store_records_t *records);
-static void decide (scheduler_t *s);
+static void decide (scheduler_t *s, uint32_t shards);
 static void on_decided (void *ctx, store_result_t result, const char *error);
 
 uint32_t
-layout_shards (uint32_t workers, uint32_t parts)
+layout_capacity (double cores)
 {
-  uint32_t shards = (workers + WORKERS_PER_SHARD - 1) / WORKERS_PER_SHARD;
+  return cores <= CORES_OF_OWNER
+             ? 0
+             : (uint32_t)((cores - CORES_OF_OWNER) / CORES_PER_WORKER);
+}
 
-  return CLAMP (shards, 1, parts);
+uint32_t
+layout_shards (uint32_t workers, uint32_t parts, double cores)
+{
+  uint32_t most = MAX (layout_capacity (cores), 1);
+
+  return CLAMP ((workers + most - 1) / most, 1, parts);
+}
+
+usec_t
+layout_deferral (uint32_t shards)
+{
+  return MIN ((shards - 1) * DEFER_PER_SHARD, DEFER_MOST);
 }
 
 void
@@ -56,8 +72,7 @@
 bool
 layout_may_own (double cores, uint32_t workers, uint32_t shards)
 {
-  return cores
-         >= CORES_OF_OWNER + CORES_PER_WORKER * workers / MAX (shards, 1);
+  return layout_capacity (cores) >= workers / MAX (shards, 1);
 }
 
 usec_t
@@ -119,6 +134,7 @@
 {
   scheduler_t *s = ctx;
   usec_t now = clock_now ();
+  uint32_t shards;
 
   s->layout_busy = false;
   sched_wake (s);
@@ -139,12 +155,15 @@
   if (s->counting != s->counted)
     s->counted_since = now;
   s->counted = s->counting;
-  if (s->counted && now - s->counted_since >= SETTLED_AFTER)
-    decide (s);
+  shards
+      = layout_shards (s->counted, s->settings->parts, s->settings->cpu_share);
+  if (s->counted
+      && now - s->counted_since >= SETTLED_AFTER + layout_deferral (shards))
+    decide (s, shards);
 }
 
 static void
-decide (scheduler_t *s)
+decide (scheduler_t *s, uint32_t shards)
 {
   char value[LAYOUT_TEXT_MAX];
   store_record_t record = { .key = blob_of (KEY), .value = { value, 0 } };
@@ -154,10 +173,11 @@
                             .count = 1,
                             .timeout = LOOK_TIMEOUT };
 
-  layout_format (layout_shards (s->counted, s->settings->parts), s->counted,
-                 value);
+  layout_format (shards, s->counted, value);
   record.value.len = (uint32_t)strlen (value);
-  log_line (LOG_LEVEL_NOTICE, "layout.decide", NULL, "layout=\"%s\"", value);
+  log_line (LOG_LEVEL_NOTICE, "layout.decide", NULL,
+            "shards=%u workers=%u cores=%.3f", shards, s->counted,
+            s->settings->cpu_share);
   s->layout_busy = true;
   s->backend->ops->append (s->backend->ctx, &append, on_decided, s);
 }
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -200,8 +200,13 @@
 void sched_set_shards (scheduler_t *s, uint32_t count);
 
 /* sched_layout.c */
-/** @return shards for so many workers in so many partitions */
-uint32_t layout_shards (uint32_t workers, uint32_t parts);
+/** @return workers that an entry VM with so much of a core can serve */
+uint32_t layout_capacity (double cores);
+/** @return shards for so many workers in so many partitions, each served by
+    an entry VM with so much of a core */
+uint32_t layout_shards (uint32_t workers, uint32_t parts, double cores);
+/** @return how long a process that would decide on so many shards waits */
+usec_t layout_deferral (uint32_t shards);
 #define LAYOUT_TEXT_MAX 32U
 /** Writes the stored form of a layout. */
 void layout_format (uint32_t shards, uint32_t workers,
