--- a/src/scheduler/sched_layout.c
+++ b/src/scheduler/sched_layout.c
@@ -44,9 +44,13 @@
 uint32_t
 layout_shards (uint32_t workers, uint32_t parts, double cores)
 {
-  uint32_t most = MAX (layout_capacity (cores), 1);
+  uint32_t capacity = layout_capacity (cores);
+  uint32_t shards;
 
-  return CLAMP ((workers + most - 1) / most, 1, parts);
+  if (!capacity)
+    return parts;
+  shards = (workers + capacity - 1) / capacity;
+  return CLAMP (shards, 1, parts);
 }
 
 usec_t
