Placement: what is beside a worker is looked at last; hopeless shapes once a pass

Jobs began late: half within 387 ms. Ruled out: log lines, JSON (6%), appends to the store. Change: cheap bounds first, the pairs of images in rows, and a step that needs as much as one that found no worker in this pass is not tried.

--- a/src/interference/interference.c
+++ b/src/interference/interference.c
@@ -34,8 +34,10 @@
 
 struct interference
 {
-  GHashTable *pairs; /* served << 32 | disturbing -> pair_t */
-  GHashTable *idle;  /* served -> double, lowest tail in ms */
+  GPtrArray *rows;  /* by served: GPtrArray of pair_t by disturbing, or
+                       NULL; looked up for each worker at each placement */
+  uint32_t pairs;   /* in all rows */
+  GHashTable *idle; /* served -> double, lowest tail in ms */
 };
 
 /* Decoded models have at most this many rows. */
@@ -46,11 +48,15 @@
 
 static int append_bytes (void *data, const char *bytes, size_t len);
 static void pack_text (msgpack_packer *p, const char *text);
+static void pack_pair (msgpack_packer *p, image_t served, image_t disturbing,
+                       const pair_t *pair);
 static bool take_idle (interference_t *model, const msgpack_object *row);
 static bool take_pair (interference_t *model, const msgpack_object *row);
 static image_t image_of (const msgpack_object *value);
 static double number_of (const msgpack_object *value);
-static uint64_t pair_key (image_t served, image_t disturbing);
+static void row_free (void *data);
+static void *cell (const GPtrArray *array, image_t number);
+static void set_cell (GPtrArray *array, image_t number, void *value);
 static const pair_t *pair_find (const interference_t *model, image_t served,
                                 image_t disturbing);
 static pair_t *pair_get (interference_t *model, image_t served,
@@ -65,8 +71,7 @@
 {
   interference_t *model = g_new0 (interference_t, 1);
 
-  model->pairs
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  model->rows = g_ptr_array_new_with_free_func (row_free);
   model->idle = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   return model;
 }
@@ -76,7 +81,7 @@
 {
   if (!model)
     return;
-  g_hash_table_destroy (model->pairs);
+  g_ptr_array_free (model->rows, TRUE);
   g_hash_table_destroy (model->idle);
   g_free (model);
 }
@@ -87,31 +92,54 @@
   return name && *name ? g_quark_from_string (name) : 0;
 }
 
-static uint64_t
-pair_key (image_t served, image_t disturbing)
+static void
+row_free (void *data)
 {
-  return (uint64_t)served << 32 | disturbing;
+  if (data)
+    g_ptr_array_free (data, TRUE);
+}
+
+/* @return NULL beyond the end */
+static void *
+cell (const GPtrArray *array, image_t number)
+{
+  return number < array->len ? array->pdata[number] : NULL;
+}
+
+static void
+set_cell (GPtrArray *array, image_t number, void *value)
+{
+  if (number >= array->len)
+    g_ptr_array_set_size (array, (gint)number + 1);
+  array->pdata[number] = value;
 }
 
 static const pair_t *
 pair_find (const interference_t *model, image_t served, image_t disturbing)
 {
-  uint64_t key = pair_key (served, disturbing);
+  const GPtrArray *row = cell (model->rows, served);
 
-  return g_hash_table_lookup (model->pairs, &key);
+  return row ? cell (row, disturbing) : NULL;
 }
 
 static pair_t *
 pair_get (interference_t *model, image_t served, image_t disturbing)
 {
-  uint64_t key = pair_key (served, disturbing);
-  pair_t *pair = g_hash_table_lookup (model->pairs, &key);
+  GPtrArray *row = cell (model->rows, served);
+  pair_t *pair;
 
+  if (!row)
+    {
+      row = g_ptr_array_new_with_free_func (g_free);
+      set_cell (model->rows, served, row);
+    }
+  pair = cell (row, disturbing);
   if (pair)
     return pair;
   pair = g_new0 (pair_t, 1);
   pair->variance = SLOPE_DEVIATION * SLOPE_DEVIATION;
-  g_hash_table_insert (model->pairs, g_memdup2 (&key, sizeof key), pair);
+  set_cell (row, disturbing, pair);
+  model->pairs++;
   return pair;
 }
 
@@ -265,21 +293,28 @@
       pack_text (&p, g_quark_to_string (GPOINTER_TO_UINT (key)));
       msgpack_pack_float (&p, (float)*(double *)value);
     }
-  msgpack_pack_array (&p, g_hash_table_size (model->pairs));
-  g_hash_table_iter_init (&iter, model->pairs);
-  while (g_hash_table_iter_next (&iter, &key, &value))
+  msgpack_pack_array (&p, model->pairs);
+  for (image_t served = 0; served < model->rows->len; served++)
     {
-      uint64_t images = *(uint64_t *)key;
-      const pair_t *pair = value;
-
-      msgpack_pack_array (&p, 4);
-      pack_text (&p, g_quark_to_string ((GQuark)(images >> 32)));
-      pack_text (&p, g_quark_to_string ((GQuark)images));
-      msgpack_pack_float (&p, (float)pair->slope);
-      msgpack_pack_float (&p, (float)pair->variance);
+      const GPtrArray *row = model->rows->pdata[served];
+
+      for (image_t i = 0; row && i < row->len; i++)
+        if (row->pdata[i])
+          pack_pair (&p, served, i, row->pdata[i]);
     }
 }
 
+static void
+pack_pair (msgpack_packer *p, image_t served, image_t disturbing,
+           const pair_t *pair)
+{
+  msgpack_pack_array (p, 4);
+  pack_text (p, g_quark_to_string (served));
+  pack_text (p, g_quark_to_string (disturbing));
+  msgpack_pack_float (p, (float)pair->slope);
+  msgpack_pack_float (p, (float)pair->variance);
+}
+
 int
 interference_decode (interference_t *model, blob_t bytes)
 {
@@ -292,7 +327,8 @@
            == MSGPACK_UNPACK_SUCCESS
        && o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size == 2;
   g_hash_table_remove_all (model->idle);
-  g_hash_table_remove_all (model->pairs);
+  g_ptr_array_set_size (model->rows, 0);
+  model->pairs = 0;
   for (uint32_t part = 0; ok && part < 2; part++)
     {
       const msgpack_object *list = &o->via.array.ptr[part];
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -29,6 +29,7 @@
   bool late;
   uint32_t priority;
   int64_t due_ms; /* by when it has to begin */
+  image_t image;
 } candidate_t;
 
 static void add_candidates (const shard_t *shard, entry_t *entry,
@@ -40,17 +41,21 @@
 static bool place_task (shard_t *shard, usec_t now, const candidate_t *c,
                         uint32_t index);
 static void place_gang (shard_t *shard, usec_t now, const candidate_t *c);
-static handle_t choose (const shard_t *shard, usec_t now, const candidate_t *c,
+static handle_t choose (shard_t *shard, usec_t now, const candidate_t *c,
                         uint32_t index);
+static bool is_hopeless (const shard_t *shard, const candidate_t *c);
+static void note_hopeless (shard_t *shard, const candidate_t *c);
 static handle_t choose_among (const shard_t *shard, usec_t now,
                               const candidate_t *c, uint32_t index,
                               bool relaxed);
 static bool fits (const shard_t *shard, usec_t now, const worker_t *worker,
-                  const candidate_t *c, bool relaxed);
+                  const candidate_t *c);
 static uint32_t step_runs (const shard_t *shard, const worker_t *worker,
                            const candidate_t *c);
 static int64_t score (const shard_t *shard, const worker_t *worker,
-                      const step_t *step);
+                      const candidate_t *c);
+static int64_t score_of_sharing (const shard_t *shard, const worker_t *worker,
+                                 const candidate_t *c);
 static void take_back (shard_t *shard, usec_t now, const candidate_t *c,
                        uint32_t count);
 
@@ -67,6 +72,7 @@
       add_candidates (shard, shard_entry (shard, job->id), wall, candidates);
     }
   g_array_sort (candidates, compare);
+  g_array_set_size (shard->hopeless, 0);
   shard->waiting = 0;
   for (guint i = 0; i < candidates->len; i++)
     {
@@ -110,6 +116,7 @@
           c.late = !order->steps[s].lasting && wall_ms + left > due
                    && !mostly_done (order, o);
           c.priority = order->priority;
+          c.image = interference_image (order->steps[s].image);
           g_array_append_val (out, c);
         }
     }
@@ -225,19 +232,63 @@
                    "no room for the whole gang");
       c->o->tasks[c->step][i].run--;
     }
+  /* Room has grown again.  */
+  g_array_set_size (shard->hopeless, 0);
 }
 
 /* A task with a target is not kept waiting for a worker without disturbance:
    what disturbs it there is stopped when harm is seen.  */
 static handle_t
-choose (const shard_t *shard, usec_t now, const candidate_t *c, uint32_t index)
+choose (shard_t *shard, usec_t now, const candidate_t *c, uint32_t index)
 {
   const step_t *step = &c->entry->job->order->steps[c->step];
-  handle_t handle = choose_among (shard, now, c, index, false);
+  handle_t handle = HANDLE_NONE;
+
+  if (is_hopeless (shard, c))
+    return HANDLE_NONE;
+  handle = choose_among (shard, now, c, index, false);
+  if (handle == HANDLE_NONE && step->target_ms)
+    handle = choose_among (shard, now, c, index, true);
+  if (handle == HANDLE_NONE)
+    note_hopeless (shard, c);
+  return handle;
+}
+
+/* Room only shrinks during a pass: what needs as much as a task that found no
+   worker finds none either.  Passes over hundreds of waiting steps would
+   otherwise look at every worker for each of them.  */
+static bool
+is_hopeless (const shard_t *shard, const candidate_t *c)
+{
+  const submission_t *order = c->entry->job->order;
+  const step_t *step = &order->steps[c->step];
+
+  for (guint i = 0; i < shard->hopeless->len; i++)
+    {
+      const hopeless_t *h = &g_array_index (shard->hopeless, hopeless_t, i);
+
+      if (step->fills == h->step->fills
+          && step->millicores >= h->step->millicores
+          && step->memory_mb >= h->step->memory_mb
+          && step->accelerators >= h->step->accelerators
+          && step->target_ms == h->step->target_ms
+          && g_strcmp0 (step->image, h->step->image) == 0
+          && g_strcmp0 (step->label, h->step->label) == 0
+          && strcmp (order->service, h->service) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* A step that may have few tasks on a worker says nothing of others.  */
+static void
+note_hopeless (shard_t *shard, const candidate_t *c)
+{
+  const submission_t *order = c->entry->job->order;
+  hopeless_t hopeless = { &order->steps[c->step], order->service };
 
-  if (handle != HANDLE_NONE || !step->target_ms)
-    return handle;
-  return choose_among (shard, now, c, index, true);
+  if (!hopeless.step->spread)
+    g_array_append_val (shard->hopeless, hopeless);
 }
 
 static handle_t
@@ -255,24 +306,29 @@
       const worker_t *worker = worker_get (shard, h);
       int64_t s;
 
-      if (!fits (shard, now, worker, c, relaxed))
+      if (!fits (shard, now, worker, c))
         continue;
-      s = score (shard, worker, step);
+      s = score (shard, worker, c);
       /* A task that failed there goes elsewhere if it can.  */
       if (h == avoid)
         s += SCORE_OF_FAILED_THERE;
-      if (s < best_score)
-        {
-          best_score = s;
-          best = h;
-        }
+      /* What runs beside it is looked at last, since it costs most.  */
+      if (s >= best_score)
+        continue;
+      s += score_of_sharing (shard, worker, c);
+      if (s >= best_score
+          || (!relaxed
+              && !sharing_allows (shard, now, worker, step, c->image)))
+        continue;
+      best_score = s;
+      best = h;
     }
   return best;
 }
 
 static bool
 fits (const shard_t *shard, usec_t now, const worker_t *worker,
-      const candidate_t *c, bool relaxed)
+      const candidate_t *c)
 {
   const submission_t *order = c->entry->job->order;
   const step_t *step = &order->steps[c->step];
@@ -292,9 +348,7 @@
   if (step->label && strcmp (worker->kind, step->label) != 0
       && strcmp (worker->rack, step->label) != 0)
     return false;
-  if (step->spread && step_runs (shard, worker, c) >= step->spread)
-    return false;
-  return relaxed || sharing_allows (shard, now, worker, step);
+  return !step->spread || step_runs (shard, worker, c) < step->spread;
 }
 
 /* Runs of the step on the worker.  */
@@ -318,24 +372,33 @@
 /* The lowest score is taken: the least loaded worker, in thousandths of its
    capacity.  */
 static int64_t
-score (const shard_t *shard, const worker_t *worker, const step_t *step)
+score (const shard_t *shard, const worker_t *worker, const candidate_t *c)
 {
+  const step_t *step = &c->entry->job->order->steps[c->step];
   int64_t used = (int64_t)(worker->used_millicores + worker->fill_millicores);
   int64_t result = used * 1000 / MAX (worker->millicores, 1);
 
   if (step->target_ms)
-    result = (sharing_same_image (shard, worker, step) ? 0
-              : worker->serving                        ? SCORE_OF_OTHER_IMAGE
-                                                       : SCORE_OF_NO_IMAGE)
+    result = (sharing_same_image (shard, worker, c->image) ? 0
+              : worker->serving ? SCORE_OF_OTHER_IMAGE
+                                : SCORE_OF_NO_IMAGE)
              - result;
   else if (step->fills)
-    {
-      result
-          = 1000
-            - sharing_leftover (worker) * 1000 / MAX (worker->millicores, 1);
-      result += (int64_t)(sharing_cost (shard, worker, step) * SCORE_OF_ADDED);
-    }
+    result = 1000
+             - sharing_leftover (worker) * 1000 / MAX (worker->millicores, 1);
   if (step->rack && strcmp (step->rack, worker->rack) != 0)
     result += SCORE_OF_OTHER_RACK;
   return result;
 }
+
+static int64_t
+score_of_sharing (const shard_t *shard, const worker_t *worker,
+                  const candidate_t *c)
+{
+  const step_t *step = &c->entry->job->order->steps[c->step];
+
+  if (!step->fills)
+    return 0;
+  return (int64_t)(sharing_cost (shard, worker, step, c->image)
+                   * SCORE_OF_ADDED);
+}
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -143,6 +143,13 @@
   int64_t forget_ms;       /* wall clock, 0: not ended */
 } entry_t;
 
+/* A step of which no task found a worker in the present pass.  */
+typedef struct
+{
+  const step_t *step;
+  const char *service;
+} hopeless_t;
+
 struct shard
 {
   shard_config_t config;
@@ -183,6 +190,7 @@
   bool learned_more;  /* since it was stored */
 
   bool place_due;   /* something may be startable */
+  GArray *hopeless; /* hopeless_t, of the pass under way */
   usec_t runs_due;  /* earliest start or stop */
   uint32_t waiting; /* tasks that the last pass found no worker for */
   usec_t load_due;  /* when the load is logged again */
@@ -266,18 +274,18 @@
 void sharing_ended (worker_t *worker, usec_t now, const run_t *run);
 /** @return whether a task of the step may run beside what runs there */
 bool sharing_allows (const shard_t *shard, usec_t now, const worker_t *worker,
-                     const step_t *step);
+                     const step_t *step, image_t image);
 /** A task of the step was placed there. */
 void sharing_placed (shard_t *shard, usec_t now, const worker_t *worker,
                      const step_t *step);
-/** @return whether all tasks with a target there are of the step's image */
+/** @return whether all tasks with a target there are of the image */
 bool sharing_same_image (const shard_t *shard, const worker_t *worker,
-                         const step_t *step);
+                         image_t image);
 /** @return millicores that tasks with leftover capacity may use there */
 int64_t sharing_leftover (const worker_t *worker);
 /** @return most that a task of the step adds to a utilization there */
 double sharing_cost (const shard_t *shard, const worker_t *worker,
-                     const step_t *step);
+                     const step_t *step, image_t image);
 
 /* shard_place.c */
 void place_all (shard_t *shard, usec_t now);
--- a/src/shard/shard_sharing.c
+++ b/src/shard/shard_sharing.c
@@ -215,10 +215,8 @@
 
 bool
 sharing_same_image (const shard_t *shard, const worker_t *worker,
-                    const step_t *step)
+                    image_t image)
 {
-  image_t image = interference_image (step->image);
-
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const run_t *run
@@ -272,9 +270,8 @@
 
 bool
 sharing_allows (const shard_t *shard, usec_t now, const worker_t *worker,
-                const step_t *step)
+                const step_t *step, image_t image)
 {
-  image_t image = interference_image (step->image);
   mix_t mix;
 
   if (!step->fills && !step->target_ms)
@@ -323,9 +320,9 @@
 }
 
 double
-sharing_cost (const shard_t *shard, const worker_t *worker, const step_t *step)
+sharing_cost (const shard_t *shard, const worker_t *worker, const step_t *step,
+              image_t image)
 {
-  image_t image = interference_image (step->image);
   double cost = 0;
 
   for (guint i = 0; i < worker->runs->len; i++)
