--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -80,6 +80,7 @@
   uint64_t used_millicores;
   uint64_t fill_millicores;
   uint64_t serving_millicores; /* part of used_millicores */
+  uint64_t serving_use;        /* that these really use, at most */
   uint64_t used_memory;
   uint64_t used_accelerators;
   uint32_t serving;
@@ -271,6 +272,8 @@
 /* shard_sharing.c */
 /** Learns from a list of runs and stops what harms a task with a target. */
 void sharing_listed (shard_t *shard, usec_t now, handle_t worker);
+/** Estimates what the tasks with a target on the worker use. */
+void sharing_count_use (const shard_t *shard, worker_t *worker);
 /** Notes the end of a run that used leftover capacity. */
 void sharing_ended (worker_t *worker, usec_t now, const run_t *run);
 /** @return whether a task of the step may run beside what runs there */
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -64,6 +64,8 @@
   task->handle = handle;
   worker_reserve (w, run);
   g_array_append_val (w->runs, handle);
+  if (run->target_ms)
+    sharing_count_use (shard, w);
   return handle;
 }
 
@@ -98,6 +100,8 @@
         g_array_remove_index_fast (worker->runs, i);
         break;
       }
+  if (run->target_ms)
+    sharing_count_use (shard, worker);
   table_remove (shard->runs, handle);
   shard->place_due = true;
 }
--- a/src/shard/shard_sharing.c
+++ b/src/shard/shard_sharing.c
@@ -14,9 +14,9 @@
 #define LOAD_RISE 0.1
 /* Added utilization that is not worth acting on. */
 #define NEGLIGIBLE 0.025
-/* Tasks with a target use about this share of what they declare, in percent:
-   the sites' mean load is 42, and it swings by half. */
-#define SERVING_USE 60
+/* Share of what it declares that a task with a target uses before its first
+   report: the sites' mean load is 0.42, and it swings by half. */
+#define LOAD_UNKNOWN 0.6
 /* A task over its target for so long loses everything beside it. */
 #define OVER_LIMIT (1800 * USEC_PER_MSEC)
 /* A pair of images without measurements is taken to add as much, in
@@ -40,6 +40,7 @@
 static bool bears (const shard_t *shard, const run_t *run, const mix_t *mix);
 static bool relieve (shard_t *shard, usec_t now, handle_t handle,
                      const run_t *served);
+static double load_ahead (const run_t *run);
 static void stop_all (shard_t *shard, usec_t now, handle_t handle);
 static bool unknown_beside (const shard_t *shard, const worker_t *worker,
                             image_t served, image_t except);
@@ -146,6 +147,7 @@
       if (run->measure > run->target_ms && worker->filling)
         over |= relieve (shard, now, handle, run);
     }
+  sharing_count_use (shard, worker);
   if (!over)
     worker->over_since = 0;
   else if (!worker->over_since)
@@ -238,8 +240,32 @@
   uint64_t others = worker->used_millicores - worker->serving_millicores;
 
   return (int64_t)worker->millicores - (int64_t)others
-         - (int64_t)(worker->serving_millicores * SERVING_USE / 100)
-         - (int64_t)worker->fill_millicores;
+         - (int64_t)worker->serving_use - (int64_t)worker->fill_millicores;
+}
+
+void
+sharing_count_use (const shard_t *shard, worker_t *worker)
+{
+  double use = 0;
+
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const run_t *run
+          = run_get (shard, g_array_index (worker->runs, handle_t, i));
+
+      if (run->target_ms)
+        use += run->millicores * load_ahead (run);
+    }
+  worker->serving_use = (uint64_t)use;
+}
+
+/* Highest load of the run's own that is expected for a second or two.  */
+static double
+load_ahead (const run_t *run)
+{
+  if (!run->own.variance)
+    return LOAD_UNKNOWN;
+  return MIN (run->own.peak, run->own.load + LOAD_RISE);
 }
 
 /* Whether a disturbing task of another image runs there whose effect on the
@@ -268,9 +294,8 @@
                                      mix->rows, mix->count);
 
   return added < NEGLIGIBLE
-         || MIN (run->own.peak, run->own.load + LOAD_RISE) + added + MARGIN
-                < interference_limit (shard->interference, run->image,
-                                      run->target_ms);
+         || load_ahead (run) + added + MARGIN < interference_limit (
+                shard->interference, run->image, run->target_ms);
 }
 
 bool
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -561,23 +561,17 @@
   pass (USEC_PER_MSEC);
 }
 
-/* Guards against room that is left unused for as long as the peak of a load is
-   remembered: loads swing within seconds, and short tasks fit between peaks
-   (on magnolia-coop a third of the leftover cores while tasks waited). */
+/* Owner of a lasting task with a target that is at work on the only worker. */
 static void
-test_fill_between_peaks (void)
+begin_serving (uint32_t millicores)
 {
   const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
   submission_t *serving = order_of (1);
-  submission_t *filling = order_with_id (JOB + 1, 1);
 
   serving->steps[0].lasting = true;
-  serving->steps[0].millicores = 2000;
+  serving->steps[0].millicores = millicores;
   serving->steps[0].target_ms = 45;
   serving->steps[0].image = g_strdup ("s");
-  filling->steps[0].fills = true;
-  filling->steps[0].millicores = 2000;
-  filling->steps[0].image = g_strdup ("f");
   begin ();
   pass_learned ();
   shard_loaded (world.shard, world.now);
@@ -588,9 +582,29 @@
   pass (USEC_PER_MSEC);
   CU_ASSERT_PTR_NOT_NULL_FATAL (last_call (SHARD_START));
   shard_reply (world.shard, world.now, last_call (SHARD_START)->id, &ok);
+}
+
+static void
+pass_filling (void)
+{
+  submission_t *filling = order_with_id (JOB + 1, 1);
+
+  filling->steps[0].fills = true;
+  filling->steps[0].millicores = 2000;
+  filling->steps[0].image = g_strdup ("f");
+  pass_order (filling);
+}
+
+/* Guards against room that is left unused for as long as the peak of a load is
+   remembered: loads swing within seconds, and short tasks fit between peaks
+   (on magnolia-coop a third of the leftover cores while tasks waited). */
+static void
+test_fill_between_peaks (void)
+{
+  begin_serving (2000);
   for (int i = 0; i < 8; i++)
     report_tail (28); /* 0.64 of its own */
-  pass_order (filling);
+  pass_filling ();
   report_tail (28);
   CU_ASSERT_EQUAL (world.appends, 1);
   for (int i = 0; i < 4; i++)
@@ -599,6 +613,21 @@
   finish ();
 }
 
+/* Guards against leftover cores counted by what serving tasks declare or are
+   thought to use: 3600 of 4000 are declared, a tenth of that is used. */
+static void
+test_fill_beside_idle (void)
+{
+  begin_serving (3600);
+  pass_filling ();
+  pass (200 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (world.appends, 1);
+  for (int i = 0; i < 4; i++)
+    report_tail (11);
+  CU_ASSERT_EQUAL (world.appends, 2);
+  finish ();
+}
+
 int
 main (void)
 {
@@ -616,6 +645,7 @@
     { "worker left", test_worker_left },
     { "adopted run, unlisted worker", test_adopted_run_unlisted },
     { "fill between peaks", test_fill_between_peaks },
+    { "fill beside an idle task", test_fill_beside_idle },
   };
   int code;
 
