Order: jobs that have begun come before those that have not

Cause: with workers short, every job waited until it had no slack, began, and its later steps competed with the next ones that had none: many were late. Change: within in time or late and priority, begun jobs first, then least slack.

--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -2,7 +2,7 @@
  * Order of the waiting tasks and choice of their workers.
  *
  * What can still be in time comes before what cannot, then by priority, then
- * by the time by which it has to begin.
+ * what has begun, then by the time by which it has to begin.
  */
 #include "shard/shard_private.h"
 
@@ -27,6 +27,7 @@
   occurrence_t *o;
   uint32_t step;
   bool late;
+  bool begun; /* a task of the job was started */
   uint32_t priority;
   int64_t due_ms; /* by when it has to begin */
   image_t image;
@@ -115,6 +116,7 @@
               = due - left - (int64_t)tasks_left (order, o) * TASK_SHARE_MS;
           c.late = !order->steps[s].lasting && wall_ms + left > due
                    && !mostly_done (order, o);
+          c.begun = job->started && !order->steps[s].lasting;
           c.priority = order->priority;
           c.image = interference_image (order->steps[s].image);
           g_array_append_val (out, c);
@@ -155,6 +157,9 @@
     return a->late ? 1 : -1;
   if (a->priority != b->priority)
     return a->priority < b->priority ? -1 : 1;
+  /* With workers short, jobs that take turns would all be late.  */
+  if (a->begun != b->begun)
+    return a->begun ? -1 : 1;
   if (a->due_ms != b->due_ms)
     return a->due_ms < b->due_ms ? -1 : 1;
   return 0;
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -104,18 +104,23 @@
 }
 
 static void
-pass_submission_of (job_id_t id, uint32_t tasks)
+pass_order (submission_t *order)
 {
-  submission_t *order = order_with_id (id, tasks);
   GByteArray *bytes = g_byte_array_new ();
 
   submission_encode (order, bytes);
-  shard_record (world.shard, world.now, RECORD_SUBMISSION, id,
+  shard_record (world.shard, world.now, RECORD_SUBMISSION, order->id,
                 (blob_t){ (char *)bytes->data, bytes->len });
   g_byte_array_unref (bytes);
   submission_free (order);
 }
 
+static void
+pass_submission_of (job_id_t id, uint32_t tasks)
+{
+  pass_order (order_with_id (id, tasks));
+}
+
 static void
 pass_submission (uint32_t tasks)
 {
@@ -463,6 +468,50 @@
   finish ();
 }
 
+/* Guards against jobs that take turns when workers are short, and are all
+   late: the second step of one that has begun goes before a job with less
+   slack. */
+static void
+test_begun_job_first (void)
+{
+  submission_t *order = order_of (4);
+  submission_t *fresh = order_with_id (JOB + 1, 30);
+  const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  end_report_t ends[4];
+
+  order->target_ms = fresh->target_ms = 2000;
+  order->step_count = 2;
+  order->steps = g_renew (step_t, order->steps, 2);
+  memset (&order->steps[1], 0, sizeof (step_t));
+  order->steps[1].count = 4;
+  order->steps[1].millicores = 1000;
+  order->steps[1].declared_ms = 500;
+  order->steps[1].after = g_new0 (uint32_t, 1);
+  order->steps[1].after_count = 1;
+  begin ();
+  shard_loaded (world.shard, world.now);
+  ready_worker ();
+  pass_order (order);
+  pass (USEC_PER_MSEC);
+  shard_stored (world.shard, world.now, SHARD_STORED);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (count_calls (SHARD_START), 4);
+  for (size_t i = 0; i < world.call_count; i++)
+    if (world.calls[i].kind == SHARD_START)
+      shard_reply (world.shard, world.now, world.calls[i].id, &ok);
+  pass_order (fresh);
+  for (uint32_t i = 0; i < 4; i++)
+    ends[i] = (end_report_t){ i + 1, { JOB, 0, 0, i, 1 }, RUN_DONE, "" };
+  answer_hold (NULL, 0, ends, 4);
+  pass (USEC_PER_MSEC);
+  shard_stored (world.shard, world.now, SHARD_STORED);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (count_calls (SHARD_START), 8);
+  CU_ASSERT_EQUAL (last_call (SHARD_START)->name.job, JOB);
+  CU_ASSERT_EQUAL (last_call (SHARD_START)->name.step, 1);
+  finish ();
+}
+
 /* Guards against runs on a worker that left just before a takeover: it is not
    listed any more, and only its address tells that nothing listens there
    (ruedas-plata mix, seed 659633801864). */
@@ -534,18 +583,6 @@
   interference_free (model);
 }
 
-static void
-pass_order (submission_t *order)
-{
-  GByteArray *bytes = g_byte_array_new ();
-
-  submission_encode (order, bytes);
-  shard_record (world.shard, world.now, RECORD_SUBMISSION, order->id,
-                (blob_t){ (char *)bytes->data, bytes->len });
-  g_byte_array_unref (bytes);
-  submission_free (order);
-}
-
 /* Lists the lasting run at work with a tail latency, a second later.  */
 static void
 report_tail (uint32_t tail_ms)
@@ -642,6 +679,7 @@
     { "silent start", test_silent_start },
     { "stalled run", test_stalled_run },
     { "large job first", test_large_job_first },
+    { "begun job first", test_begun_job_first },
     { "worker left", test_worker_left },
     { "adopted run, unlisted worker", test_adopted_run_unlisted },
     { "fill between peaks", test_fill_between_peaks },
