Submissions are stored by the owner's appends, with their first starts

Cause: each process appended each submission by itself. Ruled out: loading at takeovers (0.1 to 0.8 s), the group. Change: a front offers the submission to the owner (JOB_SUBMIT); the owner's next append carries it and the record of its first start. Without an owner for 0.6 s, or with a silent one for 1.3 s, the front appends it as before.

--- a/src/base/messages.h
+++ b/src/base/messages.h
@@ -54,6 +54,9 @@
   F (S, U64, id)                                                              \
   F (S, U64, kind)                                                            \
   F (S, U64, job) F (S, U64, shard) F (S, BLOB, queue)
+/* A submission for the owner to store; answered like a question. */
+#define JOB_SUBMIT_FIELDS(F, S)                                               \
+  F (S, U64, id) F (S, U64, job) F (S, U64, shard) F (S, BLOB, record)
 #define JOB_TELL_FIELDS(F, S)                                                 \
   F (S, U64, id) F (S, U64, code) F (S, U64, status) F (S, U64, pending)
 
@@ -128,7 +131,8 @@
   M (9, PEER_BUNDLE, peer_bundle)                                             \
   M (11, LOAD, load)                                                          \
   M (12, JOB_ASK, job_ask)                                                    \
-  M (13, JOB_TELL, job_tell)
+  M (13, JOB_TELL, job_tell)                                                  \
+  M (14, JOB_SUBMIT, job_submit)
 
 #define LOG_ENTRIES(M)                                                        \
   M (32, MEMBER, member)                                                      \
--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -8,6 +8,8 @@
 #define UNKNOWN_WAIT (500 * USEC_PER_MSEC)
 /* An end that is not stored yet is waited for. */
 #define END_WAIT (250 * USEC_PER_MSEC)
+/* An append that stores a submission is waited for as long as one may take. */
+#define SUBMIT_WAIT (1000 * USEC_PER_MSEC)
 /* Without a successful read for this long, an unknown job may just be unread.
  */
 #define READ_STALE (1000 * USEC_PER_MSEC)
@@ -18,6 +20,11 @@
 static void on_refused (void *ctx, node_id_t node);
 static void on_ask (scheduler_t *s, usec_t now, node_id_t node,
                     const msg_job_ask_t *ask);
+static void on_submit (scheduler_t *s, usec_t now, node_id_t node,
+                       const msg_job_submit_t *submit);
+static tell_code_t take (scheduler_t *s, usec_t now, uint32_t shard,
+                         job_id_t job, blob_t record);
+static tell_code_t submit_code (int code);
 static bool answer (scheduler_t *s, usec_t now, uint32_t shard,
                     ask_kind_t kind, job_id_t job, const char *queue,
                     bool last, tell_t *tell);
@@ -65,6 +72,75 @@
   return peerlink_send (s->link, owner->node, &message);
 }
 
+int
+asks_submit (scheduler_t *s, usec_t now, request_t *request)
+{
+  const owner_t *owner = &s->owners[request->shard];
+  message_t message = { .type = MSG_JOB_SUBMIT };
+  blob_t record
+      = { (const char *)request->record->data, request->record->len };
+  parked_t parked = { .id = request->id,
+                      .kind = ASK_SUBMIT,
+                      .job = request->job,
+                      .shard = request->shard };
+  tell_t tell;
+
+  if (s->parts[request->shard].owned)
+    {
+      tell.code = take (s, now, request->shard, request->job, record);
+      if (tell.code == TELL_LATER)
+        park (s, now, &parked);
+      else
+        callers_told (s, now, request->id, &tell);
+      return 0;
+    }
+  if (!owner->node || owner->self)
+    return -ENOTCONN;
+  message.u.job_submit.id = request->id;
+  message.u.job_submit.job = request->job;
+  message.u.job_submit.shard = request->shard;
+  message.u.job_submit.record = record;
+  request->peer = owner->node;
+  return peerlink_send (s->link, owner->node, &message);
+}
+
+static void
+on_submit (scheduler_t *s, usec_t now, node_id_t node,
+           const msg_job_submit_t *submit)
+{
+  parked_t parked = { .peer = node,
+                      .id = submit->id,
+                      .kind = ASK_SUBMIT,
+                      .job = submit->job,
+                      .shard = (uint32_t)submit->shard };
+  tell_t tell = { .code = TELL_NOT_TAKEN };
+
+  if (submit->shard < s->shard_count && s->parts[submit->shard].owned)
+    tell.code = take (s, now, parked.shard, submit->job, submit->record);
+  if (tell.code == TELL_LATER)
+    park (s, now, &parked);
+  else
+    deliver (s, now, node, submit->id, &tell);
+}
+
+/* Gives a submission to the shard.  */
+static tell_code_t
+take (scheduler_t *s, usec_t now, uint32_t shard, job_id_t job, blob_t record)
+{
+  if (sched_shard_of (s, job) != shard)
+    return TELL_NOT_TAKEN;
+  return submit_code (shard_submit (s->parts[shard].shard, now, job, record));
+}
+
+/* @param code of shard_submit or shard_submitted */
+static tell_code_t
+submit_code (int code)
+{
+  if (!code)
+    return TELL_KNOWN;
+  return code == -EINPROGRESS ? TELL_LATER : TELL_NOT_TAKEN;
+}
+
 static void
 on_message (void *ctx, node_id_t node, incarnation_t incarnation,
             const message_t *message)
@@ -85,6 +161,8 @@
     }
   else if (message->type == MSG_JOB_ASK)
     on_ask (s, now, node, &message->u.job_ask);
+  else if (message->type == MSG_JOB_SUBMIT)
+    on_submit (s, now, node, &message->u.job_submit);
   else if (message->type == MSG_JOB_TELL)
     {
       const msg_job_tell_t *m = &message->u.job_tell;
@@ -146,6 +224,14 @@
   *tell = (tell_t){ .code = TELL_LATER };
   if (!shard_is_active (part->shard))
     return last;
+  if (kind == ASK_SUBMIT)
+    {
+      /* What was taken is being stored until it is known to be; a new
+         ownership that does not know it cannot tell.  */
+      if (!shard_submitted (part->shard, job))
+        tell->code = TELL_KNOWN;
+      return last || tell->code == TELL_KNOWN;
+    }
   if (kind == ASK_PENDING)
     {
       tell->code = TELL_KNOWN;
@@ -208,7 +294,10 @@
       = shard_status (s->parts[parked->shard].shard, parked->job, &status)
         != -ENOENT;
 
-  parked->until = now + (known ? END_WAIT : UNKNOWN_WAIT);
+  parked->until = now
+                  + (parked->kind == ASK_SUBMIT ? SUBMIT_WAIT
+                     : known                    ? END_WAIT
+                                                : UNKNOWN_WAIT);
   g_array_append_val (s->parked, *parked);
   sched_wake (s);
 }
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -6,6 +6,13 @@
 #define DEADLINE_DEFAULT (3 * USEC_PER_SEC)
 /* An answer leaves this long before the caller gives up. */
 #define ANSWER_MARGIN (150 * USEC_PER_MSEC)
+/* A submission is offered to the shard's owner, whose appends carry many
+   records; appends of each process one by one would fill a slow store's queue.
+   It is offered again for this long if there is no owner or it has not loaded
+   yet, then appended by this process. */
+#define OFFER_SPAN (600 * USEC_PER_MSEC)
+/* Over what the owner waits before it says that it cannot tell yet. */
+#define OFFER_TIMEOUT (1300 * USEC_PER_MSEC)
 #define APPEND_TIMEOUT (900 * USEC_PER_MSEC)
 #define APPEND_PAUSE (60 * USEC_PER_MSEC)
 /* Refused by the store so often, a submission is refused. */
@@ -40,6 +47,10 @@
                                 const httpd_request_t *http,
                                 const queue_rules_t *rules, job_id_t job);
 static void step (scheduler_t *s, usec_t now, request_t *request);
+static void offer (scheduler_t *s, usec_t now, request_t *request);
+static void on_offer_told (scheduler_t *s, usec_t now, request_t *request,
+                           tell_code_t code);
+static void accepted (scheduler_t *s, usec_t now, request_t *request);
 static void send_append (scheduler_t *s, usec_t now, request_t *request);
 static void on_appended (void *ctx, store_result_t result, const char *error);
 static void send_ask (scheduler_t *s, usec_t now, request_t *request);
@@ -174,7 +185,8 @@
   order->target_ms = rules->target_ms;
   order->accepted_ms = usec_to_msec (g_get_real_time ());
   request = open_request (s, now, http, rules, job);
-  request->submits = true;
+  request->kind = ASK_SUBMIT;
+  request->offer_until = now + OFFER_SPAN;
   request->record = g_byte_array_new ();
   submission_encode (order, request->record);
   submission_free (order);
@@ -198,12 +210,84 @@
 {
   if (now >= request->deadline)
     give_up (s, request);
-  else if (request->submits)
-    send_append (s, now, request);
+  else if (request->kind == ASK_SUBMIT)
+    offer (s, now, request);
   else
     send_ask (s, now, request);
 }
 
+static void
+offer (scheduler_t *s, usec_t now, request_t *request)
+{
+  uint64_t id = request->id;
+
+  if (request->offered)
+    {
+      log_line (LOG_LEVEL_INFO, "job.offer", NULL,
+                "job=%016" PRIx64 " shard=%u owner silent for ms=%" PRId64,
+                request->job, request->shard,
+                usec_to_msec (now - request->asked));
+      request->offered = false;
+      request->may_be_stored = true;
+      request->offer_until = now;
+      peerlink_reset (s->link, request->peer);
+      group_doubt_owner (s, now);
+    }
+  if (request->appends || now >= request->offer_until)
+    {
+      send_append (s, now, request);
+      return;
+    }
+  request->offered = true;
+  request->asked = now;
+  request->due = now + OFFER_TIMEOUT;
+  /* An own shard may answer at once, and the request is gone.  */
+  if (!asks_submit (s, now, request)
+      || !g_hash_table_contains (s->requests, &id))
+    return;
+  request->offered = false;
+  request->due = now + ASK_PAUSE;
+  group_doubt_owner (s, now);
+}
+
+static void
+on_offer_told (scheduler_t *s, usec_t now, request_t *request,
+               tell_code_t code)
+{
+  if (!request->offered)
+    return; /* of an offer that was given up */
+  request->offered = false;
+  switch (code)
+    {
+    case TELL_KNOWN:
+      accepted (s, now, request);
+      return;
+    case TELL_NOT_TAKEN:
+      request->due = now + ASK_PAUSE;
+      group_doubt_owner (s, now);
+      break;
+    default:
+      /* It is being stored, or its owner was replaced meanwhile.  */
+      request->may_be_stored = true;
+      request->offer_until = now + OFFER_SPAN;
+      request->due = now;
+      break;
+    }
+  sched_wake (s);
+}
+
+static void
+accepted (scheduler_t *s, usec_t now, request_t *request)
+{
+  counter_add (COUNTER_JOBS_ACCEPTED, 1);
+  histogram_add (HISTOGRAM_SUBMIT, now - request->arrived);
+  log_line (LOG_LEVEL_INFO, "job.accepted", NULL,
+            "job=%016" PRIx64 " queue=%s appends=%u took_ms=%" PRId64,
+            request->job, request->queue, request->appends,
+            usec_to_msec (now - request->arrived));
+  finish (s, request, 200, 0, NULL);
+}
+
 static void
 send_append (scheduler_t *s, usec_t now, request_t *request)
 {
@@ -244,15 +328,7 @@
   request->append_busy = false;
   request->may_be_stored |= result == STORE_UNKNOWN;
   if (result == STORE_OK)
-    {
-      counter_add (COUNTER_JOBS_ACCEPTED, 1);
-      histogram_add (HISTOGRAM_SUBMIT, now - request->arrived);
-      log_line (LOG_LEVEL_INFO, "job.accepted", NULL,
-                "job=%016" PRIx64 " queue=%s appends=%u took_ms=%" PRId64,
-                request->job, request->queue, request->appends,
-                usec_to_msec (now - request->arrived));
-      finish (s, request, 200, 0, NULL);
-    }
+    accepted (s, now, request);
   else if (request->may_be_stored || request->appends < APPEND_TRIES)
     request->due = now + APPEND_PAUSE;
   else
@@ -291,8 +367,13 @@
   request_t *request = g_hash_table_lookup (s->requests, &id);
   const backend_ops_t *ops = s->backend->ops;
 
-  if (!request || request->submits)
+  if (!request)
     return;
+  if (request->kind == ASK_SUBMIT)
+    {
+      on_offer_told (s, now, request, tell->code);
+      return;
+    }
   switch (tell->code)
     {
     case TELL_KNOWN:
@@ -360,18 +441,20 @@
 static void
 give_up (scheduler_t *s, request_t *request)
 {
-  bool unknown
-      = request->submits && (request->may_be_stored || request->append_busy);
+  bool submits = request->kind == ASK_SUBMIT;
+  bool unknown = submits
+                 && (request->may_be_stored || request->append_busy
+                     || request->offered);
 
-  if (request->submits && !unknown)
+  if (submits && !unknown)
     counter_add (COUNTER_JOBS_REFUSED, 1);
-  log_line (
-      LOG_LEVEL_NOTICE, unknown ? "job.unknown" : "request.refused", NULL,
-      "job=%016" PRIx64 " queue=%s kind=%d appends=%u age_ms=%" PRId64
-      " store_silent_ms=%" PRId64,
-      request->job, request->queue, request->submits ? 0 : (int)request->kind,
-      request->appends, usec_to_msec (clock_now () - request->arrived),
-      usec_to_msec (clock_now () - s->store_ok));
+  log_line (LOG_LEVEL_NOTICE, unknown ? "job.unknown" : "request.refused",
+            NULL,
+            "job=%016" PRIx64 " queue=%s kind=%d appends=%u age_ms=%" PRId64
+            " store_silent_ms=%" PRId64,
+            request->job, request->queue, (int)request->kind, request->appends,
+            usec_to_msec (clock_now () - request->arrived),
+            usec_to_msec (clock_now () - s->store_ok));
   if (unknown)
     finish (s, request, 504, 0,
             s->backend->ops->error_body (s->backend->ctx,
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -30,7 +30,8 @@
 {
   ASK_STATUS = 1,
   ASK_CANCEL = 2,
-  ASK_PENDING = 3
+  ASK_PENDING = 3,
+  ASK_SUBMIT = 4 /* store its submission */
 } ask_kind_t;
 
 /* Its answer.  The numbers are sent to peers.  */
@@ -39,7 +40,8 @@
   TELL_KNOWN = 1,   /* with a status, or a number of pending jobs */
   TELL_UNKNOWN = 2, /* no such job */
   TELL_NOT_OWNER = 3,
-  TELL_LATER = 4 /* the owner cannot tell at present */
+  TELL_LATER = 4,    /* the owner cannot tell at present */
+  TELL_NOT_TAKEN = 5 /* a submission was not and will not be stored */
 } tell_code_t;
 
 typedef struct
@@ -54,8 +56,7 @@
 {
   uint64_t id; /* of the questions to peers */
   handle_t http;
-  bool submits;
-  ask_kind_t kind; /* unless it submits */
+  ask_kind_t kind;
   job_id_t job;
   char *queue;
   uint32_t shard;   /* being asked; of ASK_PENDING the next one */
@@ -68,7 +69,9 @@
   node_id_t peer;
   GByteArray *record; /* submission */
   bool append_busy;
-  bool may_be_stored; /* an append was not answered */
+  usec_t offer_until; /* a submission is offered to owners until then */
+  bool offered;       /* to an owner that has not answered yet */
+  bool may_be_stored; /* an append or an offer was not answered */
   uint32_t appends;
 } request_t;
 
@@ -248,6 +251,10 @@
 /** Asks the owner of a shard, which may be this process; callers_told gets
     the answer.  @return 0, or -ENOTCONN if no owner can be reached now */
 int asks_send (scheduler_t *s, usec_t now, request_t *request);
+/** Has the owner of the job's shard store the request's submission;
+    callers_told gets the answer.
+    @return 0, or a negative error: no owner has got it */
+int asks_submit (scheduler_t *s, usec_t now, request_t *request);
 usec_t asks_tick (scheduler_t *s, usec_t now);
 /** The job may be known now, or its end may be stored. */
 void asks_job_changed (scheduler_t *s, usec_t now, job_id_t job);
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -17,6 +17,8 @@
 static void load_submission (shard_t *shard, usec_t now, entry_t *entry,
                              job_id_t job, blob_t value);
 static void load_progress (entry_t *entry, job_id_t job, blob_t value);
+static entry_t *add_entry (shard_t *shard, job_id_t job);
+static void begin_job (shard_t *shard, usec_t now, entry_t *entry);
 static void join_progress (entry_t *entry);
 static void open_job (shard_t *shard, entry_t *entry);
 static void forget_old (shard_t *shard, usec_t now);
@@ -51,6 +53,7 @@
   shard->batch_runs = g_array_new (FALSE, FALSE, sizeof (handle_t));
   shard->batch_kept = g_array_new (FALSE, FALSE, sizeof (kept_t));
   shard->batch_ends = g_array_new (FALSE, FALSE, sizeof (stored_end_t));
+  shard->batch_submits = g_array_new (FALSE, FALSE, sizeof (job_id_t));
   shard->batch_drops = g_ptr_array_new ();
   return shard;
 }
@@ -76,6 +79,7 @@
   g_array_free (shard->batch_runs, TRUE);
   g_array_free (shard->batch_kept, TRUE);
   g_array_free (shard->batch_ends, TRUE);
+  g_array_free (shard->batch_submits, TRUE);
   g_ptr_array_free (shard->batch_drops, TRUE);
   g_free (shard);
 }
@@ -89,6 +93,8 @@
     job_free (entry->job);
   if (entry->early)
     g_bytes_unref (entry->early);
+  if (entry->unstored)
+    g_bytes_unref (entry->unstored);
   g_free (entry);
 }
 
@@ -222,10 +228,7 @@
       return;
     }
   if (!entry)
-    {
-      entry = g_new0 (entry_t, 1);
-      g_hash_table_insert (shard->jobs, g_memdup2 (&job, sizeof job), entry);
-    }
+    entry = add_entry (shard, job);
   if (kind == RECORD_SUBMISSION)
     load_submission (shard, now, entry, job, value);
   else
@@ -234,6 +237,54 @@
     shard->place_due = true;
 }
 
+static entry_t *
+add_entry (shard_t *shard, job_id_t job)
+{
+  entry_t *entry = g_new0 (entry_t, 1);
+
+  g_hash_table_insert (shard->jobs, g_memdup2 (&job, sizeof job), entry);
+  return entry;
+}
+
+int
+shard_submit (shard_t *shard, usec_t now, job_id_t job, blob_t record)
+{
+  submission_t *order;
+  entry_t *entry;
+  int known;
+
+  if (!shard_is_active (shard) || shard->quiesced)
+    return -EAGAIN;
+  known = shard_submitted (shard, job);
+  if (known != -ENOENT)
+    return known;
+  order = submission_decode (record);
+  if (!order || order->id != job)
+    {
+      submission_free (order);
+      return -EBADMSG;
+    }
+  entry = shard_entry (shard, job);
+  if (!entry)
+    entry = add_entry (shard, job);
+  entry->job = job_new (order);
+  entry->unstored = g_bytes_new (record.data, record.len);
+  begin_job (shard, now, entry);
+  shard_mark_dirty (shard, entry);
+  shard->place_due = true;
+  return -EINPROGRESS;
+}
+
+int
+shard_submitted (const shard_t *shard, job_id_t job)
+{
+  const entry_t *entry = shard_entry (shard, job);
+
+  if (!entry || !entry->job)
+    return -ENOENT;
+  return entry->unstored ? -EINPROGRESS : 0;
+}
+
 static void
 load_submission (shard_t *shard, usec_t now, entry_t *entry, job_id_t job,
                  blob_t value)
@@ -260,15 +311,24 @@
       return;
     }
   entry->job = job_new (order);
-  if (!shard->active)
-    return;
+  if (shard->active)
+    begin_job (shard, now, entry);
+}
+
+/* A job has become known to the active owner.  */
+static void
+begin_job (shard_t *shard, usec_t now, entry_t *entry)
+{
+  const submission_t *order = entry->job->order;
+
   open_job (shard, entry);
   shard->unfold_due = now;
   counter_add (COUNTER_JOBS_KNOWN, 1);
-  log_line (LOG_LEVEL_INFO, "job.known", NULL,
-            "job=%016" PRIx64 " queue=%s steps=%u age_ms=%" PRId64, job,
-            order->queue, order->step_count,
-            shard->ops->wall_ms (shard->ctx) - order->accepted_ms);
+  log_line (
+      LOG_LEVEL_INFO, "job.known", NULL,
+      "job=%016" PRIx64 " queue=%s steps=%u age_ms=%" PRId64 " stored=%d",
+      order->id, order->queue, order->step_count,
+      shard->ops->wall_ms (shard->ctx) - order->accepted_ms, !entry->unstored);
 }
 
 static void
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -178,7 +178,7 @@
       A repetition has the same SEQUENCE and the same records. */
   void (*append) (void *ctx, uint64_t sequence, const shard_record_t *records,
                   size_t count);
-  /** The job's end, or its being cancelled, is stored. */
+  /** The job's submission, its end or its being cancelled is stored. */
   void (*settled) (void *ctx, job_id_t job);
   /** A later owner was met: the shard is inactive from now on. */
   void (*superseded) (void *ctx);
@@ -199,6 +199,15 @@
 void shard_record (shard_t *shard, usec_t now, record_kind_t kind,
                    job_id_t job, blob_t value);
 
+/** Takes a submission to be stored with the next append.
+    @return 0 if it is stored already, -EINPROGRESS if it is being stored
+    (shard_ops_t.settled tells), -EAGAIN if this owner cannot take it now,
+    -EBADMSG if RECORD is none of JOB; with the last two it is not taken */
+int shard_submit (shard_t *shard, usec_t now, job_id_t job, blob_t record);
+
+/** @return as shard_submit does, -ENOENT if no such job is known */
+int shard_submitted (const shard_t *shard, job_id_t job);
+
 /** All records that were there when shard_begin was called were passed. */
 void shard_loaded (shard_t *shard, usec_t now);
 
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -138,6 +138,7 @@
 {
   job_t *job;
   GBytes *early;           /* progress read before the submission */
+  GBytes *unstored;        /* submission that is not stored yet */
   bool dirty;              /* in the list of jobs to be written */
   bool drop_submission;    /* its record is to be dropped */
   job_status_t stored_end; /* as the store has it */
@@ -184,6 +185,7 @@
   GArray *batch_runs;     /* handle_t that become RUN_SENDING */
   GArray *batch_kept;     /* kept_t */
   GArray *batch_ends;     /* stored_end_t */
+  GArray *batch_submits;  /* job_id_t whose submissions are in the batch */
   GPtrArray *batch_drops; /* entry_t whose records are dropped */
 
   interference_t *interference;
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -12,8 +12,10 @@
 static void add_record (shard_t *shard, record_kind_t kind, job_id_t job,
                         GByteArray *value);
 static size_t add_entry (shard_t *shard, entry_t *entry);
+static size_t add_submission (shard_t *shard, entry_t *entry);
 static void send (shard_t *shard, usec_t now);
 static void apply_stored (shard_t *shard, usec_t now);
+static void submission_stored (shard_t *shard, job_id_t job);
 static void forget_dropped (shard_t *shard);
 
 void
@@ -24,6 +26,7 @@
   g_array_set_size (shard->batch_runs, 0);
   g_array_set_size (shard->batch_kept, 0);
   g_array_set_size (shard->batch_ends, 0);
+  g_array_set_size (shard->batch_submits, 0);
   g_ptr_array_set_size (shard->batch_drops, 0);
 }
 
@@ -89,6 +92,7 @@
   const job_t *job = entry->job;
   GByteArray *value = g_byte_array_new ();
   stored_end_t end = { job->id, job->end };
+  size_t bytes = 0;
 
   entry->dirty = false;
   if (job->end != JOB_QUEUED && !job->order && !entry->forget_ms)
@@ -98,6 +102,8 @@
       add_record (shard, RECORD_PROGRESS, job->id, value);
       return 0;
     }
+  if (entry->unstored)
+    bytes = add_submission (shard, entry);
   job_encode (job, value);
   /* The progress comes first: with the submission gone and without it the
      job would not be known.  */
@@ -107,7 +113,21 @@
   entry->drop_submission = false;
   if (job->end != entry->stored_end)
     g_array_append_val (shard->batch_ends, end);
-  return value->len;
+  return bytes + value->len;
+}
+
+/* @return bytes added to the batch */
+static size_t
+add_submission (shard_t *shard, entry_t *entry)
+{
+  GByteArray *value = g_byte_array_new ();
+  gsize len;
+  const guint8 *data = g_bytes_get_data (entry->unstored, &len);
+
+  g_byte_array_append (value, data, (guint)len);
+  add_record (shard, RECORD_SUBMISSION, entry->job->id, value);
+  g_array_append_val (shard->batch_submits, entry->job->id);
+  return len;
 }
 
 /* Takes the reference to VALUE.  */
@@ -191,10 +211,24 @@
       entry->stored_end = end->end;
       shard->ops->settled (shard->ctx, end->job);
     }
+  for (guint i = 0; i < shard->batch_submits->len; i++)
+    submission_stored (shard,
+                       g_array_index (shard->batch_submits, job_id_t, i));
   forget_dropped (shard);
   shard_store_reset (shard);
 }
 
+static void
+submission_stored (shard_t *shard, job_id_t job)
+{
+  entry_t *entry = shard_entry (shard, job);
+
+  if (!entry)
+    return;
+  g_clear_pointer (&entry->unstored, g_bytes_unref);
+  shard->ops->settled (shard->ctx, job);
+}
+
 static void
 forget_dropped (shard_t *shard)
 {
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -19,6 +19,8 @@
   shard_call_t calls[MOST];
   size_t call_count;
   uint32_t appends;
+  uint32_t submissions;    /* appended */
+  bool submission_dropped; /* by the last one */
   uint32_t settled;
   uint32_t superseded;
   GByteArray *progress; /* value of the last progress record */
@@ -43,7 +45,12 @@
   (void)sequence;
   world.appends++;
   for (size_t i = 0; i < count; i++)
-    if (records[i].kind == RECORD_PROGRESS)
+    if (records[i].kind == RECORD_SUBMISSION)
+      {
+        world.submissions += records[i].value.len != 0;
+        world.submission_dropped = !records[i].value.len;
+      }
+    else if (records[i].kind == RECORD_PROGRESS)
       {
         g_byte_array_set_size (world.progress, 0);
         g_byte_array_append (world.progress,
@@ -275,6 +282,70 @@
   finish ();
 }
 
+/* A submission as a caller's process offers it.  */
+static int
+offer_submission (void)
+{
+  submission_t *order = order_of (1);
+  GByteArray *bytes = g_byte_array_new ();
+  int code;
+
+  submission_encode (order, bytes);
+  code = shard_submit (world.shard, world.now, JOB,
+                       (blob_t){ (char *)bytes->data, bytes->len });
+  g_byte_array_unref (bytes);
+  submission_free (order);
+  return code;
+}
+
+/* Guards against a job that is called accepted before it is stored, a start
+   that waits for a second append, and an identifier that is stored twice. */
+static void
+test_submit_with_start (void)
+{
+  begin ();
+  CU_ASSERT_EQUAL (offer_submission (), -EAGAIN);
+  shard_loaded (world.shard, world.now);
+  ready_worker ();
+  CU_ASSERT_EQUAL (offer_submission (), -EINPROGRESS);
+  CU_ASSERT_EQUAL (offer_submission (), -EINPROGRESS);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (world.appends, 1);
+  CU_ASSERT_EQUAL (world.submissions, 1);
+  CU_ASSERT_EQUAL (shard_submitted (world.shard, JOB), -EINPROGRESS);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 0);
+  shard_stored (world.shard, world.now, SHARD_STORED);
+  CU_ASSERT_EQUAL (world.settled, 1);
+  CU_ASSERT_EQUAL (offer_submission (), 0);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 1);
+  CU_ASSERT_EQUAL (world.appends, 1);
+  shard_quiesce (world.shard);
+  CU_ASSERT_EQUAL (
+      shard_submit (world.shard, world.now, JOB + 1, blob_of ("x")), -EAGAIN);
+  finish ();
+}
+
+/* Guards against a cancelled job that comes back: the submission that is
+   stored late is dropped in the same append. */
+static void
+test_submit_and_cancel (void)
+{
+  begin ();
+  shard_loaded (world.shard, world.now);
+  CU_ASSERT_EQUAL (shard_submit (world.shard, world.now, JOB, blob_of ("x")),
+                   -EBADMSG);
+  CU_ASSERT_EQUAL (offer_submission (), -EINPROGRESS);
+  CU_ASSERT_EQUAL (shard_cancel (world.shard, world.now, JOB), -EAGAIN);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (world.appends, 1);
+  CU_ASSERT_EQUAL (world.submissions, 1);
+  CU_ASSERT (world.submission_dropped);
+  shard_stored (world.shard, world.now, SHARD_STORED);
+  CU_ASSERT_EQUAL (shard_cancel (world.shard, world.now, JOB), 0);
+  finish ();
+}
+
 /* Guards against ends that are forgotten by the worker and not in the
    store. */
 static void
@@ -670,6 +741,8 @@
 {
   const suite_test_t tests[] = {
     { "start after stored", test_start_after_stored },
+    { "submit with start", test_submit_with_start },
+    { "submit and cancel", test_submit_and_cancel },
     { "confirm after stored", test_confirm_after_stored },
     { "stop of an adopted run", test_stop_of_adopted_run },
     { "adopted run not listed", test_adopted_run_not_listed },
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -9,6 +9,8 @@
 #include <string.h>
 
 #define JOB_SPAN (8 * USEC_PER_SEC)
+/* A submission is offered to the owner for this long. */
+#define OFFER_SPAN (1500 * USEC_PER_MSEC)
 #define LEASE (6 * USEC_PER_SEC)
 #define LINK (4 * USEC_PER_MSEC)
 #define STORE_DELAY (8 * USEC_PER_MSEC)
@@ -72,6 +74,8 @@
 typedef struct
 {
   submission_t *order;
+  usec_t offered; /* to the owner first, then */
+  bool accepted;  /* its submission is stored for certain */
   bool cancelled;
   usec_t cancel_answered; /* 0: not yet */
   usec_t cancel_at;
@@ -825,6 +829,43 @@
 
 /* --- Callers --- */
 
+static void
+make_job (shard_world_t *w, sim_job_t *job, job_id_t id)
+{
+  job->order = make_order (w, id);
+  job->offered = w->now;
+  if (g_rand_double (w->random) < w->config.cancel)
+    job->cancel_at = w->now + g_rand_int_range (w->random, 10000, 2000000);
+}
+
+static bool
+has_record (const shard_world_t *w, record_kind_t kind, job_id_t id)
+{
+  char *key = g_strdup_printf ("%c%016" PRIx64, (char)kind, id);
+  bool found = g_hash_table_contains (w->records, key);
+
+  g_free (key);
+  return found;
+}
+
+/* @return whether the owner says that it has stored the submission */
+static bool
+offer (shard_world_t *w, job_id_t id, const GByteArray *bytes)
+{
+  const sim_owner_t *owner = &w->owners[w->current];
+  blob_t record = { (const char *)bytes->data, bytes->len };
+
+  if (!owner->alive || shard_submit (owner->shard, w->now, id, record))
+    return false;
+  if (!has_record (w, RECORD_SUBMISSION, id)
+      && !has_record (w, RECORD_PROGRESS, id))
+    rule_broken (w, &(run_name_t){ .job = id },
+                 "a submission said to be stored is not");
+  return true;
+}
+
+/* Every other job is offered to the owner, as processes do, and appended by
+   the caller's own process if no owner takes it in time.  */
 static void
 submit_due (shard_world_t *w)
 {
@@ -834,13 +875,19 @@
       usec_t at = USEC_PER_SEC + JOB_SPAN / w->config.jobs * i;
       GByteArray *bytes;
 
-      if (job->order || w->now < at)
+      if (job->accepted || w->now < at)
         continue;
-      job->order = make_order (w, i + 1);
-      if (g_rand_double (w->random) < w->config.cancel)
-        job->cancel_at = w->now + g_rand_int_range (w->random, 10000, 2000000);
+      if (!job->order)
+        make_job (w, job, i + 1);
       bytes = g_byte_array_new ();
       submission_encode (job->order, bytes);
+      if (i % 2 && w->now < job->offered + OFFER_SPAN)
+        {
+          job->accepted = offer (w, i + 1, bytes);
+          g_byte_array_unref (bytes);
+          continue;
+        }
+      job->accepted = true;
       g_hash_table_replace (w->records,
                             g_strdup_printf ("j%016" PRIx64, (uint64_t)i + 1),
                             g_bytes_new (bytes->data, bytes->len));
