--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -436,6 +436,21 @@
   return next;
 }
 
+void
+callers_give_up (scheduler_t *s)
+{
+  GHashTableIter iter;
+  gpointer data;
+  GPtrArray *open = g_ptr_array_new ();
+
+  g_hash_table_iter_init (&iter, s->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &data))
+    g_ptr_array_add (open, data);
+  for (guint i = 0; i < open->len; i++)
+    give_up (s, open->pdata[i]);
+  g_ptr_array_free (open, TRUE);
+}
+
 /* An append whose outcome is not known must not be answered as a refusal:
    the job may run.  */
 static void
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -241,6 +241,8 @@
 extern const httpd_ops_t sched_ready_ops;
 extern const httpd_ops_t sched_operator_ops;
 usec_t callers_tick (scheduler_t *s, usec_t now);
+/** Answers all open requests: the process ends. */
+void callers_give_up (scheduler_t *s);
 /** The answer of a shard's owner to the request's question. */
 void callers_told (scheduler_t *s, usec_t now, uint64_t request,
                    const tell_t *tell);
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -36,6 +36,9 @@
 #define STOP_QUIET (2600 * USEC_PER_MSEC)
 /* Before the platform's own limit, so that the process ends by itself. */
 #define STOP_MARGIN (800 * USEC_PER_MSEC)
+/* What is still open then is answered, so that no connection is closed without
+   an answer; the rest is for the answers to leave. */
+#define STOP_ANSWERS (200 * USEC_PER_MSEC)
 
 static int start (scheduler_t *s, err_t *err);
 static int open_sockets (scheduler_t *s, err_t *err);
@@ -359,13 +362,15 @@
     }
   if (!s->left)
     return now + 5 * USEC_PER_MSEC;
-  if (now < s->stop_began + STOP_QUIET && now < s->stop_limit)
-    return s->stop_began + STOP_QUIET;
+  if (now < s->stop_began + STOP_QUIET && now < s->stop_limit - STOP_ANSWERS)
+    return MIN (s->stop_began + STOP_QUIET, s->stop_limit - STOP_ANSWERS);
   if (!s->quiesced)
     {
       s->quiesced = true;
       httpd_quiesce (s->callers);
     }
+  if (now >= s->stop_limit - STOP_ANSWERS)
+    callers_give_up (s);
   if (!httpd_open_requests (s->callers) || now >= s->stop_limit)
     ev_break (s->loop, EVBREAK_ALL);
   return now + 10 * USEC_PER_MSEC;
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -1,12 +1,16 @@
 /* The scheduling process against a backend that notes what it is asked. */
 #include "base/log.h"
+#include "net/http_client.h"
 #include "scheduler/sched_private.h"
 #include "support/suite.h"
 
 #include <CUnit/CUnit.h>
+#include <signal.h>
 #include <string.h>
 
 #define RUN_S 0.35
+#define STOP_RUN_S 3.0
+#define STOP_AT_S 0.3
 #define GENERATION 7U
 
 typedef struct
@@ -15,6 +19,10 @@
   uint64_t fence_epoch;
   size_t fence_records;
   store_result_t fence_result;
+  bool hangs; /* appends of records are not answered */
+  bool submitted;
+  int answered; /* status of the caller's request */
+  http_client_t *caller;
   struct ev_loop *loop;
   GPtrArray *pending; /* answer_t */
 } fake_t;
@@ -29,6 +37,7 @@
   void *ctx;
   store_result_t result;
   bool holds;
+  bool config;
   bool owned; /* the callback frees its context */
 } answer_t;
 
@@ -39,7 +48,9 @@
 {
   answer_t *a = timer->data;
   store_part_t part = { .part = 0 };
-  store_records_t records = { .result = STORE_OK };
+  const store_record_t config = { .key = { "config", 6 } };
+  store_records_t records
+      = { .result = STORE_OK, .records = &config, .count = a->config ? 1 : 0 };
   store_parts_t parts = { .result = STORE_OK,
                           .generation = GENERATION,
                           .parts = &part,
@@ -75,7 +86,8 @@
 fake_append (void *ctx, const store_append_t *append, store_done_t done,
              void *done_ctx)
 {
-  answer_t *a = answer_later ("append", 0.002);
+  answer_t *a = answer_later (
+      "append", fake.hangs && append->count ? 10 * STOP_RUN_S : 0.002);
 
   (void)ctx;
   fake.fence_epoch = append->epoch;
@@ -112,6 +124,7 @@
   a->records = done;
   a->ctx = done_ctx;
   a->owned = topic == TOPIC_WORK;
+  a->config = topic == TOPIC_CONFIG;
 }
 
 static void
@@ -155,10 +168,39 @@
 static queues_t *
 fake_config (void *ctx, const store_record_t *record, err_t *err)
 {
+  const queue_rules_t rules = { .name = g_strdup ("queue"),
+                                .host = g_strdup ("127.0.0.1"),
+                                .path_prefix = g_strdup ("/q/"),
+                                .service = g_strdup ("service") };
+  queues_t *queues = queues_new (1);
+
   (void)ctx;
   (void)record;
   (void)err;
-  return NULL;
+  queues_add (queues, &rules);
+  return queues;
+}
+
+static submission_t *
+fake_submission (void *ctx, blob_t body, err_t *err)
+{
+  submission_t *order = g_new0 (submission_t, 1);
+
+  (void)ctx;
+  (void)body;
+  (void)err;
+  order->spec = g_strdup ("spec");
+  order->step_count = 1;
+  order->steps = g_new0 (step_t, 1);
+  order->steps[0].count = 1;
+  return order;
+}
+
+static char *
+fake_error_body (void *ctx, const char *text)
+{
+  (void)ctx;
+  return strdup (text);
 }
 
 static const backend_ops_t ops = {
@@ -169,6 +211,8 @@
   .leave = fake_leave,
   .owners = fake_owners,
   .config = fake_config,
+  .submission = fake_submission,
+  .error_body = fake_error_body,
   .deadline_header = "Deadline",
 };
 
@@ -180,18 +224,75 @@
   ev_break (EV_A_ EVBREAK_ALL);
 }
 
+static void
+on_answer (void *ctx, const http_answer_t *answer)
+{
+  (void)ctx;
+  fake.answered = answer->status;
+}
+
+/* A caller submits a job, and a moment later the process is stopped.  */
+static void
+on_stop (EV_P_ ev_timer *timer, int events)
+{
+  const http_request_t request
+      = { .method = "POST",
+          .url = "http://127.0.0.1:18161/q/5c0e7a21d94b36f8",
+          .body = blob_of ("{}"),
+          .timeout = 5 * USEC_PER_SEC };
+
+  (void)events;
+  if (!fake.submitted)
+    {
+      fake.submitted = true;
+      http_client_send (fake.caller, &request, on_answer, NULL);
+      return;
+    }
+  ev_timer_stop (EV_A_ timer);
+  ev_feed_signal_event (EV_A_ SIGTERM);
+}
+
+/* The process is over: nobody waits for the store's answers.  */
+static void
+drop_pending (void)
+{
+  for (guint i = 0; i < fake.pending->len; i++)
+    {
+      answer_t *a = fake.pending->pdata[i];
+
+      ev_timer_stop (fake.loop, &a->timer);
+      if (a->owned)
+        g_free (a->ctx);
+      g_free (a);
+    }
+  g_ptr_array_set_size (fake.pending, 0);
+}
+
+/* The process is over; its answer may not have been read yet.  */
+static void
+read_answer (void)
+{
+  ev_timer over;
+
+  ev_timer_init (&over, on_over, RUN_S, 0.);
+  ev_timer_start (fake.loop, &over);
+  ev_run (fake.loop, 0);
+  ev_timer_stop (fake.loop, &over);
+}
+
 static int
-run_scheduler (store_result_t fence_result)
+run_scheduler (store_result_t fence_result, bool stopped)
 {
   static const char text[]
       = "[node]\nname = n1\nzone = z1\n[listen]\ncallers = 127.0.0.1:18161\n"
         "ready = 127.0.0.1:18162\npeers = 127.0.0.1:18163\n"
         "operators = 127.0.0.1:18164\n[store]\naddress = 127.0.0.1:18165\n"
-        "[scheduler]\nshards = 1\n";
+        "[scheduler]\nshards = 1\ngrace_ms = 1500\n";
   GArray *problems = g_array_new (FALSE, TRUE, sizeof (problem_t));
   scheduler_settings_t settings;
   backend_t backend = { &ops, NULL };
   ev_timer over;
+  ev_timer stop;
   int code;
 
   scheduler_settings_read (blob_of (text), &settings, problems);
@@ -201,18 +302,20 @@
   fake.fence_result = fence_result;
   fake.pending = g_ptr_array_new ();
   fake.loop = ev_loop_new (EVFLAG_AUTO);
-  ev_timer_init (&over, on_over, RUN_S, 0.);
+  fake.hangs = stopped;
+  fake.caller = http_client_new (fake.loop, COUNTER_UPSTREAM_BYTES);
+  ev_timer_init (&stop, on_stop, STOP_AT_S, STOP_AT_S / 2);
+  if (stopped)
+    ev_timer_start (fake.loop, &stop);
+  ev_timer_init (&over, on_over, stopped ? STOP_RUN_S : RUN_S, 0.);
   ev_timer_start (fake.loop, &over);
   code = scheduler_main (fake.loop, &settings, &backend);
+  ev_timer_stop (fake.loop, &stop);
+  drop_pending ();
+  if (stopped)
+    read_answer ();
   scheduler_settings_clear (&settings);
-  for (guint i = 0; i < fake.pending->len; i++)
-    {
-      answer_t *a = fake.pending->pdata[i];
-
-      if (a->owned)
-        g_free (a->ctx);
-      g_free (a);
-    }
+  http_client_free (fake.caller);
   g_ptr_array_free (fake.pending, TRUE);
   ev_loop_destroy (fake.loop);
   return code;
@@ -226,7 +329,7 @@
   const char *append;
   const char *load;
 
-  CU_ASSERT_EQUAL (run_scheduler (STORE_OK), 0);
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, false), 0);
   append = strstr (fake.text, "append");
   load = strstr (fake.text, "newest-work");
   CU_ASSERT_PTR_NOT_NULL_FATAL (append);
@@ -240,11 +343,21 @@
 static void
 test_no_load_unfenced (void)
 {
-  CU_ASSERT_EQUAL (run_scheduler (STORE_UNKNOWN), 0);
+  CU_ASSERT_EQUAL (run_scheduler (STORE_UNKNOWN, false), 0);
   CU_ASSERT_PTR_NOT_NULL (strstr (fake.text, "append"));
   CU_ASSERT_PTR_NULL (strstr (fake.text, "newest-work"));
 }
 
+/* Guards against a connection that is closed without an answer: a submission
+   that is not stored when the time to stop is over (magnolia-coop trouble-2,
+   seed 442584384863). */
+static void
+test_answer_before_stop (void)
+{
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, true), 0);
+  CU_ASSERT_EQUAL (fake.answered, 504);
+}
+
 /* A site is divided only when one owner would not do: tasks of a full shard do
    not go to another one.  Never into more shards than there are partitions.
    Small VMs leave the decision and large shards to larger ones.  The figures
@@ -307,6 +420,7 @@
   const suite_test_t tests[] = {
     { "fence before load", test_fence_before_load },
     { "no load without a fence", test_no_load_unfenced },
+    { "answer before the stop", test_answer_before_stop },
     { "layout", test_layout },
     { "settings", test_settings },
   };
