Health of the store is known on VMs that own no shard; they go through owners

Cause: on VMs too small to own shards only appended submissions counted as calls to the store. Found on the way: a VM that the store turns away refused submissions although an owner that the store serves was in reach. Change: the list of owners counts too, and is asked for again soon after a failure; the store is away after 1.2 s of failures, whenever the last success was; without the store, submissions are offered as long as a peer answers as owner; an owner without the store takes none.

--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -127,7 +127,7 @@
 static tell_code_t
 take (scheduler_t *s, usec_t now, uint32_t shard, job_id_t job, blob_t record)
 {
-  if (sched_shard_of (s, job) != shard)
+  if (sched_shard_of (s, job) != shard || !sched_store_healthy (s, now))
     return TELL_NOT_TAKEN;
   return submit_code (shard_submit (s->parts[shard].shard, now, job, record));
 }
@@ -169,6 +169,8 @@
       tell_t tell = { (tell_code_t)m->code, (job_status_t)m->status,
                       (uint32_t)m->pending };
 
+      if (tell.code == TELL_KNOWN)
+        s->owner_told = now;
       callers_told (s, now, m->id, &tell);
     }
   sched_wake (s);
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -22,6 +22,9 @@
 #define ASK_TIMEOUT (800 * USEC_PER_MSEC)
 #define ASK_PAUSE (60 * USEC_PER_MSEC)
 #define RETRY_AFTER_S 1U
+/* An owner that answered so recently is taken to be reachable: longer than the
+   pauses between the questions of a process that takes requests. */
+#define OWNER_RECENT (2 * USEC_PER_SEC)
 #define MAX_OPEN_REQUESTS 20000U
 
 /* A submission's append.  The request may be abandoned meanwhile.  */
@@ -39,6 +42,7 @@
 static void ignore_abandoned (void *ctx, handle_t http);
 static usec_t deadline_of (scheduler_t *s, handle_t http,
                            const queue_rules_t *rules, usec_t now);
+static bool can_submit (const scheduler_t *s, usec_t now);
 static void submit (scheduler_t *s, usec_t now, const httpd_request_t *http,
                     const queue_rules_t *rules, job_id_t job);
 static void ask (scheduler_t *s, usec_t now, const httpd_request_t *http,
@@ -150,6 +154,14 @@
   return request;
 }
 
+/* Without the store, submissions go through an owner that has it.  */
+static bool
+can_submit (const scheduler_t *s, usec_t now)
+{
+  return sched_store_healthy (s, now)
+         || (s->owner_told && now - s->owner_told < OWNER_RECENT);
+}
+
 static void
 submit (scheduler_t *s, usec_t now, const httpd_request_t *http,
         const queue_rules_t *rules, job_id_t job)
@@ -165,7 +177,7 @@
       answer_now (s, http->handle, 400, 0, err.text);
       return;
     }
-  if (!sched_store_healthy (s, now)
+  if (!can_submit (s, now)
       || g_hash_table_size (s->requests) >= MAX_OPEN_REQUESTS)
     {
       counter_add (COUNTER_JOBS_REFUSED, 1);
@@ -263,6 +275,11 @@
       accepted (s, now, request);
       return;
     case TELL_NOT_TAKEN:
+      if (!sched_store_healthy (s, now))
+        {
+          give_up (s, request);
+          return;
+        }
       request->due = now + ASK_PAUSE;
       group_doubt_owner (s, now);
       break;
@@ -531,8 +548,7 @@
 on_ready (void *ctx, const httpd_request_t *http)
 {
   scheduler_t *s = ctx;
-  bool ready
-      = s->queues && !s->stopping && sched_store_healthy (s, clock_now ());
+  bool ready = s->queues && !s->stopping && can_submit (s, clock_now ());
   httpd_answer_t answer
       = { .status = ready ? 200 : 503, .body = blob_of ("{}") };
 
--- a/src/scheduler/sched_group.c
+++ b/src/scheduler/sched_group.c
@@ -177,6 +177,7 @@
 send_owners (scheduler_t *s, usec_t now)
 {
   s->owners_busy = true;
+  s->owners_sent = now;
   s->owners_due = now + OWNERS_INTERVAL;
   s->backend->ops->owners (s->backend->ctx, GROUP, JOIN_TIMEOUT, on_owners, s);
 }
@@ -189,8 +190,13 @@
 
   s->owners_busy = false;
   sched_wake (s);
+  sched_store_result (s, s->owners_sent, parts->result, "owners",
+                      parts->error);
   if (parts->result != STORE_OK)
-    return;
+    {
+      group_doubt_owner (s, clock_now ());
+      return;
+    }
   for (uint32_t i = 0; i < s->shard_count; i++)
     {
       const char *member = NULL;
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -144,13 +144,16 @@
   part_t *parts; /* a row a shard */
   owner_t *owners;
   usec_t owners_due;
+  usec_t owners_sent;
   bool owners_busy;
   uint64_t generation;
   bool join_busy;
   usec_t join_due;
   usec_t join_sent;
-  usec_t store_ok; /* the store answered a call sent then */
-  usec_t store_failed;
+  usec_t store_ok;      /* the store answered a call sent then */
+  usec_t store_failed;  /* the newest call that failed was sent then */
+  usec_t store_failing; /* calls have failed since then, 0: they succeed */
+  usec_t owner_told;    /* another process answered as owner then */
 
   queues_t *queues; /* in force, NULL before the first */
   bool config_busy;
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -27,8 +27,8 @@
    for workers that it does not reach. */
 #define STALE_LIMIT (3 * USEC_PER_SEC)
 
-/* Store calls that failed more recently than one succeeded, for this long,
-   mean that it is away. */
+/* The store is away when calls have failed, and none sent later has succeeded,
+   for this long. */
 #define STORE_AWAY (1200 * USEC_PER_MSEC)
 
 /* The balancer sends new connections until two checks, one a second, have
@@ -247,24 +247,31 @@
   counter_add (COUNTER_STORE_CALLS, 1);
   if (result != STORE_REFUSED && result != STORE_UNKNOWN)
     {
-      if (s->store_failed > s->store_ok && sent > s->store_failed)
-        log_line (LOG_LEVEL_NOTICE, "store.back", NULL,
-                  "step=%s away_ms=%" PRId64, step,
-                  usec_to_msec (clock_now () - s->store_ok));
+      if (s->store_failing && sent > s->store_failed)
+        {
+          log_line (LOG_LEVEL_NOTICE, "store.back", NULL,
+                    "step=%s away_ms=%" PRId64, step,
+                    usec_to_msec (clock_now () - s->store_failing));
+          s->store_failing = 0;
+        }
       s->store_ok = MAX (s->store_ok, sent);
       return;
     }
   counter_add (COUNTER_STORE_ERRORS, 1);
-  if (s->store_failed <= s->store_ok)
-    log_line (LOG_LEVEL_NOTICE, "store.failed", NULL, "step=%s error=\"%s\"",
-              step, error ? error : "");
   s->store_failed = MAX (s->store_failed, sent);
+  if (s->store_failing || sent < s->store_ok)
+    return;
+  s->store_failing = clock_now ();
+  /* Asks again soon, to know whether it is back.  */
+  group_doubt_owner (s, s->store_failing);
+  log_line (LOG_LEVEL_NOTICE, "store.failed", NULL, "step=%s error=\"%s\"",
+            step, error ? error : "");
 }
 
 bool
 sched_store_healthy (const scheduler_t *s, usec_t now)
 {
-  return s->store_ok >= s->store_failed || now - s->store_ok < STORE_AWAY;
+  return !s->store_failing || now - s->store_failing < STORE_AWAY;
 }
 
 static void
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -11,6 +11,7 @@
 #define RUN_S 0.35
 #define STOP_RUN_S 3.0
 #define STOP_AT_S 0.3
+#define CHECK_AT_S 2.7
 #define GENERATION 7U
 
 typedef struct
@@ -19,7 +20,8 @@
   uint64_t fence_epoch;
   size_t fence_records;
   store_result_t fence_result;
-  bool hangs; /* appends of records are not answered */
+  bool hangs;   /* appends of records are not answered */
+  bool refuses; /* appends of records are refused */
   bool submitted;
   int answered; /* status of the caller's request */
   http_client_t *caller;
@@ -37,8 +39,8 @@
   void *ctx;
   store_result_t result;
   bool holds;
-  bool config;
-  bool owned; /* the callback frees its context */
+  store_record_t record; /* with a key: the one that is read */
+  bool owned;            /* the callback frees its context */
 } answer_t;
 
 static fake_t fake;
@@ -48,9 +50,9 @@
 {
   answer_t *a = timer->data;
   store_part_t part = { .part = 0 };
-  const store_record_t config = { .key = { "config", 6 } };
-  store_records_t records
-      = { .result = STORE_OK, .records = &config, .count = a->config ? 1 : 0 };
+  store_records_t records = { .result = STORE_OK,
+                              .records = &a->record,
+                              .count = a->record.key.len ? 1 : 0 };
   store_parts_t parts = { .result = STORE_OK,
                           .generation = GENERATION,
                           .parts = &part,
@@ -95,7 +97,7 @@
   a->done = done;
   a->ctx = done_ctx;
   a->owned = true;
-  a->result = fake.fence_result;
+  a->result = fake.refuses ? STORE_REFUSED : fake.fence_result;
 }
 
 static void
@@ -124,7 +126,11 @@
   a->records = done;
   a->ctx = done_ctx;
   a->owned = topic == TOPIC_WORK;
-  a->config = topic == TOPIC_CONFIG;
+  if (topic == TOPIC_CONFIG)
+    a->record.key = blob_of ("config");
+  else if (topic == TOPIC_LAYOUT)
+    a->record = (store_record_t){ .key = blob_of ("layout"),
+                                  .value = blob_of ("1 350") };
 }
 
 static void
@@ -249,7 +255,22 @@
       return;
     }
   ev_timer_stop (EV_A_ timer);
-  ev_feed_signal_event (EV_A_ SIGTERM);
+  if (fake.hangs)
+    ev_feed_signal_event (EV_A_ SIGTERM);
+}
+
+/* Asks whether the process is ready.  */
+static void
+on_check (EV_P_ ev_timer *timer, int events)
+{
+  const http_request_t request = { .method = "GET",
+                                   .url = "http://127.0.0.1:18162/-/ready",
+                                   .timeout = USEC_PER_SEC };
+
+  (void)EV_A;
+  (void)timer;
+  (void)events;
+  http_client_send (fake.caller, &request, on_answer, NULL);
 }
 
 /* The process is over: nobody waits for the store's answers.  */
@@ -280,39 +301,57 @@
   ev_timer_stop (fake.loop, &over);
 }
 
+typedef enum
+{
+  CASE_SHORT,   /* no caller */
+  CASE_STOPPED, /* with a submission that is not stored */
+  CASE_SMALL    /* too small a VM to own shards; the store refuses one
+                  submission */
+} case_t;
+
 static int
-run_scheduler (store_result_t fence_result, bool stopped)
+run_scheduler (store_result_t fence_result, case_t kind)
 {
-  static const char text[]
+  static const char common[]
       = "[node]\nname = n1\nzone = z1\n[listen]\ncallers = 127.0.0.1:18161\n"
         "ready = 127.0.0.1:18162\npeers = 127.0.0.1:18163\n"
         "operators = 127.0.0.1:18164\n[store]\naddress = 127.0.0.1:18165\n"
-        "[scheduler]\nshards = 1\ngrace_ms = 1500\n";
+        "[scheduler]\ngrace_ms = 1500\n";
+  char *text = g_strconcat (common,
+                            kind == CASE_SMALL ? "[limits]\ncpu_share = 0.03\n"
+                                               : "shards = 1\n",
+                            NULL);
   GArray *problems = g_array_new (FALSE, TRUE, sizeof (problem_t));
   scheduler_settings_t settings;
   backend_t backend = { &ops, NULL };
   ev_timer over;
   ev_timer stop;
+  ev_timer check;
   int code;
 
   scheduler_settings_read (blob_of (text), &settings, problems);
   CU_ASSERT_EQUAL (problems->len, 0);
   g_array_free (problems, TRUE);
+  g_free (text);
   memset (&fake, 0, sizeof fake);
   fake.fence_result = fence_result;
   fake.pending = g_ptr_array_new ();
   fake.loop = ev_loop_new (EVFLAG_AUTO);
-  fake.hangs = stopped;
+  fake.hangs = kind == CASE_STOPPED;
+  fake.refuses = kind == CASE_SMALL;
   fake.caller = http_client_new (fake.loop, COUNTER_UPSTREAM_BYTES);
   ev_timer_init (&stop, on_stop, STOP_AT_S, STOP_AT_S / 2);
-  if (stopped)
+  if (kind != CASE_SHORT)
     ev_timer_start (fake.loop, &stop);
-  ev_timer_init (&over, on_over, stopped ? STOP_RUN_S : RUN_S, 0.);
+  ev_timer_init (&check, on_check, CHECK_AT_S, 0.);
+  if (kind == CASE_SMALL)
+    ev_timer_start (fake.loop, &check);
+  ev_timer_init (&over, on_over, kind == CASE_SHORT ? RUN_S : STOP_RUN_S, 0.);
   ev_timer_start (fake.loop, &over);
   code = scheduler_main (fake.loop, &settings, &backend);
   ev_timer_stop (fake.loop, &stop);
   drop_pending ();
-  if (stopped)
+  if (kind == CASE_STOPPED)
     read_answer ();
   scheduler_settings_clear (&settings);
   http_client_free (fake.caller);
@@ -329,7 +368,7 @@
   const char *append;
   const char *load;
 
-  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, false), 0);
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, CASE_SHORT), 0);
   append = strstr (fake.text, "append");
   load = strstr (fake.text, "newest-work");
   CU_ASSERT_PTR_NOT_NULL_FATAL (append);
@@ -343,7 +382,7 @@
 static void
 test_no_load_unfenced (void)
 {
-  CU_ASSERT_EQUAL (run_scheduler (STORE_UNKNOWN, false), 0);
+  CU_ASSERT_EQUAL (run_scheduler (STORE_UNKNOWN, CASE_SHORT), 0);
   CU_ASSERT_PTR_NOT_NULL (strstr (fake.text, "append"));
   CU_ASSERT_PTR_NULL (strstr (fake.text, "newest-work"));
 }
@@ -354,10 +393,22 @@
 static void
 test_answer_before_stop (void)
 {
-  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, true), 0);
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, CASE_STOPPED), 0);
   CU_ASSERT_EQUAL (fake.answered, 504);
 }
 
+/* Guards against a VM that stays out of rotation after one refusal: it owns no
+   shard, so no other call told it that the store was back (ruedas-plata-grown
+   trouble-1: 11 of 32 VMs not ready for five seconds and more). */
+static void
+test_ready_after_refusal (void)
+{
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, CASE_SMALL), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (fake.text, "append"));
+  CU_ASSERT_PTR_NULL (strstr (fake.text, "join"));
+  CU_ASSERT_EQUAL (fake.answered, 200);
+}
+
 /* A site is divided only when one owner would not do: tasks of a full shard do
    not go to another one.  Never into more shards than there are partitions.
    Small VMs leave the decision and large shards to larger ones.  The figures
@@ -421,6 +472,7 @@
     { "fence before load", test_fence_before_load },
     { "no load without a fence", test_no_load_unfenced },
     { "answer before the stop", test_answer_before_stop },
+    { "ready after a refusal", test_ready_after_refusal },
     { "layout", test_layout },
     { "settings", test_settings },
   };
