--- a/Makefile
+++ b/Makefile
@@ -104,7 +104,7 @@
 MUTANT_OBJ = $(BUILD)/src/claims/test_claims_matrix.o \
              $(filter-out $(BUILD)/src/claims/%,$(OBJ))
 
-$(BUILD)/mutants/%: $(CLAIMS_SRC) $(MUTANT_OBJ)
+$(BUILD)/mutants/matrix-%: $(CLAIMS_SRC) $(MUTANT_OBJ)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -DCLAIMS_MUTANT=MUTANT_$* -o $@ $^ $(LDLIBS) -lcunit
 
@@ -114,16 +114,24 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -DCLAIMS_MUTANT=MUTANT_$* -o $@ $^ $(LDLIBS) -lcunit
 
-mutants: $(MUTANTS:%=$(BUILD)/mutants/%) \
-         $(UNIT_MUTANTS:%=$(BUILD)/mutants/unit-%)
-	@scripts/run-mutants.sh $^
+mutants: $(MUTANTS:%=$(BUILD)/mutants/matrix-%) \
+         $(UNIT_MUTANTS:%=$(BUILD)/mutants/unit-%) mutants-sched
+	@scripts/run-mutants.sh $(filter $(BUILD)/%,$^)
+
+# The rules of the scheduling process: tests must fail without any one.
+SCHED_TESTS = jobs/test_jobs shard/test_shard shard/test_shard_steps \
+              scheduler/test_scheduler
+mutants-sched: $(SCHED_TESTS:%=$(BUILD)/src/%.o) $(TESTSUP_OBJ) $(OBJ)
+	@scripts/mutants-sched.sh $(BUILD) $(OBJ) $(TESTSUP_OBJ) -- $(CC) \
+	  $(CFLAGS) -- $(LDLIBS) -lcunit
 
 # Exhaustive check of the claims protocol for 2 and 3 nodes with spin.
 model:
 	@scripts/model.sh $(BUILD)/model
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
-.PHONY: all deps unit check demo bench format lint clean mutants model
+.PHONY: all deps unit check demo bench format lint clean mutants \
+        mutants-sched model
 .SECONDARY:
 
 # For tests/*.sh and scripts/demo.sh.
--- /dev/null
+++ b/scripts/mutants-sched.sh
@@ -0,0 +1,85 @@
+#!/bin/sh
+# Switches off one mechanism of the scheduling process at a time and requires
+# that a test without the bench then fails.  Arguments: build directory, test
+# objects with their common objects, "--", compiler, flags, "--", libraries.
+#
+# Each line of the table: name, source, test program, expression of sed.  An
+# expression that changes nothing is an error, so that the table follows the
+# source.
+build=$1
+shift
+objects=
+while [ "$1" != "--" ]; do
+	objects="$objects $1"
+	shift
+done
+shift
+compile=
+while [ "$1" != "--" ]; do
+	compile="$compile '$1'"
+	shift
+done
+shift
+libraries=$*
+dir=$build/mutants/sched
+mkdir -p "$dir"
+
+table() {
+	cat <<'TABLE'
+CONFIRM_BEFORE_STORED|src/shard/shard_calls.c|shard/test_shard_steps|s/worker->in_doubt ? 0 : worker->ends_kept/worker->ends_seen/
+NO_LEASE_WAIT|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now < worker->lapsed_at)/if (0)/
+STALE_OWNER_EXTENDS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now - shard->confirmed > .*)/if (0)/
+NOT_SUPERSEDED|src/shard/shard_calls.c|shard/test_shard_steps|s/shard_supersede (shard, worker->id);//
+STRAY_RUNS_ON|src/shard/shard_calls.c|shard/test_shard_steps|s/send_stop (shard, now, handle, &report->name, HANDLE_NONE);//
+START_SENT_TWICE|src/shard/shard_runs.c|shard/test_shard|s/run->state == RUN_SENDING && !run->sent/run->state == RUN_SENDING/
+NO_ATTEMPT_LIMIT|src/shard/shard_runs.c|shard/test_shard|s/counted->failures >= MAX (job->order->attempts, 1)/counted->failures > 1000/
+SAME_RUN_NUMBER|src/jobs/jobs.c|jobs/test_jobs|s/task->run++;//
+NO_STEP_ORDER|src/jobs/jobs.c|jobs/test_jobs|s/if (occurrence->left\[s->after\[i\]\])/if (0)/
+NO_CAPACITY|src/shard/shard_place.c|shard/test_shard|s/worker->used_millicores + step->millicores > worker->millicores/false/
+START_ON_LEAVING|src/shard/shard_place.c|shard/test_shard_steps|s/worker->leaving ||//
+PARTIAL_GANG|src/shard/shard_place.c|shard/test_shard_steps|s/take_back (shard, now, c, i);//
+HARM_GOES_ON|src/shard/shard_sharing.c|shard/test_shard_steps|s/run->measure > run->target_ms \&\& worker->filling/false/
+CANCEL_NOT_STORED|src/shard/shard.c|shard/test_shard_steps|s/if (entry->stored_end == JOB_QUEUED)/if (0)/
+ACCEPTED_NOT_STORED|src/shard/shard.c|shard/test_shard_steps|s/entry->unstored ? -EINPROGRESS : 0/0/
+SECOND_SUBMISSION_COUNTS|src/shard/shard.c|shard/test_shard_steps|s/^  if (entry->job)$/  if (0)/
+LOAD_WITHOUT_FENCE|src/scheduler/sched_store.c|scheduler/test_scheduler|s/if (part->fenced)/if (1)/
+CONFIG_GOES_BACK|src/scheduler/sched_store.c|scheduler/test_scheduler|s/queues_version (queues) <= queues_version (s->queues)/false/
+UNKNOWN_IS_REFUSED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/bool unknown = submits/bool unknown = false/
+TABLE
+}
+
+status=0
+while IFS='|' read -r name source program expression; do
+	copy=$dir/$name.c
+	sed "$expression" "$source" >"$copy"
+	if cmp -s "$source" "$copy"; then
+		echo "FAIL     $name changes nothing in $source"
+		status=1
+		continue
+	fi
+	object=$build/${source%.c}.o
+	test_object=$build/src/$program.o
+	rest=
+	for o in $objects; do
+		case $o in
+		"$object" | */test_*) ;;
+		*) rest="$rest $o" ;;
+		esac
+	done
+	if ! eval "$compile -Wno-error -w -o '$dir/$name' '$copy' $test_object \
+		$rest $libraries" 2>"$dir/$name.log"; then
+		echo "FAIL     $name does not build, see $dir/$name.log"
+		status=1
+		continue
+	fi
+	if timeout 120 "$dir/$name" >"$dir/$name.log" 2>&1; then
+		echo "SURVIVED $name"
+		status=1
+	else
+		echo "killed   $name:" \
+			"$(grep -m 1 -e 'had failures' -e 'ERROR' "$dir/$name.log")"
+	fi
+done <<EOF
+$(table)
+EOF
+exit $status
--- a/scripts/run-mutants.sh
+++ b/scripts/run-mutants.sh
@@ -10,7 +10,7 @@
 	unit-*"had failures"*)
 		echo "killed   $(basename "$mutant"):" \
 			"$(printf '%s\n' "$output" | grep -m 1 'had failures')" ;;
-	[A-Z]*FAILED*" may "*)
+	matrix-*FAILED*" may "*)
 		echo "killed   $(basename "$mutant"):" \
 			"$(printf '%s\n' "$output" | grep -m 1 '^FAILED.* may ')" ;;
 	*)
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -12,6 +12,7 @@
 #define STOP_RUN_S 3.0
 #define STOP_AT_S 0.3
 #define CHECK_AT_S 2.7
+#define CONFIG_VERSION 9U
 #define GENERATION 7U
 
 typedef struct
@@ -20,8 +21,9 @@
   uint64_t fence_epoch;
   size_t fence_records;
   store_result_t fence_result;
-  bool hangs;   /* appends of records are not answered */
-  bool refuses; /* appends of records are refused */
+  bool hangs;       /* appends of records are not answered */
+  bool refuses;     /* appends of records are refused */
+  uint32_t configs; /* decoded */
   bool submitted;
   int answered; /* status of the caller's request */
   http_client_t *caller;
@@ -107,6 +109,8 @@
   answer_t *a = answer_later ("read", 0.05);
 
   (void)ctx;
+  if (read->topic == TOPIC_CONFIG)
+    a->record.key = blob_of ("config");
   a->records = done;
   a->ctx = done_ctx;
   a->owned = read->topic == TOPIC_WORK;
@@ -178,7 +182,8 @@
                                 .host = g_strdup ("127.0.0.1"),
                                 .path_prefix = g_strdup ("/q/"),
                                 .service = g_strdup ("service") };
-  queues_t *queues = queues_new (1);
+  /* Each record that is read later has a lower version.  */
+  queues_t *queues = queues_new (CONFIG_VERSION - fake.configs++);
 
   (void)ctx;
   (void)record;
@@ -387,6 +392,15 @@
   CU_ASSERT_PTR_NULL (strstr (fake.text, "newest-work"));
 }
 
+/* Guards against an older configuration that comes into force again. */
+static void
+test_config_only_rises (void)
+{
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, CASE_SHORT), 0);
+  CU_ASSERT (fake.configs > 1);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_BUNDLE_VERSION), CONFIG_VERSION);
+}
+
 /* Guards against a connection that is closed without an answer: a submission
    that is not stored when the time to stop is over (magnolia-coop trouble-2,
    seed 442584384863). */
@@ -471,6 +485,7 @@
   const suite_test_t tests[] = {
     { "fence before load", test_fence_before_load },
     { "no load without a fence", test_no_load_unfenced },
+    { "configuration only rises", test_config_only_rises },
     { "answer before the stop", test_answer_before_stop },
     { "ready after a refusal", test_ready_after_refusal },
     { "layout", test_layout },
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -736,6 +736,126 @@
   finish ();
 }
 
+/* Guards against an owner that goes on after a worker has seen a later one. */
+static void
+test_superseded_by_worker (void)
+{
+  const shard_reply_t fenced = { .kind = SHARD_REPLY_FENCED };
+
+  begin ();
+  shard_loaded (world.shard, world.now);
+  list_worker ();
+  pass (0);
+  CU_ASSERT (shard_is_active (world.shard));
+  shard_reply (world.shard, world.now, last_call (SHARD_HOLD)->id, &fenced);
+  CU_ASSERT (!shard_is_active (world.shard));
+  CU_ASSERT_EQUAL (world.superseded, 1);
+  finish ();
+}
+
+/* Guards against runs that no record knows and that go on. */
+static void
+test_stray_run (void)
+{
+  begin ();
+  shard_loaded (world.shard, world.now);
+  list_worker ();
+  pass (0);
+  answer_hold (&first_run, 1, NULL, 0);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (last_call (SHARD_STOP));
+  CU_ASSERT_EQUAL (last_call (SHARD_STOP)->name.job, JOB);
+  finish ();
+}
+
+/* Guards against starts on a worker that has said that it leaves. */
+static void
+test_no_start_on_leaving (void)
+{
+  begin ();
+  shard_loaded (world.shard, world.now);
+  ready_worker ();
+  list_worker_leaving (true);
+  pass_submission (1);
+  pass (200 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (world.appends, 0);
+  list_worker_leaving (false);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (world.appends, 1);
+  finish ();
+}
+
+/* Guards against members of a gang that wait for others without room. */
+static void
+test_whole_gang (void)
+{
+  submission_t *order = order_of (5);
+
+  order->steps[0].gang = true;
+  begin ();
+  shard_loaded (world.shard, world.now);
+  ready_worker ();
+  pass_order (order);
+  for (int i = 0; i < 3; i++)
+    {
+      pass (200 * USEC_PER_MSEC);
+      shard_stored (world.shard, world.now, SHARD_STORED);
+    }
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 0);
+  order = order_with_id (JOB + 1, 4);
+  order->steps[0].gang = true;
+  pass_order (order);
+  pass (200 * USEC_PER_MSEC);
+  shard_stored (world.shard, world.now, SHARD_STORED);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 4);
+  finish ();
+}
+
+/* Guards against a filler that goes on beside a task over its target. */
+static void
+test_harm_ends (void)
+{
+  const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  const run_report_t runs[] = {
+    { { JOB, 0, 0, 0, 1 }, "", 100, 60 },
+    { { JOB + 1, 0, 0, 0, 1 }, "", 10, 2000 },
+  };
+
+  begin_serving (2000);
+  pass_filling ();
+  for (int i = 0; i < 4; i++)
+    report_tail (13);
+  shard_stored (world.shard, world.now, SHARD_STORED);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (last_call (SHARD_START));
+  shard_reply (world.shard, world.now, last_call (SHARD_START)->id, &ok);
+  pass (USEC_PER_SEC);
+  answer_hold (runs, 2, NULL, 0);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (last_call (SHARD_STOP));
+  CU_ASSERT_EQUAL (last_call (SHARD_STOP)->name.job, JOB + 1);
+  finish ();
+}
+
+/* Guards against a submission that comes again under the same identifier and
+   starts its tasks anew. */
+static void
+test_first_submission_counts (void)
+{
+  begin ();
+  shard_loaded (world.shard, world.now);
+  ready_worker ();
+  pass_submission (1);
+  pass (USEC_PER_MSEC);
+  shard_stored (world.shard, world.now, SHARD_STORED);
+  pass (USEC_PER_MSEC);
+  pass_submission (1);
+  pass (200 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (world.appends, 1);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 1);
+  finish ();
+}
+
 int
 main (void)
 {
@@ -755,6 +875,12 @@
     { "begun job first", test_begun_job_first },
     { "worker left", test_worker_left },
     { "adopted run, unlisted worker", test_adopted_run_unlisted },
+    { "superseded by a worker", test_superseded_by_worker },
+    { "stray run", test_stray_run },
+    { "no start on a leaving worker", test_no_start_on_leaving },
+    { "whole gang", test_whole_gang },
+    { "first submission counts", test_first_submission_counts },
+    { "harm ends", test_harm_ends },
     { "fill between peaks", test_fill_between_peaks },
     { "fill beside an idle task", test_fill_beside_idle },
   };
