--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -8,8 +8,9 @@
 #define UNKNOWN_WAIT (500 * USEC_PER_MSEC)
 /* An end that is not stored yet is waited for. */
 #define END_WAIT (250 * USEC_PER_MSEC)
-/* An append that stores a submission is waited for as long as one may take. */
-#define SUBMIT_WAIT (1000 * USEC_PER_MSEC)
+/* An append that stores a submission is waited for so long; the caller's
+   process then offers it again. */
+#define SUBMIT_WAIT (500 * USEC_PER_MSEC)
 /* Without a successful read for this long, an unknown job may just be unread.
  */
 #define READ_STALE (1000 * USEC_PER_MSEC)
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -12,7 +12,10 @@
    yet, then appended by this process. */
 #define OFFER_SPAN (600 * USEC_PER_MSEC)
 /* Over what the owner waits before it says that it cannot tell yet. */
-#define OFFER_TIMEOUT (1300 * USEC_PER_MSEC)
+#define OFFER_TIMEOUT (750 * USEC_PER_MSEC)
+/* Nothing is offered to a silent owner for this long: about what it takes
+   until another one is dealt its shard. */
+#define OWNER_SILENT (1000 * USEC_PER_MSEC)
 #define APPEND_TIMEOUT (900 * USEC_PER_MSEC)
 #define APPEND_PAUSE (60 * USEC_PER_MSEC)
 /* Refused by the store so often, a submission is refused. */
@@ -242,10 +245,12 @@
       request->offered = false;
       request->may_be_stored = true;
       request->offer_until = now;
+      s->owners[request->shard].silent_until = now + OWNER_SILENT;
       peerlink_reset (s->link, request->peer);
       group_doubt_owner (s, now);
     }
-  if (request->appends || now >= request->offer_until)
+  if (request->appends || now >= request->offer_until
+      || now < s->owners[request->shard].silent_until)
     {
       send_append (s, now, request);
       return;
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -115,6 +115,7 @@
   node_id_t node;
   char member[96];
   bool self;
+  usec_t silent_until; /* nothing is offered to it before */
 } owner_t;
 
 struct scheduler
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -223,9 +223,10 @@
 {
   entry_t *entry = shard_entry (shard, job);
 
-  if (!entry)
+  if (!entry || !entry->unstored)
     return;
-  g_clear_pointer (&entry->unstored, g_bytes_unref);
+  g_bytes_unref (entry->unstored);
+  entry->unstored = NULL;
   shard->ops->settled (shard->ctx, job);
 }
 
