--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -34,7 +34,7 @@
 #define SPREAD 0.5
 #define ESTIMATE_SPREAD 0.5
 #define TAIL_SHARE 0.03
-#define TAIL_FACTOR 7.0
+#define TAIL_FACTOR 7
 
 static world_job_t *make_job (gsl_rng *random, const kind_t *kind, usec_t at,
                               job_id_t id);
