--- a/bench/jobs_world.c
+++ b/bench/jobs_world.c
@@ -139,8 +139,9 @@
         {
           bool tail = gsl_rng_uniform (random) < TAIL_SHARE;
 
-          job->work[s][i] = around (random, kind->seconds * 1000, SPREAD)
-                            * (tail ? TAIL_FACTOR : 1) * USEC_PER_MSEC;
+          job->work[s][i]
+              = (usec_t)around (random, kind->seconds * 1000, SPREAD)
+                * (tail ? TAIL_FACTOR : 1) * USEC_PER_MSEC;
           total += (double)job->work[s][i] / USEC_PER_SEC * step->millicores
                    / 1e3;
         }
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -15,7 +15,7 @@
 /* libcurl walks all connections of a multi handle for each one that was closed
    by its peer: with 2,000 connections that took a tenth of an owner's time.
    Peers are divided among several handles. */
-#define LANES 16U
+#define POOLS 16U
 #define MAX_ANSWER_BYTES (64U << 20)
 #define MAX_IDLE_HANDLES 256U
 #define ETAG_BYTES 72U
@@ -28,12 +28,12 @@
   http_client_t *client;
   CURLM *multi;
   ev_timer timer;
-} lane_t;
+} pool_t;
 
 struct http_client
 {
   struct ev_loop *loop;
-  lane_t lanes[LANES];
+  pool_t pools[POOLS];
   counter_t bytes;
   GPtrArray *idle;    /* CURL handles for reuse */
   GHashTable *active; /* transfer_t set */
@@ -42,7 +42,7 @@
 struct transfer
 {
   http_client_t *client;
-  lane_t *lane;
+  pool_t *pool;
   CURL *easy;
   struct curl_slist *headers;
   char *body;
@@ -59,17 +59,17 @@
 typedef struct
 {
   ev_io io;
-  lane_t *lane;
+  pool_t *pool;
 } watch_t;
 
-static void open_lane (http_client_t *client, lane_t *lane);
-static lane_t *lane_of (http_client_t *client, const char *url);
+static void open_pool (http_client_t *client, pool_t *pool);
+static pool_t *pool_of (http_client_t *client, const char *url);
 static int on_socket (CURL *easy, curl_socket_t fd, int what, void *ctx,
                       void *socket_ctx);
 static int on_timer (CURLM *multi, long timeout_ms, void *ctx);
 static void on_timer_fired (EV_P_ ev_timer *timer, int events);
 static void on_io (EV_P_ ev_io *io, int events);
-static void finish_transfers (lane_t *lane);
+static void finish_transfers (pool_t *pool);
 static void finish (http_client_t *client, transfer_t *transfer,
                     CURLcode code);
 static size_t on_body_read (char *buffer, size_t size, size_t count,
@@ -90,38 +90,38 @@
   client->bytes = bytes;
   client->idle = g_ptr_array_new ();
   client->active = g_hash_table_new_full (NULL, NULL, transfer_free, NULL);
-  for (size_t i = 0; i < LANES; i++)
-    open_lane (client, &client->lanes[i]);
+  for (size_t i = 0; i < POOLS; i++)
+    open_pool (client, &client->pools[i]);
   return client;
 }
 
 static void
-open_lane (http_client_t *client, lane_t *lane)
+open_pool (http_client_t *client, pool_t *pool)
 {
-  lane->client = client;
-  lane->multi = curl_multi_init ();
-  ev_init (&lane->timer, on_timer_fired);
-  lane->timer.data = lane;
-  curl_multi_setopt (lane->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
-  curl_multi_setopt (lane->multi, CURLMOPT_SOCKETDATA, lane);
-  curl_multi_setopt (lane->multi, CURLMOPT_TIMERFUNCTION, on_timer);
-  curl_multi_setopt (lane->multi, CURLMOPT_TIMERDATA, lane);
-  curl_multi_setopt (lane->multi, CURLMOPT_MAXCONNECTS,
-                     MAX_IDLE_CONNECTIONS / LANES);
-  curl_multi_setopt (lane->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  pool->client = client;
+  pool->multi = curl_multi_init ();
+  ev_init (&pool->timer, on_timer_fired);
+  pool->timer.data = pool;
+  curl_multi_setopt (pool->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (pool->multi, CURLMOPT_SOCKETDATA, pool);
+  curl_multi_setopt (pool->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (pool->multi, CURLMOPT_TIMERDATA, pool);
+  curl_multi_setopt (pool->multi, CURLMOPT_MAXCONNECTS,
+                     MAX_IDLE_CONNECTIONS / POOLS);
+  curl_multi_setopt (pool->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
 }
 
-/* The requests to one peer share a lane, so that they find its idle
+/* The requests to one peer share a pool, so that they find its idle
    connections.  */
-static lane_t *
-lane_of (http_client_t *client, const char *url)
+static pool_t *
+pool_of (http_client_t *client, const char *url)
 {
   const char *host = strstr (url, "://");
   size_t len;
 
   host = host ? host + 3 : url;
   len = strcspn (host, "/");
-  return &client->lanes[XXH64 (host, len, 0) % LANES];
+  return &client->pools[XXH64 (host, len, 0) % POOLS];
 }
 
 void
@@ -133,10 +133,10 @@
   for (guint i = 0; i < client->idle->len; i++)
     curl_easy_cleanup (client->idle->pdata[i]);
   g_ptr_array_free (client->idle, TRUE);
-  for (size_t i = 0; i < LANES; i++)
+  for (size_t i = 0; i < POOLS; i++)
     {
-      curl_multi_cleanup (client->lanes[i].multi);
-      ev_timer_stop (client->loop, &client->lanes[i].timer);
+      curl_multi_cleanup (client->pools[i].multi);
+      ev_timer_stop (client->loop, &client->pools[i].timer);
     }
   g_free (client);
 }
@@ -148,7 +148,7 @@
   transfer_t *transfer = g_new0 (transfer_t, 1);
 
   transfer->client = client;
-  transfer->lane = lane_of (client, request->url);
+  transfer->pool = pool_of (client, request->url);
   transfer->done = done;
   transfer->ctx = ctx;
   transfer->body = g_memdup2 (request->body.data, request->body.len);
@@ -161,7 +161,7 @@
     transfer->easy = curl_easy_init ();
   set_options (transfer, request);
   g_hash_table_add (client->active, transfer);
-  curl_multi_add_handle (transfer->lane->multi, transfer->easy);
+  curl_multi_add_handle (transfer->pool->multi, transfer->easy);
 }
 
 static void
@@ -209,7 +209,7 @@
 static int
 on_socket (CURL *easy, curl_socket_t fd, int what, void *ctx, void *socket_ctx)
 {
-  lane_t *lane = ctx;
+  pool_t *pool = ctx;
   watch_t *watch = socket_ctx;
   int events = 0;
 
@@ -217,7 +217,7 @@
   if (what == CURL_POLL_REMOVE)
     {
       if (watch)
-        ev_io_stop (lane->client->loop, &watch->io);
+        ev_io_stop (pool->client->loop, &watch->io);
       g_free (watch);
       return 0;
     }
@@ -228,28 +228,28 @@
   if (!watch)
     {
       watch = g_new0 (watch_t, 1);
-      watch->lane = lane;
+      watch->pool = pool;
       ev_init (&watch->io, on_io);
       watch->io.data = watch;
-      curl_multi_assign (lane->multi, fd, watch);
+      curl_multi_assign (pool->multi, fd, watch);
     }
-  ev_io_stop (lane->client->loop, &watch->io);
+  ev_io_stop (pool->client->loop, &watch->io);
   ev_io_set (&watch->io, fd, events);
-  ev_io_start (lane->client->loop, &watch->io);
+  ev_io_start (pool->client->loop, &watch->io);
   return 0;
 }
 
 static int
 on_timer (CURLM *multi, long timeout_ms, void *ctx)
 {
-  lane_t *lane = ctx;
+  pool_t *pool = ctx;
 
   (void)multi;
-  ev_timer_stop (lane->client->loop, &lane->timer);
+  ev_timer_stop (pool->client->loop, &pool->timer);
   if (timeout_ms >= 0)
     {
-      ev_timer_set (&lane->timer, (double)timeout_ms / 1e3, 0.);
-      ev_timer_start (lane->client->loop, &lane->timer);
+      ev_timer_set (&pool->timer, (double)timeout_ms / 1e3, 0.);
+      ev_timer_start (pool->client->loop, &pool->timer);
     }
   return 0;
 }
@@ -257,20 +257,20 @@
 static void
 on_timer_fired (EV_P_ ev_timer *timer, int events)
 {
-  lane_t *lane = timer->data;
+  pool_t *pool = timer->data;
   int running;
 
   (void)loop;
   (void)events;
-  curl_multi_socket_action (lane->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-  finish_transfers (lane);
+  curl_multi_socket_action (pool->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  finish_transfers (pool);
 }
 
 static void
 on_io (EV_P_ ev_io *io, int events)
 {
   watch_t *watch = io->data;
-  lane_t *lane = watch->lane;
+  pool_t *pool = watch->pool;
   int flags = 0;
   int running;
 
@@ -279,17 +279,17 @@
     flags |= CURL_CSELECT_IN;
   if (events & EV_WRITE)
     flags |= CURL_CSELECT_OUT;
-  curl_multi_socket_action (lane->multi, io->fd, flags, &running);
-  finish_transfers (lane);
+  curl_multi_socket_action (pool->multi, io->fd, flags, &running);
+  finish_transfers (pool);
 }
 
 static void
-finish_transfers (lane_t *lane)
+finish_transfers (pool_t *pool)
 {
   CURLMsg *message;
   int left;
 
-  while ((message = curl_multi_info_read (lane->multi, &left)))
+  while ((message = curl_multi_info_read (pool->multi, &left)))
     {
       char *private_data = NULL;
 
@@ -297,7 +297,7 @@
         continue;
       curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE,
                          &private_data);
-      finish (lane->client, (transfer_t *)private_data, message->data.result);
+      finish (pool->client, (transfer_t *)private_data, message->data.result);
     }
 }
 
@@ -325,7 +325,7 @@
   count_bytes (client, transfer);
   answer.error = curl_easy_strerror (code);
   g_hash_table_steal (client->active, transfer);
-  curl_multi_remove_handle (transfer->lane->multi, transfer->easy);
+  curl_multi_remove_handle (transfer->pool->multi, transfer->easy);
   transfer->done (transfer->ctx, &answer);
   transfer_free (transfer);
 }
@@ -352,7 +352,7 @@
 
   if (client->idle->len < MAX_IDLE_HANDLES)
     {
-      curl_multi_remove_handle (transfer->lane->multi, transfer->easy);
+      curl_multi_remove_handle (transfer->pool->multi, transfer->easy);
       curl_easy_reset (transfer->easy);
       g_ptr_array_add (client->idle, transfer->easy);
     }
--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -11,6 +11,9 @@
 /* An append that stores a submission is waited for so long; the caller's
    process then offers it again. */
 #define SUBMIT_WAIT (500 * USEC_PER_MSEC)
+/* The platform takes records of 256 KiB.  Larger submissions are left to the
+   caller's process: refused in a batch, one would hold up all others. */
+#define RECORD_MOST 200000U
 /* Without a successful read for this long, an unknown job may just be unread.
  */
 #define READ_STALE (1000 * USEC_PER_MSEC)
@@ -128,7 +131,8 @@
 static tell_code_t
 take (scheduler_t *s, usec_t now, uint32_t shard, job_id_t job, blob_t record)
 {
-  if (sched_shard_of (s, job) != shard || !sched_store_healthy (s, now))
+  if (sched_shard_of (s, job) != shard || !sched_store_healthy (s, now)
+      || record.len > RECORD_MOST)
     return TELL_NOT_TAKEN;
   return submit_code (shard_submit (s->parts[shard].shard, now, job, record));
 }
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -280,6 +280,9 @@
       accepted (s, now, request);
       return;
     case TELL_NOT_TAKEN:
+      log_line (LOG_LEVEL_INFO, "job.offer", NULL,
+                "job=%016" PRIx64 " shard=%u not taken store_ok=%d",
+                request->job, request->shard, sched_store_healthy (s, now));
       if (!sched_store_healthy (s, now))
         {
           give_up (s, request);
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -44,8 +44,8 @@
 static void place_gang (shard_t *shard, usec_t now, const candidate_t *c);
 static handle_t choose (shard_t *shard, usec_t now, const candidate_t *c,
                         uint32_t index);
-static bool is_hopeless (const shard_t *shard, const candidate_t *c);
-static void note_hopeless (shard_t *shard, const candidate_t *c);
+static bool is_unplaceable (const shard_t *shard, const candidate_t *c);
+static void note_unplaceable (shard_t *shard, const candidate_t *c);
 static handle_t choose_among (const shard_t *shard, usec_t now,
                               const candidate_t *c, uint32_t index,
                               bool relaxed);
@@ -73,7 +73,7 @@
       add_candidates (shard, shard_entry (shard, job->id), wall, candidates);
     }
   g_array_sort (candidates, compare);
-  g_array_set_size (shard->hopeless, 0);
+  g_array_set_size (shard->unplaceable, 0);
   shard->waiting = 0;
   for (guint i = 0; i < candidates->len; i++)
     {
@@ -238,7 +238,7 @@
       c->o->tasks[c->step][i].run--;
     }
   /* Room has grown again.  */
-  g_array_set_size (shard->hopeless, 0);
+  g_array_set_size (shard->unplaceable, 0);
 }
 
 /* A task with a target is not kept waiting for a worker without disturbance:
@@ -249,13 +249,13 @@
   const step_t *step = &c->entry->job->order->steps[c->step];
   handle_t handle = HANDLE_NONE;
 
-  if (is_hopeless (shard, c))
+  if (is_unplaceable (shard, c))
     return HANDLE_NONE;
   handle = choose_among (shard, now, c, index, false);
   if (handle == HANDLE_NONE && step->target_ms)
     handle = choose_among (shard, now, c, index, true);
   if (handle == HANDLE_NONE)
-    note_hopeless (shard, c);
+    note_unplaceable (shard, c);
   return handle;
 }
 
@@ -263,14 +263,15 @@
    worker finds none either.  Passes over hundreds of waiting steps would
    otherwise look at every worker for each of them.  */
 static bool
-is_hopeless (const shard_t *shard, const candidate_t *c)
+is_unplaceable (const shard_t *shard, const candidate_t *c)
 {
   const submission_t *order = c->entry->job->order;
   const step_t *step = &order->steps[c->step];
 
-  for (guint i = 0; i < shard->hopeless->len; i++)
+  for (guint i = 0; i < shard->unplaceable->len; i++)
     {
-      const hopeless_t *h = &g_array_index (shard->hopeless, hopeless_t, i);
+      const unplaceable_t *h
+          = &g_array_index (shard->unplaceable, unplaceable_t, i);
 
       if (step->fills == h->step->fills
           && step->millicores >= h->step->millicores
@@ -287,13 +288,13 @@
 
 /* A step that may have few tasks on a worker says nothing of others.  */
 static void
-note_hopeless (shard_t *shard, const candidate_t *c)
+note_unplaceable (shard_t *shard, const candidate_t *c)
 {
   const submission_t *order = c->entry->job->order;
-  hopeless_t hopeless = { &order->steps[c->step], order->service };
+  unplaceable_t unplaceable = { &order->steps[c->step], order->service };
 
-  if (!hopeless.step->spread)
-    g_array_append_val (shard->hopeless, hopeless);
+  if (!unplaceable.step->spread)
+    g_array_append_val (shard->unplaceable, unplaceable);
 }
 
 static handle_t
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -150,7 +150,7 @@
 {
   const step_t *step;
   const char *service;
-} hopeless_t;
+} unplaceable_t;
 
 struct shard
 {
@@ -192,12 +192,12 @@
   usec_t learned_due; /* when what was learned is stored again */
   bool learned_more;  /* since it was stored */
 
-  bool place_due;   /* something may be startable */
-  usec_t placed;    /* when the last pass was */
-  GArray *hopeless; /* hopeless_t, of the pass under way */
-  usec_t runs_due;  /* earliest start or stop */
-  uint32_t waiting; /* tasks that the last pass found no worker for */
-  usec_t load_due;  /* when the load is logged again */
+  bool place_due;      /* something may be startable */
+  usec_t placed;       /* when the last pass was */
+  GArray *unplaceable; /* unplaceable_t, of the pass under way */
+  usec_t runs_due;     /* earliest start or stop */
+  uint32_t waiting;    /* tasks that the last pass found no worker for */
+  usec_t load_due;     /* when the load is logged again */
   usec_t forget_due;
   usec_t unfold_due;
 };
