--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -17,7 +17,7 @@
 static void load_submission (shard_t *shard, usec_t now, entry_t *entry,
                              job_id_t job, blob_t value);
 static void load_progress (entry_t *entry, job_id_t job, blob_t value);
-static entry_t *add_entry (shard_t *shard, job_id_t job);
+static entry_t *new_entry (shard_t *shard, job_id_t job);
 static void begin_job (shard_t *shard, usec_t now, entry_t *entry);
 static void join_progress (entry_t *entry);
 static void open_job (shard_t *shard, entry_t *entry);
@@ -228,7 +228,7 @@
       return;
     }
   if (!entry)
-    entry = add_entry (shard, job);
+    entry = new_entry (shard, job);
   if (kind == RECORD_SUBMISSION)
     load_submission (shard, now, entry, job, value);
   else
@@ -238,7 +238,7 @@
 }
 
 static entry_t *
-add_entry (shard_t *shard, job_id_t job)
+new_entry (shard_t *shard, job_id_t job)
 {
   entry_t *entry = g_new0 (entry_t, 1);
 
@@ -266,7 +266,7 @@
     }
   entry = shard_entry (shard, job);
   if (!entry)
-    entry = add_entry (shard, job);
+    entry = new_entry (shard, job);
   entry->job = job_new (order);
   entry->unstored = g_bytes_new (record.data, record.len);
   begin_job (shard, now, entry);
