Blobs are copied into fixed strings by one function

Cause: six places (keys of records and pages, a peer's address, a queue's name) called g_strlcpy with the length of the blob; it scans its source up to a zero byte, which blobs from the wire need not have, and so reads past them. Found by reading the change again; no run has shown it. Change: blob_copy in src/base/types.c, used by all six; results as before. test_base (blob copy) with bytes that are not terminated passes under ASan.

--- a/src/base/test_base.c
+++ b/src/base/test_base.c
@@ -8,6 +8,23 @@
 #include <errno.h>
 #include <string.h>
 
+/* Guards against a read past a blob, which is not terminated, and past the end
+   of what it is copied to. */
+static void
+test_blob_copy (void)
+{
+  char *bytes = g_memdup2 ("abcd", 4);
+  char out[4];
+
+  blob_copy ((blob_t){ bytes, 2 }, out, sizeof out);
+  CU_ASSERT_STRING_EQUAL (out, "ab");
+  blob_copy ((blob_t){ bytes, 4 }, out, sizeof out);
+  CU_ASSERT_STRING_EQUAL (out, "abc");
+  blob_copy ((blob_t){ NULL, 0 }, out, sizeof out);
+  CU_ASSERT_STRING_EQUAL (out, "");
+  g_free (bytes);
+}
+
 /* Guards against a stale handle that reaches the row reusing its place. */
 static void
 test_stale_handle (void)
@@ -131,6 +148,7 @@
 }
 
 static const suite_test_t tests[] = {
+  { "blob copy", test_blob_copy },
   { "stale handle", test_stale_handle },
   { "handle reuse", test_handle_reuse },
   { "table walk", test_table_walk },
--- a/src/base/types.c
+++ b/src/base/types.c
@@ -26,6 +26,16 @@
   return g_strndup (blob.data ? blob.data : "", blob.len);
 }
 
+void
+blob_copy (blob_t blob, char *out, size_t size)
+{
+  size_t len = MIN ((size_t)blob.len, size - 1);
+
+  if (len)
+    memcpy (out, blob.data, len);
+  out[len] = '\0';
+}
+
 bool
 blob_equals (blob_t blob, const char *text)
 {
--- a/src/base/types.h
+++ b/src/base/types.h
@@ -37,6 +37,10 @@
 /** Copies a blob into a new zero-terminated string; free with g_free. */
 char *blob_dup (blob_t blob);
 
+/** Copies a blob into OUT of SIZE bytes, cut if it is longer, and terminates
+    it. */
+void blob_copy (blob_t blob, char *out, size_t size);
+
 /** Tells whether a blob holds exactly the bytes of TEXT. */
 bool blob_equals (blob_t blob, const char *text);
 
--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -28,7 +28,6 @@
                        const msg_job_submit_t *submit);
 static tell_code_t take (scheduler_t *s, usec_t now, uint32_t shard,
                          job_id_t job, blob_t record);
-static tell_code_t submit_code (int code);
 static bool answer (scheduler_t *s, usec_t now, uint32_t shard,
                     ask_kind_t kind, job_id_t job, const char *queue,
                     bool last, tell_t *tell);
@@ -127,23 +126,22 @@
     deliver (s, now, node, submit->id, &tell);
 }
 
-/* Gives a submission to the shard.  */
+/* Gives a submission to the shard. @return TELL_LATER if it is being stored */
 static tell_code_t
 take (scheduler_t *s, usec_t now, uint32_t shard, job_id_t job, blob_t record)
 {
   if (sched_shard_of (s, job) != shard || !sched_store_healthy (s, now)
       || record.len > RECORD_MOST)
     return TELL_NOT_TAKEN;
-  return submit_code (shard_submit (s->parts[shard].shard, now, job, record));
-}
-
-/* @param code of shard_submit or shard_submitted */
-static tell_code_t
-submit_code (int code)
-{
-  if (!code)
-    return TELL_KNOWN;
-  return code == -EINPROGRESS ? TELL_LATER : TELL_NOT_TAKEN;
+  switch (shard_submit (s->parts[shard].shard, now, job, record))
+    {
+    case 0:
+      return TELL_KNOWN;
+    case -EINPROGRESS:
+      return TELL_LATER;
+    default:
+      return TELL_NOT_TAKEN;
+    }
 }
 
 static void
@@ -157,9 +155,7 @@
   (void)incarnation;
   if (message->type == MSG_HELLO)
     {
-      blob_t from = message->u.hello.address;
-
-      g_strlcpy (address, from.data, MIN (sizeof address, from.len + 1U));
+      blob_copy (message->u.hello.address, address, sizeof address);
       if (peerlink_add (s->link, node, address))
         log_line (LOG_LEVEL_WARNING, "peer.hello", NULL,
                   "address \"%s\" refused", address);
@@ -209,8 +205,7 @@
   uint32_t shard = parked.shard;
   tell_t tell = { .code = TELL_NOT_OWNER };
 
-  g_strlcpy (parked.queue, ask->queue.data ? ask->queue.data : "",
-             MIN (sizeof parked.queue, ask->queue.len + 1U));
+  blob_copy (ask->queue, parked.queue, sizeof parked.queue);
   if (shard >= s->shard_count || !s->parts[shard].owned
       || answer (s, now, shard, parked.kind, ask->job, parked.queue, false,
                  &tell))
--- a/src/scheduler/sched_layout.c
+++ b/src/scheduler/sched_layout.c
@@ -147,10 +147,8 @@
   s->counting += (uint32_t)records->count;
   if (records->more && records->count)
     {
-      blob_t last = records->records[records->count - 1].key;
-
-      g_strlcpy (s->count_after, last.data,
-                 MIN (sizeof s->count_after, (size_t)last.len + 1));
+      blob_copy (records->records[records->count - 1].key, s->count_after,
+                 sizeof s->count_after);
       s->layout_busy = true;
       s->backend->ops->newest (s->backend->ctx, TOPIC_WORKERS, 0,
                                s->count_after, LOOK_TIMEOUT, on_counted, s);
--- a/src/scheduler/sched_store.c
+++ b/src/scheduler/sched_store.c
@@ -222,12 +222,8 @@
   for (size_t i = 0; i < records->count; i++)
     pass_record (part, now, &records->records[i]);
   if (records->count)
-    {
-      blob_t last = records->records[records->count - 1].key;
-
-      g_strlcpy (part->after, last.data,
-                 MIN (sizeof part->after, (size_t)last.len + 1));
-    }
+    blob_copy (records->records[records->count - 1].key, part->after,
+               sizeof part->after);
   part->read_due = now;
   if (records->more && records->count)
     return;
@@ -449,10 +445,8 @@
   s->workers_more = records->more && records->count;
   if (s->workers_more)
     {
-      blob_t last = records->records[records->count - 1].key;
-
-      g_strlcpy (s->workers_after, last.data,
-                 MIN (sizeof s->workers_after, (size_t)last.len + 1));
+      blob_copy (records->records[records->count - 1].key, s->workers_after,
+                 sizeof s->workers_after);
       s->workers_due = now;
       return;
     }
@@ -475,7 +469,7 @@
 {
   char id[256];
 
-  g_strlcpy (id, record->key.data, MIN (sizeof id, record->key.len + 1U));
+  blob_copy (record->key, id, sizeof id);
   return GPOINTER_TO_UINT (g_hash_table_lookup (s->worker_shards, id));
 }
 
