--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -16,7 +16,7 @@
 static void clear_workers (shard_t *shard);
 static void load_submission (shard_t *shard, usec_t now, entry_t *entry,
                              job_id_t job, blob_t value);
-static void load_progress (entry_t *entry, job_id_t job, blob_t value);
+static void load_progress (entry_t *entry, blob_t value);
 static entry_t *new_entry (shard_t *shard, job_id_t job);
 static void begin_job (shard_t *shard, usec_t now, entry_t *entry);
 static void join_progress (entry_t *entry);
@@ -232,7 +232,7 @@
   if (kind == RECORD_SUBMISSION)
     load_submission (shard, now, entry, job, value);
   else
-    load_progress (entry, job, value);
+    load_progress (entry, value);
   if (shard->active && entry->job && entry->job->order)
     shard->place_due = true;
 }
@@ -332,9 +332,8 @@
 }
 
 static void
-load_progress (entry_t *entry, job_id_t job, blob_t value)
+load_progress (entry_t *entry, blob_t value)
 {
-  (void)job;
   if (entry->early)
     g_bytes_unref (entry->early);
   entry->early = g_bytes_new (value.data, value.len);
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -493,8 +493,7 @@
       task->stalls++;
       task->avoid = handle;
       counter_add (COUNTER_RUNS_STALLED, 1);
-      worker_get (shard, handle)->avoid_until
-          = MAX (worker_get (shard, handle)->avoid_until, now + STALLED_PAUSE);
+      worker_avoid (worker_get (shard, handle), now + STALLED_PAUSE);
       run_stop (shard, now, h, "does not advance");
     }
   g_array_free (runs, TRUE);
@@ -565,14 +564,14 @@
       run_set_due (shard, run, now + START_RETRY);
       return;
     case SHARD_REPLY_NO_ROOM:
-      worker->avoid_until = MAX (worker->avoid_until, now + NO_ROOM_PAUSE);
+      worker_avoid (worker, now + NO_ROOM_PAUSE);
       counter_add (COUNTER_RUNS_NO_ROOM, 1);
       break;
     case SHARD_REPLY_EXPIRED:
       worker->clock_at = 0;
       break;
     default:
-      worker->avoid_until = MAX (worker->avoid_until, now + UNHEALTHY_PAUSE);
+      worker_avoid (worker, now + UNHEALTHY_PAUSE);
       break;
     }
   log_line (LOG_LEVEL_NOTICE, "run.rejected", worker->address,
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -33,8 +33,7 @@
   image_t image;
 } candidate_t;
 
-static void add_candidates (const shard_t *shard, entry_t *entry,
-                            int64_t wall_ms, GArray *out);
+static void add_candidates (entry_t *entry, int64_t wall_ms, GArray *out);
 static bool mostly_done (const submission_t *order, const occurrence_t *o);
 static uint64_t tasks_left (const submission_t *order, const occurrence_t *o);
 static gint compare (gconstpointer left, gconstpointer right);
@@ -70,7 +69,7 @@
     {
       const job_t *job = l->data;
 
-      add_candidates (shard, shard_entry (shard, job->id), wall, candidates);
+      add_candidates (shard_entry (shard, job->id), wall, candidates);
     }
   g_array_sort (candidates, compare);
   g_array_set_size (shard->unplaceable, 0);
@@ -86,13 +85,11 @@
 }
 
 static void
-add_candidates (const shard_t *shard, entry_t *entry, int64_t wall_ms,
-                GArray *out)
+add_candidates (entry_t *entry, int64_t wall_ms, GArray *out)
 {
   const job_t *job = entry->job;
   const submission_t *order = job->order;
 
-  (void)shard;
   for (guint k = 0; k < job->occurrences->len; k++)
     {
       occurrence_t *o = job->occurrences->pdata[k];
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -235,6 +235,8 @@
                         int64_t until_ms);
 /** Takes the result of a run into account. */
 void worker_judge (worker_t *worker, usec_t now, job_id_t job, bool failed);
+/** The worker gets nothing new before UNTIL. */
+void worker_avoid (worker_t *worker, usec_t until);
 void worker_reserve (worker_t *worker, const run_t *run);
 void worker_release (worker_t *worker, const run_t *run);
 
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -230,6 +230,12 @@
     }
 }
 
+void
+worker_avoid (worker_t *worker, usec_t until)
+{
+  worker->avoid_until = MAX (worker->avoid_until, until);
+}
+
 void
 worker_reserve (worker_t *worker, const run_t *run)
 {
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -232,6 +232,22 @@
     shard_reply (world.shard, world.now, hold->id, &reply);
 }
 
+/* Answers the holds that are sent in COUNT spans.  */
+static void
+answer_holds (int count, usec_t span, const shard_reply_t *reply)
+{
+  for (int i = 0; i < count; i++)
+    {
+      const shard_call_t *hold;
+
+      world.call_count = 0;
+      pass (span);
+      hold = last_call (SHARD_HOLD);
+      if (hold)
+        shard_reply (world.shard, world.now, hold->id, reply);
+    }
+}
+
 /* A worker that has answered under the owner's token.  */
 static void
 ready_worker (void)
@@ -451,16 +467,7 @@
   list_worker ();
   pass (0);
   answer_hold (&first_run, 1, NULL, 0);
-  for (int i = 0; i < 16; i++)
-    {
-      const shard_call_t *hold;
-
-      world.call_count = 0;
-      pass (500 * USEC_PER_MSEC);
-      hold = last_call (SHARD_HOLD);
-      if (hold)
-        shard_reply (world.shard, world.now, hold->id, &none);
-    }
+  answer_holds (16, 500 * USEC_PER_MSEC, &none);
   pass (USEC_PER_MSEC);
   CU_ASSERT_EQUAL (world.appends, 1);
   finish ();
@@ -592,16 +599,7 @@
   const shard_reply_t refused = { .kind = SHARD_REPLY_REFUSED };
 
   begin_with_placed_run ();
-  for (int i = 0; i < 4; i++)
-    {
-      const shard_call_t *hold;
-
-      world.call_count = 0;
-      pass (300 * USEC_PER_MSEC);
-      hold = last_call (SHARD_HOLD);
-      if (hold)
-        shard_reply (world.shard, world.now, hold->id, &refused);
-    }
+  answer_holds (4, 300 * USEC_PER_MSEC, &refused);
   pass (USEC_PER_MSEC);
   CU_ASSERT_EQUAL (world.appends, 1);
   finish ();
