Numbers of other writers are checked before they are used

A schedule of 4,000,000,000 occurrences, 1 ms apart and overdue, was unfolded at once: the owner ran out of memory, and so would each successor, since the submission is stored. A job of 100,000 tasks was accepted although its progress does not fit into a record of the store (256 KiB): the shard's appends would be refused for ever.

Ruled out: fuzzed frames and store records (checked before), nested JSON (libjansson has a limit).

An entry of a worker that is unreadable takes the worker out of use until a readable one comes; its runs go on.

--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -339,9 +339,9 @@
 
       /* Creates just this occurrence.  */
       job->order->repeat = repeat ? job->next_occurrence + 1 : 0;
-      job_unfold (job, due);
+      if (job_unfold (job, due))
+        o = job->occurrences->pdata[job->occurrences->len - 1];
       job->order->repeat = repeat;
-      o = job->occurrences->pdata[job->occurrences->len - 1];
     }
   job->end = end;
   if (!o)
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -16,6 +16,7 @@
 static void occurrence_free (const submission_t *order, occurrence_t *o);
 static void place_clear (place_t *place);
 static int check_step (const submission_t *order, uint32_t index, err_t *err);
+static bool may_unfold (const job_t *job);
 
 const char *
 job_status_name (job_status_t status)
@@ -61,6 +62,11 @@
   if (tasks > JOB_MAX_TASKS)
     return err_set (err, -EINVAL, "job", "", "more than %u tasks",
                     JOB_MAX_TASKS);
+  if (order->first_ms < 0 || order->first_ms > JOB_MAX_WALL_MS
+      || order->interval_ms < 0
+      || order->interval_ms
+             > (JOB_MAX_WALL_MS - order->first_ms) / MAX (order->repeat, 1))
+    return err_set (err, -EINVAL, "job", "", "a time is out of range");
   return 0;
 }
 
@@ -177,12 +183,24 @@
   place->life_ms = 0;
 }
 
+/* Occurrences that are long overdue, or due all at once, wait for room.  */
+static bool
+may_unfold (const job_t *job)
+{
+  uint64_t tasks = 0;
+
+  for (uint32_t s = 0; s < job->order->step_count; s++)
+    tasks += job->order->steps[s].count;
+  return !job->occurrences->len
+         || (job->occurrences->len + 1) * tasks <= JOB_MAX_TASKS;
+}
+
 uint32_t
 job_unfold (job_t *job, int64_t wall_ms)
 {
   uint32_t made = 0;
 
-  while (job_next_due (job) <= wall_ms)
+  while (job_next_due (job) <= wall_ms && may_unfold (job))
     {
       g_ptr_array_add (job->occurrences,
                        occurrence_new (job->order, job->next_occurrence++));
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -16,8 +16,12 @@
 
 /** Bounds on what is decoded and accepted. */
 #define JOB_MAX_STEPS 256U
-#define JOB_MAX_TASKS 100000U
 #define JOB_MAX_SPEC 4000U
+/** The tasks of a job that are not done fit into one record of a store that
+    takes 256 KiB: at most 80 bytes for each. */
+#define JOB_MAX_TASKS 3000U
+/** The last occurrence falls due within so many ms after 1970. */
+#define JOB_MAX_WALL_MS (1LL << 43)
 
 /** Tasks of one kind.  Zero, false and NULL mean that it was not asked for. */
 typedef struct
@@ -156,7 +160,8 @@
     @return JOB_QUEUED if the job has not ended or the record is unreadable */
 job_status_t job_decode_end (blob_t bytes, int64_t *ended_ms);
 
-/** Creates the occurrences that are due. @return how many */
+/** Creates the occurrences that are due, as long as no more than JOB_MAX_TASKS
+    tasks are in occurrences that are not done.  @return how many */
 uint32_t job_unfold (job_t *job, int64_t wall_ms);
 
 /** @return wall clock of the next occurrence, INT64_MAX for none */
--- a/src/jobs/test_jobs.c
+++ b/src/jobs/test_jobs.c
@@ -160,6 +160,57 @@
   job_free (job);
 }
 
+/* Guards against an owner that runs out of memory, and each successor after
+   it: a schedule all of whose occurrences are due at once. */
+static void
+test_overdue_occurrences (void)
+{
+  submission_t *order = order_of_two ();
+  job_t *job;
+
+  order->repeat = 4000000000U;
+  order->interval_ms = 1;
+  CU_ASSERT_EQUAL (submission_check (order, NULL), 0);
+  job = job_new (order);
+  CU_ASSERT_EQUAL (job_unfold (job, WALL_MS), JOB_MAX_TASKS / 5);
+  CU_ASSERT_EQUAL (job_unfold (job, WALL_MS), 0);
+  for (uint32_t s = 0; s < 2; s++)
+    for (uint32_t i = 0; i < order->steps[s].count; i++)
+      task_done (job, job->occurrences->pdata[0], s, i);
+  CU_ASSERT_EQUAL (job_unfold (job, WALL_MS), 1);
+  job_free (job);
+}
+
+/* Guards against progress that the store does not take: the shard's appends
+   would be refused for ever.  All tasks are placed, with names as long as the
+   platform's. */
+static void
+test_largest_record (void)
+{
+  const place_t place
+      = { (char *)"i-7f3a91c2", WALL_MS, (char *)"10.128.255.255:65535" };
+  submission_t *order = order_of_two ();
+  GByteArray *bytes = g_byte_array_new ();
+  occurrence_t *o;
+  job_t *job;
+
+  order->steps[0].count = JOB_MAX_TASKS - order->steps[1].count;
+  CU_ASSERT_EQUAL (submission_check (order, NULL), 0);
+  job = job_new (order);
+  job_unfold (job, WALL_MS);
+  o = job_occurrence (job, 0);
+  for (uint32_t s = 0; s < 2; s++)
+    for (uint32_t i = 0; i < order->steps[s].count; i++)
+      {
+        task_place (job, o, s, i, &place);
+        task_keep_saved (&o->tasks[s][i], "00000bb87a21d94b");
+      }
+  job_encode (job, bytes);
+  CU_ASSERT (bytes->len < 262144);
+  g_byte_array_unref (bytes);
+  job_free (job);
+}
+
 static void
 test_malformed (void)
 {
@@ -172,6 +223,16 @@
   order->steps[1].after[0] = 0;
   order->steps[0].count = 0;
   CU_ASSERT_EQUAL (submission_check (order, NULL), -EINVAL);
+  order->steps[0].count = JOB_MAX_TASKS;
+  CU_ASSERT_EQUAL (submission_check (order, NULL), -EINVAL);
+  order->steps[0].count = 1;
+  order->interval_ms = -1;
+  CU_ASSERT_EQUAL (submission_check (order, NULL), -EINVAL);
+  order->interval_ms = INT64_MAX;
+  CU_ASSERT_EQUAL (submission_check (order, NULL), -EINVAL);
+  order->interval_ms = 0;
+  order->first_ms = INT64_MAX;
+  CU_ASSERT_EQUAL (submission_check (order, NULL), -EINVAL);
   submission_free (order);
   CU_ASSERT (job_id_parse ("00000000000000ff", 16, &id) && id == 255);
   CU_ASSERT (!job_id_parse ("00000000000000fg", 16, &id));
@@ -186,6 +247,8 @@
     { "progress record", test_progress_record },
     { "order of steps", test_order_of_steps },
     { "occurrences", test_occurrences },
+    { "overdue occurrences", test_overdue_occurrences },
+    { "largest record", test_largest_record },
     { "malformed", test_malformed },
   };
 
--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -24,6 +24,8 @@
 static void on_refused (void *ctx, node_id_t node);
 static void on_ask (scheduler_t *s, usec_t now, node_id_t node,
                     const msg_job_ask_t *ask);
+static void on_tell (scheduler_t *s, usec_t now, node_id_t node,
+                     const msg_job_tell_t *m);
 static void on_submit (scheduler_t *s, usec_t now, node_id_t node,
                        const msg_job_submit_t *submit);
 static tell_code_t take (scheduler_t *s, usec_t now, uint32_t shard,
@@ -165,16 +167,28 @@
   else if (message->type == MSG_JOB_SUBMIT)
     on_submit (s, now, node, &message->u.job_submit);
   else if (message->type == MSG_JOB_TELL)
-    {
-      const msg_job_tell_t *m = &message->u.job_tell;
-      tell_t tell = { (tell_code_t)m->code, (job_status_t)m->status,
-                      (uint32_t)m->pending };
+    on_tell (s, now, node, &message->u.job_tell);
+  sched_wake (s);
+}
+
+static void
+on_tell (scheduler_t *s, usec_t now, node_id_t node, const msg_job_tell_t *m)
+{
+  tell_t tell = { (tell_code_t)m->code, (job_status_t)m->status,
+                  (uint32_t)m->pending };
 
-      if (tell.code == TELL_KNOWN)
-        s->owner_told = now;
-      callers_told (s, now, m->id, &tell);
+  if (m->code < TELL_KNOWN || m->code > TELL_NOT_TAKEN
+      || m->status > JOB_CANCELED)
+    {
+      log_line (LOG_LEVEL_WARNING, "peer.tell", NULL,
+                "node=%u id=%016" PRIx64 " code=%" PRIu64 " status=%" PRIu64
+                " refused",
+                node, m->id, m->code, m->status);
+      return;
     }
-  sched_wake (s);
+  if (tell.code == TELL_KNOWN)
+    s->owner_told = now;
+  callers_told (s, now, m->id, &tell);
 }
 
 static void
@@ -205,6 +219,13 @@
   uint32_t shard = parked.shard;
   tell_t tell = { .code = TELL_NOT_OWNER };
 
+  if (ask->kind < ASK_STATUS || ask->kind > ASK_SUBMIT)
+    {
+      log_line (LOG_LEVEL_WARNING, "peer.ask", NULL,
+                "node=%u id=%016" PRIx64 " kind=%" PRIu64 " refused", node,
+                ask->id, ask->kind);
+      return;
+    }
   blob_copy (ask->queue, parked.queue, sizeof parked.queue);
   if (shard >= s->shard_count || !s->parts[shard].owned
       || answer (s, now, shard, parked.kind, ask->job, parked.queue, false,
--- a/src/scheduler/sched_store.c
+++ b/src/scheduler/sched_store.c
@@ -488,12 +488,10 @@
   code = s->backend->ops->worker (s->backend->ctx, record, &info);
 
   if (code == -EBADMSG)
-    {
-      log_line (LOG_LEVEL_WARNING, "worker.unreadable", NULL,
-                "worker=%s offset=%" PRIu64 " bytes=%u", info.id,
-                record->offset, record->value.len);
-      return;
-    }
+    log_line (LOG_LEVEL_WARNING, "worker.unreadable", NULL,
+              "worker=%s offset=%" PRIu64 " bytes=%u known=%d", info.id,
+              record->offset, record->value.len, known != 0);
+  /* An entry that is unreadable names no worker that may be used.  */
   if (code)
     {
       if (known)
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -423,6 +423,70 @@
   CU_ASSERT_EQUAL (fake.answered, 200);
 }
 
+/* A process without shards and callers.  */
+static scheduler_t *
+bare_scheduler (void)
+{
+  static const backend_t backend = { &ops, NULL };
+  const msg_hello_t hello = { .protocol = MESSAGE_PROTOCOL, .node = 2 };
+  scheduler_t *s = g_new0 (scheduler_t, 1);
+  err_t err = { 0 };
+
+  s->backend = &backend;
+  s->loop = ev_loop_new (EVFLAG_AUTO);
+  s->link = peerlink_new (s->loop, "127.0.0.1:18163", &hello,
+                          &sched_peerlink_ops, s, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s->link);
+  s->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                       request_free);
+  s->by_http = g_hash_table_new (NULL, NULL);
+  s->parked = g_array_new (FALSE, FALSE, sizeof (parked_t));
+  s->worker_shards
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return s;
+}
+
+static void
+bare_free (scheduler_t *s)
+{
+  peerlink_free (s->link);
+  ev_loop_destroy (s->loop);
+  g_hash_table_destroy (s->requests);
+  g_hash_table_destroy (s->by_http);
+  g_hash_table_destroy (s->worker_shards);
+  g_array_free (s->parked, TRUE);
+  g_free (s);
+}
+
+/* Guards against a peer's frame that takes the process down: a number beyond
+   its table. */
+static void
+test_malformed_frames (void)
+{
+  scheduler_t *s = bare_scheduler ();
+  request_t *request = g_new0 (request_t, 1);
+  message_t message = { .type = MSG_JOB_TELL };
+
+  request->id = 5;
+  request->kind = ASK_STATUS;
+  g_hash_table_insert (s->requests, &request->id, request);
+  message.u.job_tell
+      = (msg_job_tell_t){ .id = 5, .code = TELL_KNOWN, .status = 1U << 30 };
+  sched_peerlink_ops.message (s, 1, 1, &message);
+  message.u.job_tell = (msg_job_tell_t){ .id = 5, .code = 99 };
+  sched_peerlink_ops.message (s, 1, 1, &message);
+  message.type = MSG_JOB_ASK;
+  message.u.job_ask = (msg_job_ask_t){ .id = 6, .kind = 1U << 30 };
+  sched_peerlink_ops.message (s, 1, 1, &message);
+  message.type = MSG_JOB_SUBMIT;
+  message.u.job_submit = (msg_job_submit_t){ .id = 6, .shard = UINT64_MAX };
+  sched_peerlink_ops.message (s, 1, 1, &message);
+  CU_ASSERT_EQUAL (g_hash_table_size (s->requests), 1);
+  CU_ASSERT_EQUAL (request->asked, 0);
+  CU_ASSERT_EQUAL (s->owner_told, 0);
+  bare_free (s);
+}
+
 /* A site is divided only when one owner would not do: tasks of a full shard do
    not go to another one.  Never into more shards than there are partitions.
    Small VMs leave the decision and large shards to larger ones.  The figures
@@ -488,6 +552,7 @@
     { "configuration only rises", test_config_only_rises },
     { "answer before the stop", test_answer_before_stop },
     { "ready after a refusal", test_ready_after_refusal },
+    { "malformed frames", test_malformed_frames },
     { "layout", test_layout },
     { "settings", test_settings },
   };
