Runs that nobody looked at did not stand still; late answers of a former life

A run whose percentage had not moved for 2 s was stopped and started elsewhere, also when its worker or this process had been paused for these 2 s: the first list after the pause showed the percentage of before. An answer of a worker's former life that came after one of the present life was taken for a third life, and what ran was given up at the next list.

Ruled out: a lower start time as proof of a former life (the clock of a machine may go back); a guard on runs answered since the hold was sent (it only made the loss of runs in a former life known two lists later).

Change: a pause of over 1.5 s between lists starts the observation of progress anew; only the answer to a call that was sent since the present life is known tells of another one.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -18,6 +18,9 @@
 #define STALLED_AFTER (2 * USEC_PER_SEC)
 #define STALLED_PAUSE (4 * USEC_PER_SEC)
 #define STALLS_MOST 2U
+/* Lists of a worker that runs something come at least this often; a longer
+   pause is silence, during which nobody knows whether runs advance. */
+#define LIST_GAP_MOST (1500 * USEC_PER_MSEC)
 /* Lists without a run after which it is known not to be there. */
 #define LISTS_OF_MISSING 2U
 
@@ -39,7 +42,12 @@
                      const shard_reply_t *reply);
 static void on_silence (shard_t *shard, usec_t now, handle_t handle,
                         shard_reply_kind_t kind);
-static void on_life (worker_t *worker, int64_t life_ms);
+static void on_life (worker_t *worker, usec_t now, int64_t life_ms);
+static bool is_of_former_life (const worker_t *worker,
+                               const pending_call_t *pending,
+                               const shard_reply_t *reply);
+static void excuse_silence (const shard_t *shard, usec_t now,
+                            const worker_t *worker);
 static void apply_ends (shard_t *shard, usec_t now, handle_t handle,
                         const shard_reply_t *reply);
 static void apply_runs (shard_t *shard, usec_t now, handle_t handle,
@@ -259,6 +267,7 @@
 shard_reply (shard_t *shard, usec_t now, uint64_t id,
              const shard_reply_t *reply)
 {
+  static const shard_reply_t nothing = { .kind = SHARD_REPLY_NONE };
   pending_call_t *found = g_hash_table_lookup (shard->calls, &id);
   pending_call_t pending;
   worker_t *worker;
@@ -288,10 +297,12 @@
     }
   if (reply->kind == SHARD_REPLY_NONE || reply->kind == SHARD_REPLY_REFUSED)
     on_silence (shard, now, pending.worker, reply->kind);
+  if (is_of_former_life (worker, &pending, reply))
+    reply = &nothing;
   reborn
       = reply->life_ms && worker->life_ms && reply->life_ms != worker->life_ms;
   if (reply->life_ms && reply->life_ms != worker->life_ms)
-    on_life (worker, reply->life_ms);
+    on_life (worker, now, reply->life_ms);
   if (reply->worker_ms)
     worker_clock_seen (worker, now, reply->worker_ms);
   if (pending.kind == SHARD_HOLD)
@@ -360,6 +371,7 @@
               reply->end_count);
   if (worker->in_doubt)
     shard->place_due = true;
+  excuse_silence (shard, now, worker);
   worker->in_doubt = false;
   worker->silent = 0;
   worker->refused = 0;
@@ -376,17 +388,39 @@
 
 /* Another life of the worker answers; its ends and its clock start anew.  */
 static void
-on_life (worker_t *worker, int64_t life_ms)
+on_life (worker_t *worker, usec_t now, int64_t life_ms)
 {
   log_line (LOG_LEVEL_NOTICE, "worker.reborn", worker->address,
             "worker=%s life_ms=%" PRId64 " former=%" PRId64 " runs=%u",
             worker->id, life_ms, worker->life_ms, worker->runs->len);
   worker->life_ms = life_ms;
+  worker->life_at = now;
   worker->ends_seen = 0;
   worker->ends_kept = 0;
   worker->clock_at = 0;
 }
 
+/* Answers overtake each other.  Lives are told apart by the time of their
+   start, which goes back when a worker's clock does: only the answer to a call
+   that was sent since the present life is known can tell of another one.  */
+static bool
+is_of_former_life (const worker_t *worker, const pending_call_t *pending,
+                   const shard_reply_t *reply)
+{
+  return reply->life_ms && worker->life_ms && reply->life_ms < worker->life_ms
+         && pending->sent < worker->life_at;
+}
+
+/* Runs that nobody looked at did not stand still meanwhile.  */
+static void
+excuse_silence (const shard_t *shard, usec_t now, const worker_t *worker)
+{
+  bool silent = now - worker->last_answer > LIST_GAP_MOST;
+
+  for (guint i = 0; silent && i < worker->runs->len; i++)
+    run_get (shard, g_array_index (worker->runs, handle_t, i))->moved = now;
+}
+
 static handle_t
 find_run (const shard_t *shard, handle_t worker, const run_name_t *name)
 {
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -71,6 +71,7 @@
   char *kind;
   char *rack;
   int64_t life_ms; /* 0 as long as it is not known */
+  usec_t life_at;  /* when it was learned from an answer */
   bool listed;     /* in the platform's list */
   bool leaving;
   uint32_t millicores;
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -527,6 +527,85 @@
   finish ();
 }
 
+/* Guards against work that is thrown away because its worker, or this process,
+   was paused: nothing moved, and nobody looked. */
+static void
+test_paused_worker (void)
+{
+  const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+  run_report_t run = first_run;
+
+  begin_with_placed_run ();
+  list_worker ();
+  pass (0);
+  for (uint32_t percent = 10; percent < 12; percent++)
+    {
+      run.percent = percent;
+      answer_hold (&run, 1, NULL, 0);
+      pass (USEC_PER_SEC);
+    }
+  shard_reply (world.shard, world.now, last_call (SHARD_HOLD)->id, &none);
+  answer_holds (2, USEC_PER_SEC, &none);
+  pass (USEC_PER_SEC);
+  answer_hold (&run, 1, NULL, 0);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_STOP), 0);
+  pass (5 * USEC_PER_SEC);
+  answer_hold (&run, 1, NULL, 0);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_STOP), 0);
+  CU_ASSERT_EQUAL (world.appends, 0);
+  for (int i = 0; i < 3; i++)
+    {
+      answer_hold (&run, 1, NULL, 0);
+      pass (USEC_PER_SEC);
+    }
+  CU_ASSERT_EQUAL (count_calls (SHARD_STOP), 1);
+  finish ();
+}
+
+/* Guards against a late answer of a worker's former life that is taken for
+   another new life: what runs in the present one would be given up. */
+static void
+test_answer_of_former_life (void)
+{
+  const shard_reply_t former
+      = { .kind = SHARD_REPLY_OK, .worker_ms = 1, .life_ms = WALL_MS };
+  const shard_reply_t reborn = { .kind = SHARD_REPLY_OK,
+                                 .worker_ms = 1,
+                                 .life_ms = WALL_MS + 5,
+                                 .listed = true };
+  const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  uint64_t late;
+
+  begin ();
+  shard_loaded (world.shard, world.now);
+  ready_worker ();
+  pass_submission (2);
+  pass (USEC_PER_MSEC);
+  shard_stored (world.shard, world.now, SHARD_STORED);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (count_calls (SHARD_START), 2);
+  late = last_call (SHARD_START)->id;
+  for (size_t i = 0; i < world.call_count; i++)
+    if (world.calls[i].kind == SHARD_START && world.calls[i].id != late)
+      shard_reply (world.shard, world.now, world.calls[i].id, &ok);
+  pass (USEC_PER_MSEC);
+  shard_reply (world.shard, world.now, last_call (SHARD_HOLD)->id, &reborn);
+  pass (USEC_PER_MSEC);
+  shard_stored (world.shard, world.now, SHARD_STORED);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (last_call (SHARD_START)->name.run, 2);
+  shard_reply (world.shard, world.now, last_call (SHARD_START)->id, &ok);
+  shard_reply (world.shard, world.now, late, &former);
+  pass (USEC_PER_MSEC);
+  shard_reply (world.shard, world.now, last_call (SHARD_HOLD)->id, &reborn);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (last_call (SHARD_START)->name.run, 2);
+  CU_ASSERT_EQUAL (world.appends, 2);
+  finish ();
+}
+
 /* Guards against a large job that waits behind every small one of the same
    age: its steps need more time to find workers (ruedas-plata trouble-2, where
    a quarter of the largest tenth was served and half of all). */
@@ -869,6 +948,8 @@
     { "silent worker", test_silent_worker },
     { "silent start", test_silent_start },
     { "stalled run", test_stalled_run },
+    { "paused worker", test_paused_worker },
+    { "answer of a former life", test_answer_of_former_life },
     { "large job first", test_large_job_first },
     { "begun job first", test_begun_job_first },
     { "worker left", test_worker_left },
