A job that is known is not refused while the store is away

While the store was away every submission was answered with 503 at once, which says that the job never runs, also one whose first attempt had been stored and whose answer was lost, or was still under way.

Ruled out: 504 for everything during an outage: most jobs surely are not stored, and their callers may go elsewhere.

Change: a submission is offered to the shard's owner also without the store. The owner says whether it knows the job; what it does not know is refused at once, and so it is if no owner can be asked.

Before: test_scheduler "known without the store" got 503 for a job accepted two seconds earlier.

--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -132,10 +132,19 @@
 static tell_code_t
 take (scheduler_t *s, usec_t now, uint32_t shard, job_id_t job, blob_t record)
 {
-  if (sched_shard_of (s, job) != shard || !sched_store_healthy (s, now)
-      || record.len > RECORD_MOST)
+  int known = shard_is_active (s->parts[shard].shard)
+                  ? shard_submitted (s->parts[shard].shard, job)
+                  : -ENOENT;
+
+  if (sched_shard_of (s, job) != shard
+      || (known == -ENOENT
+          && (!sched_store_healthy (s, now) || record.len > RECORD_MOST)))
     return TELL_NOT_TAKEN;
-  switch (shard_submit (s->parts[shard].shard, now, job, record))
+  /* A job that is known is not refused: it may have been accepted by an answer
+     that was lost.  */
+  switch (known == -ENOENT
+              ? shard_submit (s->parts[shard].shard, now, job, record)
+              : known)
     {
     case 0:
       return TELL_KNOWN;
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -157,7 +157,8 @@
   return request;
 }
 
-/* Without the store, submissions go through an owner that has it.  */
+/* Without the store, submissions go through an owner that has it.  An owner
+   without it still tells whether it knows the job.  */
 static bool
 can_submit (const scheduler_t *s, usec_t now)
 {
@@ -180,14 +181,13 @@
       answer_now (s, http->handle, 400, 0, err.text);
       return;
     }
-  if (!can_submit (s, now)
-      || g_hash_table_size (s->requests) >= MAX_OPEN_REQUESTS)
+  if (g_hash_table_size (s->requests) >= MAX_OPEN_REQUESTS)
     {
       counter_add (COUNTER_JOBS_REFUSED, 1);
       log_line (LOG_LEVEL_INFO, "job.refused", NULL,
-                "job=%016" PRIx64 " queue=%s store_silent_ms=%" PRId64, job,
-                rules->name, usec_to_msec (now - s->store_ok));
-      answer_now (s, http->handle, 503, RETRY_AFTER_S, "store not reachable");
+                "job=%016" PRIx64 " queue=%s open=%u", job, rules->name,
+                g_hash_table_size (s->requests));
+      answer_now (s, http->handle, 503, RETRY_AFTER_S, "too many requests");
       submission_free (order);
       return;
     }
@@ -252,7 +252,10 @@
   if (request->appends || now >= request->offer_until
       || now < s->owners[request->shard].silent_until)
     {
-      send_append (s, now, request);
+      if (request->appends || can_submit (s, now))
+        send_append (s, now, request);
+      else
+        give_up (s, request);
       return;
     }
   request->offered = true;
@@ -265,6 +268,8 @@
   request->offered = false;
   request->due = now + ASK_PAUSE;
   group_doubt_owner (s, now);
+  if (!can_submit (s, now))
+    give_up (s, request);
 }
 
 static void
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -23,9 +23,12 @@
   store_result_t fence_result;
   bool hangs;       /* appends of records are not answered */
   bool refuses;     /* appends of records are refused */
+  bool away;        /* every call is refused */
   uint32_t configs; /* decoded */
   bool submitted;
-  int answered; /* status of the caller's request */
+  int answered;     /* status of the caller's request */
+  int first_answer; /* of one before it */
+  int other_answer; /* of one for another job */
   http_client_t *caller;
   struct ev_loop *loop;
   GPtrArray *pending; /* answer_t */
@@ -52,10 +55,10 @@
 {
   answer_t *a = timer->data;
   store_part_t part = { .part = 0 };
-  store_records_t records = { .result = STORE_OK,
+  store_records_t records = { .result = a->result,
                               .records = &a->record,
                               .count = a->record.key.len ? 1 : 0 };
-  store_parts_t parts = { .result = STORE_OK,
+  store_parts_t parts = { .result = a->result,
                           .generation = GENERATION,
                           .parts = &part,
                           .count = a->holds ? 1 : 0 };
@@ -81,6 +84,7 @@
   g_strlcat (fake.text, " ", sizeof fake.text);
   ev_timer_init (&a->timer, on_due, delay, 0.);
   a->timer.data = a;
+  a->result = fake.away ? STORE_REFUSED : STORE_OK;
   ev_timer_start (fake.loop, &a->timer);
   g_ptr_array_add (fake.pending, a);
   return a;
@@ -99,7 +103,8 @@
   a->done = done;
   a->ctx = done_ctx;
   a->owned = true;
-  a->result = fake.refuses ? STORE_REFUSED : fake.fence_result;
+  if (!fake.away)
+    a->result = fake.refuses ? STORE_REFUSED : fake.fence_result;
 }
 
 static void
@@ -264,6 +269,49 @@
     ev_feed_signal_event (EV_A_ SIGTERM);
 }
 
+/* The store goes away as soon as the job is accepted.  */
+static void
+on_first_answer (void *ctx, const http_answer_t *answer)
+{
+  (void)ctx;
+  fake.first_answer = answer->status;
+  fake.away = true;
+}
+
+static void
+on_other_answer (void *ctx, const http_answer_t *answer)
+{
+  (void)ctx;
+  fake.other_answer = answer->status;
+}
+
+/* A caller submits a job, loses the answer, and submits it again when the
+   store is away.  */
+static void
+on_submit_again (EV_P_ ev_timer *timer, int events)
+{
+  static const char *const urls[]
+      = { "http://127.0.0.1:18161/q/5c0e7a21d94b36f8",
+          "http://127.0.0.1:18161/q/5c0e7a21d94b36f9" };
+  http_request_t request = { .method = "POST",
+                             .body = blob_of ("{}"),
+                             .timeout = 5 * USEC_PER_SEC };
+
+  (void)EV_A;
+  (void)events;
+  request.url = urls[0];
+  if (!fake.submitted)
+    {
+      fake.submitted = true;
+      ev_timer_stop (EV_A_ timer);
+      http_client_send (fake.caller, &request, on_first_answer, NULL);
+      return;
+    }
+  http_client_send (fake.caller, &request, on_answer, NULL);
+  request.url = urls[1];
+  http_client_send (fake.caller, &request, on_other_answer, NULL);
+}
+
 /* Asks whether the process is ready.  */
 static void
 on_check (EV_P_ ev_timer *timer, int events)
@@ -310,8 +358,9 @@
 {
   CASE_SHORT,   /* no caller */
   CASE_STOPPED, /* with a submission that is not stored */
-  CASE_SMALL    /* too small a VM to own shards; the store refuses one
+  CASE_SMALL,   /* too small a VM to own shards; the store refuses one
                   submission */
+  CASE_AWAY     /* a job is submitted before and during an outage */
 } case_t;
 
 static int
@@ -345,11 +394,13 @@
   fake.hangs = kind == CASE_STOPPED;
   fake.refuses = kind == CASE_SMALL;
   fake.caller = http_client_new (fake.loop, COUNTER_UPSTREAM_BYTES);
-  ev_timer_init (&stop, on_stop, STOP_AT_S, STOP_AT_S / 2);
+  ev_timer_init (&stop, kind == CASE_AWAY ? on_submit_again : on_stop,
+                 STOP_AT_S, STOP_AT_S / 2);
   if (kind != CASE_SHORT)
     ev_timer_start (fake.loop, &stop);
-  ev_timer_init (&check, on_check, CHECK_AT_S, 0.);
-  if (kind == CASE_SMALL)
+  ev_timer_init (&check, kind == CASE_AWAY ? on_submit_again : on_check,
+                 CHECK_AT_S, 0.);
+  if (kind == CASE_SMALL || kind == CASE_AWAY)
     ev_timer_start (fake.loop, &check);
   ev_timer_init (&over, on_over, kind == CASE_SHORT ? RUN_S : STOP_RUN_S, 0.);
   ev_timer_start (fake.loop, &over);
@@ -423,6 +474,17 @@
   CU_ASSERT_EQUAL (fake.answered, 200);
 }
 
+/* Guards against a caller who is told that its job never runs although it was
+   accepted: the answer was lost, and the store went away. */
+static void
+test_known_without_store (void)
+{
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, CASE_AWAY), 0);
+  CU_ASSERT_EQUAL (fake.first_answer, 200);
+  CU_ASSERT_EQUAL (fake.answered, 200);
+  CU_ASSERT_EQUAL (fake.other_answer, 503);
+}
+
 /* A process without shards and callers.  */
 static scheduler_t *
 bare_scheduler (void)
@@ -552,6 +614,7 @@
     { "configuration only rises", test_config_only_rises },
     { "answer before the stop", test_answer_before_stop },
     { "ready after a refusal", test_ready_after_refusal },
+    { "known without the store", test_known_without_store },
     { "malformed frames", test_malformed_frames },
     { "layout", test_layout },
     { "settings", test_settings },
