The group is left last, and left again if the answer is lost

Cause: read for what happens around a hand-over. A process that stopped left the group while a join of its own was still under way. If the store served the join after the leave, the stopping process was dealt its shards again and nobody owned them until the member's lifetime of 1.5 s was over. A leave whose answer was lost was not repeated, with the same result.

Ruled out: orders sent twice around the hand-over: the successor fences the store and each worker before it decides, see docs/platform.md.

Change: no join is sent once the process stops; the one under way is waited for within the 0.3 s that the last append has; a join answered after the leave, and a leave without confirmation, make it leave again.

Before: test_scheduler "leave is last" fails (a join answered after the leave, two lost leaves not repeated).

--- a/src/scheduler/sched_group.c
+++ b/src/scheduler/sched_group.c
@@ -13,6 +13,7 @@
 /* Longer than the owners of all shards take to come back after a loss. */
 #define UNOWNED_LIMIT (6 * USEC_PER_SEC)
 #define HELP_SPAN (20 * USEC_PER_SEC)
+#define LEAVE_RETRY (100 * USEC_PER_MSEC)
 #define OWNERS_INTERVAL (2000 * USEC_PER_MSEC)
 #define OWNERS_RETRY (150 * USEC_PER_MSEC)
 
@@ -26,6 +27,7 @@
 static void send_owners (scheduler_t *s, usec_t now);
 static void on_owners (void *ctx, const store_parts_t *parts);
 static void set_owner (scheduler_t *s, uint32_t shard, const char *member);
+static void send_leave (scheduler_t *s);
 static void on_left (void *ctx, store_result_t result, const char *error);
 static int shard_of_part (const scheduler_t *s, uint32_t part);
 static store_join_t join_of (const scheduler_t *s);
@@ -36,9 +38,12 @@
   for (uint32_t i = 0; i < s->shard_count; i++)
     if (s->parts[i].lost && s->parts[i].owned)
       group_lose (s, &s->parts[i]);
+  if (s->leave_due && now >= s->leave_due && !s->leave_busy)
+    send_leave (s);
   if (s->left || !s->shard_count)
-    return INT64_MAX;
-  if (!s->join_busy && now >= s->join_due)
+    return s->leave_due ? s->leave_due : INT64_MAX;
+  /* A join that is under way when the group is left may be served last.  */
+  if (!s->stopping && !s->join_busy && now >= s->join_due)
     {
       if (is_member (s, now))
         send_join (s, now);
@@ -47,7 +52,7 @@
     }
   if (!s->owners_busy && now >= s->owners_due)
     send_owners (s, now);
-  return MIN (s->join_due, s->owners_due);
+  return MIN (s->stopping ? INT64_MAX : s->join_due, s->owners_due);
 }
 
 /* A process with too little processor time owns shards only if nobody else
@@ -87,6 +92,7 @@
 {
   store_join_t join = join_of (s);
 
+  s->leave_due = 0;
   s->join_busy = true;
   s->join_sent = now;
   s->join_due = INT64_MAX;
@@ -103,7 +109,13 @@
   s->join_due = MAX (now, s->join_sent + JOIN_INTERVAL);
   sched_store_result (s, s->join_sent, parts->result, "join", parts->error);
   sched_wake (s);
-  if (parts->result != STORE_OK || s->left)
+  if (s->left)
+    {
+      /* The store may have served the join after the leave.  */
+      s->leave_due = now;
+      return;
+    }
+  if (parts->result != STORE_OK)
     return;
   if (parts->generation != s->generation)
     s->owners_due = MIN (s->owners_due, now);
@@ -256,24 +268,34 @@
 static void
 leave_group (scheduler_t *s)
 {
-  store_join_t join = join_of (s);
-
   for (uint32_t i = 0; i < s->shard_count; i++)
     if (s->parts[i].owned)
       group_lose (s, &s->parts[i]);
-  s->backend->ops->leave (s->backend->ctx, &join, on_left, s);
+  send_leave (s);
   log_line (LOG_LEVEL_NOTICE, "group.leave", NULL, "generation=%" PRIu64,
             s->generation);
 }
 
+static void
+send_leave (scheduler_t *s)
+{
+  store_join_t join = join_of (s);
+
+  s->leave_busy = true;
+  s->leave_due = 0;
+  s->backend->ops->leave (s->backend->ctx, &join, on_left, s);
+}
+
 static void
 on_left (void *ctx, store_result_t result, const char *error)
 {
   scheduler_t *s = ctx;
 
-  if (result != STORE_OK)
-    log_line (LOG_LEVEL_WARNING, "group.leave", NULL,
-              "not confirmed: %s; the successor waits for the time-out",
-              error ? error : "refused");
+  s->leave_busy = false;
   sched_wake (s);
+  if (result == STORE_OK)
+    return;
+  log_line (LOG_LEVEL_WARNING, "group.leave", NULL,
+            "not confirmed: %s; sent again", error ? error : "refused");
+  s->leave_due = clock_now () + LEAVE_RETRY;
 }
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -178,7 +178,8 @@
 
   bool stopping;
   bool left;
-  bool leave_sent;
+  bool leave_busy;
+  usec_t leave_due; /* when the group is left (again), 0 for not at all */
   usec_t stop_began;
   usec_t stop_limit;
   bool quiesced;
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -31,6 +31,9 @@
    for this long. */
 #define STORE_AWAY (1200 * USEC_PER_MSEC)
 
+/* What is under way when the process stops is waited for so long; the
+   successor would repeat it. */
+#define HAND_OVER_LIMIT (300 * USEC_PER_MSEC)
 /* The balancer sends new connections until two checks, one a second, have
    missed; requests may still come on them for a moment. */
 #define STOP_QUIET (2600 * USEC_PER_MSEC)
@@ -387,10 +390,12 @@
 static bool
 hand_over (scheduler_t *s, usec_t now)
 {
+  if (s->join_busy && now < s->stop_began + HAND_OVER_LIMIT)
+    return false;
   for (uint32_t i = 0; i < s->shard_count; i++)
     if (s->parts[i].owned && shard_is_active (s->parts[i].shard)
         && !shard_is_idle (s->parts[i].shard)
-        && now < s->stop_began + 300 * USEC_PER_MSEC)
+        && now < s->stop_began + HAND_OVER_LIMIT)
       return false;
   return true;
 }
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -12,6 +12,7 @@
 #define STOP_RUN_S 3.0
 #define STOP_AT_S 0.3
 #define CHECK_AT_S 2.7
+#define SLOW_JOIN_S 0.3
 #define CONFIG_VERSION 9U
 #define GENERATION 7U
 
@@ -21,10 +22,12 @@
   uint64_t fence_epoch;
   size_t fence_records;
   store_result_t fence_result;
-  bool hangs;       /* appends of records are not answered */
-  bool refuses;     /* appends of records are refused */
-  bool away;        /* every call is refused */
-  uint32_t configs; /* decoded */
+  bool hangs;           /* appends of records are not answered */
+  bool refuses;         /* appends of records are refused */
+  bool away;            /* every call is refused */
+  bool slow_joins;      /* from the caller's request on */
+  uint32_t lost_leaves; /* so many leaves are not answered */
+  uint32_t configs;     /* decoded */
   bool submitted;
   int answered;     /* status of the caller's request */
   int first_answer; /* of one before it */
@@ -71,7 +74,11 @@
   else if (a->records)
     a->records (a->ctx, &records);
   else
-    a->parts (a->ctx, &parts);
+    {
+      if (a->holds)
+        g_strlcat (fake.text, "joined ", sizeof fake.text);
+      a->parts (a->ctx, &parts);
+    }
   g_free (a);
 }
 
@@ -146,7 +153,8 @@
 fake_join (void *ctx, const store_join_t *join, store_parts_done_t done,
            void *done_ctx)
 {
-  answer_t *a = answer_later ("join", 0.002);
+  answer_t *a = answer_later (
+      "join", fake.slow_joins && fake.submitted ? SLOW_JOIN_S : 0.002);
 
   (void)ctx;
   (void)join;
@@ -165,6 +173,11 @@
   (void)join;
   a->done = done;
   a->ctx = done_ctx;
+  if (fake.lost_leaves)
+    {
+      fake.lost_leaves--;
+      a->result = STORE_UNKNOWN;
+    }
 }
 
 static void
@@ -356,11 +369,12 @@
 
 typedef enum
 {
-  CASE_SHORT,   /* no caller */
-  CASE_STOPPED, /* with a submission that is not stored */
-  CASE_SMALL,   /* too small a VM to own shards; the store refuses one
-                  submission */
-  CASE_AWAY     /* a job is submitted before and during an outage */
+  CASE_SHORT,     /* no caller */
+  CASE_STOPPED,   /* with a submission that is not stored */
+  CASE_SMALL,     /* too small a VM to own shards; the store refuses one
+                    submission */
+  CASE_AWAY,      /* a job is submitted before and during an outage */
+  CASE_SLOW_JOINS /* stopped; joins are slow and two leaves are lost */
 } case_t;
 
 static int
@@ -391,7 +405,9 @@
   fake.fence_result = fence_result;
   fake.pending = g_ptr_array_new ();
   fake.loop = ev_loop_new (EVFLAG_AUTO);
-  fake.hangs = kind == CASE_STOPPED;
+  fake.hangs = kind == CASE_STOPPED || kind == CASE_SLOW_JOINS;
+  fake.slow_joins = kind == CASE_SLOW_JOINS;
+  fake.lost_leaves = fake.slow_joins ? 2 : 0;
   fake.refuses = kind == CASE_SMALL;
   fake.caller = http_client_new (fake.loop, COUNTER_UPSTREAM_BYTES);
   ev_timer_init (&stop, kind == CASE_AWAY ? on_submit_again : on_stop,
@@ -407,7 +423,7 @@
   code = scheduler_main (fake.loop, &settings, &backend);
   ev_timer_stop (fake.loop, &stop);
   drop_pending ();
-  if (kind == CASE_STOPPED)
+  if (fake.hangs)
     read_answer ();
   scheduler_settings_clear (&settings);
   http_client_free (fake.caller);
@@ -462,6 +478,19 @@
   CU_ASSERT_EQUAL (fake.answered, 504);
 }
 
+/* Guards against a process that stops and is dealt a shard again: its last
+   join was still under way when it left, or the leave was lost.  Nobody would
+   own the shard until the member's lifetime is over. */
+static void
+test_leave_is_last (void)
+{
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, CASE_SLOW_JOINS), 0);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (g_strrstr (fake.text, "leave"));
+  CU_ASSERT (g_strrstr (fake.text, "leave") > g_strrstr (fake.text, "joined"));
+  CU_ASSERT (g_strrstr (fake.text, "leave") > g_strrstr (fake.text, "join "));
+  CU_ASSERT_EQUAL (fake.lost_leaves, 0);
+}
+
 /* Guards against a VM that stays out of rotation after one refusal: it owns no
    shard, so no other call told it that the store was back (ruedas-plata-grown
    trouble-1: 11 of 32 VMs not ready for five seconds and more). */
@@ -613,6 +642,7 @@
     { "no load without a fence", test_no_load_unfenced },
     { "configuration only rises", test_config_only_rises },
     { "answer before the stop", test_answer_before_stop },
+    { "leave is last", test_leave_is_last },
     { "ready after a refusal", test_ready_after_refusal },
     { "known without the store", test_known_without_store },
     { "malformed frames", test_malformed_frames },
