Peer links: room for a large fleet, one connection a peer, growing pauses

A process accepted 256 connections of peers and closed all others, which came again after 0.1 s each. Connections of peers that lost power were never dropped and used up that number too. A connection that went silent was replaced by the end that waited for an answer, but the answers were written into the other end's old one. A removed VM was tried ten times a second for ever.

Ruled out: a new protocol over one connection in both directions; the accept limit of the callers' server (2,000).

Change: 4,096 connections, whose buffers hold only what was read; a HELLO drops the peer's older connection and renews ours to it if that is older than 1 s; keep-alive and a limit on unacknowledged bytes; pauses between connects double up to 2 s and end when the peer is heard of.

--- a/src/net/peerlink.c
+++ b/src/net/peerlink.c
@@ -5,6 +5,7 @@
 #include "base/counters.h"
 #include "base/log.h"
 #include "net/address.h"
+#include "net/clock.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -17,10 +18,24 @@
 
 #define PREFIX_BYTES 4U
 #define READ_CHUNK (64U << 10)
+/* A connection that could not be opened is tried again after this long,
+   doubled each time. */
 #define RECONNECT_S 0.1
+#define RECONNECT_MOST_S 2.0
 #define CONNECT_LIMIT_S 0.5
-#define BACKLOG 64
-#define MAX_ACCEPTED 256U
+#define BACKLOG 1024
+/* An owner hears from every other process of its site. */
+#define MAX_ACCEPTED 4096U
+/* A peer that opens a new connection found ours silent, unless we opened it
+   just now: that is what made the peer open its own. */
+#define RENEW_AFTER (USEC_PER_SEC)
+/* Sent bytes that are not acknowledged for so long, in ms: the peer is gone.
+ */
+#define UNACKNOWLEDGED_MS 3000
+/* The same of idle connections that a peer opened, in s. */
+#define KEEPALIVE_IDLE_S 10
+#define KEEPALIVE_INTERVAL_S 5
+#define KEEPALIVE_PROBES 3
 
 typedef enum
 {
@@ -40,6 +55,8 @@
   int fd;
   ev_io io;
   ev_timer timer; /* reconnect, or limit of a connect */
+  double pause;   /* before the next connect, in s */
+  usec_t opened;  /* when */
   GByteArray *queue;
   size_t sent; /* bytes of the queue already written */
 } out_t;
@@ -66,14 +83,18 @@
   ev_io listen_io;
   GHashTable *outs; /* node -> out_t */
   GHashTable *ins;  /* set of in_t */
+  guint8 chunk[READ_CHUNK];
 };
 
 static int listen_on (const char *address, err_t *err);
 static void set_nonblocking (int fd);
+static void set_keepalive (int fd);
 static void on_accept (EV_P_ ev_io *io, int events);
 static void on_in_readable (EV_P_ ev_io *io, int events);
 static bool take_frames (in_t *in);
 static bool take_message (in_t *in, blob_t frame);
+static void drop_older (const in_t *in);
+static void renew_out (peerlink_t *link, node_id_t node);
 static void in_free (void *data);
 static void out_free (void *data);
 static void out_connect (out_t *out);
@@ -129,12 +150,17 @@
   if (address_parse (address, &parsed))
     return -EINVAL;
   if (out && strcmp (out->text, address) == 0)
-    return 0;
+    {
+      if (out->state == OUT_IDLE)
+        out_connect (out);
+      return 0;
+    }
   out = g_new0 (out_t, 1);
   out->link = link;
   out->node = node;
   out->address = parsed;
   out->fd = -1;
+  out->pause = RECONNECT_S;
   g_strlcpy (out->text, address, sizeof out->text);
   out->queue = g_byte_array_new ();
   ev_init (&out->io, on_out_io);
@@ -207,6 +233,20 @@
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
 }
 
+static void
+set_keepalive (int fd)
+{
+  int one = 1;
+  int idle = KEEPALIVE_IDLE_S;
+  int interval = KEEPALIVE_INTERVAL_S;
+  int probes = KEEPALIVE_PROBES;
+
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
 static void
 on_accept (EV_P_ ev_io *io, int events)
 {
@@ -225,6 +265,7 @@
       return;
     }
   set_nonblocking (fd);
+  set_keepalive (fd);
   in = g_new0 (in_t, 1);
   in->link = link;
   in->fd = fd;
@@ -241,16 +282,15 @@
 on_in_readable (EV_P_ ev_io *io, int events)
 {
   in_t *in = io->data;
-  guint used = in->buffer->len;
-  ssize_t got;
+  guint8 *chunk = in->link->chunk;
+  ssize_t got = read (in->fd, chunk, READ_CHUNK);
 
   (void)loop;
   (void)events;
-  g_byte_array_set_size (in->buffer, used + READ_CHUNK);
-  got = read (in->fd, in->buffer->data + used, READ_CHUNK);
-  g_byte_array_set_size (in->buffer, used + (guint)MAX (got, 0));
   if (got < 0 && (errno == EAGAIN || errno == EINTR))
     return;
+  if (got > 0)
+    g_byte_array_append (in->buffer, chunk, (guint)got);
   if (got <= 0 || !take_frames (in))
     g_hash_table_remove (in->link->ins, in);
 }
@@ -301,6 +341,11 @@
                  (unsigned)message.u.hello.protocol);
       in->node = (node_id_t)message.u.hello.node;
       in->incarnation = message.u.hello.incarnation;
+      if (good)
+        {
+          drop_older (in);
+          renew_out (in->link, in->node);
+        }
     }
   else if (good && !in->node)
     {
@@ -322,6 +367,34 @@
   return good;
 }
 
+/* A peer has one connection at a time; an older one is of a process or a VM
+   that is gone.  */
+static void
+drop_older (const in_t *in)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, in->link->ins);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const in_t *other = key;
+
+      if (other != in && other->node == in->node)
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+static void
+renew_out (peerlink_t *link, node_id_t node)
+{
+  const out_t *out = g_hash_table_lookup (link->outs, GUINT_TO_POINTER (node));
+
+  if (out && out->state == OUT_OPEN
+      && clock_now () - out->opened > RENEW_AFTER)
+    peerlink_reset (link, node);
+}
+
 static void
 in_free (void *data)
 {
@@ -350,6 +423,7 @@
 out_connect (out_t *out)
 {
   struct ev_loop *loop = out->link->loop;
+  unsigned limit = UNACKNOWLEDGED_MS;
   int result;
 
   ev_timer_stop (loop, &out->timer);
@@ -360,6 +434,7 @@
       return;
     }
   set_nonblocking (out->fd);
+  setsockopt (out->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
   result = connect (out->fd, (struct sockaddr *)&out->address,
                     sizeof out->address);
   if (result < 0 && errno != EINPROGRESS)
@@ -381,6 +456,8 @@
 
   ev_timer_stop (out->link->loop, &out->timer);
   out->state = OUT_OPEN;
+  out->opened = clock_now ();
+  out->pause = RECONNECT_S;
   counter_add (COUNTER_PEER_CONNECTS, 1);
   out_queue (out, &hello);
   out_flush (out);
@@ -402,8 +479,9 @@
   out->state = OUT_IDLE;
   out->sent = 0;
   g_byte_array_set_size (out->queue, 0);
-  ev_timer_set (&out->timer, RECONNECT_S, 0.);
+  ev_timer_set (&out->timer, out->pause, 0.);
   ev_timer_start (loop, &out->timer);
+  out->pause = MIN (2 * out->pause, RECONNECT_MOST_S);
   if (refused)
     out->link->ops->refused (out->link->ctx, out->node);
 }
