Logs: the first list of workers is one line

Cause: after all processes of 291 machines were killed, each owner wrote a line for each of its 600 workers; the log takes 600 lines a second, and the line that the shard was loaded was dropped with others that tell of requests.

Change: worker.listed is logged at level debug until the whole list was read; workers.loaded tells the number and the time.

--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -147,6 +147,7 @@
             table_count (shard->runs));
   shard->owned = false;
   shard->active = false;
+  shard->listed = false;
   shard->append_busy = false;
   shard->append_again = false;
   clear_jobs (shard);
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -193,6 +193,7 @@
   usec_t learned_due; /* when what was learned is stored again */
   bool learned_more;  /* since it was stored */
 
+  bool listed;         /* the whole list of workers was read */
   bool place_due;      /* something may be startable */
   usec_t placed;       /* when the last pass was */
   GArray *unplaceable; /* unplaceable_t, of the pass under way */
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -85,7 +85,10 @@
       handle = worker_add (shard, info->id);
       worker = worker_get (shard, handle);
       worker->hold_due = now;
-      log_line (LOG_LEVEL_INFO, "worker.listed", info->address,
+      /* Of the first list only the number is logged: thousands of lines would
+         crowd out all others.  */
+      log_line (shard->listed ? LOG_LEVEL_INFO : LOG_LEVEL_DEBUG,
+                "worker.listed", info->address,
                 "worker=%s shard=%u millicores=%u leaving=%d", info->id,
                 shard->number, info->millicores, info->leaving);
     }
@@ -149,6 +152,13 @@
       if (worker->listed && !g_hash_table_contains (listed, worker->id))
         shard_worker_gone (shard, now, worker->id);
     }
+  if (!shard->owned || shard->listed)
+    return;
+  shard->listed = true;
+  log_line (LOG_LEVEL_NOTICE, "workers.loaded", NULL,
+            "shard=%u token=%" PRIu64 " workers=%zu took_ms=%" PRId64,
+            shard->number, shard->token, table_count (shard->workers),
+            usec_to_msec (now - shard->began));
 }
 
 void
