--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -111,6 +111,7 @@
 int cli_status (int argc, char **argv);
 int cli_dump (int argc, char **argv);
 int cli_counters (int argc, char **argv);
+int cli_explain (int argc, char **argv);
 int cli_drain (int argc, char **argv);
 int cli_submit (int argc, char **argv);
 int cli_order (int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -16,6 +16,7 @@
   { "status", cli_status, "show the state of a process" },
   { "dump", cli_dump, "show the whole state of a process" },
   { "counters", cli_counters, "show the counters of a process" },
+  { "explain", cli_explain, "tell from logs what became of a job" },
   { "submit", cli_submit, "send a latency-critical request" },
   { "order", cli_order, "submit, show, list, watch and cancel batch orders" },
   { "drain", cli_drain, "stop a process after its work in progress" },
