--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -45,6 +45,16 @@
 LOAD_WITHOUT_FENCE|src/scheduler/sched_store.c|scheduler/test_scheduler|s/if (part->fenced)/if (1)/
 CONFIG_GOES_BACK|src/scheduler/sched_store.c|scheduler/test_scheduler|s/queues_version (queues) <= queues_version (s->queues)/false/
 UNKNOWN_IS_REFUSED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/bool unknown = submits/bool unknown = false/
+PAUSE_IS_STALL|src/shard/shard_calls.c|shard/test_shard_steps|s/bool silent = now - worker->last_answer > LIST_GAP_MOST/bool silent = false/
+FORMER_LIFE_COUNTS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (is_of_former_life (worker, &pending, reply))/if (false)/
+PAUSED_OWNER_STARTS|src/shard/shard_calls.c|shard/test_shard_steps|s/return now + HOLD_RETRY;/;/
+GONE_WORKER_USED|src/shard/shard_place.c|shard/test_shard_steps|s/!worker->listed ||//
+KNOWN_IS_REFUSED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/(known == -ENOENT$/(true/
+LEAVE_BEFORE_JOIN|src/scheduler/sched_group.c|scheduler/test_scheduler|s/      s->leave_due = now;$/      ;/
+DEAD_MEMBER_STAYS|src/scheduler/sched_group.c|scheduler/test_scheduler|s/s->backend->ops->leave (s->backend->ctx, &join, on_evicted, s);//
+LOST_APPEND_WAITS|src/scheduler/sched_store.c|scheduler/test_scheduler|s/define APPEND_TIMEOUT_LEAST (300/define APPEND_TIMEOUT_LEAST (1200/
+PEER_NUMBERS_UNCHECKED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/m->code < TELL_KNOWN || m->code > TELL_NOT_TAKEN/false/
+UNBOUNDED_OCCURRENCES|src/jobs/jobs.c|jobs/test_jobs|s/JOB_MAX_TASKS;$/JOB_MAX_TASKS * 4;/
 TABLE
 }
 
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -12,7 +12,7 @@
 #define STOP_RUN_S 3.0
 #define STOP_AT_S 0.3
 #define CHECK_AT_S 2.7
-#define SLOW_JOIN_S 0.3
+#define SLOW_JOIN_S 0.55
 #define FORMER_MEMBER "127.0.0.1:18163/0000000000000001"
 #define DEAD_MEMBER "127.0.0.9:18163/0000000000000001"
 #define CONFIG_VERSION 9U
@@ -27,7 +27,7 @@
   bool hangs;            /* appends of records are not answered */
   bool refuses;          /* appends of records are refused */
   bool away;             /* every call is refused */
-  bool slow_joins;       /* from the caller's request on */
+  bool slow_joins;       /* once the shard is loaded */
   uint32_t lost_leaves;  /* so many leaves are not answered */
   uint32_t lost_appends; /* answers of so many appends of records are lost */
   usec_t asked_at;       /* the caller's request was sent */
@@ -170,7 +170,9 @@
            void *done_ctx)
 {
   answer_t *a = answer_later (
-      "join", fake.slow_joins && fake.submitted ? SLOW_JOIN_S : 0.002);
+      "join", fake.slow_joins && strstr (fake.text, "newest-work")
+                  ? SLOW_JOIN_S
+                  : 0.002);
 
   (void)ctx;
   (void)join;
@@ -389,15 +391,16 @@
 
 typedef enum
 {
-  CASE_SHORT,      /* no caller */
-  CASE_STOPPED,    /* with a submission that is not stored */
-  CASE_SMALL,      /* too small a VM to own shards; the store refuses one
-                     submission */
-  CASE_AWAY,       /* a job is submitted before and during an outage */
-  CASE_SLOW_JOINS, /* stopped; joins are slow and two leaves are lost */
-  CASE_FORMER,     /* a former process of this address owns the shard */
-  CASE_DEAD,       /* a process that has ended owns it */
-  CASE_LOST        /* two answers of the store are lost */
+  CASE_SHORT,       /* no caller */
+  CASE_STOPPED,     /* with a submission that is not stored */
+  CASE_SMALL,       /* too small a VM to own shards; the store refuses one
+                      submission */
+  CASE_AWAY,        /* a job is submitted before and during an outage */
+  CASE_SLOW_JOINS,  /* stopped; joins take longer than a hand-over */
+  CASE_LOST_LEAVES, /* stopped; two leaves are not answered */
+  CASE_FORMER,      /* a former process of this address owns the shard */
+  CASE_DEAD,        /* a process that has ended owns it */
+  CASE_LOST         /* two answers of the store are lost */
 } case_t;
 
 static int
@@ -429,9 +432,10 @@
   fake.fence_result = fence_result;
   fake.pending = g_ptr_array_new ();
   fake.loop = ev_loop_new (EVFLAG_AUTO);
-  fake.hangs = kind == CASE_STOPPED || kind == CASE_SLOW_JOINS;
+  fake.hangs = kind == CASE_STOPPED || kind == CASE_SLOW_JOINS
+               || kind == CASE_LOST_LEAVES;
   fake.slow_joins = kind == CASE_SLOW_JOINS;
-  fake.lost_leaves = fake.slow_joins ? 2 : 0;
+  fake.lost_leaves = kind == CASE_LOST_LEAVES ? 2 : 0;
   fake.lost_appends = kind == CASE_LOST ? 2 : 0;
   if (kind == CASE_FORMER)
     fake.owner = FORMER_MEMBER;
@@ -517,6 +521,8 @@
   CU_ASSERT_PTR_NOT_NULL_FATAL (g_strrstr (fake.text, "leave"));
   CU_ASSERT (g_strrstr (fake.text, "leave") > g_strrstr (fake.text, "joined"));
   CU_ASSERT (g_strrstr (fake.text, "leave") > g_strrstr (fake.text, "join "));
+  CU_ASSERT (strstr (fake.text, "leave") < g_strrstr (fake.text, "joined"));
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, CASE_LOST_LEAVES), 0);
   CU_ASSERT_EQUAL (fake.lost_leaves, 0);
 }
 
@@ -613,6 +619,7 @@
 
   request->id = 5;
   request->kind = ASK_STATUS;
+  request->asked = 7;
   g_hash_table_insert (s->requests, &request->id, request);
   message.u.job_tell
       = (msg_job_tell_t){ .id = 5, .code = TELL_KNOWN, .status = 1U << 30 };
@@ -626,7 +633,7 @@
   message.u.job_submit = (msg_job_submit_t){ .id = 6, .shard = UINT64_MAX };
   sched_peerlink_ops.message (s, 1, 1, &message);
   CU_ASSERT_EQUAL (g_hash_table_size (s->requests), 1);
-  CU_ASSERT_EQUAL (request->asked, 0);
+  CU_ASSERT_EQUAL (request->asked, 7);
   CU_ASSERT_EQUAL (s->owner_told, 0);
   bare_free (s);
 }
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -456,6 +456,57 @@
   finish ();
 }
 
+/* Guards against starts that a paused process sends on when it wakes up: its
+   ownership may have ended meanwhile.  It goes on once the store has confirmed
+   it. */
+static void
+test_paused_owner (void)
+{
+  begin ();
+  shard_loaded (world.shard, world.now);
+  ready_worker ();
+  pass_submission (1);
+  pass (USEC_PER_MSEC);
+  shard_stored (world.shard, world.now, SHARD_STORED);
+  world.now += 13 * USEC_PER_SEC;
+  world.call_count = 0;
+  shard_tick (world.shard, world.now);
+  CU_ASSERT_EQUAL (world.call_count, 0);
+  pass (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 1);
+  finish ();
+}
+
+/* Guards against a worker that is used again after it left: before a takeover,
+   so that the new owner knows it only from a record of what ran there, or just
+   before a job came. */
+static void
+test_removed_worker (void)
+{
+  const shard_reply_t ok
+      = { .kind = SHARD_REPLY_OK, .worker_ms = 1, .listed = true };
+
+  begin_with_placed_run ();
+  pass (0);
+  shard_reply (world.shard, world.now, last_call (SHARD_HOLD)->id, &ok);
+  pass_submission_of (JOB + 1, 1);
+  for (int i = 0; i < 4; i++)
+    {
+      pass (200 * USEC_PER_MSEC);
+      shard_stored (world.shard, world.now, SHARD_STORED);
+    }
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 0);
+  finish ();
+  begin ();
+  shard_loaded (world.shard, world.now);
+  ready_worker ();
+  shard_worker_gone (world.shard, world.now, "w1");
+  pass_submission (1);
+  pass (200 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (world.appends, 0);
+  finish ();
+}
+
 /* Guards against a lease that is renewed for ever at a worker that does not
    answer: its runs would never be given up (magnolia-coop scale-1). */
 static void
@@ -945,6 +996,8 @@
     { "adopted run not listed", test_adopted_run_not_listed },
     { "superseded", test_superseded },
     { "stale owner", test_stale_owner },
+    { "paused owner", test_paused_owner },
+    { "removed worker", test_removed_worker },
     { "silent worker", test_silent_worker },
     { "silent start", test_silent_start },
     { "stalled run", test_stalled_run },
