Owner's answer to an offer: one way through the cases

Cause: read as a newcomer. The cases of a known job, of an unhealthy store and of a record that is too large were one condition with a second one inside a switch.

Change: the known state first, then the attempt to take the submission, then one switch. Behaviour as before; the mutant of it follows the new text.

--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -132,19 +132,17 @@
 static tell_code_t
 take (scheduler_t *s, usec_t now, uint32_t shard, job_id_t job, blob_t record)
 {
-  int known = shard_is_active (s->parts[shard].shard)
-                  ? shard_submitted (s->parts[shard].shard, job)
-                  : -ENOENT;
+  shard_t *own = s->parts[shard].shard;
+  int code = shard_is_active (own) ? shard_submitted (own, job) : -ENOENT;
 
-  if (sched_shard_of (s, job) != shard
-      || (known == -ENOENT
-          && (!sched_store_healthy (s, now) || record.len > RECORD_MOST)))
+  if (sched_shard_of (s, job) != shard)
     return TELL_NOT_TAKEN;
-  /* A job that is known is not refused: it may have been accepted by an answer
-     that was lost.  */
-  switch (known == -ENOENT
-              ? shard_submit (s->parts[shard].shard, now, job, record)
-              : known)
+  /* A job that is known is not refused, whatever the store does: it may have
+     been accepted by an answer that was lost.  */
+  if (code == -ENOENT && sched_store_healthy (s, now)
+      && record.len <= RECORD_MOST)
+    code = shard_submit (own, now, job, record);
+  switch (code)
     {
     case 0:
       return TELL_KNOWN;
--- a/src/scheduler/sched_store.c
+++ b/src/scheduler/sched_store.c
@@ -174,7 +174,6 @@
 {
   usec_t usual = CLAMP (part->scheduler->append_span * APPEND_SPANS,
                         APPEND_TIMEOUT_LEAST, APPEND_TIMEOUT_MOST);
-
   usec_t most
       = part->mute < MUTE_LONG ? APPEND_TIMEOUT_AWAY : APPEND_TIMEOUT_MOST;
 
