Soak: processes that are stopping when the load ends start again

Two processes had got SIGTERM in the last second; they were still there when the script looked for processes to start again, and ended 2.6 s later. Half of the questions went to addresses where nobody listened, and the 60 s for all jobs were over before the last eight were asked twice.

Change: the script waits for them to end. The check of the jobs and its limit are as they were.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -150,6 +150,8 @@
 touch "$WORK/stop"
 wait $LOAD
 LOAD=
+# Processes that are stopping now end within this time, and start again.
+sleep 3
 for i in $(seq $COUNT); do
 	kill -CONT "${PID[$i]}" 2>/dev/null
 	kill -0 "${PID[$i]}" 2>/dev/null || restart "$i"
