--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -203,18 +203,14 @@
 static void
 on_connected (void *ctx, node_id_t node)
 {
-  (void)node;
+  group_refused (ctx, clock_now (), node, false);
   sched_wake (ctx);
 }
 
 static void
 on_refused (void *ctx, node_id_t node)
 {
-  scheduler_t *s = ctx;
-
-  for (uint32_t i = 0; i < s->shard_count; i++)
-    if (s->owners[i].node == node)
-      group_doubt_owner (s, clock_now ());
+  group_refused (ctx, clock_now (), node, true);
 }
 
 static void
--- a/src/scheduler/sched_group.c
+++ b/src/scheduler/sched_group.c
@@ -13,6 +13,12 @@
 /* Longer than the owners of all shards take to come back after a loss. */
 #define UNOWNED_LIMIT (6 * USEC_PER_SEC)
 #define HELP_SPAN (20 * USEC_PER_SEC)
+/* A member whose VM has refused connections for so long has ended: a process
+   that starts listens before it joins. */
+#define REFUSED_FOR (100 * USEC_PER_MSEC)
+/* At most one member is taken out in this time, so that one that lives behind
+   a network that refuses connections is not taken out in turns. */
+#define EVICT_PAUSE (3 * USEC_PER_SEC)
 #define LEAVE_RETRY (100 * USEC_PER_MSEC)
 #define OWNERS_INTERVAL (2000 * USEC_PER_MSEC)
 #define OWNERS_RETRY (150 * USEC_PER_MSEC)
@@ -27,6 +33,10 @@
 static void send_owners (scheduler_t *s, usec_t now);
 static void on_owners (void *ctx, const store_parts_t *parts);
 static void set_owner (scheduler_t *s, uint32_t shard, const char *member);
+static void evict (scheduler_t *s, usec_t now, const char *member,
+                   const char *why);
+static void on_evicted (void *ctx, store_result_t result, const char *error);
+static bool is_former_self (const scheduler_t *s, const char *member);
 static void send_leave (scheduler_t *s);
 static void on_left (void *ctx, store_result_t result, const char *error);
 static int shard_of_part (const scheduler_t *s, uint32_t part);
@@ -218,6 +228,8 @@
           member = parts->parts[p].member;
       if (!s->parts[i].owned)
         set_owner (s, i, member);
+      if (member && is_former_self (s, member))
+        evict (s, clock_now (), member, "former process of this address");
       all &= member != NULL;
     }
   if (all)
@@ -258,6 +270,71 @@
     peerlink_add (s->link, owner->node, address);
 }
 
+/* Nobody else can listen at this process's address.  */
+static bool
+is_former_self (const scheduler_t *s, const char *member)
+{
+  size_t len = strlen (s->settings->listen_peers);
+
+  return strncmp (member, s->settings->listen_peers, len) == 0
+         && member[len] == '/' && strcmp (member, s->member) != 0;
+}
+
+void
+group_refused (scheduler_t *s, usec_t now, node_id_t node, bool refused)
+{
+  for (uint32_t i = 0; i < s->shard_count; i++)
+    {
+      owner_t *owner = &s->owners[i];
+
+      if (owner->node != node || owner->self)
+        continue;
+      if (!refused)
+        {
+          owner->refused_at = 0;
+          continue;
+        }
+      group_doubt_owner (s, now);
+      if (!owner->refused_at)
+        owner->refused_at = now;
+      else if (now - owner->refused_at >= REFUSED_FOR)
+        evict (s, now, owner->member, "refuses connections");
+    }
+}
+
+/* The shards of a member that has ended are dealt out at once, not when its
+   lifetime is over.  If it lives after all, it joins again; the store and the
+   workers take nothing more from it meanwhile, as after any deal.  */
+static void
+evict (scheduler_t *s, usec_t now, const char *member, const char *why)
+{
+  store_join_t join = join_of (s);
+
+  if (s->left || s->stopping || !s->may_own
+      || (s->evicted && now - s->evicted < EVICT_PAUSE))
+    return;
+  s->evicted = now;
+  join.member = member;
+  log_line (LOG_LEVEL_NOTICE, "group.evict", NULL, "member=%s why=\"%s\"",
+            member, why);
+  s->backend->ops->leave (s->backend->ctx, &join, on_evicted, s);
+}
+
+static void
+on_evicted (void *ctx, store_result_t result, const char *error)
+{
+  scheduler_t *s = ctx;
+
+  if (result == STORE_OK)
+    {
+      s->join_due = s->owners_due = 0;
+      sched_wake (s);
+      return;
+    }
+  log_line (LOG_LEVEL_NOTICE, "group.evict", NULL, "not confirmed: %s",
+            error ? error : "refused");
+}
+
 void
 group_leave (scheduler_t *s)
 {
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -116,6 +116,7 @@
   char member[96];
   bool self;
   usec_t silent_until; /* nothing is offered to it before */
+  usec_t refused_at;   /* its VM refuses connections since then, 0: not */
 } owner_t;
 
 struct scheduler
@@ -180,6 +181,7 @@
   bool left;
   bool leave_busy;
   usec_t leave_due; /* when the group is left (again), 0 for not at all */
+  usec_t evicted;   /* when a dead member was last taken out of the group */
   usec_t stop_began;
   usec_t stop_limit;
   bool quiesced;
@@ -231,6 +233,8 @@
 /** A shard's owner may have changed. */
 void group_doubt_owner (scheduler_t *s, usec_t now);
 void group_leave (scheduler_t *s);
+/** The VM of a node refuses connections, or no longer. */
+void group_refused (scheduler_t *s, usec_t now, node_id_t node, bool refused);
 /** Ends the ownership of a shard. */
 void group_lose (scheduler_t *s, part_t *part);
 
