--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -106,6 +106,7 @@
   bool read_busy;
   usec_t read_due;
   usec_t read_ok; /* the newest read that succeeded was sent then */
+  uint32_t mute;  /* appends in succession that were not answered */
   uint64_t life;  /* counts ownerships; a late answer of a former one is
                      dropped */
 } part_t;
@@ -152,6 +153,7 @@
   bool join_busy;
   usec_t join_due;
   usec_t join_sent;
+  usec_t append_span;   /* an owner's append takes about this long */
   usec_t store_ok;      /* the store answered a call sent then */
   usec_t store_failed;  /* the newest call that failed was sent then */
   usec_t store_failing; /* calls have failed since then, 0: they succeed */
--- a/src/scheduler/sched_store.c
+++ b/src/scheduler/sched_store.c
@@ -10,7 +10,18 @@
 #define READ_WAIT (400 * USEC_PER_MSEC)
 #define READ_TIMEOUT (900 * USEC_PER_MSEC)
 #define READ_RETRY (150 * USEC_PER_MSEC)
-#define APPEND_TIMEOUT (1200 * USEC_PER_MSEC)
+/* An owner's append is repeated when it has taken several times as long as
+   usual: repetitions are recognized, and nothing is stored or started
+   meanwhile. */
+#define APPEND_TIMEOUT_MOST (1200 * USEC_PER_MSEC)
+/* A store that is away is tried this often; after so many tries without an
+   answer it may be one whose answers take that long. */
+#define APPEND_TIMEOUT_AWAY (600 * USEC_PER_MSEC)
+#define MUTE_LONG 8U
+#define APPEND_TIMEOUT_LEAST (300 * USEC_PER_MSEC)
+#define APPEND_SPANS 6
+/* Weight of the newest append in what is usual, as a divisor. */
+#define APPEND_WEIGHT 8
 #define CONFIG_WAIT (1500 * USEC_PER_MSEC)
 /* Workers write every second or so; a leaving one gets work for this long
    after it said so. */
@@ -19,6 +30,9 @@
 /* Producer of the records of a shard's owner. */
 #define OWNER "owner"
 
+static usec_t append_timeout (const part_t *part);
+static bool was_waited_for (store_result_t result, usec_t sent);
+static void append_answered (part_t *part, usec_t sent, store_result_t result);
 static void fence (part_t *part);
 static void on_fenced (void *ctx, store_result_t result, const char *error);
 static void load_page (part_t *part);
@@ -155,6 +169,41 @@
   return INT64_MAX;
 }
 
+static usec_t
+append_timeout (const part_t *part)
+{
+  usec_t usual = CLAMP (part->scheduler->append_span * APPEND_SPANS,
+                        APPEND_TIMEOUT_LEAST, APPEND_TIMEOUT_MOST);
+
+  usec_t most
+      = part->mute < MUTE_LONG ? APPEND_TIMEOUT_AWAY : APPEND_TIMEOUT_MOST;
+
+  return CLAMP (usual << MIN (part->mute / 2, MUTE_LONG), usual,
+                MAX (usual, most));
+}
+
+static void
+append_answered (part_t *part, usec_t sent, store_result_t result)
+{
+  scheduler_t *s = part->scheduler;
+  usec_t more = clock_now () - sent - s->append_span;
+
+  part->mute = result == STORE_UNKNOWN ? part->mute + 1 : 0;
+  /* A store that has become slow is believed at once: repetitions would add to
+     its queue.  */
+  if (result == STORE_OK)
+    s->append_span += more > 0 ? more : more / APPEND_WEIGHT;
+}
+
+/* @return whether a call without an answer has taken as long as a pause; a
+   connection that is cut at once has not */
+static bool
+was_waited_for (store_result_t result, usec_t sent)
+{
+  return result == STORE_UNKNOWN
+         && clock_now () - sent >= APPEND_TIMEOUT_LEAST;
+}
+
 /* An empty append under the new epoch: whatever a former owner appends after
    it is refused, so that what is read next is all there is.  */
 static void
@@ -165,7 +214,7 @@
                             .part = sched_part_of (s, part->number),
                             .producer = OWNER,
                             .epoch = part->token,
-                            .timeout = APPEND_TIMEOUT };
+                            .timeout = append_timeout (part) };
 
   part->paging = true;
   s->backend->ops->append (s->backend->ctx, &append, on_fenced,
@@ -180,9 +229,12 @@
 
   if (!part)
     return;
+  append_answered (part, sent, result);
   part->paging = false;
   part->fenced = result == STORE_OK;
-  part->read_due = clock_now () + (part->fenced ? 0 : READ_RETRY);
+  part->read_due = clock_now ();
+  if (!part->fenced && !was_waited_for (result, sent))
+    part->read_due += READ_RETRY;
   if (result == STORE_FENCED)
     part->lost = true;
 }
@@ -550,7 +602,7 @@
                             .sequence = sequence,
                             .records = rows,
                             .count = count,
-                            .timeout = APPEND_TIMEOUT };
+                            .timeout = append_timeout (part) };
 
   for (size_t i = 0; i < count; i++)
     {
@@ -573,8 +625,11 @@
 
   if (!part)
     return;
+  append_answered (part, sent, result);
   if (result == STORE_OK)
     stored = SHARD_STORED;
+  else if (was_waited_for (result, sent))
+    stored = SHARD_STORE_MUTE;
   else if (result == STORE_FENCED)
     stored = SHARD_SUPERSEDED;
   else if (result == STORE_INVALID)
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -149,7 +149,8 @@
 typedef enum
 {
   SHARD_STORED,
-  SHARD_NOT_STORED, /**< refused or unknown; the same append is repeated */
+  SHARD_NOT_STORED, /**< refused; the same append is repeated */
+  SHARD_STORE_MUTE, /**< no answer: as refused, but it was waited for */
   SHARD_SUPERSEDED  /**< a later owner has written */
 } shard_stored_t;
 
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -167,8 +167,10 @@
       apply_stored (shard, now);
       break;
     case SHARD_NOT_STORED:
+    case SHARD_STORE_MUTE:
       shard->append_again = true;
-      shard->append_due = now + APPEND_RETRY;
+      shard->append_due
+          = result == SHARD_STORE_MUTE ? now : now + APPEND_RETRY;
       break;
     case SHARD_SUPERSEDED:
       shard_supersede (shard, "append");
