Start nothing in an evacuated availability zone

Cause: the operator's record op/evacuate/ZONE was read by nobody.

Ruled out: a poll of the newest records beside the long read that every process has open for the configuration: it would cost a call more for each process and half its period in time. A first way that also withdrew stored starts at the moment of the evacuation was dropped: its mutant survived, since the check before each start does the same one append later.

Change: `zones` keeps which zones are evacuated, from the operator's records (sched_operator.c, cut out of sched_store.c with all pages of the list and its complete reading after the history was dropped). Placement leaves the workers of such a zone out; a start that is due there is withdrawn, closed by a stop if it may have been executed; a gang that lost a member that way is stopped. Nothing is placed or started while the last complete read of the records is older than evacuate_ms (a new setting) less a worker call's timeout. A worker's entry without a zone names no worker to use.

The list of workers moved to sched_workers.c, the fixture of the shard's tests to tests/support, the tests of sharing to test_shard_sharing.c.

--- a/bench/jobs_product.c
+++ b/bench/jobs_product.c
@@ -292,6 +292,7 @@
                               .service = "service",
                               .label = "a",
                               .rack = "r",
+                              .zone = "z",
                               .millicores = p->world->config.millicores,
                               .memory_mb = 1 << 20 };
 
--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -38,12 +38,12 @@
 NO_CAPACITY|src/shard/shard_place.c|shard/test_shard|s/worker->used_millicores + step->millicores > worker->millicores/false/
 START_ON_LEAVING|src/shard/shard_place.c|shard/test_shard_steps|s/worker->leaving ||//
 PARTIAL_GANG|src/shard/shard_place.c|shard/test_shard_steps|s/undo_gang_placement (shard, now, c, i);//
-HARM_GOES_ON|src/shard/shard_sharing.c|shard/test_shard_steps|s/run->measure > run->target_ms \&\& worker->best_effort_runs/false/
+HARM_GOES_ON|src/shard/shard_sharing.c|shard/test_shard_sharing|s/run->measure > run->target_ms \&\& worker->best_effort_runs/false/
 CANCEL_NOT_STORED|src/shard/shard.c|shard/test_shard_steps|s/if (entry->stored_end == JOB_QUEUED)/if (0)/
 ACCEPTED_NOT_STORED|src/shard/shard.c|shard/test_shard_steps|s/entry->unstored_submission ? -EINPROGRESS : 0/0/
 SECOND_SUBMISSION_COUNTS|src/shard/shard.c|shard/test_shard_steps|s/^  if (entry->job)$/  if (0)/
 LOAD_WITHOUT_FENCE|src/scheduler/sched_store.c|scheduler/test_scheduler|s/if (state->fenced)/if (1)/
-CONFIG_GOES_BACK|src/scheduler/sched_store.c|scheduler/test_scheduler|s/queues_version (queues) <= queues_version (s->queues)/false/
+CONFIG_GOES_BACK|src/scheduler/sched_operator.c|scheduler/test_scheduler|s/queues_version (queues) <= queues_version (s->queues)/false/
 UNKNOWN_IS_REFUSED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/bool unknown = submits/bool unknown = false/
 PAUSE_IS_STALL|src/shard/shard_calls.c|shard/test_shard_steps|s/bool silent = now - worker->last_answer > MAX_LIST_GAP/bool silent = false/
 FORMER_LIFE_COUNTS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (is_from_former_incarnation (worker, &pending, reply))/if (false)/
@@ -51,15 +51,23 @@
 GONE_WORKER_USED|src/shard/shard_place.c|shard/test_shard_steps|s/!worker->listed ||//
 KNOWN_IS_REFUSED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/shard_is_active (own) ? shard_submission_state (own, job) : -ENOENT/-ENOENT/
 LEAVE_BEFORE_JOIN|src/scheduler/sched_group.c|scheduler/test_scheduler|s/      s->leave_due = now;$/      ;/
-DEAD_MEMBER_STAYS|src/scheduler/sched_group.c|scheduler/test_scheduler|s/s->backend->ops->leave (s->backend->ctx, &join, on_evicted, s);//
+DEAD_MEMBER_STAYS|src/scheduler/sched_member.c|scheduler/test_scheduler|s/return sched_owns_any_shard (s)$/return true/
 LOST_APPEND_WAITS|src/scheduler/sched_store.c|scheduler/test_scheduler|s/define APPEND_TIMEOUT_MIN (300/define APPEND_TIMEOUT_MIN (1200/
 PEER_NUMBERS_UNCHECKED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/m->code < REPLY_KNOWN || m->code > REPLY_WITHDRAWN/false/
 CARRIED_IS_WITHDRAWN|src/shard/shard.c|shard/test_shard_steps|s/ || shard_append_has_submission (shard, id)//
 WITHDRAWN_STAYS|src/shard/shard.c|shard/test_shard_steps|s/  g_hash_table_remove (shard->jobs, &id);//
 JOINS_WITH_AN_OWNER|src/scheduler/sched_member.c|scheduler/test_scheduler|s/if (!s->unowned \&\&/if (0 \&\&/
-MEMBER_STAYS|src/scheduler/sched_member.c|scheduler/test_scheduler|s/return owns_any_shard (s) || now - s->unassigned_since < ASSIGNMENT_TIMEOUT;/return owns_any_shard (s) || true;/
+MEMBER_STAYS|src/scheduler/sched_member.c|scheduler/test_scheduler|s/return sched_owns_any_shard (s)$/return true/
 APPENDS_AT_ONCE|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/request->deadline - APPEND_RESERVE/now/
-IMAGES_SPREAD|src/shard/shard_place.c|shard/test_shard_steps|s/result += score_of_images (shard, worker, c->image);/(void)score_of_images;/
+IMAGES_SPREAD|src/shard/shard_place.c|shard/test_shard_sharing|s/result += score_of_images (shard, worker, c->image);/(void)score_of_images;/
+EVACUATION_IGNORED|src/shard/shard_place.c|shard/test_shard_zones|s/ || worker->evacuated//
+EVACUATED_START_SENT|src/shard/shard_calls.c|shard/test_shard_zones|s/if (worker->evacuated)/if (0)/
+OLD_VIEW_OF_ZONES|src/shard/shard_zones.c|shard/test_shard_zones|s/return !shard->config.zones/return true/
+GANG_MEMBER_WITHDRAWN|src/shard/shard_zones.c|shard/test_shard_zones|s/run_stop_gang (shard, now, .run_id);//
+OPERATOR_PAGE_LOST|src/scheduler/sched_operator.c|scheduler/test_operator|s/log->more_pages = records->has_more .*/log->more_pages = false;/
+PARTIAL_READ_CONFIRMS|src/scheduler/sched_operator.c|scheduler/test_operator|s/if (!records->has_more)/if (1)/
+ZONE_NOT_TAKEN_BACK|src/zones/zones.c|zones/test_zones|s/changed |= set_evacuated (zones, now, zone, false);//
+ZONE_GOES_BACK|src/zones/zones.c|zones/test_zones|s/version <= zone->version/false/
 UNBOUNDED_OCCURRENCES|src/jobs/jobs.c|jobs/test_jobs|s/JOB_MAX_TASKS;$/JOB_MAX_TASKS * 4;/
 TABLE
 }
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -11,6 +11,7 @@
 
 #include "queues/queues.h"
 #include "shard/shard.h"
+#include "zones/zones.h"
 
 typedef enum
 {
@@ -27,7 +28,8 @@
 typedef enum
 {
   TOPIC_WORK,    /**< records of jobs, by shard; written by the scheduler */
-  TOPIC_CONFIG,  /**< configuration by the operator; read only */
+  TOPIC_CONFIG,  /**< configuration and requests of the operator; read
+                    only */
   TOPIC_WORKERS, /**< entries of workers; read only */
   TOPIC_LAYOUT,  /**< number of shards; written by the scheduler */
   TOPIC_COUNT
@@ -70,7 +72,7 @@
   const store_record_t *records;
   size_t count;
   uint64_t next_offset; /**< offset of the next read */
-  bool has_more;        /**< read_latest: further keys follow the last one */
+  bool has_more;        /**< further records or keys follow the last one */
 } store_records_t;
 
 typedef struct
@@ -138,6 +140,12 @@
       set only if it is unreadable */
   queues_t *(*decode_config) (void *ctx, const store_record_t *record,
                               err_t *err);
+  /** Decodes a record of TOPIC_CONFIG that has an availability zone evacuated
+      or takes it back.
+      @return 0; -ENOENT if the record concerns something else; -EBADMSG if it
+      names no zone */
+  int (*decode_zone) (void *ctx, const store_record_t *record,
+                      zone_record_t *zone);
   /** Decodes a record of TOPIC_WORKERS.  Strings are valid until the next
       call.
       @return 0; -ENOENT if the entry was deleted; -EBADMSG if it is
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -93,6 +93,10 @@
      "log lines that standard error did not take")                            \
   X (BUNDLE_VERSION, "bundle_version", "version", "gauge",                    \
      "version of the bundle in force, 0 for none")                            \
+  X (ZONES_EVACUATED, "zones_evacuated", "zones", "gauge",                    \
+     "availability zones in which no task may start")                         \
+  X (STARTS_WITHDRAWN, "starts_withdrawn_total", "runs", "counter",           \
+     "placed runs withdrawn since their zone was evacuated")                  \
   X (QUEUED, "queued", "requests", "gauge", "requests waiting for a slot")    \
   X (OWNED_SHARDS, "owned_shards", "shards", "gauge",                         \
      "shards on which this process may act")                                  \
--- a/src/scheduler/sched_member.c
+++ b/src/scheduler/sched_member.c
@@ -21,8 +21,6 @@
    of a lost member are reassigned when its lifetime ends. */
 #define ASSIGNMENT_TIMEOUT (2500 * USEC_PER_MSEC)
 
-static bool owns_any_shard (const scheduler_t *s);
-
 usec_t
 member_join_delay (usec_t age, incarnation_t incarnation)
 {
@@ -64,19 +62,11 @@
   return true;
 }
 
-static bool
-owns_any_shard (const scheduler_t *s)
-{
-  for (uint32_t i = 0; i < s->shard_count; i++)
-    if (s->shards[i].owned)
-      return true;
-  return false;
-}
-
 bool
 member_stays (const scheduler_t *s, usec_t now)
 {
   if (s->fallback_until && now >= s->fallback_until)
     return false;
-  return owns_any_shard (s) || now - s->unassigned_since < ASSIGNMENT_TIMEOUT;
+  return sched_owns_any_shard (s)
+         || now - s->unassigned_since < ASSIGNMENT_TIMEOUT;
 }
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -11,6 +11,7 @@
 #include "net/httpd.h"
 #include "net/peerlink.h"
 #include "scheduler/scheduler.h"
+#include "zones/zones.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -23,6 +24,12 @@
 /* Longer queue names are truncated in queries from peers. */
 #define QUEUE_NAME_MAX 64U
 
+/* Timeout of reading a page of the latest records. */
+#define PAGE_TIMEOUT (1500 * USEC_PER_MSEC)
+/* Timeout of a read, in addition to the time that it waits for a record. */
+#define READ_TIMEOUT (900 * USEC_PER_MSEC)
+#define READ_RETRY (150 * USEC_PER_MSEC)
+
 typedef struct scheduler scheduler_t;
 
 /* Kinds of queries to the owner of a job's shard.  The numbers are part of the
@@ -131,6 +138,20 @@
   usec_t refused_since; /* its VM refuses connections since then, 0: no */
 } shard_owner_t;
 
+/* Position in the operator's records.  */
+typedef struct
+{
+  bool busy;        /* a read is in flight */
+  bool failed;      /* the last read has */
+  usec_t due;       /* next read */
+  usec_t sent;      /* of the last read */
+  bool loaded;      /* the records in force were read; the log is followed */
+  bool more_pages;  /* the list of those records is being read */
+  usec_t list_sent; /* of the first page */
+  char last_key[256];
+  uint64_t next_offset;
+} operator_log_t;
+
 struct scheduler
 {
   struct ev_loop *loop;
@@ -179,10 +200,8 @@
   usec_t owner_last_reply;    /* last REPLY_KNOWN from another process */
 
   queues_t *queues; /* in force; NULL until a configuration is read */
-  bool config_busy;
-  bool config_loaded;
-  uint64_t config_next_offset;
-  usec_t config_due;
+  zones_t *zones;
+  operator_log_t operator_log;
 
   bool workers_loaded;
   bool workers_busy;
@@ -218,6 +237,7 @@
 /* scheduler.c */
 /** Schedules a run of the ticks before the loop sleeps. */
 void sched_wake (scheduler_t *s);
+bool sched_owns_any_shard (const scheduler_t *s);
 uint32_t sched_shard_of (const scheduler_t *s, job_id_t job);
 /** @return partition of TOPIC_WORK that holds the records of a shard */
 uint32_t sched_partition_of (const scheduler_t *s, uint32_t shard);
@@ -281,6 +301,15 @@
 void store_load (scheduler_t *s, shard_state_t *state, usec_t now);
 usec_t store_tick (scheduler_t *s, usec_t now);
 
+/* sched_operator.c */
+usec_t operator_tick (scheduler_t *s, usec_t now);
+
+/* sched_workers.c */
+usec_t workers_tick (scheduler_t *s, usec_t now);
+/** Reads the whole list again, for a shard that has not seen the workers that
+    are listed already. */
+void workers_reload (scheduler_t *s, usec_t now);
+
 /* sched_callers.c */
 extern const httpd_ops_t sched_caller_ops;
 extern const httpd_ops_t sched_ready_ops;
--- a/src/scheduler/sched_store.c
+++ b/src/scheduler/sched_store.c
@@ -1,15 +1,9 @@
 /** @file
- * Reads and appends of the store: records of owned shards, the configuration
- * and the list of workers.
+ * Reads and appends of the records of owned shards.
  */
 #include "scheduler/sched_private.h"
 
-#include <xxhash.h>
-
-#define PAGE_TIMEOUT (1500 * USEC_PER_MSEC)
 #define READ_WAIT (400 * USEC_PER_MSEC)
-#define READ_TIMEOUT (900 * USEC_PER_MSEC)
-#define READ_RETRY (150 * USEC_PER_MSEC)
 /* An owner's append times out after APPEND_TIMEOUT_FACTOR times its usual
    latency and is repeated.  The store recognizes repetitions by their
    sequence number; the shard stores and starts nothing else meanwhile. */
@@ -24,10 +18,6 @@
 /* A faster append lowers the latency estimate by this fraction of the
    difference. */
 #define APPEND_LATENCY_DIVISOR 8
-#define CONFIG_READ_WAIT (1500 * USEC_PER_MSEC)
-/* Workers update their entries about once a second.  A leaving worker may be
-   assigned work until the next read. */
-#define WORKERS_INTERVAL (350 * USEC_PER_MSEC)
 #define RECORD_KEY_HEX_DIGITS 16U
 /* Producer name in the appends of a shard's owner. */
 #define OWNER_PRODUCER "owner"
@@ -46,15 +36,6 @@
 static void deliver_record (shard_state_t *state, usec_t now,
                             const store_record_t *record);
 static usec_t shard_state_tick (shard_state_t *state, usec_t now);
-static usec_t config_tick (scheduler_t *s, usec_t now);
-static void on_config (void *ctx, const store_records_t *records);
-static void apply_config (scheduler_t *s, const store_record_t *record);
-static usec_t workers_tick (scheduler_t *s, usec_t now);
-static void on_workers (void *ctx, const store_records_t *records);
-static void apply_worker (scheduler_t *s, usec_t now,
-                          const store_record_t *record);
-static void drop_unlisted (scheduler_t *s, usec_t now);
-static bool owns_any_shard (const scheduler_t *s);
 static void shard_call (void *ctx, const shard_call_t *call);
 static void on_worker_reply (void *ctx, uint64_t call,
                              const shard_reply_t *reply);
@@ -124,13 +105,12 @@
 usec_t
 store_tick (scheduler_t *s, usec_t now)
 {
-  usec_t next = config_tick (s, now);
-  usec_t due = workers_tick (s, now);
+  usec_t next = INT64_MAX;
 
-  next = MIN (next, due);
   for (uint32_t i = 0; i < s->shard_count; i++)
     {
-      due = shard_state_tick (&s->shards[i], now);
+      usec_t due = shard_state_tick (&s->shards[i], now);
+
       next = MIN (next, due);
     }
   return next;
@@ -147,11 +127,7 @@
   state->next_offset_known = false;
   state->read_busy = false;
   state->read_due = now;
-  /* The whole list of workers is read again, since the shard has not seen
-     workers that are listed already.  */
-  s->workers_loaded = false;
-  s->workers_more_pages = false;
-  s->workers_due = MIN (s->workers_due, now);
+  workers_reload (s, now);
   sched_wake (s);
 }
 
@@ -364,223 +340,6 @@
   state->read_due = now;
 }
 
-/* --- Configuration --- */
-
-static usec_t
-config_tick (scheduler_t *s, usec_t now)
-{
-  store_read_t read = { .topic = TOPIC_CONFIG,
-                        .from = s->config_next_offset,
-                        .wait = CONFIG_READ_WAIT,
-                        .timeout = CONFIG_READ_WAIT + READ_TIMEOUT };
-
-  if (s->config_busy || now < s->config_due)
-    return s->config_due;
-  s->config_busy = true;
-  s->config_due = INT64_MAX;
-  if (s->config_loaded)
-    s->backend->ops->read (s->backend->ctx, &read, on_config, s);
-  else
-    s->backend->ops->read_latest (s->backend->ctx, TOPIC_CONFIG, 0, "",
-                                  PAGE_TIMEOUT, on_config, s);
-  return INT64_MAX;
-}
-
-static void
-on_config (void *ctx, const store_records_t *records)
-{
-  scheduler_t *s = ctx;
-  usec_t now = clock_now ();
-
-  sched_wake (s);
-  counter_add (COUNTER_STORE_CALLS, 1);
-  s->config_busy = false;
-  s->config_due = now;
-  if (records->result != STORE_OK)
-    {
-      s->config_loaded &= records->result != STORE_EXPIRED;
-      s->config_due = now + READ_RETRY;
-      return;
-    }
-  s->config_loaded = true;
-  s->config_next_offset = records->next_offset;
-  for (size_t i = 0; i < records->count; i++)
-    apply_config (s, &records->records[i]);
-}
-
-static void
-apply_config (scheduler_t *s, const store_record_t *record)
-{
-  err_t err = { 0 };
-  queues_t *queues
-      = s->backend->ops->decode_config (s->backend->ctx, record, &err);
-
-  if (!queues)
-    {
-      if (err.code)
-        log_err (LOG_LEVEL_ERR, &err);
-      return;
-    }
-  /* A configuration comes into force only if its version is higher.  */
-  if (s->queues && queues_version (queues) <= queues_version (s->queues))
-    {
-      queues_free (queues);
-      return;
-    }
-  log_line (LOG_LEVEL_NOTICE, "config", NULL,
-            "version=%" PRIu64 " offset=%" PRIu64 " in force",
-            queues_version (queues), record->offset);
-  counter_set (COUNTER_BUNDLE_VERSION, queues_version (queues));
-  queues_free (s->queues);
-  s->queues = queues;
-}
-
-/* --- Workers --- */
-
-static bool
-owns_any_shard (const scheduler_t *s)
-{
-  for (uint32_t i = 0; i < s->shard_count; i++)
-    if (s->shards[i].owned)
-      return true;
-  return false;
-}
-
-static usec_t
-workers_tick (scheduler_t *s, usec_t now)
-{
-  store_read_t read = { .topic = TOPIC_WORKERS,
-                        .from = s->workers_next_offset,
-                        .timeout = READ_TIMEOUT };
-
-  if (!owns_any_shard (s))
-    {
-      s->workers_loaded = false;
-      g_hash_table_remove_all (s->worker_shards);
-      return INT64_MAX;
-    }
-  if (s->workers_busy)
-    return INT64_MAX;
-  if (now < s->workers_due)
-    return s->workers_due;
-  s->workers_busy = true;
-  s->workers_due = now + WORKERS_INTERVAL;
-  if (s->workers_loaded)
-    {
-      s->backend->ops->read (s->backend->ctx, &read, on_workers, s);
-      return s->workers_due;
-    }
-  if (!s->workers_more_pages)
-    {
-      s->workers_last_key[0] = '\0';
-      s->workers_next_offset_known = false;
-      g_hash_table_remove_all (s->worker_shards);
-    }
-  s->backend->ops->read_latest (s->backend->ctx, TOPIC_WORKERS, 0,
-                                s->workers_last_key, PAGE_TIMEOUT, on_workers,
-                                s);
-  return s->workers_due;
-}
-
-static void
-on_workers (void *ctx, const store_records_t *records)
-{
-  scheduler_t *s = ctx;
-  usec_t now = clock_now ();
-
-  s->workers_busy = false;
-  sched_wake (s);
-  counter_add (COUNTER_STORE_CALLS, 1);
-  if (records->result != STORE_OK)
-    {
-      if (records->result == STORE_EXPIRED)
-        s->workers_loaded = false;
-      s->workers_more_pages = false;
-      return;
-    }
-  for (size_t i = 0; i < records->count; i++)
-    apply_worker (s, now, &records->records[i]);
-  if (s->workers_loaded)
-    {
-      s->workers_next_offset = records->next_offset;
-      return;
-    }
-  if (!s->workers_next_offset_known)
-    s->workers_next_offset = records->next_offset;
-  s->workers_next_offset_known = true;
-  s->workers_more_pages = records->has_more && records->count;
-  if (s->workers_more_pages)
-    {
-      blob_copy (records->records[records->count - 1].key, s->workers_last_key,
-                 sizeof s->workers_last_key);
-      s->workers_due = now;
-      return;
-    }
-  s->workers_loaded = true;
-  drop_unlisted (s, now);
-}
-
-/* All workers of a rack belong to the same shard.  */
-static uint32_t
-shard_of_worker (const scheduler_t *s, const shard_worker_t *info)
-{
-  const char *unit = *info->rack ? info->rack : info->id;
-
-  return (uint32_t)(XXH64 (unit, strlen (unit), 0) % s->shard_count);
-}
-
-/* @return shard + 1 of a listed worker, else 0 */
-static uint32_t
-known_worker_shard (const scheduler_t *s, const store_record_t *record)
-{
-  char id[256];
-
-  blob_copy (record->key, id, sizeof id);
-  return GPOINTER_TO_UINT (g_hash_table_lookup (s->worker_shards, id));
-}
-
-static void
-apply_worker (scheduler_t *s, usec_t now, const store_record_t *record)
-{
-  shard_worker_t info = { 0 };
-  uint32_t known = known_worker_shard (s, record);
-  uint32_t shard;
-  int code;
-
-  /* A worker's rack never changes, so entries of workers that belong to shards
-     of other owners are not decoded again.  */
-  if (known && record->value.len && !s->shards[known - 1].owned)
-    return;
-  code = s->backend->ops->decode_worker (s->backend->ctx, record, &info);
-
-  if (code == -EBADMSG)
-    log_line (LOG_LEVEL_WARNING, "worker.unreadable", NULL,
-              "worker=%s offset=%" PRIu64 " bytes=%u known=%d", info.id,
-              record->offset, record->value.len, known != 0);
-  /* A worker whose entry is dropped or unreadable is not used.  */
-  if (code)
-    {
-      if (known)
-        shard_worker_unlisted (s->shards[known - 1].shard, now, info.id);
-      g_hash_table_remove (s->worker_shards, info.id);
-      return;
-    }
-  shard = shard_of_worker (s, &info);
-  if (!known)
-    g_hash_table_insert (s->worker_shards, g_strdup (info.id),
-                         GUINT_TO_POINTER (shard + 1));
-  if (s->shards[shard].owned)
-    shard_worker_listed (s->shards[shard].shard, now, &info);
-}
-
-/* Removes workers that are missing from the list that was just read.  */
-static void
-drop_unlisted (scheduler_t *s, usec_t now)
-{
-  for (uint32_t i = 0; i < s->shard_count; i++)
-    shard_worker_list_read (s->shards[i].shard, now, s->worker_shards);
-}
-
 /* --- Operations for a shard --- */
 
 static void
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -109,6 +109,7 @@
   s->requests_by_http = g_hash_table_new (NULL, NULL);
   s->worker_shards
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  s->zones = zones_new ();
   s->deferred_queries = g_array_new (FALSE, FALSE, sizeof (deferred_query_t));
   s->store_last_ok = s->started_at = now;
   s->may_own = true;
@@ -122,15 +123,18 @@
 sched_set_shards (scheduler_t *s, uint32_t count)
 {
   const scheduler_settings_t *settings = s->settings;
-  shard_config_t config = { .lease = settings->lease,
-                            .stop_limit = settings->stop_limit,
-                            .poll_busy = POLL_BUSY,
-                            .poll_shared = POLL_SHARED,
-                            .poll_idle = POLL_IDLE,
-                            .call_timeout = WORKER_CALL_TIMEOUT,
-                            .stale_limit = STALE_LIMIT,
-                            .keep_ended = settings->keep_ended,
-                            .append_bytes = settings->append_bytes / 2 };
+  shard_config_t config
+      = { .lease = settings->lease,
+          .stop_limit = settings->stop_limit,
+          .poll_busy = POLL_BUSY,
+          .poll_shared = POLL_SHARED,
+          .poll_idle = POLL_IDLE,
+          .call_timeout = WORKER_CALL_TIMEOUT,
+          .stale_limit = STALE_LIMIT,
+          .keep_ended = settings->keep_ended,
+          .append_bytes = settings->append_bytes / 2,
+          .zones = s->zones,
+          .zones_max_age = settings->evacuate - WORKER_CALL_TIMEOUT };
 
   s->shard_count = count;
   s->shards = g_new0 (shard_state_t, count);
@@ -221,6 +225,7 @@
   g_free (s->shards);
   g_free (s->owners);
   queues_free (s->queues);
+  zones_free (s->zones);
   if (s->requests)
     {
       g_hash_table_destroy (s->requests);
@@ -237,6 +242,15 @@
   s->tick_due = true;
 }
 
+bool
+sched_owns_any_shard (const scheduler_t *s)
+{
+  for (uint32_t i = 0; i < s->shard_count; i++)
+    if (s->shards[i].owned)
+      return true;
+  return false;
+}
+
 uint32_t
 sched_shard_of (const scheduler_t *s, job_id_t job)
 {
@@ -323,6 +337,10 @@
   usec_t next = layout_tick (s, now);
   usec_t due = group_tick (s, now);
 
+  next = MIN (next, due);
+  due = operator_tick (s, now);
+  next = MIN (next, due);
+  due = workers_tick (s, now);
   next = MIN (next, due);
   due = store_tick (s, now);
   next = MIN (next, due);
--- a/src/scheduler/settings.h
+++ b/src/scheduler/settings.h
@@ -22,6 +22,8 @@
   uint32_t append_bytes;      /**< [store] append_bytes */
   usec_t lease;               /**< [workers] lease_ms */
   usec_t stop_limit;          /**< [workers] stop_ms */
+  usec_t evacuate;            /**< [workers] evacuate_ms, after which no
+                                     task starts in an evacuated zone */
   uint32_t shards;            /**< [scheduler] shards, 0: derived
                                      from the number of workers when the
                                      site first starts */
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -240,6 +240,17 @@
   return queues;
 }
 
+static int
+fake_zone (void *ctx, const store_record_t *record, zone_record_t *zone)
+{
+  (void)ctx;
+  if (!blob_equals (record->key, "zone"))
+    return -ENOENT;
+  g_strlcpy (zone->zone, "z", sizeof zone->zone);
+  zone->evacuated = record->value.len != 0;
+  return 0;
+}
+
 static submission_t *
 fake_submission (void *ctx, blob_t body, err_t *err)
 {
@@ -270,6 +281,7 @@
   .leave = fake_leave,
   .list_owners = fake_owners,
   .decode_config = fake_config,
+  .decode_zone = fake_zone,
   .decode_submission = fake_submission,
   .error_body = fake_error_body,
   .deadline_header = "Deadline",
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -564,7 +564,8 @@
       if (shard->waiting_tasks
           && now >= shard->last_placement + PLACE_INTERVAL)
         shard->placement_needed = true;
-      if (shard->placement_needed && !shard->quiesced)
+      if (shard->placement_needed && !shard->quiesced
+          && zones_are_current (shard, now))
         {
           place_all (shard, now);
           shard->placement_needed = false;
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -17,6 +17,7 @@
 #define SHARD_SHARD_H
 
 #include "jobs/jobs.h"
+#include "zones/zones.h"
 
 #include <jansson.h>
 
@@ -35,6 +36,10 @@
                           confirmed the ownership for this long */
   usec_t keep_ended;   /**< how long an ended job stays known */
   uint32_t append_bytes; /**< size at which an append is full */
+  const zones_t *zones;  /**< evacuated availability zones, NULL: no zone is
+                            ever evacuated */
+  usec_t zones_max_age;  /**< nothing is started while the state of the zones
+                            is older than this */
 } shard_config_t;
 
 /** A worker as listed by the platform. */
@@ -46,6 +51,7 @@
   const char *service;
   const char *label; /**< label */
   const char *rack;
+  const char *zone; /**< availability zone */
   uint32_t millicores;
   uint32_t memory_mb;
   uint32_t accelerators;
@@ -248,6 +254,9 @@
     listed. */
 void shard_worker_list_read (shard_t *shard, usec_t now, GHashTable *listed);
 
+/** A zone was evacuated or taken back. */
+void shard_zones_changed (shard_t *shard);
+
 /** Processes the answer to a call or its failure. */
 void shard_reply (shard_t *shard, usec_t now, uint64_t call,
                   const shard_reply_t *reply);
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -219,7 +219,8 @@
     }
   else if (run->state == RUN_STARTING && !run->start_in_flight)
     send_start (shard, now, handle);
-  return run->call_due;
+  run = run_get (shard, handle);
+  return run ? run->call_due : INT64_MAX;
 }
 
 static void
@@ -235,11 +236,16 @@
 
   /* A start extends all leases of the worker, so none is sent to a worker in
      doubt. */
-  if (!worker->clock_at || worker->in_doubt)
+  if (!worker->clock_at || worker->in_doubt || !zones_are_current (shard, now))
     {
       run->call_due = now + HOLD_RETRY;
       return;
     }
+  if (worker->evacuated)
+    {
+      zones_withdraw_start (shard, now, handle);
+      return;
+    }
   call.id = add_pending_call (shard, now, SHARD_START, run->worker, handle);
   call.address = worker->address;
   call.worker = worker->id;
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -361,8 +361,8 @@
   const submission_t *order = c->entry->job->submission;
   const step_t *step = &order->steps[c->step];
 
-  if (!worker->listed || worker->leaving || !worker->fenced || worker->in_doubt
-      || now < worker->avoid_until)
+  if (!worker->listed || worker->leaving || worker->evacuated
+      || !worker->fenced || worker->in_doubt || now < worker->avoid_until)
     return false;
   if (step->best_effort
           ? step->millicores > sharing_leftover (worker)
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -73,6 +73,8 @@
   char *service;
   char *label;
   char *rack;
+  char *zone;
+  bool evacuated;          /* its zone is */
   int64_t started_ms;      /* identifies its incarnation, 0: unknown */
   usec_t started_known_at; /* when an answer last changed STARTED_MS */
   bool listed;             /* by the platform */
@@ -254,6 +256,16 @@
 void worker_reserve (worker_t *worker, const run_t *run);
 void worker_release (worker_t *worker, const run_t *run);
 
+/* shard_zones.c */
+/** Looks up whether the worker's zone is evacuated. */
+void zones_update_worker (const shard_t *shard, worker_t *worker);
+/** @return whether what is known of the zones is recent enough to start tasks
+ */
+bool zones_are_current (const shard_t *shard, usec_t now);
+/** Withdraws a start that must not be sent or repeated, since the worker's
+    zone is evacuated. */
+void zones_withdraw_start (shard_t *shard, usec_t now, handle_t run);
+
 /* shard_runs.c */
 run_t *run_get (const shard_t *shard, handle_t handle);
 /** Adds the newest run of a placed task. */
@@ -271,6 +283,8 @@
 /** Applies the end that the worker reports. */
 void run_ended (shard_t *shard, usec_t now, handle_t handle,
                 const end_report_t *report);
+/** Stops the other members if the run was of a gang. */
+void run_stop_gang (shard_t *shard, usec_t now, const run_id_t *run_id);
 /** Requeues the tasks of all runs on a worker that has stopped them. */
 void run_requeue_all (shard_t *shard, usec_t now, handle_t worker_handle,
                       const char *why);
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -251,6 +251,19 @@
     }
 }
 
+void
+run_stop_gang (shard_t *shard, usec_t now, const run_id_t *run_id)
+{
+  const job_entry_t *entry = shard_entry (shard, run_id->job);
+  occurrence_t *occurrence
+      = entry && entry->job && entry->job->submission
+            ? job_occurrence (entry->job, run_id->occurrence)
+            : NULL;
+
+  if (occurrence && entry->job->submission->steps[run_id->step].gang)
+    break_gang (shard, now, occurrence, entry->job, run_id->step);
+}
+
 void
 run_requeue_all (shard_t *shard, usec_t now, handle_t worker_handle,
                  const char *why)
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -39,6 +39,7 @@
   worker->service = g_strdup ("");
   worker->label = g_strdup ("");
   worker->rack = g_strdup ("");
+  worker->zone = g_strdup ("");
   worker->runs = g_array_new (FALSE, FALSE, sizeof (handle_t));
   worker->recent_runs = g_array_new (FALSE, FALSE, sizeof (recent_run_t));
   /* A former owner may have extended leases until its stale_limit was over. */
@@ -59,6 +60,7 @@
   g_free (worker->service);
   g_free (worker->label);
   g_free (worker->rack);
+  g_free (worker->zone);
   g_array_free (worker->runs, TRUE);
   g_array_free (worker->recent_runs, TRUE);
 }
@@ -109,6 +111,8 @@
   update_text (&worker->service, info->service);
   update_text (&worker->label, info->label);
   update_text (&worker->rack, info->rack);
+  update_text (&worker->zone, info->zone);
+  zones_update_worker (shard, worker);
   if (worker->leaving != info->leaving)
     log_line (LOG_LEVEL_INFO, "worker.leaving", info->address,
               "worker=%s leaving=%d runs=%u", info->id, info->leaving,
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -375,6 +375,7 @@
                               .service = "service",
                               .label = "a",
                               .rack = "r",
+                              .zone = "z",
                               .millicores = 8000,
                               .memory_mb = 8000 };
 
