Split placement by decision, log what keeps a step waiting

Cause: an operator, or explain, could not tell why a step waits: for an evacuated zone, for room, or for a worker whose tasks it would disturb. shard_place.c held three decisions in one file.

Change: shard_order.c orders the waiting steps, shard_choose.c picks a worker, shard_place.c places; worker_fits says what excludes a worker. The new shard_waits.c logs step.waits once a step has waited for 0.5 s, then every 2 s a job, with the number of workers by reason; tasks_kept_away_total counts those that wait while zones are evacuated. explain shows the line and the state changes of zones.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -35,8 +35,8 @@
 NO_ATTEMPT_LIMIT|src/shard/shard_runs.c|shard/test_shard|s/counted->failures >= MAX (job->submission->max_attempts, 1)/counted->failures > 1000/
 SAME_RUN_NUMBER|src/jobs/jobs.c|jobs/test_jobs|s/task->run++;//
 NO_STEP_ORDER|src/jobs/jobs.c|jobs/test_jobs|s/if (occurrence->unfinished\[s->depends_on\[i\]\])/if (0)/
-NO_CAPACITY|src/shard/shard_place.c|shard/test_shard|s/worker->used_millicores + step->millicores > worker->millicores/false/
-START_ON_LEAVING|src/shard/shard_place.c|shard/test_shard_steps|s/worker->leaving ||//
+NO_CAPACITY|src/shard/shard_choose.c|shard/test_shard|s/worker->used_millicores + step->millicores > worker->millicores/false/
+START_ON_LEAVING|src/shard/shard_choose.c|shard/test_shard_steps|s/worker->leaving ||//
 PARTIAL_GANG|src/shard/shard_place.c|shard/test_shard_steps|s/undo_gang_placement (shard, now, c, i);//
 HARM_GOES_ON|src/shard/shard_sharing.c|shard/test_shard_sharing|s/run->measure > run->target_ms \&\& worker->best_effort_runs/false/
 CANCEL_NOT_STORED|src/shard/shard.c|shard/test_shard_steps|s/if (entry->stored_end == JOB_QUEUED)/if (0)/
@@ -48,7 +48,7 @@
 PAUSE_IS_STALL|src/shard/shard_calls.c|shard/test_shard_steps|s/bool silent = now - worker->last_answer > MAX_LIST_GAP/bool silent = false/
 FORMER_LIFE_COUNTS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (is_from_former_incarnation (worker, &pending, reply))/if (false)/
 PAUSED_OWNER_STARTS|src/shard/shard_calls.c|shard/test_shard_steps|s/return now + HOLD_RETRY;/;/
-GONE_WORKER_USED|src/shard/shard_place.c|shard/test_shard_steps|s/!worker->listed ||//
+GONE_WORKER_USED|src/shard/shard_choose.c|shard/test_shard_steps|s/!worker->listed ||//
 KNOWN_IS_REFUSED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/shard_is_active (own) ? shard_submission_state (own, job) : -ENOENT/-ENOENT/
 LEAVE_BEFORE_JOIN|src/scheduler/sched_group.c|scheduler/test_scheduler|s/      s->leave_due = now;$/      ;/
 DEAD_MEMBER_STAYS|src/scheduler/sched_member.c|scheduler/test_scheduler|s/return sched_owns_any_shard (s)$/return true/
@@ -59,8 +59,8 @@
 JOINS_WITH_AN_OWNER|src/scheduler/sched_member.c|scheduler/test_scheduler|s/if (!s->unowned \&\&/if (0 \&\&/
 MEMBER_STAYS|src/scheduler/sched_member.c|scheduler/test_scheduler|s/return sched_owns_any_shard (s)$/return true/
 APPENDS_AT_ONCE|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/request->deadline - APPEND_RESERVE/now/
-IMAGES_SPREAD|src/shard/shard_place.c|shard/test_shard_sharing|s/result += score_of_images (shard, worker, c->image);/(void)score_of_images;/
-EVACUATION_IGNORED|src/shard/shard_place.c|shard/test_shard_zones|s/ || worker->evacuated//
+IMAGES_SPREAD|src/shard/shard_choose.c|shard/test_shard_sharing|s/result += score_of_images (shard, worker, c->image);/(void)score_of_images;/
+EVACUATION_IGNORED|src/shard/shard_choose.c|shard/test_shard_zones|s/if (worker->evacuated)/if (0)/
 EVACUATED_START_SENT|src/shard/shard_calls.c|shard/test_shard_zones|s/if (worker->evacuated)/if (0)/
 OLD_VIEW_OF_ZONES|src/shard/shard_zones.c|shard/test_shard_zones|s/return !shard->config.zones/return true/
 GANG_MEMBER_WITHDRAWN|src/shard/shard_zones.c|shard/test_shard_zones|s/run_stop_gang (shard, now, .run_id);//
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -97,6 +97,8 @@
      "availability zones in which no task may start")                         \
   X (STARTS_WITHDRAWN, "starts_withdrawn_total", "runs", "counter",           \
      "placed runs withdrawn since their zone was evacuated")                  \
+  X (TASKS_KEPT_AWAY, "tasks_kept_away_total", "tasks", "counter",            \
+     "tasks found waiting while workers of evacuated zones were left out")    \
   X (QUEUED, "queued", "requests", "gauge", "requests waiting for a slot")    \
   X (OWNED_SHARDS, "owned_shards", "shards", "gauge",                         \
      "shards on which this process may act")                                  \
--- a/src/explain/explain.c
+++ b/src/explain/explain.c
@@ -147,7 +147,8 @@
   } state_changes[]
       = { { "worker.", SUBJECT_WORKER }, { "shard.", SUBJECT_SITE },
           { "store.", SUBJECT_SITE },    { "group.", SUBJECT_SITE },
-          { "start", SUBJECT_SITE },     { "stop", SUBJECT_SITE } };
+          { "zone.", SUBJECT_SITE },     { "start", SUBJECT_SITE },
+          { "stop", SUBJECT_SITE } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (state_changes); i++)
     if (g_str_has_prefix (step, state_changes[i].prefix)
--- a/src/explain/test_explain.c
+++ b/src/explain/test_explain.c
@@ -20,6 +20,9 @@
   "  10.5 node-1 " AT ("26.000") "info step=run.end peer=- "
                                  "task=5c0e7a21d94b36f8.0.0.1 run=1 worker=w1 "
                                  "how=lapsed ran_ms=1500",
+  AT ("24.450") "info step=step.waits peer=- job=5c0e7a21d94b36f8 "
+                "step_number=0 tasks=1 waited_ms=500 evacuated=88 full=12",
+  AT ("24.250") "notice step=zone.evacuated peer=- zone=athens version=7",
   "limpethinge[1] step=nothing",
   "",
 };
@@ -38,8 +41,8 @@
 }
 
 /* Guards against a history that is out of order or lacks the state changes of
-   the job's worker and shard, and against lines of other jobs, other workers
-   and other times. */
+   the job's worker, shard and zones or what kept a step waiting, and against
+   lines of other jobs, other workers and other times. */
 static void
 test_history (void)
 {
@@ -50,10 +53,12 @@
   const char *silent = strstr (text, "worker.silent");
   const char *end = strstr (text, "+1.900 * n1 run.end");
 
-  CU_ASSERT_EQUAL (job_lines, 3);
+  CU_ASSERT_EQUAL (job_lines, 4);
   CU_ASSERT (accepted && start && silent && end);
   CU_ASSERT (accepted < start && start < silent && silent < end);
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "1  run.end (lapsed)"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "* n1 step.waits"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "zone.evacuated"));
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "shard.superseded"));
   CU_ASSERT_PTR_NULL (strstr (text, "w2"));
   CU_ASSERT_PTR_NULL (strstr (text, "36f9"));
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -656,7 +656,8 @@
 
       json_array_append_new (
           workers,
-          json_pack ("{s:s, s:b, s:b, s:b, s:I, s:I, s:i, s:I}", "id", w->id,
+          json_pack ("{s:s, s:s, s:b, s:b, s:b, s:b, s:I, s:I, s:i, s:I}",
+                     "id", w->id, "zone", w->zone, "evacuated", w->evacuated,
                      "fenced", w->fenced, "in_doubt", w->in_doubt, "leaving",
                      w->leaving, "used_millicores",
                      (json_int_t)w->used_millicores, "fill_millicores",
--- /dev/null
+++ b/src/shard/shard_choose.c
@@ -0,0 +1,227 @@
+/** @file
+ * Choice of the worker for a task.
+ */
+#include "shard/shard_private.h"
+
+/* Score per unit of utilization added to a task with a target.  The load of a
+   full worker scores 1000. */
+#define SCORE_PER_ADDED_UTILIZATION 4000.0
+/* Tasks with a target are packed by image.  Best-effort tasks must suit every
+   image on a worker, so that each further image excludes more of them, and a
+   worker without tasks with a target takes them all.  A task whose image is on
+   no worker with room therefore goes where most images are already. */
+#define SCORE_OF_MIXED_IMAGES 1000
+#define SCORE_OF_NO_IMAGE 2000
+#define SCORE_OF_OTHER_IMAGE 5000
+#define SCORE_PER_OTHER_IMAGE (-500)
+#define MAX_COUNTED_IMAGES 4U
+/* Larger than any sum of scores for load and images: with its data on another
+   rack a task takes several times as long. */
+#define SCORE_OF_OTHER_RACK (1LL << 30)
+#define SCORE_OF_AVOIDED_WORKER (1LL << 40)
+
+static bool is_unplaceable (const shard_t *shard, const candidate_t *c);
+static void note_unplaceable (shard_t *shard, const candidate_t *c);
+static handle_t choose_best_worker (const shard_t *shard, usec_t now,
+                                    const candidate_t *c, uint32_t index,
+                                    bool ignore_interference);
+static uint32_t step_runs (const shard_t *shard, const worker_t *worker,
+                           const candidate_t *c);
+static int64_t score (const shard_t *shard, const worker_t *worker,
+                      const candidate_t *c);
+static int64_t score_of_images (const shard_t *shard, const worker_t *worker,
+                                image_id_t image);
+static int64_t score_of_sharing (const shard_t *shard, const worker_t *worker,
+                                 const candidate_t *c);
+
+/* A task with a target does not wait for a worker without interference:
+   best-effort runs beside it are stopped when its tail latency exceeds the
+   target. */
+handle_t
+choose_worker (shard_t *shard, usec_t now, const candidate_t *c,
+               uint32_t index)
+{
+  const step_t *step = &c->entry->job->submission->steps[c->step];
+  handle_t handle = HANDLE_NONE;
+
+  if (is_unplaceable (shard, c))
+    return HANDLE_NONE;
+  handle = choose_best_worker (shard, now, c, index, false);
+  if (handle == HANDLE_NONE && step->target_latency_ms)
+    handle = choose_best_worker (shard, now, c, index, true);
+  if (handle == HANDLE_NONE)
+    note_unplaceable (shard, c);
+  return handle;
+}
+
+/* Free capacity only shrinks during a pass: if a step found no worker, then a
+   step that needs at least as much finds none either.  This saves passes with
+   hundreds of waiting steps from checking every worker for each of them. */
+static bool
+is_unplaceable (const shard_t *shard, const candidate_t *c)
+{
+  const submission_t *order = c->entry->job->submission;
+  const step_t *step = &order->steps[c->step];
+
+  for (guint i = 0; i < shard->unplaceable->len; i++)
+    {
+      const unplaceable_t *other
+          = &g_array_index (shard->unplaceable, unplaceable_t, i);
+
+      if (step->best_effort == other->step->best_effort
+          && step->millicores >= other->step->millicores
+          && step->memory_mb >= other->step->memory_mb
+          && step->accelerators >= other->step->accelerators
+          && step->target_latency_ms == other->step->target_latency_ms
+          && g_strcmp0 (step->image, other->step->image) == 0
+          && g_strcmp0 (step->required_label, other->step->required_label) == 0
+          && strcmp (order->service, other->service) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Remembers that no worker fits the step.  Steps with a limit of tasks per
+   worker are left out: they may be unplaceable because of the limit, although
+   other steps with the same needs still fit. */
+static void
+note_unplaceable (shard_t *shard, const candidate_t *c)
+{
+  const submission_t *order = c->entry->job->submission;
+  unplaceable_t unplaceable = { &order->steps[c->step], order->service };
+
+  if (!unplaceable.step->max_per_worker)
+    g_array_append_val (shard->unplaceable, unplaceable);
+}
+
+static handle_t
+choose_best_worker (const shard_t *shard, usec_t now, const candidate_t *c,
+                    uint32_t index, bool ignore_interference)
+{
+  const step_t *step = &c->entry->job->submission->steps[c->step];
+  handle_t avoid = c->occurrence->tasks[c->step][index].avoid;
+  handle_t best = HANDLE_NONE;
+  int64_t best_score = INT64_MAX;
+
+  for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
+       h = table_next (shard->workers, h))
+    {
+      const worker_t *worker = worker_get (shard, h);
+      int64_t s;
+
+      if (worker_fits (shard, now, worker, c) != FIT_OK)
+        continue;
+      s = score (shard, worker, c);
+      /* Last resort: the worker where the task failed or stalled. */
+      if (h == avoid)
+        s += SCORE_OF_AVOIDED_WORKER;
+      /* The runs on the worker are checked last, since that is the most
+         expensive part. */
+      if (s >= best_score)
+        continue;
+      s += score_of_sharing (shard, worker, c);
+      if (s >= best_score
+          || (!ignore_interference
+              && !sharing_allows (shard, now, worker, step, c->image)))
+        continue;
+      best_score = s;
+      best = h;
+    }
+  return best;
+}
+
+fit_t
+worker_fits (const shard_t *shard, usec_t now, const worker_t *worker,
+             const candidate_t *c)
+{
+  const submission_t *order = c->entry->job->submission;
+  const step_t *step = &order->steps[c->step];
+
+  if (!worker->listed || worker->leaving || !worker->fenced || worker->in_doubt
+      || now < worker->avoid_until)
+    return FIT_AWAY;
+  if (worker->evacuated)
+    return FIT_EVACUATED;
+  if (step->best_effort
+          ? step->millicores > sharing_leftover (worker)
+          : worker->used_millicores + step->millicores > worker->millicores)
+    return FIT_FULL;
+  if (worker->used_memory_mb + step->memory_mb > worker->memory_mb
+      || worker->used_accelerators + step->accelerators > worker->accelerators)
+    return FIT_FULL;
+  if (strcmp (worker->service, order->service) != 0)
+    return FIT_EXCLUDED;
+  if (step->required_label && strcmp (worker->label, step->required_label) != 0
+      && strcmp (worker->rack, step->required_label) != 0)
+    return FIT_EXCLUDED;
+  if (step->max_per_worker
+      && step_runs (shard, worker, c) >= step->max_per_worker)
+    return FIT_EXCLUDED;
+  return FIT_OK;
+}
+
+/* @return number of runs of the step on the worker */
+static uint32_t
+step_runs (const shard_t *shard, const worker_t *worker, const candidate_t *c)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const run_t *run
+          = run_get (shard, g_array_index (worker->runs, handle_t, i));
+
+      if (run->run_id.job == c->entry->job->id
+          && run->run_id.occurrence == c->occurrence->number
+          && run->run_id.step == c->step)
+        count++;
+    }
+  return count;
+}
+
+/* @return the load of the worker in thousandths of its capacity, plus
+   penalties; the worker with the lowest score is chosen */
+static int64_t
+score (const shard_t *shard, const worker_t *worker, const candidate_t *c)
+{
+  const step_t *step = &c->entry->job->submission->steps[c->step];
+  int64_t used
+      = (int64_t)(worker->used_millicores + worker->best_effort_millicores);
+  int64_t result = used * 1000 / MAX (worker->millicores, 1);
+
+  if (step->target_latency_ms)
+    result += score_of_images (shard, worker, c->image);
+  else if (step->best_effort)
+    result = 1000
+             - sharing_leftover (worker) * 1000 / MAX (worker->millicores, 1);
+  if (step->data_rack && strcmp (step->data_rack, worker->rack) != 0)
+    result += SCORE_OF_OTHER_RACK;
+  return result;
+}
+
+static int64_t
+score_of_images (const shard_t *shard, const worker_t *worker,
+                 image_id_t image)
+{
+  bool has;
+  uint32_t others = sharing_other_images (shard, worker, image, &has);
+
+  if (has)
+    return others ? SCORE_OF_MIXED_IMAGES : 0;
+  if (!others)
+    return SCORE_OF_NO_IMAGE;
+  return SCORE_OF_OTHER_IMAGE
+         + (int64_t)MIN (others, MAX_COUNTED_IMAGES) * SCORE_PER_OTHER_IMAGE;
+}
+
+static int64_t
+score_of_sharing (const shard_t *shard, const worker_t *worker,
+                  const candidate_t *c)
+{
+  const step_t *step = &c->entry->job->submission->steps[c->step];
+
+  if (!step->best_effort)
+    return 0;
+  return (int64_t)(sharing_cost (shard, worker, step, c->image)
+                   * SCORE_PER_ADDED_UTILIZATION);
+}
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -147,10 +147,26 @@
   bool dirty;                  /* in shard.dirty_entries */
   bool drop_submission;        /* the next append deletes its record */
   job_status_t stored_end;     /* as stored, JOB_QUEUED: no end */
+  usec_t waits_since; /* a ready step has had tasks without a worker since
+                         then, 0: none has */
+  usec_t waits_log_due;
   int64_t end_time_ms; /* wall clock of the end, 0 if the job has not ended or
                           its records are to be dropped */
 } job_entry_t;
 
+/* A step with waiting tasks whose dependencies are done. */
+typedef struct
+{
+  job_entry_t *entry;
+  occurrence_t *occurrence;
+  uint32_t step;
+  bool late;        /* cannot meet the objective any more */
+  bool job_started; /* false for long-running steps */
+  uint32_t priority;
+  int64_t start_by_ms; /* latest time to start */
+  image_id_t image;
+} candidate_t;
+
 /* A step for which the current pass found no worker. */
 typedef struct
 {
@@ -330,6 +346,38 @@
 double sharing_cost (const shard_t *shard, const worker_t *worker,
                      const step_t *step, image_id_t image);
 
+/* shard_order.c */
+/** @return rows of candidate_t, the first to be placed first; free with
+    g_array_free */
+GArray *order_candidates (const shard_t *shard);
+
+/* Whether a worker can take a task, or what excludes it. */
+typedef enum
+{
+  FIT_OK,
+  FIT_AWAY,      /* not listed, leaving, silent or avoided */
+  FIT_EVACUATED, /* its availability zone is */
+  FIT_FULL,      /* too little capacity is free */
+  FIT_EXCLUDED,  /* another service or label, or enough tasks of the step */
+  FIT_DISTURBED, /* tasks on it would disturb each other */
+  FIT_COUNT
+} fit_t;
+
+/* shard_choose.c */
+/** @return whether the worker can take a task of the step.  The effect of
+    tasks on each other is not considered: FIT_DISTURBED is not returned */
+fit_t worker_fits (const shard_t *shard, usec_t now, const worker_t *worker,
+                   const candidate_t *c);
+/** @return the best worker for a task of the step, HANDLE_NONE if it fits on
+    none */
+handle_t choose_worker (shard_t *shard, usec_t now, const candidate_t *c,
+                        uint32_t index);
+
+/* shard_waits.c */
+/** Notes after a pass whether the step has tasks without a worker, and logs
+    from time to time what excludes the workers. */
+void waits_note (shard_t *shard, usec_t now, const candidate_t *c);
+
 /* shard_place.c */
 /** Places all waiting tasks that fit on a worker. */
 void place_all (shard_t *shard, usec_t now);
--- /dev/null
+++ b/src/shard/shard_waits.c
@@ -0,0 +1,65 @@
+/** @file
+ * Log lines on what keeps steps waiting.
+ */
+#include "shard/shard_private.h"
+
+#define LOG_AFTER (500 * USEC_PER_MSEC)
+/* Shortest interval between two lines on a job.  A line looks at all
+   workers. */
+#define LOG_INTERVAL (2 * USEC_PER_SEC)
+
+static void count_workers (const shard_t *shard, usec_t now,
+                           const candidate_t *c, uint32_t counts[FIT_COUNT]);
+
+void
+waits_note (shard_t *shard, usec_t now, const candidate_t *c)
+{
+  job_entry_t *entry = c->entry;
+  uint32_t tasks
+      = c->occurrence->unfinished[c->step] - c->occurrence->placed[c->step];
+  uint32_t counts[FIT_COUNT] = { 0 };
+
+  if (!tasks)
+    {
+      entry->waits_since = 0;
+      return;
+    }
+  if (!entry->waits_since)
+    {
+      entry->waits_since = now;
+      entry->waits_log_due = now + LOG_AFTER;
+    }
+  if (now < entry->waits_log_due)
+    return;
+  entry->waits_log_due = now + LOG_INTERVAL;
+  count_workers (shard, now, c, counts);
+  if (counts[FIT_EVACUATED])
+    counter_add (COUNTER_TASKS_KEPT_AWAY, tasks);
+  log_line (LOG_LEVEL_INFO, "step.waits", NULL,
+            "job=%016" PRIx64 " occurrence=%u step_number=%u tasks=%u"
+            " waited_ms=%" PRId64 " late=%d fits=%u away=%u evacuated=%u"
+            " full=%u excluded=%u disturbed=%u",
+            entry->job->id, c->occurrence->number, c->step, tasks,
+            usec_to_msec (now - entry->waits_since), c->late, counts[FIT_OK],
+            counts[FIT_AWAY], counts[FIT_EVACUATED], counts[FIT_FULL],
+            counts[FIT_EXCLUDED], counts[FIT_DISTURBED]);
+}
+
+static void
+count_workers (const shard_t *shard, usec_t now, const candidate_t *c,
+               uint32_t counts[FIT_COUNT])
+{
+  const step_t *step = &c->entry->job->submission->steps[c->step];
+
+  for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
+       h = table_next (shard->workers, h))
+    {
+      const worker_t *worker = worker_get (shard, h);
+      fit_t fit = worker_fits (shard, now, worker, c);
+
+      if (fit == FIT_OK
+          && !sharing_allows (shard, now, worker, step, c->image))
+        fit = FIT_DISTURBED;
+      counts[fit]++;
+    }
+}
--- a/src/shard/test_shard_zones.c
+++ b/src/shard/test_shard_zones.c
@@ -1,5 +1,6 @@
 /* Unit tests of evacuated availability zones: nothing starts there, and what
    runs there goes on. */
+#include "base/counters.h"
 #include "base/log.h"
 #include "support/shard_fixture.h"
 #include "support/suite.h"
@@ -250,6 +251,21 @@
   tear_down ();
 }
 
+/* Guards against a wait whose cause an operator cannot see. */
+static void
+test_wait_is_counted (void)
+{
+  uint64_t before = counter_get (COUNTER_TASKS_KEPT_AWAY);
+
+  set_up_zones (true);
+  set_evacuated ("z2", true);
+  add_job (6);
+  store_and_send ();
+  advance (600 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_TASKS_KEPT_AWAY), before + 2);
+  tear_down ();
+}
+
 /* Guards against gang members that wait in other zones for a member whose
    start was withdrawn. */
 static void
@@ -316,6 +332,7 @@
     { "running task", test_running_task },
     { "resume", test_resume },
     { "successor", test_successor },
+    { "wait is counted", test_wait_is_counted },
     { "gang", test_gang },
     { "old view", test_old_view },
   };
