--- a/src/cli/cli_operator.c
+++ b/src/cli/cli_operator.c
@@ -20,6 +20,7 @@
 static int print_status (const cli_response_t *response);
 static void print_shards (const json_t *status);
 static void print_peers (const json_t *status);
+static void print_zones (const json_t *status);
 static const char *choose (bool condition, const char *yes, const char *no);
 
 int
@@ -225,6 +226,7 @@
           choose (healthy, "reachable", "not reachable"), offset);
   print_shards (status);
   print_peers (status);
+  print_zones (status);
   json_decref (status);
   return CLI_OK;
 }
@@ -272,6 +274,30 @@
     }
 }
 
+static void
+print_zones (const json_t *status)
+{
+  const json_t *zones = json_object_get (status, "zones");
+  const json_t *list = json_object_get (zones, "evacuated");
+
+  for (size_t i = 0; i < json_array_size (list); i++)
+    {
+      const char *zone = "";
+      json_int_t version = 0;
+      json_int_t evacuated_ms = 0;
+
+      if (json_unpack ((json_t *)json_array_get (list, i), "{s:s, s:I, s:I}",
+                       "zone", &zone, "version", &version, "evacuated_ms",
+                       &evacuated_ms)
+          == 0)
+        printf ("zone %s: evacuated for %" JSON_INTEGER_FORMAT
+                " ms, version %" JSON_INTEGER_FORMAT
+                "; known as of %" JSON_INTEGER_FORMAT " ms ago\n",
+                zone, evacuated_ms, version,
+                json_integer_value (json_object_get (zones, "age_ms")));
+    }
+}
+
 static const char *
 choose (bool condition, const char *yes, const char *no)
 {
--- a/src/cli/test_cli.c
+++ b/src/cli/test_cli.c
@@ -141,7 +141,9 @@
   "{\"node\":1,\"incarnation\":\"a\",\"zone\":\"z\",\"ready\":true,"          \
   "\"draining\":false,\"bundle\":3,\"log\":{\"offset\":9,\"healthy\":true},"  \
   "\"shards\":[{\"shard\":0,\"owner\":1,\"epoch\":1,\"active\":true}],"       \
-  "\"peers\":[{\"node\":2,\"state\":\"live\",\"bundle\":3}]}"
+  "\"peers\":[{\"node\":2,\"state\":\"live\",\"bundle\":3}],"                 \
+  "\"zones\":{\"age_ms\":40,\"evacuated\":[{\"zone\":\"athens\","             \
+  "\"version\":7,\"evacuated_ms\":900}]}}"
 
 /* Guards against an exit code that makes a script retry work that may have
    run, or give up on work that was not run, and against a wrong request
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -45,12 +45,8 @@
 
 static void on_request (void *ctx, const httpd_request_t *request);
 static void on_abandoned (void *ctx, handle_t http);
-static void on_ready_request (void *ctx, const httpd_request_t *request);
-static void on_operator_request (void *ctx, const httpd_request_t *request);
-static void ignore_abandoned (void *ctx, handle_t http);
 static usec_t deadline_of (scheduler_t *s, handle_t http,
                            const queue_rules_t *rules, usec_t now);
-static bool can_submit (const scheduler_t *s, usec_t now);
 static void handle_submit (scheduler_t *s, usec_t now,
                            const httpd_request_t *http,
                            const queue_rules_t *rules, job_id_t job);
@@ -82,9 +78,6 @@
                         uint32_t retry_after_s, const char *error);
 
 const httpd_ops_t sched_caller_ops = { on_request, on_abandoned };
-const httpd_ops_t sched_ready_ops = { on_ready_request, ignore_abandoned };
-const httpd_ops_t sched_operator_ops
-    = { on_operator_request, ignore_abandoned };
 
 void
 request_free (void *data)
@@ -176,8 +169,8 @@
 /* If this process cannot reach the store, submissions are forwarded to an
    owner that can.  An owner that cannot reach the store either still replies
    to queries for jobs that it knows.  */
-static bool
-can_submit (const scheduler_t *s, usec_t now)
+bool
+callers_can_submit (const scheduler_t *s, usec_t now)
 {
   return sched_store_healthy (s, now)
          || (s->owner_last_reply
@@ -276,7 +269,7 @@
   if (request->append_count || now >= request->forward_until
       || now < s->owners[request->shard].backoff_until)
     {
-      if (request->append_count || can_submit (s, now))
+      if (request->append_count || callers_can_submit (s, now))
         send_append (s, now, request);
       else
         fail_request (s, request);
@@ -293,7 +286,7 @@
   request->forward_busy = false;
   request->due = now + QUERY_RETRY_DELAY;
   group_refresh_owners (s, now);
-  if (!can_submit (s, now))
+  if (!callers_can_submit (s, now))
     fail_request (s, request);
 }
 
@@ -324,7 +317,7 @@
     case REPLY_WITHDRAWN:
       request->forward_until = forward_end (request, now);
       request->due = now;
-      if (!can_submit (s, now))
+      if (!callers_can_submit (s, now))
         {
           fail_request (s, request);
           return;
@@ -588,66 +581,3 @@
   g_hash_table_remove (s->requests_by_http, GUINT_TO_POINTER (http));
   g_hash_table_remove (s->requests, &request->id);
 }
-
-static void
-ignore_abandoned (void *ctx, handle_t http)
-{
-  (void)ctx;
-  (void)http;
-}
-
-static void
-on_ready_request (void *ctx, const httpd_request_t *http)
-{
-  scheduler_t *s = ctx;
-  bool ready = s->queues && !s->stopping && can_submit (s, clock_now ());
-  httpd_answer_t answer
-      = { .status = ready ? 200 : 503, .body = blob_of ("{}") };
-
-  httpd_answer (s->ready, http->handle, &answer);
-}
-
-/* @return counters and histograms in text form; free with free */
-static char *
-metrics_text (void)
-{
-  char *counters = counters_text ();
-  GString *all = g_string_new (counters);
-  char *text;
-
-  g_free (counters);
-  histograms_text (all);
-  text = strdup (all->str);
-  g_string_free (all, TRUE);
-  return text;
-}
-
-static void
-on_operator_request (void *ctx, const httpd_request_t *http)
-{
-  scheduler_t *s = ctx;
-  httpd_answer_t answer = { .status = 404, .body = blob_of ("{}") };
-  char *text = NULL;
-
-  if (strcmp (http->path, "/counters") == 0)
-    {
-      text = metrics_text ();
-      answer = (httpd_answer_t){ .status = 200,
-                                 .content_type = "text/plain; version=0.0.4",
-                                 .body = blob_of (text) };
-    }
-  else if (strcmp (http->path, "/dump") == 0)
-    {
-      json_t *dump = json_array ();
-
-      for (uint32_t i = 0; i < s->shard_count; i++)
-        if (s->shards[i].owned)
-          json_array_append_new (
-              dump, shard_dump (s->shards[i].shard, clock_now ()));
-      text = json_dumps (dump, JSON_INDENT (1));
-      json_decref (dump);
-      answer = (httpd_answer_t){ .status = 200, .body = blob_of (text) };
-    }
-  httpd_answer (s->operators, http->handle, &answer);
-  free (text);
-}
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -312,8 +312,9 @@
 
 /* sched_callers.c */
 extern const httpd_ops_t sched_caller_ops;
-extern const httpd_ops_t sched_ready_ops;
-extern const httpd_ops_t sched_operator_ops;
+/** @return whether a submission can be stored, by this process or by an owner
+    that answers */
+bool callers_can_submit (const scheduler_t *s, usec_t now);
 usec_t callers_tick (scheduler_t *s, usec_t now);
 /** Answers all open requests with an error before the process exits. */
 void callers_fail_all (scheduler_t *s);
@@ -322,6 +323,10 @@
                        const query_reply_t *reply);
 void request_free (void *data);
 
+/* sched_admin.c */
+extern const httpd_ops_t sched_ready_ops;
+extern const httpd_ops_t sched_operator_ops;
+
 /* sched_asks.c */
 extern const peerlink_ops_t sched_peerlink_ops;
 /** Sends the request's query to the owner of its shard, which may be this
