Worlds and the stand-in evacuate zones; fix a zone that stayed open

Ruled out: the age of the view (the owners had read 0.2 s before).

Change: the zone gets the last version that the list covers. The world of test_shard and the stand-in of the whole-process tests have zones that are evacuated in series, several at a time, with damaged records; the stand-in also drops its history. Both report a start in an evacuated zone; the soak asks for 1.5 s.

--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -135,6 +135,23 @@
              SEED_COUNT);
 }
 
+/* Guards against starts in evacuated zones by owners that learn of the
+   evacuation late, take over during it or have lost the store, with starts
+   that are not answered. */
+static void
+test_evacuations (void)
+{
+  run_seeds ((world_config_t){ .evacuation_interval = 900 * USEC_PER_MSEC,
+                               .takeover_interval = 2900 * USEC_PER_MSEC,
+                               .store_outage_interval = 7 * USEC_PER_SEC,
+                               .keep_former_owner = true,
+                               .lost_reply_share = 0.05,
+                               .delayed_call_share = 0.02,
+                               .canceled_job_share = 0.1,
+                               .gangs = true },
+             SEED_COUNT);
+}
+
 /* All faults in combination. */
 static void
 test_all_faults (void)
@@ -146,6 +163,7 @@
                                .lost_reply_share = 0.03,
                                .delayed_call_share = 0.03,
                                .lost_append_reply_share = 0.03,
+                               .evacuation_interval = 2 * USEC_PER_SEC,
                                .failed_run_share = 0.05,
                                .canceled_job_share = 0.1,
                                .check_capacity = true },
@@ -176,6 +194,7 @@
     { "former owner", test_former_owner },
     { "worker crashes", test_crashes },
     { "store outages", test_outages },
+    { "evacuations", test_evacuations },
     { "all faults", test_all_faults },
     { "gangs", test_gangs },
   };
--- a/src/zones/test_zones.c
+++ b/src/zones/test_zones.c
@@ -75,6 +75,21 @@
   zones_free (zones);
 }
 
+/* Guards against a zone whose next evacuation is taken for an old one: its
+   record is the first one after the list. */
+static void
+test_evacuated_after_list (void)
+{
+  zones_t *zones = zones_new ();
+
+  apply (zones, "a", true, 3);
+  zones_begin_list (zones);
+  zones_end_list (zones, USEC_PER_SEC, 20);
+  CU_ASSERT (!apply (zones, "a", true, 19));
+  CU_ASSERT (apply (zones, "a", true, 20));
+  zones_free (zones);
+}
+
 /* Guards against an evacuation that is dropped because the contents of its
    record cannot be read. */
 static void
@@ -128,6 +143,7 @@
     { "evacuate and return", test_evacuate_and_return },
     { "older record", test_older_record },
     { "list read again", test_list_read_again },
+    { "evacuated after a list", test_evacuated_after_list },
     { "damaged record", test_damaged_record },
     { "age", test_age },
     { "many names", test_many_names },
--- a/src/zones/zones.c
+++ b/src/zones/zones.c
@@ -146,7 +146,7 @@
 
       if (zone->listed || zone->version >= version)
         continue;
-      zone->version = version;
+      zone->version = version - 1;
       changed |= set_evacuated (zones, now, zone, false);
     }
   return changed;
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -3,8 +3,8 @@
  * its workers, by their published interfaces, in one process.
  *
  * Faults are drawn from a seed.  It audits what it sees: no task runs twice at
- * a time, none starts after its end was confirmed or before the step in front
- * of it is done.
+ * a time, none starts after its end was confirmed, before the step in front of
+ * it is done or in an evacuated zone.
  */
 #ifndef STANDIN_FLEET_H
 #define STANDIN_FLEET_H
@@ -27,6 +27,10 @@
   double store_lose;     /* share of appends done without an answer */
   uint32_t outage_every; /* ms between outages of the store of 2 s, 0: none */
   uint32_t deal_every;   /* ms between redistributions of all partitions */
+  uint32_t forget_every; /* ms between losses of the history that the platform
+                            and the operator wrote, 0: none */
+  uint32_t evacuate_every; /* ms between evacuations of a zone, 0: none */
+  uint32_t evacuate_ms;    /* nothing may start in a zone from then on */
 } fleet_config_t;
 
 typedef struct fleet fleet_t;
@@ -53,6 +57,18 @@
 /** Reads "counts of tasks, by step" out of a job's spec. */
 json_t *fleet_workers_audit (const workers_t *workers);
 
+/* fleet_zones.c */
+#define FLEET_ZONES 3U
+typedef struct zones_plan zones_plan_t;
+
+zones_plan_t *fleet_zones_new (fleet_t *fleet);
+void fleet_zones_free (zones_plan_t *plan);
+/** Evacuates zones and takes them back. */
+void fleet_zones_tick (zones_plan_t *plan, usec_t now);
+/** @return whether a start in the zone breaks the rule */
+bool fleet_zone_is_closed (const zones_plan_t *plan, uint32_t zone,
+                           usec_t now);
+
 struct fleet
 {
   fleet_config_t config;
@@ -60,6 +76,7 @@
   GRand *random;
   store_t *store;
   workers_t *workers;
+  zones_plan_t *zones;
   httpd_t *httpd; /* of the store */
 };
 
--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -26,6 +26,7 @@
 {
   GPtrArray *records;    /* record_t, by offset */
   GHashTable *producers; /* name -> producer_t */
+  uint64_t first;        /* offset of the oldest record that can be read */
 } part_t;
 
 typedef struct
@@ -63,6 +64,7 @@
   usec_t outage_due;
   usec_t outage_end;
   usec_t deal_due;
+  usec_t forget_due;
 };
 
 static void on_request (void *ctx, const httpd_request_t *request);
@@ -112,6 +114,7 @@
   store->waiting = g_array_new (FALSE, FALSE, sizeof (waiting_t));
   store->outage_due = now + fleet->config.outage_every * USEC_PER_MSEC;
   store->deal_due = now + fleet->config.deal_every * USEC_PER_MSEC;
+  store->forget_due = now + fleet->config.forget_every * USEC_PER_MSEC;
   return store;
 }
 
@@ -269,11 +272,19 @@
 answer_read (store_t *store, const waiting_t *w)
 {
   const part_t *part = part_of (store, w->topic, w->part);
-  uint64_t head[2] = { GUINT64_TO_BE ((uint64_t)part->records->len), 0 };
-  GByteArray *body = g_byte_array_new ();
+  uint64_t head[2] = { GUINT64_TO_BE ((uint64_t)part->records->len),
+                       GUINT64_TO_BE (part->first) };
+  GByteArray *body;
   httpd_answer_t answer
       = { .status = 200, .content_type = "application/octet-stream" };
 
+  if (w->from < part->first)
+    {
+      fleet_answer (store->fleet->httpd, w->http, 410,
+                    json_pack ("{s:I}", "first", (json_int_t)part->first));
+      return;
+    }
+  body = g_byte_array_new ();
   g_byte_array_append (body, (const guint8 *)head, sizeof head);
   for (uint64_t i = w->from; i < part->records->len; i++)
     {
@@ -537,6 +548,21 @@
       }
 }
 
+/* The oldest records of the topics that the system does not write are
+   dropped; the newest record of each key stays.  */
+static void
+forget (store_t *store)
+{
+  static const char *const topics[] = { "keyed.op", "keyed.servers" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (topics); i++)
+    {
+      part_t *part = part_of (store, topics[i], 0);
+
+      part->first = part->records->len;
+    }
+}
+
 void
 fleet_store_tick (store_t *store, usec_t now)
 {
@@ -553,6 +579,11 @@
       store->deal_due = now + config->deal_every * USEC_PER_MSEC;
       revoke_all (store);
     }
+  if (config->forget_every && now >= store->forget_due)
+    {
+      store->forget_due = now + config->forget_every * USEC_PER_MSEC;
+      forget (store);
+    }
   for (guint i = store->members->len; i > 0; i--)
     {
       member_t *member = store->members->pdata[i - 1];
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -243,8 +243,9 @@
   g_array_remove_index (w->runs, index);
 }
 
+/* @param late the call arrived before, and was not carried out then */
 static const char *
-start (worker_t *w, const json_t *body, usec_t now)
+start (worker_t *w, const json_t *body, usec_t now, bool late)
 {
   workers_t *all = w->all;
   const char *name = json_string_value (json_object_get (body, "task"));
@@ -271,6 +272,9 @@
     broken (all, name, number, "two runs at a time");
   if (task->confirmed)
     broken (all, name, number, "started after its end was confirmed");
+  if (!late
+      && fleet_zone_is_closed (all->fleet->zones, w->index % FLEET_ZONES, now))
+    broken (all, name, number, "started in an evacuated zone");
   check_order (all, name, number, spec ? spec : "");
   task->running++;
   all->starts++;
@@ -384,7 +388,7 @@
                             MIN (lease, clock_ms (w->all, now) + LEASE_MS));
       if (starts)
         {
-          const char *reason = start (w, body, now);
+          const char *reason = start (w, body, now, false);
 
           answer (w, request->handle, lost, reason ? 409 : 200, reason, now);
         }
@@ -437,7 +441,7 @@
       if ((uint64_t)json_integer_value (
               json_object_get (body, "fencing_token"))
           >= w->token)
-        (void)start (w, body, now);
+        (void)start (w, body, now, true);
       json_decref (body);
       g_free (late.body);
     }
@@ -450,14 +454,16 @@
     {
       const worker_t *w = &all->rows[i];
       char rack[16];
+      char zone[16];
       json_t *entry;
       char *text;
 
       g_snprintf (rack, sizeof rack, "r%u", i / 3);
+      g_snprintf (zone, sizeof zone, "z%u", i % FLEET_ZONES);
       entry = json_pack (
           "{s:s, s:s, s:s, s:s, s:i, s:{s:i, s:i, s:i}, s:[s, s]}", "service",
-          "s", "address", w->address, "zone", "z", "state", "ready", "born", 1,
-          "capacity", "cpu", MILLICORES, "mem_mb", MEMORY_MB, "gpu", 0,
+          "s", "address", w->address, "zone", zone, "state", "ready", "born",
+          1, "capacity", "cpu", MILLICORES, "mem_mb", MEMORY_MB, "gpu", 0,
           "labels", "a", rack);
       text = json_dumps (entry, JSON_COMPACT);
       fleet_store_put (all->fleet->store, "keyed.servers", w->id, text);
--- a/standin/main_fleet.c
+++ b/standin/main_fleet.c
@@ -21,6 +21,7 @@
   (void)events;
   fleet_workers_tick (fleet->workers, now);
   fleet_store_tick (fleet->store, now);
+  fleet_zones_tick (fleet->zones, now);
 }
 
 static void
@@ -64,6 +65,7 @@
     }
   fleet->store = fleet_store_new (fleet);
   fleet->workers = fleet_workers_new (fleet);
+  fleet->zones = fleet_zones_new (fleet);
   fleet_store_put (fleet->store, "keyed.op", "config", first_config);
   ev_timer_init (&tick, on_tick, TICK_S, TICK_S);
   tick.data = fleet;
@@ -71,6 +73,7 @@
   ev_signal_init (&term, on_signal, SIGTERM);
   ev_signal_start (fleet->loop, &term);
   ev_run (fleet->loop, 0);
+  fleet_zones_free (fleet->zones);
   fleet_workers_free (fleet->workers);
   fleet_store_free (fleet->store);
   httpd_free (fleet->httpd);
@@ -80,8 +83,10 @@
 int
 main (int argc, char **argv)
 {
-  static fleet_t fleet
-      = { .config = { .seed = 1, .workers = 6, .partitions = 12 } };
+  static fleet_t fleet = {
+    .config
+    = { .seed = 1, .workers = 6, .partitions = 12, .evacuate_ms = 5000 }
+  };
   fleet_config_t *c = &fleet.config;
   int store_port = 0;
   int worker_port = 0;
@@ -104,6 +109,12 @@
       "Time between outages of the store", "MS" },
     { "deal-every", 0, 0, G_OPTION_ARG_INT, &c->deal_every,
       "Time between redistributions of all partitions", "MS" },
+    { "forget-every", 0, 0, G_OPTION_ARG_INT, &c->forget_every,
+      "Time between losses of the operator's and the workers' history", "MS" },
+    { "evacuate-every", 0, 0, G_OPTION_ARG_INT, &c->evacuate_every,
+      "Time between evacuations of a zone", "MS" },
+    { "evacuate-ms", 0, 0, G_OPTION_ARG_INT, &c->evacuate_ms,
+      "Time after which nothing starts in an evacuated zone", "MS" },
     G_OPTION_ENTRY_NULL
   };
   GOptionContext *context = g_option_context_new ("");
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -2,7 +2,7 @@
 # soak.sh BUILD [SEED [SECONDS [PROCESSES]]]: runs scheduling processes on
 # loopback against the stand-in of the platform.  Processes are killed, paused,
 # stopped and restarted in overlapping sequences while callers submit, query
-# and cancel jobs; the store and the workers inject faults drawn from the same
+# and cancel jobs and the operator evacuates zones; the store and the workers inject faults drawn from the same
 # seed.  At the end each accepted job must be known and ended, and the stand-in
 # must have recorded no violation.  Ends only processes that it started.
 BUILD=$1
@@ -11,6 +11,7 @@
 NODE_COUNT=${4:-4}
 WORKER_COUNT=9
 SETTLE_SECONDS=60
+EVACUATE_MS=1500
 WORK=$(mktemp -d)
 RANDOM=$SEED
 declare -A NODE_PID
@@ -53,6 +54,8 @@
 operators = 127.0.0.$((10 + $1)):$((BASE + 53))
 [store]
 address = $STORE
+[workers]
+evacuate_ms = $EVACUATE_MS
 END
 }
 
@@ -126,7 +129,10 @@
     --lose 0.0$((RANDOM % 4)) --late 0.0$((RANDOM % 3)) \
     --store-lose 0.0$((RANDOM % 4)) \
     --outage-every $((RANDOM % 2 * 5000)) \
-    --deal-every $((RANDOM % 2 * 4000)) >"$WORK/fleet.log" 2>&1 &
+    --deal-every $((RANDOM % 2 * 4000)) \
+    --forget-every $((RANDOM % 2 * 3000)) \
+    --evacuate-every $((RANDOM % 3 * 700)) \
+    --evacuate-ms $EVACUATE_MS >"$WORK/fleet.log" 2>&1 &
 FLEET_PID=$!
 for i in $(seq $NODE_COUNT); do
 	node_settings "$i" >"$WORK/node-$i.ini"
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -2,6 +2,7 @@
  * Simulated environment of a shard, driven by a simulated clock.
  */
 #include "support/shard_world.h"
+#include "support/world_zones.h"
 
 #include <errno.h>
 #include <inttypes.h>
@@ -21,12 +22,20 @@
 #define WORKER_CAPACITY 8U
 #define MAX_PRINTED_VIOLATIONS 5U
 #define CALL_TIMEOUT (700 * USEC_PER_MSEC)
+/* A member of a gang waits this long for the others; then all work.  */
+#define GANG_TIMEOUT (4 * USEC_PER_SEC)
+#define GANG_WORK (800 * USEC_PER_MSEC)
+/* Longest time between two reads of the operator's records by an owner.  */
+#define ZONES_READ_INTERVAL (600 * USEC_PER_MSEC)
 
 typedef struct
 {
   run_id_t run_id;
   usec_t ends_at;
   bool fails;
+  bool gang;
+  bool gang_complete; /* all members are present and work */
+  bool gang_broken;   /* another member has ended */
   char checkpoint[16];
 } sim_run_t;
 
@@ -61,6 +70,8 @@
   bool alive;      /* the process is running */
   bool owns_shard; /* according to the store */
   uint64_t token;
+  zones_t *zones;
+  usec_t zones_due; /* next read of the operator's records */
 } sim_owner_t;
 
 /* Actual state of a task on all workers, for the checks. */
@@ -122,6 +133,7 @@
   uint64_t next_event_number;
   GPtrArray *events;
   sim_worker_t *workers;
+  world_zones_t zones;
   sim_owner_t owners[OWNER_COUNT];
   uint32_t current_owner;
   uint64_t generation;
@@ -149,6 +161,9 @@
 static void report_violation (shard_world_t *world, const run_id_t *run_id,
                               const char *text);
 static void execute_call (shard_world_t *world, event_t *event);
+static void complete_gang (const shard_world_t *world, const step_t *step,
+                           const run_id_t *run_id);
+static void break_gang (const shard_world_t *world, const run_id_t *run_id);
 static void end_run (shard_world_t *world, sim_worker_t *worker, guint index,
                      run_end_t how);
 static void take_over (shard_world_t *world);
@@ -297,7 +312,8 @@
                            .call_timeout = CALL_TIMEOUT,
                            .stale_limit = 12 * USEC_PER_SEC,
                            .keep_ended = 3600 * USEC_PER_SEC,
-                           .append_bytes = 1U << 20 };
+                           .append_bytes = 1U << 20,
+                           .zones_max_age = WORLD_EVACUATE - CALL_TIMEOUT };
 
   world->config = *config;
   world->rng = g_rand_new_with_seed (config->seed);
@@ -328,9 +344,12 @@
     {
       world->owners[i].world = world;
       world->owners[i].index = i;
+      shard.zones = world->owners[i].zones = zones_new ();
       world->owners[i].shard
           = shard_new (&shard, &world_ops, &world->owners[i], 0);
     }
+  world->zones.rng = g_rand_new_with_seed (config->seed);
+  world->zones.interval = config->evacuation_interval;
   world->current_owner = OWNER_COUNT - 1;
   take_over (world);
   world->takeover_due = world->now + config->takeover_interval;
@@ -343,7 +362,10 @@
 world_free (shard_world_t *world)
 {
   for (uint32_t i = 0; i < OWNER_COUNT; i++)
-    shard_free (world->owners[i].shard);
+    {
+      shard_free (world->owners[i].shard);
+      zones_free (world->owners[i].zones);
+    }
   for (uint32_t i = 0; i < world->config.workers; i++)
     {
       g_array_free (world->workers[i].runs, TRUE);
@@ -357,6 +379,7 @@
   g_ptr_array_free (world->events, TRUE);
   g_hash_table_destroy (world->records);
   g_hash_table_destroy (world->tasks);
+  g_rand_free (world->zones.rng);
   g_rand_free (world->rng);
   g_free (world);
 }
@@ -375,7 +398,7 @@
                               .service = "service",
                               .label = "a",
                               .rack = "r",
-                              .zone = "z",
+                              .zone = world_zone_name (i % WORLD_ZONES),
                               .millicores = 8000,
                               .memory_mb = 8000 };
 
@@ -569,6 +592,16 @@
   schedule_event (world, answer, world->now + call->timeout);
 }
 
+static void
+check_zone (shard_world_t *world, const sim_worker_t *worker,
+            const run_id_t *run_id)
+{
+  uint32_t zone = (uint32_t)(worker - world->workers) % WORLD_ZONES;
+
+  if (world_zone_is_closed (&world->zones, zone, world->now))
+    report_violation (world, run_id, "start in an evacuated zone");
+}
+
 static void
 check_start (shard_world_t *world, const run_id_t *run_id)
 {
@@ -614,9 +647,10 @@
       }
 }
 
+/* @param delayed the call has arrived seconds late */
 static shard_reply_kind_t
 start_run (shard_world_t *world, sim_worker_t *worker,
-           const shard_call_t *call)
+           const shard_call_t *call, bool delayed)
 {
   char *key = task_key (&call->run_id);
   gpointer highest = g_hash_table_lookup (worker->highest_run, key);
@@ -641,18 +675,92 @@
     report_violation (world, &call->run_id,
                       "start beyond the capacity of the worker");
   check_start (world, &call->run_id);
+  if (!delayed)
+    check_zone (world, worker, &call->run_id);
   get_task (world, &call->run_id)->running_count++;
   run.fails = g_rand_double (world->rng) < world->config.failed_run_share;
   run.ends_at = world->now + g_rand_int_range (world->rng, 50000, 1500000);
-  if (job && job->submission && job->submission->steps[call->run_id.step].gang)
+  run.gang = job && job->submission
+             && job->submission->steps[call->run_id.step].gang;
+  if (run.gang)
     {
       run.fails = false;
-      run.ends_at = world->now + 800000;
+      run.ends_at = world->now + GANG_TIMEOUT;
     }
   g_array_append_val (worker->runs, run);
+  if (run.gang)
+    complete_gang (world, &job->submission->steps[call->run_id.step],
+                   &call->run_id);
   return SHARD_REPLY_OK;
 }
 
+static bool
+same_gang (const run_id_t *a, const run_id_t *b)
+{
+  return a->job == b->job && a->occurrence == b->occurrence
+         && a->step == b->step && a->run == b->run;
+}
+
+/* @return the members of a gang that are running; free with g_ptr_array_free.
+   The pointers are valid until a run starts or ends */
+static GPtrArray *
+gang_members (const shard_world_t *world, const run_id_t *run_id)
+{
+  GPtrArray *members = g_ptr_array_new ();
+
+  for (uint32_t k = 0; k < world->config.workers; k++)
+    for (guint i = 0; i < world->workers[k].runs->len; i++)
+      {
+        sim_run_t *run = &g_array_index (world->workers[k].runs, sim_run_t, i);
+
+        if (run->gang && same_gang (&run->run_id, run_id))
+          g_ptr_array_add (members, run);
+      }
+  return members;
+}
+
+/* The members of a gang work from the moment when all are present, and end
+   together.  */
+static void
+complete_gang (const shard_world_t *world, const step_t *step,
+               const run_id_t *run_id)
+{
+  GPtrArray *members = gang_members (world, run_id);
+
+  for (guint i = 0; members->len == step->count && i < members->len; i++)
+    {
+      sim_run_t *run = members->pdata[i];
+
+      run->gang_complete = true;
+      run->ends_at = world->now + GANG_WORK;
+    }
+  g_ptr_array_free (members, TRUE);
+}
+
+static void
+break_gang (const shard_world_t *world, const run_id_t *run_id)
+{
+  GPtrArray *members = gang_members (world, run_id);
+
+  for (guint i = 0; i < members->len; i++)
+    {
+      sim_run_t *run = members->pdata[i];
+
+      run->gang_broken = run->gang_complete;
+    }
+  g_ptr_array_free (members, TRUE);
+}
+
+static run_end_t
+end_of_run (const sim_run_t *run)
+{
+  if (run->gang_broken)
+    return RUN_GANG_BROKEN;
+  if (run->gang && !run->gang_complete)
+    return RUN_GANG_TIMEOUT;
+  return run->fails ? RUN_FAILED : RUN_DONE;
+}
+
 static void
 end_run (shard_world_t *world, sim_worker_t *worker, guint index,
          run_end_t how)
@@ -667,6 +775,8 @@
   g_hash_table_replace (worker->highest_run, task_key (&run.run_id),
                         GUINT_TO_POINTER (run.run_id.run));
   g_array_remove_index (worker->runs, index);
+  if (run.gang && how != RUN_DONE)
+    break_gang (world, &run.run_id);
 }
 
 static void
@@ -765,7 +875,7 @@
             MIN (call->lease_until, worker_clock_ms (world, worker)
                                         + usec_to_msec (LEASE_DURATION)));
       if (call->kind == SHARD_START)
-        answer->reply.kind = start_run (world, worker, call);
+        answer->reply.kind = start_run (world, worker, call, event->delayed);
       else if (call->kind == SHARD_STOP)
         stop_run (world, worker, call);
       else if (call->kind == SHARD_HOLD)
@@ -822,10 +932,14 @@
   sim_worker_t *worker = &world->workers[g_rand_int_range (
       world->rng, 0, (gint32)world->config.workers)];
 
-  for (guint i = 0; i < worker->runs->len; i++)
-    get_task (world, &g_array_index (worker->runs, sim_run_t, i).run_id)
-        ->running_count--;
-  g_array_set_size (worker->runs, 0);
+  while (worker->runs->len)
+    {
+      run_id_t run_id = g_array_index (worker->runs, sim_run_t, 0).run_id;
+
+      get_task (world, &run_id)->running_count--;
+      g_array_remove_index (worker->runs, 0);
+      break_gang (world, &run_id);
+    }
   g_array_set_size (worker->ends, 0);
   g_hash_table_remove_all (worker->highest_run);
   worker->last_end_number = 0;
@@ -853,8 +967,8 @@
 
           if (lease_expired)
             end_run (world, worker, i - 1, RUN_LEASE_EXPIRED);
-          else if (world->now >= run->ends_at)
-            end_run (world, worker, i - 1, run->fails ? RUN_FAILED : RUN_DONE);
+          else if (run->gang_broken || world->now >= run->ends_at)
+            end_run (world, worker, i - 1, end_of_run (run));
         }
     }
 }
@@ -1034,6 +1148,17 @@
     }
 }
 
+static void
+read_zones (shard_world_t *world, sim_owner_t *owner)
+{
+  if (world->store_down || world->now < owner->zones_due)
+    return;
+  owner->zones_due
+      = world->now + g_rand_int_range (world->rng, 0, ZONES_READ_INTERVAL);
+  world_zones_read (&world->zones, world->now, owner->zones);
+  shard_zones_changed (owner->shard);
+}
+
 static void
 tick_owners (shard_world_t *world)
 {
@@ -1043,6 +1168,7 @@
 
       if (!owner->alive)
         continue;
+      read_zones (world, owner);
       if (owner->owns_shard)
         shard_ownership_confirmed (owner->shard, world->now);
       shard_tick (owner->shard, world->now);
@@ -1083,6 +1209,7 @@
       world->now += 2 * USEC_PER_MSEC;
       world->faults_enabled = world->now < faults_until;
       inject_faults (world);
+      world_zones_tick (&world->zones, world->now, world->faults_enabled);
       if (world->now - listed > USEC_PER_SEC)
         {
           listed = world->now;
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -5,8 +5,8 @@
  * All random choices derive from one seed.  The simulation checks every start
  * at a worker: no task has two runs at a time, and none is started after its
  * end was acknowledged, before the steps that it depends on are done, after
- * its attempts are used up, or after the cancellation of its job was
- * confirmed.
+ * its attempts are used up, after the cancellation of its job was confirmed,
+ * or in an evacuated availability zone.
  */
 #ifndef SUPPORT_SHARD_WORLD_H
 #define SUPPORT_SHARD_WORLD_H
@@ -31,6 +31,8 @@
   usec_t worker_crash_interval; /**< between crashes of workers, 0 for none */
   usec_t store_outage_interval; /**< between outages of 4 s of the store, 0 for
                                    none */
+  usec_t evacuation_interval;   /**< between evacuations of an availability
+                                   zone, 0 for none */
   bool check_capacity; /**< workers reject starts beyond their capacity */
   bool gangs;          /**< a third of the steps are gangs */
 } world_config_t;
