--- a/Makefile
+++ b/Makefile
@@ -142,13 +142,14 @@
 # Fuzz targets: libFuzzer with AddressSanitizer, clang only.
 SOURCES += $(wildcard fuzz/*.c)
 HEADERS += $(wildcard fuzz/*.h)
-FUZZ = settings bundle message
+FUZZ = settings bundle message records
 FUZZ_CC = clang
 FUZZ_CFLAGS = $(filter-out -Werror,$(CFLAGS)) -fsanitize=fuzzer-no-link,address
 FUZZ_SECONDS = 300
 FUZZ_RUNS = 20000
 FUZZ_SEED = 20261204
-FUZZ_SRC = $(wildcard src/base/*.c src/bundle/*.c src/settings/*.c)
+FUZZ_SRC = $(wildcard src/base/*.c src/bundle/*.c src/settings/*.c \
+           src/jobs/*.c src/net/*.c src/queues/*.c platform/*.c)
 FUZZ_OBJ = $(foreach f,$(FUZZ_SRC),\
            $(if $(filter test_%,$(notdir $f)),,$(f:%.c=build-fuzz/%.o)))
 
