Repeat an unanswered stop soon

Ruled out: the acknowledgement of the cancellation itself comes after the record is stored, and the stops leave in the same tick.

Change: a stop times out after 0.25 s and is sent again at once twice, then after 0.5 s each: six times in 3 s. After an answered one the next comes when stopping should be over.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -4,7 +4,13 @@
 #include "shard/shard_private.h"
 
 #define START_RETRY (300 * USEC_PER_MSEC)
-#define STOP_RETRY (400 * USEC_PER_MSEC)
+/* A stop is idempotent and its task may not run on: unlike a start it is soon
+   taken for lost, and repeated at once for the first STOPS_IN_A_ROW times. */
+#define STOP_TIMEOUT (250 * USEC_PER_MSEC)
+#define STOPS_IN_A_ROW 3U
+#define STOP_RETRY (500 * USEC_PER_MSEC)
+/* After an answered stop, in addition to the time that stopping takes. */
+#define STOP_MARGIN (100 * USEC_PER_MSEC)
 #define HOLD_RETRY (250 * USEC_PER_MSEC)
 /* Interval of holds while reported ends are not stored; such holds do not
    wait. */
@@ -281,7 +287,7 @@
   call.address = worker->address;
   call.worker = worker->id;
   call.token = shard->token;
-  call.timeout = shard->config.call_timeout;
+  call.timeout = MIN (shard->config.call_timeout, STOP_TIMEOUT);
   call.run_id = *run_id;
   shard->ops->call (shard->ctx, &call);
 }
@@ -669,6 +675,12 @@
          run has ended. */
       run->state = RUN_ACKNOWLEDGED;
       run->acknowledged_at = now;
+      run->stops_unanswered = 0;
+      run_set_due (shard, run, now + shard->config.stop_limit + STOP_MARGIN);
+      return;
     }
-  run_set_due (shard, run, now + STOP_RETRY);
+  run->stops_unanswered++;
+  run_set_due (shard, run,
+               run->stops_unanswered < STOPS_IN_A_ROW ? now
+                                                      : now + STOP_RETRY);
 }
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -36,15 +36,16 @@
                             answers a stop or its lease has expired */
   bool start_in_flight;
   bool stop_in_flight;
-  usec_t call_due;        /* next time to send the start or the stop */
-  usec_t accepted_at;     /* when it became RUN_ACKNOWLEDGED */
-  usec_t acknowledged_at; /* last successful answer to a start or a stop, or
-                             first listing; 0: none */
-  uint32_t percent;       /* of its work, from the latest list */
-  usec_t progressed_at;   /* when PERCENT last changed, or the worker answered
-                             again after a pause */
-  bool in_list;           /* found in the list being applied */
-  uint32_t lists_missed;  /* consecutive lists without it */
+  uint32_t stops_unanswered; /* consecutive */
+  usec_t call_due;           /* next time to send the start or the stop */
+  usec_t accepted_at;        /* when it became RUN_ACKNOWLEDGED */
+  usec_t acknowledged_at;    /* last successful answer to a start or a stop, or
+                                first listing; 0: none */
+  uint32_t percent;          /* of its work, from the latest list */
+  usec_t progressed_at;  /* when PERCENT last changed, or the worker answered
+                            again after a pause */
+  bool in_list;          /* found in the list being applied */
+  uint32_t lists_missed; /* consecutive lists without it */
   uint32_t millicores;
   uint32_t memory_mb;
   uint32_t accelerators;
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -123,6 +123,50 @@
   tear_down ();
 }
 
+/* Guards against a canceled task that runs on because the replies to its stops
+   are lost (kitakaze-hkd fleet-rolls, seed 179489573192): the platform allows
+   3 s after the cancellation is acknowledged, in which the stop has to be sent
+   often enough to outlast some lost ones. */
+static void
+test_lost_stops (void)
+{
+  const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+  usec_t cancelled_at;
+  usec_t times_out_at = 0;
+  uint64_t stop = 0;
+  size_t stops = 0;
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  add_job (1);
+  advance (USEC_PER_MSEC);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_MSEC);
+  shard_reply (fixture.shard, fixture.now, last_call (SHARD_START)->id, &ok);
+  shard_cancel (fixture.shard, fixture.now, JOB_ID);
+  cancelled_at = fixture.now;
+  while (fixture.now < cancelled_at + 3 * USEC_PER_SEC)
+    {
+      fixture.call_count = 0;
+      advance (10 * USEC_PER_MSEC);
+      if (last_call (SHARD_STOP))
+        {
+          stop = last_call (SHARD_STOP)->id;
+          times_out_at = fixture.now + last_call (SHARD_STOP)->timeout;
+          stops++;
+        }
+      if (stop && fixture.now >= times_out_at)
+        {
+          shard_reply (fixture.shard, fixture.now, stop, &none);
+          stop = 0;
+        }
+    }
+  CU_ASSERT (stops >= 6);
+  tear_down ();
+}
+
 /* Guards against waiting for a run that a former owner placed but whose start
    never reached the worker. */
 static void
@@ -636,6 +680,7 @@
     { "submit and cancel", test_submit_and_cancel },
     { "acknowledgement after end is stored", test_acknowledge_after_stored },
     { "stop of an adopted run", test_stop_of_adopted_run },
+    { "lost stops", test_lost_stops },
     { "adopted run not listed", test_adopted_run_not_listed },
     { "superseded", test_superseded },
     { "stale owner", test_stale_owner },
