Do not reuse connections older than a time-out

Cause: open connections may go silent for good, all of a peer's at once.

Change: after a request has timed out, its peer's connections of that age are not used again: new ones for a second, then libcurl's limit of their lifetime.

Measured: the new test_http_client fails without the change (second request times out as well) and passes with it.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -2,6 +2,7 @@
  * HTTP requests by libcurl's multi interface on a libev loop.
  */
 #include "net/http_client.h"
+#include "net/clock.h"
 
 #include <curl/curl.h>
 #include <errno.h>
@@ -19,6 +20,8 @@
 #define MAX_ANSWER_BYTES (64U << 20)
 #define MAX_IDLE_HANDLES 256U
 #define ETAG_BYTES 72U
+/* Longest host and port of a URL. */
+#define PEER_TEXT_SIZE 80U
 
 typedef struct transfer transfer_t;
 
@@ -37,6 +40,7 @@
   counter_t bytes_counter;
   GPtrArray *idle_handles;      /* CURL handles for reuse */
   GHashTable *active_transfers; /* transfer_t set */
+  GHashTable *timeouts;         /* peer -> usec_t of its last timeout */
 };
 
 struct transfer
@@ -52,6 +56,7 @@
   GByteArray *answer;
   bool leaving;
   char etag[ETAG_BYTES];
+  char peer[PEER_TEXT_SIZE];
   http_done_t done;
   void *ctx;
 };
@@ -63,7 +68,9 @@
 } socket_watch_t;
 
 static void open_pool (http_client_t *client, pool_t *pool);
-static pool_t *pool_for_url (http_client_t *client, const char *url);
+static void copy_peer (const char *url, char peer[PEER_TEXT_SIZE]);
+static void set_connection_age (const transfer_t *transfer);
+static void record_timeout (http_client_t *client, const char *peer);
 static int on_socket (CURL *easy, curl_socket_t fd, int what, void *ctx,
                       void *socket_ctx);
 static int on_timer (CURLM *multi, long timeout_ms, void *ctx);
@@ -91,6 +98,8 @@
   client->idle_handles = g_ptr_array_new ();
   client->active_transfers
       = g_hash_table_new_full (NULL, NULL, transfer_free, NULL);
+  client->timeouts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   for (size_t i = 0; i < POOL_COUNT; i++)
     open_pool (client, &client->pools[i]);
   return client;
@@ -112,17 +121,47 @@
   curl_multi_setopt (pool->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
 }
 
-/* Requests to one peer share a pool, so that they can reuse its idle
-   connections.  */
-static pool_t *
-pool_for_url (http_client_t *client, const char *url)
+/* Copies host and port of a URL.  */
+static void
+copy_peer (const char *url, char peer[PEER_TEXT_SIZE])
 {
   const char *host = strstr (url, "://");
-  size_t len;
 
   host = host ? host + 3 : url;
-  len = strcspn (host, "/");
-  return &client->pools[XXH64 (host, len, 0) % POOL_COUNT];
+  g_strlcpy (peer, host, MIN (strcspn (host, "/") + 1, PEER_TEXT_SIZE));
+}
+
+/* A connection may go silent for good while new ones work, and its peer's
+   other connections with it.  After a request has timed out, connections that
+   are older are not used again.  */
+static void
+set_connection_age (const transfer_t *transfer)
+{
+  const usec_t *timeout
+      = g_hash_table_lookup (transfer->client->timeouts, transfer->peer);
+  long age_s = timeout ? (long)((clock_now () - *timeout) / USEC_PER_SEC) : 0;
+
+  if (!timeout)
+    return;
+  if (age_s >= IDLE_CONNECTION_MAX_AGE_S)
+    g_hash_table_remove (transfer->client->timeouts, transfer->peer);
+  else if (age_s)
+    curl_easy_setopt (transfer->easy, CURLOPT_MAXLIFETIME_CONN, age_s);
+  else
+    curl_easy_setopt (transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+static void
+record_timeout (http_client_t *client, const char *peer)
+{
+  usec_t *at = g_hash_table_lookup (client->timeouts, peer);
+
+  if (!at)
+    {
+      at = g_new (usec_t, 1);
+      g_hash_table_insert (client->timeouts, g_strdup (peer), at);
+    }
+  *at = clock_now ();
 }
 
 void
@@ -134,6 +173,7 @@
   for (guint i = 0; i < client->idle_handles->len; i++)
     curl_easy_cleanup (client->idle_handles->pdata[i]);
   g_ptr_array_free (client->idle_handles, TRUE);
+  g_hash_table_destroy (client->timeouts);
   for (size_t i = 0; i < POOL_COUNT; i++)
     {
       curl_multi_cleanup (client->pools[i].multi);
@@ -149,7 +189,12 @@
   transfer_t *transfer = g_new0 (transfer_t, 1);
 
   transfer->client = client;
-  transfer->pool = pool_for_url (client, request->url);
+  copy_peer (request->url, transfer->peer);
+  /* Requests to one peer share a pool, so that they can reuse its idle
+     connections.  */
+  transfer->pool
+      = &client->pools[XXH64 (transfer->peer, strlen (transfer->peer), 0)
+                       % POOL_COUNT];
   transfer->done = done;
   transfer->ctx = ctx;
   transfer->body = g_memdup2 (request->body.data, request->body.len);
@@ -206,6 +251,7 @@
           || (!request->body.len && !request->repeatable))
         curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
     }
+  set_connection_age (transfer);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, transfer->headers);
 }
 
@@ -320,6 +366,8 @@
     answer.transfer_result = HTTP_ANSWERED;
   else if (!request_bytes)
     answer.transfer_result = HTTP_NOT_SENT;
+  if (code == CURLE_OPERATION_TIMEDOUT)
+    record_timeout (client, transfer->peer);
   answer.connection_refused
       = code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
   answer.status = answer.transfer_result == HTTP_ANSWERED ? (int)status : 0;
--- /dev/null
+++ b/src/net/test_http_client.c
@@ -0,0 +1,166 @@
+/* Requests to a server whose connections go silent. */
+#include "net/http_client.h"
+#include "support/suite.h"
+
+#include <CUnit/CUnit.h>
+#include <arpa/inet.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define MAX_CONNECTIONS 8
+#define REQUEST_TIMEOUT (150 * USEC_PER_MSEC)
+
+static const char response[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+/* A server that answers on the connections that are not silent. */
+typedef struct
+{
+  struct ev_loop *loop;
+  int socket;
+  ev_io accept;
+  ev_io connections[MAX_CONNECTIONS];
+  uint32_t connection_count;
+  uint32_t silent_count; /* the first connections do not answer */
+  char url[64];
+  http_client_t *client;
+  uint32_t answered;
+  uint32_t timed_out;
+} fixture_t;
+
+static fixture_t f;
+
+static void
+on_readable (EV_P_ ev_io *io, int events)
+{
+  char buffer[4096];
+  ssize_t len = recv (io->fd, buffer, sizeof buffer, 0);
+
+  (void)events;
+  if (len <= 0)
+    {
+      ev_io_stop (EV_A_ io);
+      return;
+    }
+  if (io - f.connections >= f.silent_count)
+    CU_ASSERT_EQUAL (send (io->fd, response, sizeof response - 1, 0),
+                     (ssize_t)(sizeof response - 1));
+}
+
+static void
+on_connection (EV_P_ ev_io *io, int events)
+{
+  int fd = accept (io->fd, NULL, NULL);
+  ev_io *watch = &f.connections[f.connection_count];
+
+  (void)events;
+  CU_ASSERT_FATAL (f.connection_count < MAX_CONNECTIONS);
+  f.connection_count++;
+  ev_io_init (watch, on_readable, fd, EV_READ);
+  ev_io_start (EV_A_ watch);
+}
+
+static void
+set_up (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t len = sizeof address;
+
+  memset (&f, 0, sizeof f);
+  f.loop = ev_loop_new (EVFLAG_AUTO);
+  f.socket = socket (AF_INET, SOCK_STREAM, 0);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (f.socket, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (f.socket, MAX_CONNECTIONS), 0);
+  getsockname (f.socket, (struct sockaddr *)&address, &len);
+  g_snprintf (f.url, sizeof f.url, "http://127.0.0.1:%u/",
+              ntohs (address.sin_port));
+  ev_io_init (&f.accept, on_connection, f.socket, EV_READ);
+  ev_io_start (f.loop, &f.accept);
+  f.client = http_client_new (f.loop, COUNTER_UPSTREAM_BYTES);
+}
+
+static void
+tear_down (void)
+{
+  http_client_free (f.client);
+  ev_io_stop (f.loop, &f.accept);
+  for (uint32_t i = 0; i < f.connection_count; i++)
+    {
+      ev_io_stop (f.loop, &f.connections[i]);
+      close (f.connections[i].fd);
+    }
+  close (f.socket);
+  ev_loop_destroy (f.loop);
+}
+
+static void
+on_done (void *ctx, const http_answer_t *answer)
+{
+  uint32_t *open = ctx;
+
+  f.answered += answer->transfer_result == HTTP_ANSWERED;
+  f.timed_out += answer->transfer_result != HTTP_ANSWERED;
+  if (!--*open)
+    ev_break (f.loop, EVBREAK_ALL);
+}
+
+/* Sends requests at once and waits for their results. */
+static void
+request (uint32_t count)
+{
+  const http_request_t request = { .method = "POST",
+                                   .url = f.url,
+                                   .body = blob_of ("{}"),
+                                   .timeout = REQUEST_TIMEOUT,
+                                   .repeatable = true };
+  uint32_t open = count;
+
+  for (uint32_t i = 0; i < count; i++)
+    http_client_send (f.client, &request, on_done, &open);
+  ev_run (f.loop, 0);
+}
+
+/* Guards against a peer that is taken for dead because each request goes to
+   the next of its connections, all of which went silent at once. */
+static void
+test_silent_connections (void)
+{
+  set_up ();
+  request (3);
+  CU_ASSERT_EQUAL (f.answered, 3);
+  CU_ASSERT_EQUAL (f.connection_count, 3);
+  f.silent_count = 3;
+  request (1);
+  CU_ASSERT_EQUAL (f.timed_out, 1);
+  request (1);
+  CU_ASSERT_EQUAL (f.answered, 4);
+  CU_ASSERT_EQUAL (f.timed_out, 1);
+  tear_down ();
+}
+
+/* Guards against a new connection for each request. */
+static void
+test_connection_reused (void)
+{
+  set_up ();
+  request (1);
+  request (1);
+  request (1);
+  CU_ASSERT_EQUAL (f.answered, 3);
+  CU_ASSERT_EQUAL (f.connection_count, 1);
+  tear_down ();
+}
+
+int
+main (void)
+{
+  const suite_test_t tests[] = {
+    { "silent connections", test_silent_connections },
+    { "connection reused", test_connection_reused },
+  };
+
+  return suite_main ("http client", tests, sizeof tests / sizeof *tests);
+}
