Reuse rows of tables

A process refused everything after 1,048,577 adds, and every walk over the runs of a shard passed all rows that had ever been used.

Change: an empty list has no tail. Rows are reused only while more than MIN_FREE_ROWS are free, as its comment said, or when the table is full. The gauge limpethinge_table_rows counts the rows of all tables; the soak bounds it.

Measured: tests "rows are reused" (3 million adds), "full table" and "generation wrap" fail with the old table.c and pass; "reuse order" guards the rule of the comment.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -99,6 +99,8 @@
      "placed runs withdrawn since their zone was evacuated")                  \
   X (TASKS_KEPT_AWAY, "tasks_kept_away_total", "tasks", "counter",            \
      "tasks found waiting while workers of evacuated zones were left out")    \
+  X (TABLE_ROWS, "table_rows", "rows", "gauge",                               \
+     "rows allocated by the tables of the process, used or free")             \
   X (QUEUED, "queued", "requests", "gauge", "requests waiting for a slot")    \
   X (OWNED_SHARDS, "owned_shards", "shards", "gauge",                         \
      "shards on which this process may act")                                  \
--- a/src/base/table.c
+++ b/src/base/table.c
@@ -2,6 +2,7 @@
  * Tables of fixed-size rows addressed by small handles.
  */
 #include "base/table.h"
+#include "base/counters.h"
 
 #include <glib.h>
 #include <string.h>
@@ -9,9 +10,9 @@
 #define INDEX_BITS 20
 #define INDEX_MASK (TABLE_MAX_ROWS - 1)
 #define GENERATION_MASK 0xfffU
-/* Number of rows kept free before the one that has been free longest is
-   reused.  A generation recurs only after 4095 uses of each of these rows, 8
-   minutes at 8,000 rows per second; a request lives for seconds. */
+/* Rows are reused in the order of their removal, and only while more than this
+   many are free.  So a handle recurs only after 4095 uses of each of these
+   rows, 8 minutes at 8,000 rows per second; a request lives for seconds. */
 #define MIN_FREE_ROWS 1024U
 
 typedef struct
@@ -26,12 +27,17 @@
   size_t row_size;
   GArray *slots;
   GByteArray *rows;
-  uint32_t free_head; /* index + 1, 0 for none */
-  uint32_t free_tail;
+  uint32_t free_head; /* index + 1 of the first row to reuse, 0 for none */
+  uint32_t free_tail; /* index + 1 of the last one, 0 for none */
   uint32_t free_count;
   size_t count;
 };
 
+/* Rows of all tables, used and free. */
+static uint64_t allocated_rows;
+
+static uint32_t take_free_row (table_t *table);
+static uint32_t append_row (table_t *table);
 static handle_t handle_of (uint32_t index, uint16_t generation);
 static slot_t *slot_of (const table_t *table, handle_t handle);
 
@@ -51,6 +57,8 @@
 {
   if (!table)
     return;
+  allocated_rows -= table->slots->len;
+  counter_set (COUNTER_TABLE_ROWS, allocated_rows);
   g_array_free (table->slots, TRUE);
   g_byte_array_free (table->rows, TRUE);
   g_free (table);
@@ -59,23 +67,14 @@
 handle_t
 table_add (table_t *table)
 {
+  bool full = table->slots->len >= TABLE_MAX_ROWS;
   uint32_t index;
   slot_t *slot;
 
-  if (table->free_head)
-    {
-      index = table->free_head - 1;
-      table->free_head = g_array_index (table->slots, slot_t, index).next_free;
-    }
-  else
-    {
-      if (table->slots->len >= TABLE_MAX_ROWS)
-        return HANDLE_NONE;
-      index = table->slots->len;
-      g_array_set_size (table->slots, index + 1);
-      g_byte_array_set_size (table->rows,
-                             (guint)((index + 1) * table->row_size));
-    }
+  if (full && !table->free_count)
+    return HANDLE_NONE;
+  index = full || table->free_count > MIN_FREE_ROWS ? take_free_row (table)
+                                                    : append_row (table);
   slot = &g_array_index (table->slots, slot_t, index);
   slot->used = true;
   slot->generation = (uint16_t)((slot->generation + 1) & GENERATION_MASK);
@@ -86,6 +85,29 @@
   return handle_of (index, slot->generation);
 }
 
+static uint32_t
+take_free_row (table_t *table)
+{
+  uint32_t index = table->free_head - 1;
+
+  table->free_head = g_array_index (table->slots, slot_t, index).next_free;
+  if (!table->free_head)
+    table->free_tail = 0;
+  table->free_count--;
+  return index;
+}
+
+static uint32_t
+append_row (table_t *table)
+{
+  uint32_t index = table->slots->len;
+
+  g_array_set_size (table->slots, index + 1);
+  g_byte_array_set_size (table->rows, (guint)((index + 1) * table->row_size));
+  counter_set (COUNTER_TABLE_ROWS, ++allocated_rows);
+  return index;
+}
+
 void *
 table_get (const table_t *table, handle_t handle)
 {
@@ -113,6 +135,12 @@
   table->count--;
 }
 
+size_t
+table_capacity (const table_t *table)
+{
+  return table->slots->len;
+}
+
 size_t
 table_count (const table_t *table)
 {
--- a/src/base/table.h
+++ b/src/base/table.h
@@ -32,6 +32,9 @@
 /** @return number of rows in use */
 size_t table_count (const table_t *table);
 
+/** @return number of rows that the table has memory for, used or free */
+size_t table_capacity (const table_t *table);
+
 /** Iterates over the rows.  @return the first row if AFTER is HANDLE_NONE,
    else the row that follows it; HANDLE_NONE at the end */
 handle_t table_next (const table_t *table, handle_t after);
--- a/src/base/test_base.c
+++ b/src/base/test_base.c
@@ -64,6 +64,102 @@
   table_free (table);
 }
 
+/* Guards against a table that is full, for good, after as many adds as it may
+   have rows, although all of them were removed. */
+static void
+test_rows_are_reused (void)
+{
+  table_t *table = table_new (sizeof (int));
+  size_t capacity = 0;
+
+  for (uint32_t i = 0; i < 3 * TABLE_MAX_ROWS; i++)
+    {
+      handle_t handle = table_add (table);
+
+      if (i == TABLE_MAX_ROWS / 2)
+        capacity = table_capacity (table);
+      CU_ASSERT_TRUE_FATAL (handle != HANDLE_NONE);
+      table_remove (table, handle);
+    }
+  CU_ASSERT_EQUAL (table_capacity (table), capacity);
+  CU_ASSERT (capacity < TABLE_MAX_ROWS / 100);
+  table_free (table);
+}
+
+/* Guards against a row that is lost when the list of free rows becomes empty:
+   a table full of rows uses each row that is removed. */
+static void
+test_full_table (void)
+{
+  table_t *table = table_new (1);
+  handle_t *handles = g_new (handle_t, TABLE_MAX_ROWS);
+
+  for (uint32_t i = 0; i < TABLE_MAX_ROWS; i++)
+    handles[i] = table_add (table);
+  CU_ASSERT_EQUAL (table_add (table), HANDLE_NONE);
+  for (int round = 0; round < 3; round++)
+    {
+      for (uint32_t i = 0; i < 5; i++)
+        table_remove (table, handles[i]);
+      for (uint32_t i = 0; i < 5; i++)
+        {
+          handle_t old = handles[i];
+
+          handles[i] = table_add (table);
+          CU_ASSERT (handles[i] != HANDLE_NONE && handles[i] != old);
+          CU_ASSERT_PTR_NULL (table_get (table, old));
+        }
+      CU_ASSERT_EQUAL (table_add (table), HANDLE_NONE);
+    }
+  CU_ASSERT_EQUAL (table_count (table), TABLE_MAX_ROWS);
+  g_free (handles);
+  table_free (table);
+}
+
+/* Guards against reuse in another order than that of the removals, which would
+   have the generations of a few rows wrap early. */
+static void
+test_reuse_order (void)
+{
+  table_t *table = table_new (sizeof (int));
+  handle_t handles[3000];
+  uint32_t index_mask = TABLE_MAX_ROWS - 1;
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (handles); i++)
+    handles[i] = table_add (table);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (handles); i++)
+    table_remove (table, handles[i]);
+  for (uint32_t i = 0; i < 1000; i++)
+    CU_ASSERT_EQUAL (table_add (table) & index_mask, handles[i] & index_mask);
+  table_free (table);
+}
+
+/* Guards against a generation of 0 at the wrap, which would make the handle of
+   the first row HANDLE_NONE. */
+static void
+test_generation_wrap (void)
+{
+  table_t *table = table_new (1);
+  handle_t *handles = g_new (handle_t, TABLE_MAX_ROWS);
+  handle_t first;
+
+  for (uint32_t i = 0; i < TABLE_MAX_ROWS; i++)
+    handles[i] = table_add (table);
+  first = handles[0];
+  for (uint32_t i = 0; i < 4095; i++)
+    {
+      handle_t old = handles[0];
+
+      table_remove (table, old);
+      handles[0] = table_add (table);
+      CU_ASSERT_FATAL (handles[0] != HANDLE_NONE);
+      CU_ASSERT_PTR_NULL (table_get (table, old));
+    }
+  CU_ASSERT_EQUAL (handles[0], first);
+  g_free (handles);
+  table_free (table);
+}
+
 /* Guards against an iteration that skips or repeats rows after removals. */
 static void
 test_table_walk (void)
@@ -153,6 +249,10 @@
   { "blob copy", test_blob_copy },
   { "stale handle", test_stale_handle },
   { "handle reuse", test_handle_reuse },
+  { "rows are reused", test_rows_are_reused },
+  { "full table", test_full_table },
+  { "reuse order", test_reuse_order },
+  { "generation wrap", test_generation_wrap },
   { "table walk", test_table_walk },
   { "message round trip", test_message_round_trip },
   { "bad bytes", test_message_refuses_bad_bytes },
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -12,6 +12,7 @@
 WORKER_COUNT=9
 SETTLE_SECONDS=60
 EVACUATE_MS=1500
+TABLE_ROWS_MAX=20000
 WORK=$(mktemp -d)
 RANDOM=$SEED
 declare -A NODE_PID
@@ -184,6 +185,15 @@
 		wrong_jobs=$((wrong_jobs + 1))
 	fi
 done
+# Rows of tables are reused: each table keeps some 1,024 free ones.
+for i in $(seq $NODE_COUNT); do
+	rows=$(curl -s -m 4 "http://127.0.0.$((10 + i)):$((BASE + 53))/counters" |
+	    sed -n 's/^limpethinge_table_rows //p')
+	if [ "${rows:-0}" -gt $TABLE_ROWS_MAX ]; then
+		echo "soak: seed $SEED: node $i has $rows rows of tables"
+		wrong_jobs=$((wrong_jobs + 1))
+	fi
+done
 curl -s -m 4 "http://$STORE/audit" >"$WORK/audit"
 violations=$(jq .broken "$WORK/audit")
 [ "$violations" = 0 ] || jq -r '.reports[]' "$WORK/audit"
