Peer links on the paused clock, addresses of its own for each soak

Cause: test_peerlink waited for spans of real time, and two soaks could have the same block of ports.

Change: tests/support/paused_loop.c, taken from test_scheduler, drives both; a soak has a /24 of loopback addresses for itself.

--- a/src/net/test_peerlink.c
+++ b/src/net/test_peerlink.c
@@ -4,6 +4,7 @@
 #include "net/address.h"
 #include "net/peerlink.h"
 #include "support/addresses.h"
+#include "support/paused_loop.h"
 #include "support/suite.h"
 
 #include <CUnit/CUnit.h>
@@ -83,7 +84,7 @@
 set_up (void)
 {
   memset (&fixture, 0, sizeof fixture);
-  fixture.loop = ev_loop_new (EVFLAG_AUTO);
+  fixture.loop = paused_loop_new ();
   test_address (0, fixture.own_address);
   test_address (1, fixture.peer_address);
   fixture.own = open_link (fixture.own_address, OWN_NODE, &ops, &fixture);
@@ -94,27 +95,7 @@
 {
   peerlink_free (fixture.peer);
   peerlink_free (fixture.own);
-  ev_loop_destroy (fixture.loop);
-}
-
-static void
-on_timeout (EV_P_ ev_timer *timer, int events)
-{
-  (void)timer;
-  (void)events;
-  ev_break (EV_A_ EVBREAK_ALL);
-}
-
-static void
-run_for (double seconds)
-{
-  ev_timer timeout;
-
-  ev_timer_init (&timeout, on_timeout, seconds, 0.);
-  ev_now_update (fixture.loop);
-  ev_timer_start (fixture.loop, &timeout);
-  ev_run (fixture.loop, 0);
-  ev_timer_stop (fixture.loop, &timeout);
+  paused_loop_free (fixture.loop);
 }
 
 /* Connects to the own link and sends HELLO as a node.  */
@@ -168,9 +149,9 @@
     {
       fds[i] = connect_raw (10 + (node_id_t)i);
       if (i % 20 == 19)
-        run_for (0.005);
+        paused_loop_run (fixture.loop, 5 * USEC_PER_MSEC);
     }
-  run_for (0.1);
+  paused_loop_run (fixture.loop, 100 * USEC_PER_MSEC);
   CU_ASSERT_EQUAL (fixture.hellos_received, PEER_COUNT);
   for (int i = 0; i < PEER_COUNT; i++)
     {
@@ -191,10 +172,10 @@
 
   set_up ();
   older = connect_raw (10);
-  run_for (0.02);
+  paused_loop_run (fixture.loop, 20 * USEC_PER_MSEC);
   CU_ASSERT (!is_closed (older));
   newer = connect_raw (10);
-  run_for (0.02);
+  paused_loop_run (fixture.loop, 20 * USEC_PER_MSEC);
   CU_ASSERT (is_closed (older));
   CU_ASSERT (!is_closed (newer));
   close (older);
@@ -215,10 +196,10 @@
       = open_link (fixture.peer_address, PEER_NODE, &peer_ops, &fixture);
   peerlink_add (fixture.own, PEER_NODE, fixture.peer_address);
   peerlink_add (fixture.peer, OWN_NODE, fixture.own_address);
-  run_for (1.2);
+  paused_loop_run (fixture.loop, 1200 * USEC_PER_MSEC);
   before = counter_get (COUNTER_PEER_CONNECTS);
   peerlink_reset (fixture.peer, OWN_NODE);
-  run_for (0.5);
+  paused_loop_run (fixture.loop, 500 * USEC_PER_MSEC);
   CU_ASSERT_EQUAL (counter_get (COUNTER_PEER_CONNECTS), before + 2);
   tear_down ();
 }
@@ -230,13 +211,13 @@
 {
   set_up ();
   peerlink_add (fixture.own, PEER_NODE, fixture.peer_address);
-  run_for (2.);
+  paused_loop_run (fixture.loop, 2 * USEC_PER_SEC);
   CU_ASSERT (fixture.connections_refused >= 3);
   CU_ASSERT (fixture.connections_refused <= 8);
   fixture.peer
       = open_link (fixture.peer_address, PEER_NODE, &peer_ops, &fixture);
   peerlink_add (fixture.own, PEER_NODE, fixture.peer_address);
-  run_for (0.05);
+  paused_loop_run (fixture.loop, 50 * USEC_PER_MSEC);
   CU_ASSERT_EQUAL (fixture.hellos_received, 1);
   tear_down ();
 }
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -6,6 +6,7 @@
 #include "net/http_client.h"
 #include "scheduler/sched_private.h"
 #include "support/addresses.h"
+#include "support/paused_loop.h"
 #include "support/suite.h"
 
 #include <CUnit/CUnit.h>
@@ -15,8 +16,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* The clock is paused and moves from timer to timer. */
-#define CLOCK_START (100 * USEC_PER_SEC)
 #define SHORT_RUN (350 * USEC_PER_MSEC)
 #define LONG_RUN (3000 * USEC_PER_MSEC)
 #define SUBMIT_AT (300 * USEC_PER_MSEC)
@@ -26,8 +25,6 @@
 #define SLOW_JOIN (500 * USEC_PER_MSEC)
 #define ANSWER_DELAY (2 * USEC_PER_MSEC)
 #define READ_DELAY (50 * USEC_PER_MSEC)
-/* Rounds of the event loop without an event after which the clock moves. */
-#define IDLE_ROUNDS 20U
 #define MEMBER_SUFFIX "/0000000000000001"
 #define CONFIG_VERSION 9U
 #define GENERATION 7U
@@ -313,23 +310,6 @@
   ev_break (fake.loop, EVBREAK_ALL);
 }
 
-/* Moves the clock to the next timer once all sockets are served. */
-static void
-on_idle (EV_P_ ev_idle *idle, int events)
-{
-  static unsigned last_iteration;
-  static uint32_t rounds;
-
-  (void)idle;
-  (void)events;
-  rounds = ev_iteration (EV_A) == last_iteration + 1 ? rounds + 1 : 0;
-  last_iteration = ev_iteration (EV_A);
-  if (rounds < IDLE_ROUNDS)
-    return;
-  rounds = 0;
-  clock_step ();
-}
-
 static void
 on_answer (void *ctx, const http_answer_t *answer)
 {
@@ -437,18 +417,6 @@
   g_ptr_array_set_size (fake.pending, 0);
 }
 
-/* Runs the loop until the client has read the stopped process's answer.  */
-static void
-await_answer (void)
-{
-  clock_timer_t end;
-
-  clock_timer_init (&end, fake.loop, on_run_end, NULL);
-  clock_timer_start (&end, SHORT_RUN);
-  ev_run (fake.loop, 0);
-  clock_timer_stop (&end);
-}
-
 typedef enum
 {
   SCENARIO_NO_CALLER,      /* no request and no stop */
@@ -536,7 +504,7 @@
   memset (&fake, 0, sizeof fake);
   fake.fence_result = fence_result;
   fake.pending = g_ptr_array_new ();
-  fake.loop = ev_loop_new (EVFLAG_AUTO);
+  fake.loop = paused_loop_new ();
   fake.appends_hang = scenario == SCENARIO_STOP
                       || scenario == SCENARIO_SLOW_JOINS
                       || scenario == SCENARIO_LOST_LEAVES;
@@ -561,7 +529,6 @@
   clock_timer_t end;
   clock_timer_t action;
   clock_timer_t check;
-  ev_idle idle;
   int code;
 
   scheduler_settings_read (blob_of (text), &settings, problems);
@@ -569,9 +536,6 @@
   g_array_free (problems, TRUE);
   g_free (text);
   set_up_fake (fence_result, scenario);
-  clock_pause (CLOCK_START);
-  ev_idle_init (&idle, on_idle);
-  ev_idle_start (fake.loop, &idle);
   clock_timer_init (&action, fake.loop,
                     outage ? on_submit_again : on_submit_then_stop, &action);
   clock_timer_init (&check, fake.loop, outage ? on_submit_again : on_check,
@@ -584,13 +548,13 @@
   clock_timer_start (&end, has_caller ? LONG_RUN : SHORT_RUN);
   code = scheduler_main (fake.loop, &settings, &backend);
   free_pending_answers ();
+  /* The client reads the answer of the stopped process.  */
   if (fake.appends_hang)
-    await_answer ();
-  clock_resume ();
+    paused_loop_run (fake.loop, SHORT_RUN);
   scheduler_settings_clear (&settings);
   http_client_free (fake.client);
   g_ptr_array_free (fake.pending, TRUE);
-  ev_loop_destroy (fake.loop);
+  paused_loop_free (fake.loop);
   if (peer_socket >= 0)
     close (peer_socket);
   return code;
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -37,11 +37,12 @@
 trap finish EXIT
 trap 'exit 130' INT TERM
 
-# A block of 100 ports below the kernel's ephemeral range and above the ports
-# of the other whole-process tests.
-BASE=${BASE:-$((30000 + (SEED + $$) % 27 * 100))}
-STORE=127.0.0.1:$BASE
-callers_address() { echo "127.0.0.$((10 + $1)):$((BASE + 50))"; }
+# Loopback addresses of this run: the stand-in's host is 1, that of process N is
+# 10 + N.  Ports are below the kernel's ephemeral range.
+NET=127.$((128 + $$ / 250 % 120)).$(($$ % 250 + 1))
+BASE=30000
+STORE=$NET.1:$BASE
+callers_address() { echo "$NET.$((10 + $1)):$((BASE + 50))"; }
 
 node_settings() {
 	cat <<END
@@ -50,9 +51,9 @@
 zone = z
 [listen]
 callers = $(callers_address "$1")
-ready = 127.0.0.$((10 + $1)):$((BASE + 51))
-peers = 127.0.0.$((10 + $1)):$((BASE + 52))
-operators = 127.0.0.$((10 + $1)):$((BASE + 53))
+ready = $NET.$((10 + $1)):$((BASE + 51))
+peers = $NET.$((10 + $1)):$((BASE + 52))
+operators = $NET.$((10 + $1)):$((BASE + 53))
 [store]
 address = $STORE
 [workers]
@@ -125,7 +126,7 @@
 }
 
 touch "$WORK/accepted" "$WORK/cancelled" "$WORK/asked"
-"$BUILD/bin/standin-fleet" --store-port "$BASE" --worker-port $((BASE + 10)) \
+"$BUILD/bin/standin-fleet" --host $NET.1 --store-port "$BASE" --worker-port $((BASE + 10)) \
     --workers $WORKER_COUNT --seed "$SEED" \
     --lose 0.0$((RANDOM % 4)) --late 0.0$((RANDOM % 3)) \
     --store-lose 0.0$((RANDOM % 4)) \
@@ -187,7 +188,7 @@
 done
 # Rows of tables are reused: each table keeps some 1,024 free ones.
 for i in $(seq $NODE_COUNT); do
-	rows=$(curl -s -m 4 "http://127.0.0.$((10 + i)):$((BASE + 53))/counters" |
+	rows=$(curl -s -m 4 "http://$NET.$((10 + i)):$((BASE + 53))/counters" |
 	    sed -n 's/^limpethinge_table_rows //p')
 	if [ "${rows:-0}" -gt $TABLE_ROWS_MAX ]; then
 		echo "soak: seed $SEED: node $i has $rows rows of tables"
