Owners rank their successors

Cause: when an owner is lost, all processes large enough join the group within 150 ms; on the shifted deployment three did within 21 ms, each join had the store rebalance, and the shard was loaded twice (gap of 2.5 s: 1.5 s until the member expires, 0.2 s to notice and join, 0.25 s to load, 0.55 s for the second move). With more processes more of them join at once.

Ways weighed: a wider random delay needs the number of processes, which only the owner knows; an election by conditional appends costs an append a process at the worst moment; the owner's own ranking costs nothing, since its replies carry it (the upper half of a field that earlier builds cut off, as they do with the description in HELLO).

The owner ranks three peers that are as large as itself, each of another zone; the first joins as soon as the shards have no owner and looks for that every 0.25 s, the next ones 0.2 s later each, all others after these.

--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -19,6 +19,10 @@
    stored but not read yet. */
 #define READ_STALE_AFTER (1000 * USEC_PER_MSEC)
 
+/* The upper half of the field `pending` of a reply has the receiver's rank as
+   a successor of the owner. */
+#define TELL_RANK_SHIFT 32U
+
 static void on_message (void *ctx, node_id_t node, incarnation_t incarnation,
                         const message_t *message);
 static void on_connected (void *ctx, node_id_t node);
@@ -172,8 +176,10 @@
   char address[64];
 
   (void)incarnation;
+  succession_heard (s, now, node);
   if (message->type == MSG_HELLO)
     {
+      succession_hello (s, now, node, message->u.hello.zone);
       blob_copy (message->u.hello.address, address, sizeof address);
       if (peerlink_add (s->link, node, address))
         log_line (LOG_LEVEL_WARNING, "peer.hello", NULL,
@@ -208,6 +214,7 @@
     }
   if (reply.code == REPLY_KNOWN)
     s->owner_last_reply = now;
+  succession_told (s, now, (uint32_t)(m->pending >> TELL_RANK_SHIFT));
   callers_on_reply (s, now, m->id, &reply);
 }
 
@@ -323,7 +330,11 @@
   message.u.job_tell.id = id;
   message.u.job_tell.code = reply->code;
   message.u.job_tell.status = reply->status;
-  message.u.job_tell.pending = reply->pending;
+  message.u.job_tell.pending
+      = reply->pending
+        | (uint64_t)(sched_owns_any_shard (s) ? succession_rank (s, now, peer)
+                                              : 0)
+              << TELL_RANK_SHIFT;
   if (peerlink_send (s->link, peer, &message))
     log_line (LOG_LEVEL_DEBUG, "job.tell", NULL,
               "id=%016" PRIx64 " not sent; the peer will query again", id);
--- a/src/scheduler/sched_group.c
+++ b/src/scheduler/sched_group.c
@@ -18,6 +18,8 @@
 #define EVICT_INTERVAL_MIN (3 * USEC_PER_SEC)
 #define LEAVE_RETRY (100 * USEC_PER_MSEC)
 #define OWNERS_INTERVAL (1000 * USEC_PER_MSEC)
+/* Interval of the processes that would take over first. */
+#define OWNERS_INTERVAL_SUCCESSOR (250 * USEC_PER_MSEC)
 #define OWNERS_RETRY (150 * USEC_PER_MSEC)
 
 static bool may_rejoin (scheduler_t *s, usec_t now);
@@ -206,12 +208,21 @@
   sched_wake (s);
 }
 
+static usec_t
+owners_interval (const scheduler_t *s, usec_t now)
+{
+  uint32_t rank = succession_own_rank (s, now);
+
+  return rank && rank <= SUCCESSORS_MAX ? OWNERS_INTERVAL_SUCCESSOR
+                                        : OWNERS_INTERVAL;
+}
+
 static void
 send_owners (scheduler_t *s, usec_t now)
 {
   s->owners_busy = true;
   s->owners_sent = now;
-  s->owners_due = now + OWNERS_INTERVAL;
+  s->owners_due = now + owners_interval (s, now);
   s->backend->ops->list_owners (s->backend->ctx, GROUP, JOIN_TIMEOUT,
                                 on_owners, s);
 }
--- a/src/scheduler/sched_member.c
+++ b/src/scheduler/sched_member.c
@@ -13,6 +13,9 @@
 #define JOIN_DELAY_SPREAD (150 * USEC_PER_MSEC)
 #define JOIN_DELAY_PER_SECOND (15 * USEC_PER_MSEC)
 #define JOIN_DELAY_MAX_AGE (10 * USEC_PER_SEC)
+/* Delay between two successors of an owner: longer than a join and a list of
+   owners take, so that the next one finds the shard owned. */
+#define RANK_DELAY (200 * USEC_PER_MSEC)
 /* A process without sufficient cpu_share joins after this long without an
    owner: longer than the owners of all shards take to recover from a loss. */
 #define FALLBACK_DELAY (6 * USEC_PER_SEC)
@@ -29,6 +32,22 @@
          + (usec_t)(incarnation % (uint64_t)JOIN_DELAY_SPREAD);
 }
 
+/* @return time between the loss of an owner and the join of this process */
+static usec_t
+join_delay (const scheduler_t *s, usec_t now)
+{
+  uint32_t rank = succession_own_rank (s, now);
+  usec_t delay
+      = member_join_delay (s->unowned_since - s->started_at, s->incarnation);
+
+  if (!s->may_own)
+    return FALLBACK_DELAY;
+  if (!rank)
+    return delay;
+  return rank <= SUCCESSORS_MAX ? (rank - 1) * RANK_DELAY
+                                : SUCCESSORS_MAX * RANK_DELAY + delay;
+}
+
 bool
 member_joins (scheduler_t *s, usec_t now, uint32_t members)
 {
@@ -43,10 +62,7 @@
     }
   if (!s->unowned_since)
     s->unowned_since = now;
-  due = s->unowned_since
-        + (s->may_own ? member_join_delay (s->unowned_since - s->started_at,
-                                           s->incarnation)
-                      : FALLBACK_DELAY);
+  due = s->unowned_since + join_delay (s, now);
   if (now < due)
     {
       s->owners_due = MIN (s->owners_due, due);
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -138,6 +138,20 @@
   usec_t refused_since; /* its VM refuses connections since then, 0: no */
 } shard_owner_t;
 
+#define SUCCESSORS_MAX 3U
+
+/* See sched_succession.c.  */
+typedef struct
+{
+  GHashTable *peers;                /* node -> its description */
+  node_id_t ranked[SUCCESSORS_MAX]; /* as an owner */
+  uint32_t ranked_count;
+  usec_t rank_due;
+  uint32_t own_rank; /* from 1, SUCCESSORS_MAX + 1 for none of the first; 0:
+                        unknown */
+  usec_t told_at;
+} succession_t;
+
 /* Position in the operator's records.  */
 typedef struct
 {
@@ -217,6 +231,8 @@
   uint64_t request_counter;
   GArray *deferred_queries; /* deferred_query_t */
 
+  succession_t succession;
+
   bool stopping;
   bool left_group;
   bool leave_busy;
@@ -293,6 +309,21 @@
 /** @return whether this process has a reason to stay in the group */
 bool member_stays (const scheduler_t *s, usec_t now);
 
+/* sched_succession.c */
+/** @return description of this process for its peers */
+uint64_t succession_describe (const scheduler_settings_t *settings);
+/** A peer has described itself. */
+void succession_hello (scheduler_t *s, usec_t now, node_id_t node,
+                       uint64_t description);
+/** A peer has sent a message. */
+void succession_heard (scheduler_t *s, usec_t now, node_id_t node);
+/** @return rank of a peer as a successor of this owner, 0 if it has none */
+uint32_t succession_rank (scheduler_t *s, usec_t now, node_id_t node);
+/** An owner has told this process its rank. */
+void succession_told (scheduler_t *s, usec_t now, uint32_t rank);
+/** @return rank that an owner has told this process lately, 0 for none */
+uint32_t succession_own_rank (const scheduler_t *s, usec_t now);
+
 /* sched_store.c */
 extern const shard_ops_t sched_shard_ops;
 void record_key (record_kind_t kind, job_id_t job,
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -110,6 +110,7 @@
   s->worker_shards
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   s->zones = zones_new ();
+  s->succession.peers = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   s->deferred_queries = g_array_new (FALSE, FALSE, sizeof (deferred_query_t));
   s->store_last_ok = s->started_at = now;
   s->may_own = true;
@@ -160,6 +161,7 @@
   msg_hello_t hello = { .protocol = MESSAGE_PROTOCOL_VERSION,
                         .node = s->node,
                         .incarnation = s->incarnation,
+                        .zone = succession_describe (settings),
                         .address = blob_of (settings->listen_peers) };
 
   s->link = peerlink_new (s->loop, settings->listen_peers, &hello,
@@ -230,6 +232,7 @@
       g_hash_table_destroy (s->requests);
       g_hash_table_destroy (s->requests_by_http);
       g_hash_table_destroy (s->worker_shards);
+      g_hash_table_destroy (s->succession.peers);
       g_array_free (s->deferred_queries, TRUE);
     }
   g_free (s);
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -709,6 +709,60 @@
   g_free (s.shards);
 }
 
+/* Guards against successors that all join at once: the owner ranks its peers,
+   one of each zone, and the later ones leave the first one time to join
+   (shifted, a zone lost with the owner: three processes joined within 21 ms
+   and the shard moved twice, 0.55 s). */
+static void
+test_succession (void)
+{
+  static scheduler_settings_t settings
+      = { .zone = (char *)"a", .cpu_share = 0.5 };
+  scheduler_settings_t peer = settings;
+  scheduler_t s = { .settings = &settings, .shard_count = 1, .may_own = true };
+  usec_t now = 100 * USEC_PER_SEC;
+
+  s.succession.peers = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  CU_ASSERT_EQUAL (succession_rank (&s, now, 2), 0);
+  succession_hello (&s, now, 2, succession_describe (&peer));
+  peer.zone = (char *)"b";
+  succession_hello (&s, now, 3, succession_describe (&peer));
+  succession_hello (&s, now, 4, succession_describe (&peer));
+  peer.zone = (char *)"c";
+  peer.cpu_share = 0.069;
+  succession_hello (&s, now, 5, succession_describe (&peer));
+  peer.cpu_share = 1;
+  succession_hello (&s, now, 6, succession_describe (&peer));
+  succession_hello (&s, now, 7, 0); /* an earlier build */
+  now += USEC_PER_SEC;
+  CU_ASSERT_EQUAL (succession_rank (&s, now, 6), 1);
+  CU_ASSERT_EQUAL (succession_rank (&s, now, 3), 2);
+  CU_ASSERT (succession_rank (&s, now, 2) > SUCCESSORS_MAX);
+  CU_ASSERT (succession_rank (&s, now, 4) > SUCCESSORS_MAX);
+  CU_ASSERT (succession_rank (&s, now, 5) > SUCCESSORS_MAX);
+  CU_ASSERT (succession_rank (&s, now, 7) > SUCCESSORS_MAX);
+  now += 10 * USEC_PER_SEC;
+  succession_heard (&s, now, 4);
+  CU_ASSERT_EQUAL (succession_rank (&s, now, 4), 1);
+  CU_ASSERT (succession_rank (&s, now, 6) > SUCCESSORS_MAX);
+
+  s.unowned = true;
+  s.incarnation = 7;
+  s.owners_due = INT64_MAX;
+  succession_told (&s, now, 2);
+  succession_told (&s, now, 0); /* by an earlier build */
+  CU_ASSERT_EQUAL (succession_own_rank (&s, now), 2);
+  CU_ASSERT (!member_joins (&s, now, 0));
+  CU_ASSERT (member_joins (&s, now + 200 * USEC_PER_MSEC, 0));
+  succession_told (&s, now, 1);
+  CU_ASSERT (member_joins (&s, now, 0));
+  succession_told (&s, now, SUCCESSORS_MAX + 1);
+  CU_ASSERT (!member_joins (&s, now + 600 * USEC_PER_MSEC, 0));
+  CU_ASSERT (member_joins (&s, now + USEC_PER_SEC, 0));
+  CU_ASSERT_EQUAL (succession_own_rank (&s, now + 60 * USEC_PER_SEC), 0);
+  g_hash_table_destroy (s.succession.peers);
+}
+
 /* A submission is forwarded before this process appends it.  In a hand-over
    while the store was slow, single appends of all processes filled the queue
    of the partition, and the fence of the next owner was refused for eight
@@ -767,6 +821,7 @@
   s->deferred_queries = g_array_new (FALSE, FALSE, sizeof (deferred_query_t));
   s->worker_shards
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  s->succession.peers = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   return s;
 }
 
@@ -778,6 +833,7 @@
   g_hash_table_destroy (s->requests);
   g_hash_table_destroy (s->requests_by_http);
   g_hash_table_destroy (s->worker_shards);
+  g_hash_table_destroy (s->succession.peers);
   g_array_free (s->deferred_queries, TRUE);
   g_free (s);
 }
@@ -882,6 +938,7 @@
     { "no join with an owner", test_no_join_with_owner },
     { "forward before append", test_forward_before_append },
     { "membership", test_membership },
+    { "succession", test_succession },
     { "lost append", test_lost_append },
     { "ready after a store refusal", test_ready_after_store_refusal },
     { "known job in an outage", test_known_job_in_outage },
