--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -91,6 +91,8 @@
      "HTTP requests refused as malformed, oversize or not authorized")        \
   X (LOG_LINES_DROPPED, "log_lines_dropped_total", "lines", "counter",        \
      "log lines that standard error did not take")                            \
+  X (LOG_LINES_SKIPPED, "log_lines_skipped_total", "lines", "counter",        \
+     "log lines about items that were not in the sample")                     \
   X (BUNDLE_VERSION, "bundle_version", "version", "gauge",                    \
      "version of the bundle in force, 0 for none")                            \
   X (ZONES_EVACUATED, "zones_evacuated", "zones", "gauge",                    \
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -24,8 +24,7 @@
    not fit the buffer are dropped and counted (COUNTER_LOG_LINES_DROPPED). */
 void log_open_buffered (void);
 
-/** Limit on buffered lines per second.  A busy process logs about 300
-    decisions per second. */
+/** Limit on buffered lines per second. */
 #define LOG_MAX_LINES_PER_SECOND 600U
 
 /** Writes the buffered lines, as far as standard output accepts them. */
@@ -39,6 +38,14 @@
                const char *format, ...)
     __attribute__ ((format (printf, 4, 5)));
 
+/** Writes one line about one of many items, such as a job.  While there are
+   too many such lines, only those about a sample of the items are written, so
+    that what happened to these can be followed.  The others are counted
+    (COUNTER_LOG_LINES_SKIPPED); a line log.sample tells each change. */
+void log_item (log_level_t level, uint64_t item, const char *step,
+               const char *peer, const char *format, ...)
+    __attribute__ ((format (printf, 5, 6)));
+
 /** Writes an error record as one line. */
 void log_err (log_level_t level, const err_t *err);
 
--- a/src/explain/explain.c
+++ b/src/explain/explain.c
@@ -2,6 +2,7 @@
  * History of one job, assembled from log lines.
  */
 #include "explain/explain.h"
+#include "explain/line.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -39,9 +40,6 @@
 };
 
 static void entry_free (void *data);
-static bool parse_time (const char *line, const char *program,
-                        usec_t *time_us);
-static char *field_value (const char *text, const char *name);
 static bool mentions_job (const explain_t *explain, const char *text);
 static bool is_state_change (const char *step, subject_t *subject);
 static void count_entry (explain_t *explain, const entry_t *entry);
@@ -90,45 +88,6 @@
   g_free (entry);
 }
 
-/* Parses the ISO 8601 time that precedes the program name.  */
-static bool
-parse_time (const char *line, const char *program, usec_t *time_us)
-{
-  const char *word = program;
-  GDateTime *time;
-  char *text;
-
-  while (word > line && word[-1] == ' ')
-    word--;
-  while (word > line && word[-1] != ' ')
-    word--;
-  text = g_strndup (word, strcspn (word, " "));
-  time = g_date_time_new_from_iso8601 (text, NULL);
-  g_free (text);
-  if (!time)
-    return false;
-  *time_us = g_date_time_to_unix (time) * USEC_PER_SEC
-             + g_date_time_get_microsecond (time);
-  g_date_time_unref (time);
-  return true;
-}
-
-/* @return the value of NAME=VALUE, quotes removed; NULL if there is none */
-static char *
-field_value (const char *text, const char *name)
-{
-  char *key = g_strconcat (" ", name, "=", NULL);
-  const char *value = strstr (text, key);
-  size_t skip = strlen (key);
-
-  g_free (key);
-  if (!value)
-    return NULL;
-  value += skip;
-  return *value == '"' ? g_strndup (value + 1, strcspn (value + 1, "\""))
-                       : g_strndup (value, strcspn (value, " "));
-}
-
 static bool
 mentions_job (const explain_t *explain, const char *text)
 {
@@ -163,16 +122,15 @@
 void
 explain_add_line (explain_t *explain, const char *source, const char *line)
 {
-  const char *program = strstr (line, "limpethinge[");
-  const char *message = program ? strstr (program, " step=") : NULL;
   subject_t subject = SUBJECT_JOB;
   entry_t *entry;
   char *step;
   usec_t time_us;
+  const char *message = line_fields (line, &time_us);
 
-  if (!message || !parse_time (line, program, &time_us))
+  if (!message)
     return;
-  step = field_value (message, "step");
+  step = line_field (message, "step");
   if (!mentions_job (explain, message) && !is_state_change (step, &subject))
     {
       g_free (step);
@@ -195,13 +153,13 @@
 count_entry (explain_t *explain, const entry_t *entry)
 {
   char *padded = g_strconcat (" ", entry->text, NULL);
-  char *worker = field_value (padded, "worker");
-  char *reason = field_value (padded, "how");
+  char *worker = line_field (padded, "worker");
+  char *reason = line_field (padded, "how");
   char *key;
   guint number;
 
   if (!reason)
-    reason = field_value (padded, "why");
+    reason = line_field (padded, "why");
   key = reason ? g_strdup_printf ("%s (%s)", entry->step, reason)
                : g_strdup (entry->step);
   number = GPOINTER_TO_UINT (g_hash_table_lookup (explain->counts, key));
@@ -239,7 +197,7 @@
   if (entry->subject == SUBJECT_SITE)
     return true;
   padded = g_strconcat (" ", entry->text, NULL);
-  worker = field_value (padded, "worker");
+  worker = line_field (padded, "worker");
   shown = worker && g_hash_table_contains (explain->workers, worker);
   g_free (worker);
   g_free (padded);
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -338,7 +338,7 @@
 {
   counter_add (COUNTER_JOBS_ACCEPTED, 1);
   histogram_add (HISTOGRAM_SUBMIT, now - request->arrived_at);
-  log_line (LOG_LEVEL_INFO, "job.accepted", NULL,
+  log_item (LOG_LEVEL_INFO, request->job, "job.accepted", NULL,
             "job=%016" PRIx64 " queue=%s appends=%u took_ms=%" PRId64,
             request->job, request->queue, request->append_count,
             usec_to_msec (now - request->arrived_at));
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -346,7 +346,7 @@
   add_open_job (shard, entry);
   shard->occurrences_due = now;
   counter_add (COUNTER_JOBS_KNOWN, 1);
-  log_line (LOG_LEVEL_INFO, "job.known", NULL,
+  log_item (LOG_LEVEL_INFO, order->id, "job.known", NULL,
             "job=%016" PRIx64 " queue=%s steps=%u age_ms=%" PRId64
             " stored=%d",
             order->id, order->queue, order->step_count,
@@ -446,7 +446,7 @@
   counter_add (COUNTER_JOBS_ENDED, 1);
   histogram_add (HISTOGRAM_JOB,
                  (wall - job->submission->accepted_ms) * USEC_PER_MSEC);
-  log_line (LOG_LEVEL_INFO, "job.end", NULL,
+  log_item (LOG_LEVEL_INFO, job->id, "job.end", NULL,
             "job=%016" PRIx64 " queue=%s end=%s age_ms=%" PRId64, job->id,
             job->submission->queue, job_status_name (end),
             wall - job->submission->accepted_ms);
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -263,7 +263,7 @@
   call.checkpoint = task->checkpoint;
   run->start_in_flight = true;
   if (!run->start_sent)
-    log_line (LOG_LEVEL_INFO, "run.start", worker->address,
+    log_item (LOG_LEVEL_INFO, run->run_id.job, "run.start", worker->address,
               "task=%s run=%u worker=%s token=%" PRIu64 " used=%" PRIu64
               "/%u heard_ms=%" PRId64 " resumed=%d",
               run_format_id (&run->run_id, text), run->run_id.run, worker->id,
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -120,8 +120,8 @@
   if (!run)
     return;
   run_id = run->run_id;
-  log_line (
-      LOG_LEVEL_INFO, "run.over", NULL,
+  log_item (
+      LOG_LEVEL_INFO, run_id.job, "run.over", NULL,
       "task=%s run=%u worker=%s state=%d loose=%d answered_ms_ago=%" PRId64
       " why=\"%s\"",
       run_format_id (&run_id, text), run_id.run,
@@ -156,9 +156,10 @@
   bool failed = report->end == RUN_FAILED;
   char text[64];
 
-  log_line (failed || report->end == RUN_LEASE_EXPIRED ? LOG_LEVEL_NOTICE
+  log_item (failed || report->end == RUN_LEASE_EXPIRED ? LOG_LEVEL_NOTICE
                                                        : LOG_LEVEL_INFO,
-            "run.end", NULL, "task=%s run=%u worker=%s how=%s ran_ms=%" PRId64,
+            run_id.job, "run.end", NULL,
+            "task=%s run=%u worker=%s how=%s ran_ms=%" PRId64,
             run_format_id (&run_id, text), run_id.run,
             worker_get (shard, worker)->id, run_end_name (report->end),
             run->acknowledged_at ? usec_to_msec (now - run->acknowledged_at)
@@ -309,8 +310,9 @@
     }
   run->stop_requested = true;
   run_set_due (shard, run, now);
-  log_line (LOG_LEVEL_INFO, "run.stop", NULL, "task=%s run=%u why=\"%s\"",
-            run_format_id (&run->run_id, text), run->run_id.run, why);
+  log_item (LOG_LEVEL_INFO, run->run_id.job, "run.stop", NULL,
+            "task=%s run=%u why=\"%s\"", run_format_id (&run->run_id, text),
+            run->run_id.run, why);
 }
 
 void
--- a/src/shard/shard_waits.c
+++ b/src/shard/shard_waits.c
@@ -35,7 +35,7 @@
   count_workers (shard, now, c, counts);
   if (counts[FIT_EVACUATED])
     counter_add (COUNTER_TASKS_KEPT_AWAY, tasks);
-  log_line (LOG_LEVEL_INFO, "step.waits", NULL,
+  log_item (LOG_LEVEL_INFO, entry->job->id, "step.waits", NULL,
             "job=%016" PRIx64 " occurrence=%u step_number=%u tasks=%u"
             " waited_ms=%" PRId64 " late=%d fits=%u away=%u evacuated=%u"
             " full=%u excluded=%u disturbed=%u",
