Answer the status of a finishing job when it ends, within 0.2 s

Ways: answer at once (stood), defer by 60, 100, 200, 400, 800 ms while all that is left of the job is running.

--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -8,6 +8,10 @@
 #define UNKNOWN_JOB_WAIT (500 * USEC_PER_MSEC)
 /* How long a query is deferred until the job's end is stored. */
 #define END_STORED_WAIT (250 * USEC_PER_MSEC)
+/* How long a query for the status of a job is deferred whose last tasks are
+   all running.  Callers ask at intervals: one who asks a moment before the end
+   is known would learn of it with the next query only. */
+#define FINISHING_WAIT (200 * USEC_PER_MSEC)
 /* How long the owner waits for the append that stores a submission.  The
    caller's process then forwards the submission again. */
 #define SUBMISSION_STORED_WAIT (500 * USEC_PER_MSEC)
@@ -295,7 +299,8 @@
     {
     case 0:
       reply->code = REPLY_KNOWN;
-      return true;
+      return timed_out || kind != QUERY_STATUS || reply->status != JOB_RUNNING
+             || !shard_is_finishing (state->shard, job);
     case -EALREADY:
       reply->code = REPLY_UNKNOWN;
       return true;
@@ -344,14 +349,13 @@
 defer_query (scheduler_t *s, usec_t now, deferred_query_t *query)
 {
   job_status_t status;
-  bool known
-      = shard_status (s->shards[query->shard].shard, query->job, &status)
-        != -ENOENT;
+  int code = shard_status (s->shards[query->shard].shard, query->job, &status);
 
   query->deadline = now
                     + (query->kind == QUERY_SUBMIT ? SUBMISSION_STORED_WAIT
-                       : known                     ? END_STORED_WAIT
-                                                   : UNKNOWN_JOB_WAIT);
+                       : code == -ENOENT           ? UNKNOWN_JOB_WAIT
+                       : code                      ? END_STORED_WAIT
+                                                   : FINISHING_WAIT);
   query->ownership_id = s->shards[query->shard].ownership_id;
   g_array_append_val (s->deferred_queries, *query);
   sched_wake (s);
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -483,6 +483,24 @@
   return 0;
 }
 
+bool
+shard_is_finishing (const shard_t *shard, job_id_t id)
+{
+  const job_entry_t *entry = shard_entry (shard, id);
+  const job_t *job = entry ? entry->job : NULL;
+  const occurrence_t *occurrence;
+
+  if (!job || !job->submission || job->end_status != JOB_QUEUED
+      || job->occurrences->len != 1 || job_next_due (job) != INT64_MAX)
+    return false;
+  occurrence = job->occurrences->pdata[0];
+  for (uint32_t s = 0; s < job->submission->step_count; s++)
+    if (job->submission->steps[s].long_running
+        || occurrence->placed[s] != occurrence->unfinished[s])
+      return false;
+  return true;
+}
+
 int
 shard_cancel (shard_t *shard, usec_t now, job_id_t job)
 {
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -269,6 +269,10 @@
     stored yet (shard_ops_t.settled follows) */
 int shard_status (const shard_t *shard, job_id_t job, job_status_t *status);
 
+/** @return whether all tasks of the job that are not done are running, and no
+    others follow: it may end at any moment */
+bool shard_is_finishing (const shard_t *shard, job_id_t job);
+
 /** Cancels a job.
     @return 0 if the cancellation is stored, -EAGAIN if the end of the job is
     not stored yet (shard_ops_t.settled follows), -ENOENT, -EALREADY if the job
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -123,6 +123,34 @@
   tear_down ();
 }
 
+/* Guards against a status query that waits for an end that is not near: only
+   while all that is left of a job is running may it end at any moment. */
+static void
+test_finishing_job (void)
+{
+  const end_report_t end = { 1, { JOB_ID, 0, 0, 0, 1 }, RUN_FAILED, "" };
+  submission_t *submission = new_submission (2);
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  CU_ASSERT (!shard_is_finishing (fixture.shard, JOB_ID));
+  add_ready_worker ();
+  submission->steps[0].millicores = 2500;
+  apply_submission (submission);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT (!shard_is_finishing (fixture.shard, JOB_ID));
+  tear_down ();
+  set_up_with_placed_run ();
+  CU_ASSERT (shard_is_finishing (fixture.shard, JOB_ID));
+  list_worker ();
+  advance (0);
+  reply_to_hold (NULL, 0, &end, 1);
+  CU_ASSERT (!shard_is_finishing (fixture.shard, JOB_ID));
+  shard_cancel (fixture.shard, fixture.now, JOB_ID);
+  CU_ASSERT (!shard_is_finishing (fixture.shard, JOB_ID));
+  tear_down ();
+}
+
 /* Guards against a canceled task that runs on because the replies to its stops
    are lost (kitakaze-hkd fleet-rolls, seed 179489573192): the platform allows
    3 s after the cancellation is acknowledged, in which the stop has to be sent
@@ -680,6 +708,7 @@
     { "submit and cancel", test_submit_and_cancel },
     { "acknowledgement after end is stored", test_acknowledge_after_stored },
     { "stop of an adopted run", test_stop_of_adopted_run },
+    { "finishing job", test_finishing_job },
     { "lost stops", test_lost_stops },
     { "adopted run not listed", test_adopted_run_not_listed },
     { "superseded", test_superseded },
