--- a/src/net/peerlink.c
+++ b/src/net/peerlink.c
@@ -19,9 +19,9 @@
 #define PREFIX_BYTES 4U
 #define READ_CHUNK (64U << 10)
 /* Delay before a failed connect is retried, doubled after each failure. */
-#define RECONNECT_MIN_DELAY_S 0.1
-#define RECONNECT_MAX_DELAY_S 2.0
-#define CONNECT_TIMEOUT_S 0.5
+#define RECONNECT_MIN_DELAY (100 * USEC_PER_MSEC)
+#define RECONNECT_MAX_DELAY (2 * USEC_PER_SEC)
+#define CONNECT_TIMEOUT (500 * USEC_PER_MSEC)
 #define LISTEN_BACKLOG 1024
 /* Every other process of the site may connect to a shard owner. */
 #define MAX_INBOUND 4096U
@@ -54,8 +54,8 @@
   outbound_state_t state;
   int fd;
   ev_io io;
-  ev_timer timer;           /* reconnect delay or connect timeout */
-  double reconnect_delay_s; /* before the next connect */
+  clock_timer_t timer;    /* reconnect delay or connect timeout */
+  usec_t reconnect_delay; /* before the next connect */
   usec_t opened_at;
   GByteArray *queue;
   size_t sent; /* bytes of the queue already written */
@@ -103,7 +103,7 @@
 static void outbound_flush (outbound_t *out);
 static void outbound_queue (outbound_t *out, const message_t *message);
 static void on_outbound_io (EV_P_ ev_io *io, int events);
-static void on_outbound_timer (EV_P_ ev_timer *timer, int events);
+static void on_outbound_timer (void *ctx);
 
 peerlink_t *
 peerlink_new (struct ev_loop *loop, const char *address,
@@ -161,13 +161,12 @@
   out->node = node;
   out->address = parsed;
   out->fd = -1;
-  out->reconnect_delay_s = RECONNECT_MIN_DELAY_S;
+  out->reconnect_delay = RECONNECT_MIN_DELAY;
   g_strlcpy (out->address_text, address, sizeof out->address_text);
   out->queue = g_byte_array_new ();
   ev_init (&out->io, on_outbound_io);
-  ev_init (&out->timer, on_outbound_timer);
+  clock_timer_init (&out->timer, link->loop, on_outbound_timer, out);
   out->io.data = out;
-  out->timer.data = out;
   g_hash_table_replace (link->outbound, GUINT_TO_POINTER (node), out);
   outbound_connect (out);
   return 0;
@@ -430,7 +429,7 @@
   outbound_t *out = data;
 
   ev_io_stop (out->link->loop, &out->io);
-  ev_timer_stop (out->link->loop, &out->timer);
+  clock_timer_stop (&out->timer);
   if (out->fd >= 0)
     close (out->fd);
   g_byte_array_free (out->queue, TRUE);
@@ -444,7 +443,7 @@
   unsigned user_timeout_ms = USER_TIMEOUT_MS;
   int result;
 
-  ev_timer_stop (loop, &out->timer);
+  clock_timer_stop (&out->timer);
   out->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (out->fd < 0)
     {
@@ -464,8 +463,7 @@
   out->state = OUTBOUND_CONNECTING;
   ev_io_set (&out->io, out->fd, EV_WRITE);
   ev_io_start (loop, &out->io);
-  ev_timer_set (&out->timer, CONNECT_TIMEOUT_S, 0.);
-  ev_timer_start (loop, &out->timer);
+  clock_timer_start (&out->timer, CONNECT_TIMEOUT);
 }
 
 static void
@@ -473,10 +471,10 @@
 {
   message_t hello = { .type = MSG_HELLO, .u.hello = out->link->hello };
 
-  ev_timer_stop (out->link->loop, &out->timer);
+  clock_timer_stop (&out->timer);
   out->state = OUTBOUND_OPEN;
   out->opened_at = clock_now ();
-  out->reconnect_delay_s = RECONNECT_MIN_DELAY_S;
+  out->reconnect_delay = RECONNECT_MIN_DELAY;
   counter_add (COUNTER_PEER_CONNECTS, 1);
   outbound_queue (out, &hello);
   outbound_flush (out);
@@ -491,17 +489,15 @@
   struct ev_loop *loop = out->link->loop;
 
   ev_io_stop (loop, &out->io);
-  ev_timer_stop (loop, &out->timer);
+  clock_timer_stop (&out->timer);
   if (out->fd >= 0)
     close (out->fd);
   out->fd = -1;
   out->state = OUTBOUND_IDLE;
   out->sent = 0;
   g_byte_array_set_size (out->queue, 0);
-  ev_timer_set (&out->timer, out->reconnect_delay_s, 0.);
-  ev_timer_start (loop, &out->timer);
-  out->reconnect_delay_s
-      = MIN (2 * out->reconnect_delay_s, RECONNECT_MAX_DELAY_S);
+  clock_timer_start (&out->timer, out->reconnect_delay);
+  out->reconnect_delay = MIN (2 * out->reconnect_delay, RECONNECT_MAX_DELAY);
   if (refused)
     out->link->ops->refused (out->link->ctx, out->node);
 }
@@ -584,12 +580,10 @@
 }
 
 static void
-on_outbound_timer (EV_P_ ev_timer *timer, int events)
+on_outbound_timer (void *ctx)
 {
-  outbound_t *out = timer->data;
+  outbound_t *out = ctx;
 
-  (void)loop;
-  (void)events;
   if (out->state == OUTBOUND_CONNECTING)
     outbound_close (out, false);
   else if (out->state == OUTBOUND_IDLE)
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -226,7 +226,7 @@
   usec_t stop_deadline;
   bool callers_quiesced;
 
-  ev_timer timer;
+  clock_timer_t timer;
   ev_prepare prepare;
   ev_signal term;
   ev_signal interrupt;
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -54,7 +54,7 @@
                                    const httpd_ops_t *ops, err_t *err);
 static void open_watchers (scheduler_t *s);
 static void scheduler_free (scheduler_t *s);
-static void on_timer (EV_P_ ev_timer *timer, int events);
+static void on_timer (void *ctx);
 static void on_prepare (EV_P_ ev_prepare *prepare, int events);
 static void on_signal (EV_P_ ev_signal *signal, int events);
 static usec_t run_ticks (scheduler_t *s, usec_t now);
@@ -193,8 +193,7 @@
 static void
 open_watchers (scheduler_t *s)
 {
-  ev_init (&s->timer, on_timer);
-  s->timer.data = s;
+  clock_timer_init (&s->timer, s->loop, on_timer, s);
   ev_prepare_init (&s->prepare, on_prepare);
   s->prepare.data = s;
   ev_prepare_start (s->loop, &s->prepare);
@@ -211,7 +210,7 @@
 static void
 scheduler_free (scheduler_t *s)
 {
-  ev_timer_stop (s->loop, &s->timer);
+  clock_timer_stop (&s->timer);
   ev_prepare_stop (s->loop, &s->prepare);
   ev_signal_stop (s->loop, &s->term);
   ev_signal_stop (s->loop, &s->interrupt);
@@ -302,12 +301,10 @@
 }
 
 static void
-on_timer (EV_P_ ev_timer *timer, int events)
+on_timer (void *ctx)
 {
-  scheduler_t *s = timer->data;
+  scheduler_t *s = ctx;
 
-  (void)loop;
-  (void)events;
   s->tick_due = true;
 }
 
@@ -318,6 +315,7 @@
   usec_t now;
   usec_t next;
 
+  (void)loop;
   (void)events;
   log_flush ();
   if (!s->tick_due)
@@ -326,9 +324,7 @@
   now = clock_now ();
   next = run_ticks (s, now);
   next = CLAMP (next, now + SLEEP_MIN, now + SLEEP_MAX);
-  ev_timer_stop (EV_A_ & s->timer);
-  ev_timer_set (&s->timer, (double)(next - now) / USEC_PER_SEC, 0.);
-  ev_timer_start (EV_A_ & s->timer);
+  clock_timer_start (&s->timer, next - now);
 }
 
 static usec_t
