--- a/src/interference/interference.c
+++ b/src/interference/interference.c
@@ -14,8 +14,6 @@
 #define MAX_LOAD_VARIANCE 0.04
 /* Standard deviation of the change of a load within one second. */
 #define LOAD_DRIFT_PER_SEC 0.1
-/* Variance of a load about the expected one. */
-#define EXPECTED_LOAD_VARIANCE 0.0025
 /* Lower bound of the peak load: the load of a task is low at its start. */
 #define MIN_PEAK_LOAD 0.55
 /* Fraction of the distance between peak and load by which the peak decays in
@@ -176,9 +174,8 @@
 
 void
 interference_observe (interference_t *model, image_id_t victim,
-                      own_load_t *own, usec_t elapsed, double expected,
-                      double tail_ms, const disturbance_t *disturbances,
-                      size_t count)
+                      own_load_t *own, usec_t elapsed, double tail_ms,
+                      const disturbance_t *disturbances, size_t count)
 {
   double measured
       = 1 - update_idle_tail (model, victim, tail_ms) / MAX (tail_ms, 1);
@@ -188,17 +185,10 @@
   double error;
 
   if (!own->variance)
-    *own = (own_load_t){ .load = INITIAL_LOAD,
-                         .variance = MAX_LOAD_VARIANCE,
-                         .peak = MIN_PEAK_LOAD };
+    *own = (own_load_t){ INITIAL_LOAD, MAX_LOAD_VARIANCE, MIN_PEAK_LOAD };
   own->variance
       = MIN (own->variance + LOAD_DRIFT_PER_SEC * LOAD_DRIFT_PER_SEC * seconds,
              MAX_LOAD_VARIANCE);
-  if (expected >= 0)
-    {
-      own->load = expected;
-      own->variance = EXPECTED_LOAD_VARIANCE;
-    }
   predicted = own->load;
   error_variance = own->variance + MEASUREMENT_VARIANCE;
   for (size_t i = 0; i < count; i++)
@@ -211,8 +201,6 @@
           += pair->variance * disturbances[i].cores * disturbances[i].cores;
     }
   error = measured - predicted;
-  own->reported = own->load + error;
-  own->reported_variance = error_variance - own->variance;
   for (size_t i = 0; i < count; i++)
     update_pair (find_or_add_pair (model, victim, disturbances[i].image),
                  error, disturbances[i].cores, error_variance);
--- a/src/interference/interference.h
+++ b/src/interference/interference.h
@@ -39,9 +39,6 @@
   double variance; /**< of the load estimate, 0 before the first report */
   double peak;     /**< decaying maximum of the load, which fluctuates
                         within seconds */
-  double reported; /**< by the last report, without the known effects of
-                        aggressors */
-  double reported_variance;
 } own_load_t;
 
 interference_t *interference_new (void);
@@ -53,14 +50,11 @@
 /** Updates the model from one report of a victim.
     @param own load estimate of the task; zeroed before its first report
     @param elapsed time since the last report of the task
-    @param expected load that is expected at the report's time, less than 0 if
-    none is known
     @param tail_ms reported tail latency
     @param disturbances aggressors during the interval of the report */
 void interference_observe (interference_t *model, image_id_t victim,
-                           own_load_t *own, usec_t elapsed, double expected,
-                           double tail_ms, const disturbance_t *disturbances,
-                           size_t count);
+                           own_load_t *own, usec_t elapsed, double tail_ms,
+                           const disturbance_t *disturbances, size_t count);
 
 /** @return the utilization that the disturbances add to the victim */
 double interference_added_utilization (const interference_t *model,
--- a/src/interference/test_interference.c
+++ b/src/interference/test_interference.c
@@ -39,9 +39,8 @@
                                   3 * (bad ? harmful : harmless));
 
         interference_observe (model, victim, &own[task],
-                              (usec_t)(REPORT_INTERVAL_S * USEC_PER_SEC), -1,
-                              tail, i % 4 ? &disturbance : NULL,
-                              i % 4 ? 1 : 0);
+                              (usec_t)(REPORT_INTERVAL_S * USEC_PER_SEC), tail,
+                              i % 4 ? &disturbance : NULL, i % 4 ? 1 : 0);
       }
   return model;
 }
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -46,7 +46,6 @@
   shard->pending_calls
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   shard->interference = interference_new ();
-  shard->loads = loads_new ();
   shard->unplaceable = g_array_new (FALSE, FALSE, sizeof (unplaceable_t));
   shard->batch_blobs
       = g_ptr_array_new_with_free_func ((GDestroyNotify)g_byte_array_unref);
@@ -68,7 +67,6 @@
   clear_jobs (shard);
   g_hash_table_destroy (shard->jobs);
   interference_free (shard->interference);
-  loads_free (shard->loads);
   g_array_free (shard->unplaceable, TRUE);
   g_queue_free (shard->open_jobs);
   g_ptr_array_free (shard->dirty_entries, TRUE);
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -16,7 +16,6 @@
 {
   GArray *candidates = order_candidates (shard);
 
-  sharing_refresh (shard, now);
   g_array_set_size (shard->unplaceable, 0);
   shard->waiting_tasks = 0;
   for (guint i = 0; i < candidates->len; i++)
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -9,18 +9,12 @@
 #include "base/log.h"
 #include "base/table.h"
 #include "interference/interference.h"
-#include "loads/loads.h"
 #include "shard/shard.h"
 
 #include <errno.h>
 #include <inttypes.h>
 #include <string.h>
 
-/* Share of its declared millicores that a task with a target is taken to use
-   before its first report: the mean load of the sites is 0.42, and loads vary
-   around it by half. */
-#define DEFAULT_LOAD 0.6
-
 typedef enum
 {
   RUN_UNSTORED,     /* its record is not stored yet */
@@ -57,11 +51,10 @@
   uint32_t accelerators;
   bool best_effort; /* uses only capacity left over by others */
   image_id_t image;
-  uint32_t target_ms;   /* target of its tail latency, 0: none */
-  uint32_t measure;     /* run_report_t.measure of the latest list */
-  own_load_t own_load;  /* only with a target */
-  double expected_load; /* with a target: the highest in the next seconds */
-  usec_t last_report;   /* when the model last learned from it */
+  uint32_t target_ms;  /* target of its tail latency, 0: none */
+  uint32_t measure;    /* run_report_t.measure of the latest list */
+  own_load_t own_load; /* only with a target */
+  usec_t last_report;  /* when the model last learned from it */
 } run_t;
 
 /* A best-effort run that ended recently: reports of tail latency still cover
@@ -219,7 +212,6 @@
   GPtrArray *batch_drops; /* job_entry_t, records to be deleted */
 
   interference_t *interference;
-  loads_t *loads;
   usec_t interference_store_due; /* earliest time to store the model again */
   bool interference_changed;     /* since the model was last stored */
 
@@ -334,8 +326,6 @@
 void sharing_apply_list (shard_t *shard, usec_t now, handle_t worker);
 /** Updates the estimate of what the tasks with a target on the worker use. */
 void sharing_update_use (const shard_t *shard, worker_t *worker);
-/** Updates what the tasks with a target are expected to use. */
-void sharing_refresh (shard_t *shard, usec_t now);
 /** Records the end of a best-effort run. */
 void sharing_run_ended (worker_t *worker, usec_t now, const run_t *run);
 /** @return whether a task of the step may share the worker with its runs */
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -61,7 +61,6 @@
   run->best_effort = s->best_effort;
   run->image = interference_image_id (s->image);
   run->target_ms = s->target_latency_ms;
-  run->expected_load = DEFAULT_LOAD;
   run->call_due = INT64_MAX;
   task->run_handle = handle;
   worker_reserve (worker, run);
--- a/src/shard/shard_sharing.c
+++ b/src/shard/shard_sharing.c
@@ -3,8 +3,6 @@
  */
 #include "shard/shard_private.h"
 
-#include <xxhash.h>
-
 /* Approximate time covered by a worker's report. */
 #define REPORT_WINDOW (500 * USEC_PER_MSEC)
 /* Margin below the utilization at which a tail latency reaches its target:
@@ -14,11 +12,12 @@
    two, the run time of a best-effort task: loads vary around 0.42 by half of
    that within 14 s.  A lower recent peak limits it further. */
 #define MAX_LOAD_RISE 0.1
-/* Run time of a best-effort task for which its neighbours' loads are looked
-   ahead. */
-#define RUN_SPAN (2 * USEC_PER_SEC)
 /* Added utilization below this is ignored. */
 #define NEGLIGIBLE_UTILIZATION 0.025
+/* Share of its declared millicores that a task with a target is taken to use
+   before its first report: the mean load of the sites is 0.42, and loads vary
+   around it by half. */
+#define DEFAULT_LOAD 0.6
 /* If a task exceeds its target for longer than this, all best-effort runs
    beside it are stopped. */
 #define OVER_TARGET_LIMIT (1800 * USEC_PER_MSEC)
@@ -49,9 +48,7 @@
                        const disturbances_t *disturbances);
 static bool stop_disturbing_runs (shard_t *shard, usec_t now, handle_t handle,
                                   const run_t *served);
-static load_key_t load_key (const run_t *run);
-static double expected_max_load (const shard_t *shard, usec_t now,
-                                 const run_t *run);
+static double expected_max_load (const run_t *run);
 static void stop_best_effort_runs (shard_t *shard, usec_t now,
                                    handle_t handle);
 static bool has_unknown_image (const shard_t *shard, const worker_t *worker,
@@ -130,29 +127,13 @@
   g_array_append_val (worker->recent_runs, recent);
 }
 
-static load_key_t
-load_key (const run_t *run)
-{
-  const uint64_t parts[]
-      = { run->run_id.job, run->run_id.occurrence, run->run_id.step };
-
-  return XXH64 (parts, sizeof parts, 0);
-}
-
 static void
 learn_from_report (shard_t *shard, usec_t now, run_t *run,
                    const disturbances_t *disturbances)
 {
-  usec_t middle = now - REPORT_WINDOW / 2;
-  double expected = -1;
-
-  loads_expected (shard->loads, load_key (run), middle, &expected);
   interference_observe (shard->interference, run->image, &run->own_load,
                         run->last_report ? now - run->last_report : 0,
-                        expected, run->measure, disturbances->rows,
-                        disturbances->count);
-  loads_observe (shard->loads, load_key (run), middle, run->own_load.reported,
-                 run->own_load.reported_variance);
+                        run->measure, disturbances->rows, disturbances->count);
   run->last_report = now;
   shard->interference_changed |= disturbances->count != 0;
 }
@@ -179,7 +160,6 @@
           || run->percent < 100 || !run->measure)
         continue;
       learn_from_report (shard, now, run, &disturbances);
-      run->expected_load = expected_max_load (shard, now, run);
       if (run->measure > run->target_ms && worker->best_effort_runs)
         over |= stop_disturbing_runs (shard, now, handle, run);
     }
@@ -306,7 +286,7 @@
           = run_get (shard, g_array_index (worker->runs, handle_t, i));
 
       if (run->target_ms)
-        use += run->millicores * run->expected_load;
+        use += run->millicores * expected_max_load (run);
     }
   worker->serving_millicores_in_use = (uint64_t)use;
 }
@@ -314,36 +294,13 @@
 /* @return the highest own load of the run that is expected for the next second
    or two */
 static double
-expected_max_load (const shard_t *shard, usec_t now, const run_t *run)
+expected_max_load (const run_t *run)
 {
-  double load;
-
   if (!run->own_load.variance)
     return DEFAULT_LOAD;
-  if (loads_expected_max (shard->loads, load_key (run), now, now + RUN_SPAN,
-                          &load))
-    return load;
   return MIN (run->own_load.peak, run->own_load.load + MAX_LOAD_RISE);
 }
 
-void
-sharing_refresh (shard_t *shard, usec_t now)
-{
-  loads_refit (shard->loads, now);
-  for (handle_t h = table_next (shard->runs, HANDLE_NONE); h != HANDLE_NONE;
-       h = table_next (shard->runs, h))
-    {
-      run_t *run = run_get (shard, h);
-
-      if (run->target_ms)
-        run->expected_load = expected_max_load (shard, now, run);
-    }
-  for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
-       h = table_next (shard->workers, h))
-    if (worker_get (shard, h)->serving_runs)
-      sharing_update_use (shard, worker_get (shard, h));
-}
-
 /* @return whether a best-effort run of an image other than EXCEPT is there
    whose effect on SERVED is not known.  With a single unknown image the
    reports can be attributed to it. */
@@ -374,7 +331,7 @@
       disturbances->count);
 
   return added < NEGLIGIBLE_UTILIZATION
-         || run->expected_load + added + UTILIZATION_MARGIN
+         || expected_max_load (run) + added + UTILIZATION_MARGIN
                 < interference_max_utilization (shard->interference,
                                                 run->image, run->target_ms);
 }
--- a/src/shard/test_shard_sharing.c
+++ b/src/shard/test_shard_sharing.c
@@ -21,12 +21,12 @@
   own_load_t load = { 0 };
   image_id_t victim = interference_image_id ("s");
 
-  interference_observe (model, victim, &load, 0, -1, 10, NULL, 0);
+  interference_observe (model, victim, &load, 0, 10, NULL, 0);
   for (int i = 0; i < 200; i++)
     {
-      interference_observe (model, victim, &load, USEC_PER_SEC, -1, 10 / 0.65,
+      interference_observe (model, victim, &load, USEC_PER_SEC, 10 / 0.65,
                             NULL, 0);
-      interference_observe (model, victim, &load, USEC_PER_SEC, -1, 10 / 0.45,
+      interference_observe (model, victim, &load, USEC_PER_SEC, 10 / 0.45,
                             &aggressor, 1);
     }
   CU_ASSERT (interference_slope_is_known (model, victim, aggressor.image));
