--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -75,6 +75,8 @@
      "runs that ended in failure")                                            \
   X (RUNS_STALLED, "runs_stalled_total", "runs", "counter",                   \
      "runs that were stopped since they did not advance")                     \
+  X (RUNS_UNSETTLED, "runs_unsettled", "runs", "gauge",                       \
+     "runs whose start or stop is not settled yet, counted once a second")    \
   X (RUNS_NO_ROOM, "runs_no_room_total", "calls", "counter",                  \
      "starts that a worker rejected for want of room")                        \
   X (WORKER_HOLDS, "worker_holds_total", "calls", "counter",                  \
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -539,7 +539,9 @@
   uint64_t filling = 0;
   uint32_t workers = 0;
   int64_t leftover = 0;
+  unsettled_t unsettled;
 
+  unsettled_count (shard, now, &unsettled);
   shard->load_log_due = now + LOAD_LOG_INTERVAL;
   for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
        h = table_next (shard->workers, h))
@@ -555,13 +557,15 @@
       filling += worker->best_effort_millicores;
       leftover += MAX (sharing_leftover (worker), 0);
     }
-  log_line (LOG_LEVEL_INFO, "shard.load", NULL,
-            "shard=%u workers=%u open=%u runs=%zu waiting=%u cores=%" PRIu64
-            " used=%" PRIu64 " serving=%" PRIu64 " filling=%" PRIu64
-            " leftover=%" PRId64,
-            shard->number, workers, g_queue_get_length (shard->open_jobs),
-            table_count (shard->runs), shard->waiting_tasks, total / 1000,
-            used / 1000, serving / 1000, filling / 1000, leftover / 1000);
+  log_line (
+      LOG_LEVEL_INFO, "shard.load", NULL,
+      "shard=%u workers=%u open=%u runs=%zu waiting=%u starting=%u"
+      " stopping=%u unsettled_ms=%" PRId64 " cores=%" PRIu64 " used=%" PRIu64
+      " serving=%" PRIu64 " filling=%" PRIu64 " leftover=%" PRId64,
+      shard->number, workers, g_queue_get_length (shard->open_jobs),
+      table_count (shard->runs), shard->waiting_tasks, unsettled.starting,
+      unsettled.stopping, usec_to_msec (unsettled.oldest), total / 1000,
+      used / 1000, serving / 1000, filling / 1000, leftover / 1000);
 }
 
 usec_t
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -270,6 +270,8 @@
               shard->token, worker->used_millicores, worker->millicores,
               usec_to_msec (now - worker->last_answer),
               task->checkpoint != NULL);
+  if (!run->start_sent)
+    run->unsettled_since = now;
   run->start_sent = true;
   worker_lease_sent (shard, worker, now, call.lease_until);
   counter_add (COUNTER_RUNS_STARTED, 1);
@@ -676,6 +678,7 @@
       run->state = RUN_ACKNOWLEDGED;
       run->acknowledged_at = now;
       run->stops_unanswered = 0;
+      run->stops_answered++;
       run_set_due (shard, run, now + shard->config.stop_limit + STOP_MARGIN);
       return;
     }
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -37,15 +37,19 @@
   bool start_in_flight;
   bool stop_in_flight;
   uint32_t stops_unanswered; /* consecutive */
-  usec_t call_due;           /* next time to send the start or the stop */
-  usec_t accepted_at;        /* when it became RUN_ACKNOWLEDGED */
-  usec_t acknowledged_at;    /* last successful answer to a start or a stop, or
-                                first listing; 0: none */
-  uint32_t percent;          /* of its work, from the latest list */
-  usec_t progressed_at;  /* when PERCENT last changed, or the worker answered
-                            again after a pause */
-  bool in_list;          /* found in the list being applied */
-  uint32_t lists_missed; /* consecutive lists without it */
+  uint32_t stops_answered;
+  usec_t unsettled_since; /* the first call of the start or stop that is not
+                             settled, 0: none is */
+  usec_t unsettled_log_due;
+  usec_t call_due;        /* next time to send the start or the stop */
+  usec_t accepted_at;     /* when it became RUN_ACKNOWLEDGED */
+  usec_t acknowledged_at; /* last successful answer to a start or a stop, or
+                             first listing; 0: none */
+  uint32_t percent;       /* of its work, from the latest list */
+  usec_t progressed_at;   /* when PERCENT last changed, or the worker answered
+                             again after a pause */
+  bool in_list;           /* found in the list being applied */
+  uint32_t lists_missed;  /* consecutive lists without it */
   uint32_t millicores;
   uint32_t memory_mb;
   uint32_t accelerators;
@@ -379,6 +383,18 @@
     from time to time what excludes the workers. */
 void waits_note (shard_t *shard, usec_t now, const candidate_t *c);
 
+/* Runs whose start or stop is not settled. */
+typedef struct
+{
+  uint32_t starting;
+  uint32_t stopping;
+  usec_t oldest; /* since its first call */
+} unsettled_t;
+
+/* shard_unsettled.c */
+/** Counts the unsettled runs, and logs those that have been so for long. */
+void unsettled_count (shard_t *shard, usec_t now, unsettled_t *counts);
+
 /* shard_place.c */
 /** Places all waiting tasks that fit on a worker. */
 void place_all (shard_t *shard, usec_t now);
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -84,6 +84,8 @@
     run->accepted_at = run->progressed_at = now;
   run->state = RUN_ACKNOWLEDGED;
   run->acknowledged_at = now;
+  if (!run->stop_requested)
+    run->unsettled_since = 0;
 }
 
 static void
@@ -309,6 +311,7 @@
       return;
     }
   run->stop_requested = true;
+  run->unsettled_since = now;
   run_set_due (shard, run, now);
   log_item (LOG_LEVEL_INFO, run->run_id.job, "run.stop", NULL,
             "task=%s run=%u why=\"%s\"", run_format_id (&run->run_id, text),
