Test that a stopped run which never started does not hold its task

Fails on this code: of the starts expected within 3 s of a rejected start after an unanswered one, the second run is missing (starts 2, expected 3).

--- /dev/null
+++ b/src/shard/test_shard_settle.c
@@ -0,0 +1,158 @@
+/* Unit tests of runs that a worker never had: their tasks are started again in
+   bounded time, however often the worker answers. */
+#include "base/log.h"
+#include "support/shard_fixture.h"
+#include "support/suite.h"
+
+#include <CUnit/CUnit.h>
+#include <string.h>
+
+#define STEP (10 * USEC_PER_MSEC)
+/* Longest time until the task of a run that has ended is started again. */
+#define SETTLE_LIMIT (3 * USEC_PER_SEC)
+
+/* A hold that waits at its worker. */
+typedef struct
+{
+  shard_call_t call;
+  usec_t sent;
+} waiting_hold_t;
+
+static int64_t started_ms; /* start of the incarnation of all workers */
+static shard_call_t last_start;
+static uint32_t starts;
+static GArray *holds; /* waiting_hold_t */
+
+static void
+set_up_two_workers (void)
+{
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  started_ms = START_WALL_MS;
+  starts = 0;
+  holds = g_array_new (FALSE, FALSE, sizeof (waiting_hold_t));
+  list_worker_with ("w1", "10.0.0.1:1", false);
+  advance (0);
+  reply_as_ready ("w1");
+  fixture.call_count = 0;
+}
+
+static void
+tear_down_workers (void)
+{
+  g_array_free (holds, TRUE);
+  tear_down ();
+}
+
+static void
+answer_hold (const shard_call_t *hold)
+{
+  const shard_reply_t lists = { .kind = SHARD_REPLY_OK,
+                                .clock_ms = usec_to_msec (fixture.now),
+                                .started_ms = started_ms,
+                                .has_lists = true };
+
+  shard_reply (fixture.shard, fixture.now, hold->id, &lists);
+}
+
+/* Answers a call of the owner; starts are left to the test. */
+static void
+take_call (const shard_call_t *call)
+{
+  static const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  const waiting_hold_t hold = { *call, fixture.now };
+
+  switch (call->kind)
+    {
+    case SHARD_STOP:
+      shard_reply (fixture.shard, fixture.now, call->id, &ok);
+      break;
+    case SHARD_HOLD:
+      g_array_append_val (holds, hold);
+      break;
+    case SHARD_START:
+      last_start = *call;
+      starts++;
+      break;
+    }
+}
+
+/* Workers list no run, answer stops at once, and holds when their wait is
+   over. */
+static void
+run_workers (usec_t span)
+{
+  for (usec_t end = fixture.now + span; fixture.now < end;)
+    {
+      shard_call_t calls[MAX_CALLS];
+      size_t count = fixture.call_count;
+
+      memcpy (calls, fixture.calls, count * sizeof *calls);
+      fixture.call_count = 0;
+      for (size_t i = 0; i < count; i++)
+        take_call (&calls[i]);
+      for (guint i = holds->len; i > 0; i--)
+        {
+          waiting_hold_t hold = g_array_index (holds, waiting_hold_t, i - 1);
+
+          if (fixture.now - hold.sent < hold.call.wait)
+            continue;
+          g_array_remove_index_fast (holds, i - 1);
+          answer_hold (&hold.call);
+        }
+      if (fixture.appends)
+        shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+      advance (STEP);
+    }
+}
+
+static void
+reply_to_start (shard_reply_kind_t kind)
+{
+  const shard_reply_t reply = { .kind = kind };
+
+  shard_reply (fixture.shard, fixture.now, last_start.id, &reply);
+}
+
+/* A start gets no answer, its repetition is rejected, and the run is stopped.
+ */
+static void
+reject_unanswered_start (void)
+{
+  set_up_two_workers ();
+  add_job (1);
+  run_workers (100 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (starts, 1);
+  reply_to_start (SHARD_REPLY_NONE);
+  run_workers (1500 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (starts, 2);
+  CU_ASSERT_EQUAL (last_start.run_id.run, 1);
+  list_worker_with ("w2", "10.0.0.2:1", false);
+  reply_to_start (SHARD_REPLY_UNHEALTHY);
+}
+
+/* Guards against a task that is never started again: each answered stop made
+   all lists requested before it count for nothing. */
+static void
+test_stops_outpace_lists (void)
+{
+  reject_unanswered_start ();
+  run_workers (SETTLE_LIMIT);
+  CU_ASSERT_EQUAL (starts, 3);
+  CU_ASSERT_EQUAL (last_start.run_id.run, 2);
+  tear_down_workers ();
+}
+
+int
+main (void)
+{
+  const suite_test_t tests[] = {
+    { "stops outpace lists", test_stops_outpace_lists },
+  };
+  int code;
+
+  log_open ("test", LOG_LEVEL_ERR);
+  code = suite_main ("shard settle", tests, sizeof tests / sizeof *tests);
+  g_byte_array_unref (fixture.progress);
+  return code;
+}
