Count lists from the first answer to a stop, not the latest

Cause: a stop that is answered set the time from which lists of the worker count as evidence that the run is gone, and was repeated after stop_limit plus 100 ms with the same effect. A list waits at the worker for up to a second, so each was requested before the latest stop and none ever counted, unless something else ended there and the list came early. Such a run began with a start that got no answer, was repeated and rejected; the worker never had it, so that no end came either.

Evidence: run.unsettled showed up to 41 answered stops, none unanswered, and one missed list of two for such runs. Ruled out: workers that admit no task (waiting=0, no step.waits) and tasks in no count (each has its run).

From the first answer on the worker rejects the start, so lists requested after it count, and later answers change nothing: the wait is bounded by two lists.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -673,10 +673,16 @@
   run->stop_in_flight = false;
   if (reply->kind == SHARD_REPLY_OK)
     {
-      /* Only lists that are requested from now on count as evidence that the
-         run has ended. */
-      run->state = RUN_ACKNOWLEDGED;
-      run->acknowledged_at = now;
+      /* From the first answer on the worker does not start the run any more.
+         Later answers tell nothing new: if they delayed the time from which
+         lists count, stops that are repeated faster than lists arrive would
+         keep the run for good. */
+      if (!run->stops_answered)
+        {
+          run->state = RUN_ACKNOWLEDGED;
+          run->acknowledged_at = now;
+          run->lists_missed = 0;
+        }
       run->stops_unanswered = 0;
       run->stops_answered++;
       run_set_due (shard, run, now + shard->config.stop_limit + STOP_MARGIN);
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -43,8 +43,8 @@
   usec_t unsettled_log_due;
   usec_t call_due;        /* next time to send the start or the stop */
   usec_t accepted_at;     /* when it became RUN_ACKNOWLEDGED */
-  usec_t acknowledged_at; /* last successful answer to a start or a stop, or
-                             first listing; 0: none */
+  usec_t acknowledged_at; /* successful answer to the start, first answer to a
+                             stop, or first listing; 0: none */
   uint32_t percent;       /* of its work, from the latest list */
   usec_t progressed_at;   /* when PERCENT last changed, or the worker answered
                              again after a pause */
