Require a stop to be answered by the restarted worker

A task whose unanswered start may still be executed could run twice: its worker answers a stop and restarts, and the owner, with the stop already requested, counted lists of the new incarnation, which may execute the late start until it has answered a stop itself. An answer of the former incarnation that arrives after the restart was counted as well.

A restart now takes the stop's answer back and has it sent again, and only answers to stops that were sent after the incarnation was known count.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -50,7 +50,7 @@
 static void on_start (shard_t *shard, usec_t now, handle_t handle,
                       const shard_reply_t *reply);
 static void on_stop (shard_t *shard, usec_t now, handle_t handle,
-                     const shard_reply_t *reply);
+                     const shard_reply_t *reply, usec_t sent);
 static void on_no_answer (shard_t *shard, usec_t now, handle_t handle,
                           shard_reply_kind_t kind);
 static void on_restart (worker_t *worker, usec_t now, int64_t started_ms);
@@ -345,7 +345,7 @@
       on_start (shard, now, pending.run, reply);
     }
   else if (pending.kind == SHARD_STOP)
-    on_stop (shard, now, pending.run, reply);
+    on_stop (shard, now, pending.run, reply, pending.sent);
 }
 
 static void
@@ -664,14 +664,15 @@
 
 static void
 on_stop (shard_t *shard, usec_t now, handle_t handle,
-         const shard_reply_t *reply)
+         const shard_reply_t *reply, usec_t sent)
 {
   run_t *run = run_get (shard, handle);
 
   if (!run)
     return;
   run->stop_in_flight = false;
-  if (reply->kind == SHARD_REPLY_OK)
+  if (reply->kind == SHARD_REPLY_OK
+      && sent >= worker_get (shard, run->worker)->started_known_at)
     {
       /* From the first answer on the worker does not start the run any more.
          Later answers tell nothing new: if they delayed the time from which
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -37,9 +37,9 @@
   bool start_in_flight;
   bool stop_in_flight;
   uint32_t stops_unanswered; /* consecutive */
-  uint32_t stops_answered;
-  usec_t unsettled_since; /* the first call of the start or stop that is not
-                             settled, 0: none is */
+  uint32_t stops_answered;   /* by the worker's current incarnation */
+  usec_t unsettled_since;    /* the first call of the start or stop that is not
+                                settled, 0: none is */
   usec_t unsettled_log_due;
   usec_t call_due;        /* next time to send the start or the stop */
   usec_t accepted_at;     /* when it became RUN_ACKNOWLEDGED */
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -286,14 +286,19 @@
 void
 run_worker_restarted (shard_t *shard, usec_t now, handle_t handle)
 {
-  const run_t *run = run_get (shard, handle);
+  run_t *run = run_get (shard, handle);
 
+  if (!run->start_unanswered && !run->start_in_flight)
+    {
+      run_requeue (shard, now, handle, "worker restarted");
+      return;
+    }
   /* The new incarnation may still execute the start, until it has answered a
-     stop. */
-  if (run->start_unanswered || run->start_in_flight)
-    run_stop (shard, now, handle, "worker restarted, start not answered");
-  else
-    run_requeue (shard, now, handle, "worker restarted");
+     stop itself. */
+  run->state = RUN_STARTING;
+  run->stops_answered = 0;
+  run_set_due (shard, run, now);
+  run_stop (shard, now, handle, "worker restarted, start not answered");
 }
 
 void
--- a/src/shard/test_shard_settle.c
+++ b/src/shard/test_shard_settle.c
@@ -19,6 +19,8 @@
 } waiting_hold_t;
 
 static int64_t started_ms; /* start of the incarnation of all workers */
+static bool stops_answered;
+static shard_call_t last_stop;
 static shard_call_t last_start;
 static uint32_t starts;
 static GArray *holds; /* waiting_hold_t */
@@ -29,6 +31,7 @@
   set_up ();
   shard_loaded (fixture.shard, fixture.now);
   started_ms = START_WALL_MS;
+  stops_answered = true;
   starts = 0;
   holds = g_array_new (FALSE, FALSE, sizeof (waiting_hold_t));
   list_worker_with ("w1", "10.0.0.1:1", false);
@@ -65,7 +68,9 @@
   switch (call->kind)
     {
     case SHARD_STOP:
-      shard_reply (fixture.shard, fixture.now, call->id, &ok);
+      last_stop = *call;
+      if (stops_answered)
+        shard_reply (fixture.shard, fixture.now, call->id, &ok);
       break;
     case SHARD_HOLD:
       g_array_append_val (holds, hold);
@@ -143,11 +148,58 @@
   tear_down_workers ();
 }
 
+/* Guards against two runs of a task: the worker restarts after it has answered
+   a stop, and its new incarnation may still execute the late start. */
+static void
+test_restart_after_stop (void)
+{
+  static const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+
+  reject_unanswered_start ();
+  run_workers (100 * USEC_PER_MSEC);
+  stops_answered = false;
+  run_workers (300 * USEC_PER_MSEC);
+  started_ms += 1000;
+  run_workers (2 * SETTLE_LIMIT);
+  CU_ASSERT_EQUAL (starts, 2);
+  shard_reply (fixture.shard, fixture.now, last_stop.id, &none);
+  stops_answered = true;
+  run_workers (SETTLE_LIMIT);
+  CU_ASSERT_EQUAL (starts, 3);
+  tear_down_workers ();
+}
+
+/* Guards against two runs of a task: an answer to a stop that the former
+   incarnation of the worker sent arrives after the first list of the new
+   one. */
+static void
+test_late_answer_to_stop (void)
+{
+  static const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+  static const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+
+  reject_unanswered_start ();
+  stops_answered = false;
+  run_workers (100 * USEC_PER_MSEC);
+  started_ms += 1000;
+  run_workers (SETTLE_LIMIT);
+  shard_reply (fixture.shard, fixture.now, last_stop.id, &ok);
+  run_workers (2 * SETTLE_LIMIT);
+  CU_ASSERT_EQUAL (starts, 2);
+  shard_reply (fixture.shard, fixture.now, last_stop.id, &none);
+  stops_answered = true;
+  run_workers (SETTLE_LIMIT);
+  CU_ASSERT_EQUAL (starts, 3);
+  tear_down_workers ();
+}
+
 int
 main (void)
 {
   const suite_test_t tests[] = {
     { "stops outpace lists", test_stops_outpace_lists },
+    { "restart after stop", test_restart_after_stop },
+    { "late answer to stop", test_late_answer_to_stop },
   };
   int code;
 
