Test that a task which crashes its workers is given up

Fails on this code, six of ten tests: the job is not failed after 12 s, and its task was started more than five times, which three crashes and fewer than three further starts allow. The others guard what runs beside such a task and pass already: racks that crash or lose power, crashes long after a start, planned stops.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -77,6 +77,10 @@
      "runs that were stopped since they did not advance")                     \
   X (RUNS_UNSETTLED, "runs_unsettled", "runs", "gauge",                       \
      "runs whose start or stop is not settled yet, counted once a second")    \
+  X (CRASH_SUSPECTS, "crash_suspects_total", "runs", "counter",               \
+     "runs that had just started when their worker crashed")                  \
+  X (TASKS_GIVEN_UP, "tasks_given_up_total", "tasks", "counter",              \
+     "tasks given up since workers crash when they start")                    \
   X (RUNS_NO_ROOM, "runs_no_room_total", "calls", "counter",                  \
      "starts that a worker rejected for want of room")                        \
   X (WORKER_HOLDS, "worker_holds_total", "calls", "counter",                  \
--- /dev/null
+++ b/src/shard/test_shard_crashes.c
@@ -0,0 +1,468 @@
+/* Unit tests of tasks that crash their workers: they are given up, and tasks
+   that only ran beside them are not. */
+#include "base/counters.h"
+#include "base/log.h"
+#include "support/shard_fixture.h"
+#include "support/suite.h"
+
+#include <CUnit/CUnit.h>
+#include <string.h>
+
+#define WORKERS 8U
+#define RACKS 4U
+#define STEP (10 * USEC_PER_MSEC)
+#define DOWN_TIME (3 * USEC_PER_SEC)
+#define OTHER_JOB 0x77ULL
+/* The users' limit: three starts after three workers have crashed. */
+#define MAX_STARTS 5U
+
+typedef enum
+{
+  WORKER_UP,
+  WORKER_REFUSES, /* its process has ended */
+  WORKER_SILENT   /* without power */
+} worker_state_t;
+
+typedef struct
+{
+  char id[8];
+  char address[16];
+  char rack[4];
+  worker_state_t state;
+  usec_t back_at;
+  int64_t started_ms;
+  bool leaving;
+  GArray *runs; /* run_id_t */
+} sim_worker_t;
+
+/* A call that is answered later. */
+typedef struct
+{
+  shard_call_t call;
+  usec_t answer_at;
+} waiting_call_t;
+
+static sim_worker_t workers[WORKERS];
+static GArray *waiting; /* waiting_call_t */
+static uint32_t starts; /* of the task that crashes its worker */
+static bool crashes;    /* the first task of JOB_ID crashes its worker */
+static bool answers_start;
+
+static sim_worker_t *
+find_worker (const char *id)
+{
+  for (uint32_t i = 0; i < WORKERS; i++)
+    if (strcmp (workers[i].id, id) == 0)
+      return &workers[i];
+  return NULL;
+}
+
+static void
+list_workers (void)
+{
+  for (uint32_t i = 0; i < WORKERS; i++)
+    if (workers[i].leaving)
+      list_worker_with (workers[i].id, workers[i].address, true);
+    else if (workers[i].state == WORKER_UP)
+      list_worker_on (workers[i].id, workers[i].address, workers[i].rack,
+                      workers[i].started_ms);
+}
+
+static void
+set_up_workers (void)
+{
+  set_up ();
+  waiting = g_array_new (FALSE, FALSE, sizeof (waiting_call_t));
+  starts = 0;
+  crashes = answers_start = true;
+  for (uint32_t i = 0; i < WORKERS; i++)
+    {
+      sim_worker_t *w = &workers[i];
+
+      *w = (sim_worker_t){ .started_ms = START_WALL_MS };
+      g_snprintf (w->id, sizeof w->id, "w%u", i);
+      g_snprintf (w->address, sizeof w->address, "10.0.0.%u:1", i);
+      g_snprintf (w->rack, sizeof w->rack, "r%u", i % RACKS);
+      w->runs = g_array_new (FALSE, FALSE, sizeof (run_id_t));
+    }
+  shard_loaded (fixture.shard, fixture.now);
+  list_workers ();
+}
+
+static void
+tear_down_workers (void)
+{
+  for (uint32_t i = 0; i < WORKERS; i++)
+    g_array_free (workers[i].runs, TRUE);
+  g_array_free (waiting, TRUE);
+  tear_down ();
+}
+
+static void
+stop_worker (sim_worker_t *w, worker_state_t state)
+{
+  w->state = state;
+  w->back_at = fixture.now + DOWN_TIME;
+  g_array_set_size (w->runs, 0);
+}
+
+static void
+revive_workers (void)
+{
+  for (uint32_t i = 0; i < WORKERS; i++)
+    if (workers[i].state != WORKER_UP && fixture.now >= workers[i].back_at)
+      {
+        workers[i].state = WORKER_UP;
+        workers[i].started_ms = START_WALL_MS + usec_to_msec (fixture.now);
+      }
+}
+
+static void
+answer_hold (sim_worker_t *w, const shard_call_t *call)
+{
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (run_report_t));
+  shard_reply_t lists = { .kind = SHARD_REPLY_OK,
+                          .clock_ms = usec_to_msec (fixture.now),
+                          .started_ms = w->started_ms,
+                          .has_lists = true };
+
+  for (guint i = 0; i < w->runs->len; i++)
+    {
+      run_report_t row = { .run_id = g_array_index (w->runs, run_id_t, i),
+                           .checkpoint = "",
+                           .percent = (uint32_t)(fixture.now / 30000) };
+
+      g_array_append_val (rows, row);
+    }
+  lists.runs = (const run_report_t *)(void *)rows->data;
+  lists.run_count = rows->len;
+  shard_reply (fixture.shard, fixture.now, call->id, &lists);
+  g_array_free (rows, TRUE);
+}
+
+static void
+answer_start (sim_worker_t *w, const shard_call_t *call)
+{
+  static const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  static const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+  bool fatal = crashes && call->run_id.job == JOB_ID && !call->run_id.index;
+
+  starts += call->run_id.job == JOB_ID && !call->run_id.index;
+  g_array_append_val (w->runs, call->run_id);
+  shard_reply (fixture.shard, fixture.now, call->id,
+               fatal && !answers_start ? &none : &ok);
+  if (fatal)
+    stop_worker (w, WORKER_REFUSES);
+}
+
+static void
+drop_run (sim_worker_t *w, const run_id_t *run_id)
+{
+  for (guint i = 0; i < w->runs->len; i++)
+    if (memcmp (&g_array_index (w->runs, run_id_t, i), run_id, sizeof *run_id)
+        == 0)
+      {
+        g_array_remove_index_fast (w->runs, i);
+        return;
+      }
+}
+
+static void
+answer_call (const waiting_call_t *c)
+{
+  static const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  static const shard_reply_t refused = { .kind = SHARD_REPLY_REFUSED };
+  static const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+  sim_worker_t *w = find_worker (c->call.worker);
+
+  if (w->state != WORKER_UP)
+    shard_reply (fixture.shard, fixture.now, c->call.id,
+                 w->state == WORKER_SILENT ? &none : &refused);
+  else if (c->call.kind == SHARD_HOLD)
+    answer_hold (w, &c->call);
+  else if (c->call.kind == SHARD_START)
+    answer_start (w, &c->call);
+  else
+    {
+      drop_run (w, &c->call.run_id);
+      shard_reply (fixture.shard, fixture.now, c->call.id, &ok);
+    }
+}
+
+/* @return when the worker answers a call: at once if it refuses the
+   connection */
+static usec_t
+answer_time (const waiting_call_t *c)
+{
+  switch (find_worker (c->call.worker)->state)
+    {
+    case WORKER_REFUSES:
+      return fixture.now;
+    case WORKER_SILENT:
+      return c->answer_at - c->call.wait + c->call.timeout;
+    default:
+      return c->answer_at;
+    }
+}
+
+static void
+answer_due_calls (void)
+{
+  for (guint i = 0; i < waiting->len;)
+    {
+      waiting_call_t c = g_array_index (waiting, waiting_call_t, i);
+
+      if (fixture.now < answer_time (&c))
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index (waiting, i);
+      answer_call (&c);
+    }
+}
+
+static void
+run_workers (usec_t span)
+{
+  for (usec_t end = fixture.now + span; fixture.now < end;)
+    {
+      for (size_t i = 0; i < fixture.call_count; i++)
+        {
+          waiting_call_t c
+              = { fixture.calls[i], fixture.now + fixture.calls[i].wait };
+
+          g_array_append_val (waiting, c);
+        }
+      fixture.call_count = 0;
+      answer_due_calls ();
+      revive_workers ();
+      list_workers ();
+      shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+      advance (STEP);
+    }
+}
+
+static job_status_t
+status_of (job_id_t job)
+{
+  job_status_t status = JOB_QUEUED;
+
+  shard_status (fixture.shard, job, &status);
+  return status;
+}
+
+static void
+check_given_up (void)
+{
+  run_workers (12 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
+  CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
+}
+
+/* Guards against a task that crashes one worker after another. */
+static void
+test_task_crashes_workers (void)
+{
+  uint64_t before = counter_get (COUNTER_TASKS_GIVEN_UP);
+
+  set_up_workers ();
+  add_job (1);
+  check_given_up ();
+  CU_ASSERT_EQUAL (counter_get (COUNTER_TASKS_GIVEN_UP), before + 1);
+  tear_down_workers ();
+}
+
+/* The same with starts that the crashing worker does not answer. */
+static void
+test_unanswered_start (void)
+{
+  set_up_workers ();
+  answers_start = false;
+  add_job (1);
+  check_given_up ();
+  tear_down_workers ();
+}
+
+/* Guards against long-running tasks, which have no limit of attempts. */
+static void
+test_long_running_task (void)
+{
+  submission_t *submission = new_submission (2);
+
+  submission->steps[0].long_running = true;
+  set_up_workers ();
+  apply_submission (submission);
+  check_given_up ();
+  tear_down_workers ();
+}
+
+/* Guards against gangs, whose members start and stop together. */
+static void
+test_gang (void)
+{
+  submission_t *submission = new_submission (3);
+
+  submission->steps[0].gang = true;
+  set_up_workers ();
+  apply_submission (submission);
+  check_given_up ();
+  tear_down_workers ();
+}
+
+/* Guards against a crash that is blamed on the tasks beside its cause. */
+static void
+test_neighbours_go_on (void)
+{
+  set_up_workers ();
+  for (uint32_t i = 0; i < 20; i++)
+    add_job_with_id (OTHER_JOB + i, 1);
+  add_job (1);
+  check_given_up ();
+  for (uint32_t i = 0; i < 20; i++)
+    CU_ASSERT_EQUAL (status_of (OTHER_JOB + i), JOB_RUNNING);
+  tear_down_workers ();
+}
+
+/* Guards against a count that a successor does not know. */
+static void
+test_successor (void)
+{
+  GByteArray *progress = g_byte_array_new ();
+
+  set_up_workers ();
+  add_job (1);
+  while (starts < 2)
+    run_workers (STEP);
+  run_workers (300 * USEC_PER_MSEC);
+  g_byte_array_append (progress, fixture.progress->data,
+                       fixture.progress->len);
+  shard_acquire (fixture.shard, fixture.now, 2);
+  g_array_set_size (waiting, 0);
+  fixture.call_count = 0;
+  add_job (1);
+  shard_apply_record (fixture.shard, fixture.now, RECORD_PROGRESS, JOB_ID,
+                      (blob_t){ (char *)progress->data, progress->len });
+  shard_loaded (fixture.shard, fixture.now);
+  g_byte_array_unref (progress);
+  check_given_up ();
+  tear_down_workers ();
+}
+
+/* Stops all workers of the rack of the first task of JOB_ID. */
+static void
+stop_rack (worker_state_t state)
+{
+  for (uint32_t i = 0; i < WORKERS; i++)
+    for (guint k = 0; k < workers[i].runs->len; k++)
+      if (g_array_index (workers[i].runs, run_id_t, k).job == JOB_ID)
+        {
+          for (uint32_t other = i % RACKS; other < WORKERS; other += RACKS)
+            stop_worker (&workers[other], state);
+          return;
+        }
+}
+
+static void
+lose_power (worker_state_t state, usec_t after)
+{
+  set_up_workers ();
+  crashes = false;
+  add_job (1);
+  for (int i = 0; i < 6; i++)
+    {
+      uint32_t before = starts;
+
+      for (int k = 0; k < 3000 && starts == before; k++)
+        run_workers (STEP);
+      run_workers (after);
+      stop_rack (state);
+    }
+  run_workers (12 * USEC_PER_SEC);
+  CU_ASSERT (starts >= 6);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_RUNNING);
+  tear_down_workers ();
+}
+
+/* Guards against jobs that fail because their racks crash. */
+static void
+test_racks_crash (void)
+{
+  lose_power (WORKER_REFUSES, 100 * USEC_PER_MSEC);
+}
+
+/* Guards against jobs that fail because workers lose power or are cut off. */
+static void
+test_racks_are_silent (void)
+{
+  lose_power (WORKER_SILENT, 100 * USEC_PER_MSEC);
+}
+
+/* Guards against crashes long after the start that are blamed on the task. */
+static void
+test_late_crashes (void)
+{
+  set_up_workers ();
+  crashes = false;
+  add_job (1);
+  for (int i = 0; i < 6; i++)
+    {
+      run_workers (4 * USEC_PER_SEC);
+      for (uint32_t w = 0; w < WORKERS; w++)
+        if (workers[w].runs->len)
+          stop_worker (&workers[w], WORKER_REFUSES);
+    }
+  run_workers (4 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (starts, 7);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_RUNNING);
+  tear_down_workers ();
+}
+
+/* Guards against planned stops of workers that are blamed on their tasks. */
+static void
+test_leaving_workers (void)
+{
+  set_up_workers ();
+  crashes = false;
+  add_job (1);
+  for (int i = 0; i < 6; i++)
+    {
+      uint32_t before = starts;
+
+      while (starts == before)
+        run_workers (STEP);
+      for (uint32_t w = 0; w < WORKERS; w++)
+        if (workers[w].runs->len)
+          {
+            workers[w].leaving = true;
+            list_workers ();
+            stop_worker (&workers[w], WORKER_REFUSES);
+          }
+    }
+  run_workers (USEC_PER_SEC);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_RUNNING);
+  tear_down_workers ();
+}
+
+int
+main (void)
+{
+  const suite_test_t tests[] = {
+    { "task crashes workers", test_task_crashes_workers },
+    { "unanswered start", test_unanswered_start },
+    { "long-running task", test_long_running_task },
+    { "gang", test_gang },
+    { "neighbours go on", test_neighbours_go_on },
+    { "successor", test_successor },
+    { "racks crash", test_racks_crash },
+    { "racks are silent", test_racks_are_silent },
+    { "late crashes", test_late_crashes },
+    { "leaving workers", test_leaving_workers },
+  };
+  int code;
+
+  log_open ("test", g_getenv ("TEST_LOG") ? LOG_LEVEL_DEBUG : LOG_LEVEL_ERR);
+  code = suite_main ("shard crashes", tests, sizeof tests / sizeof *tests);
+  g_byte_array_unref (fixture.progress);
+  return code;
+}
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -150,34 +150,47 @@
   zones_free (fixture.zones);
 }
 
-static void
-pass_worker (const char *id, const char *address, const char *zone,
-             bool leaving)
+static const shard_worker_t listed_worker = { .started_ms = START_WALL_MS,
+                                              .service = "service",
+                                              .label = "a",
+                                              .rack = "r",
+                                              .zone = "z1",
+                                              .millicores = 4000,
+                                              .memory_mb = 4000 };
+
+void
+list_worker_with (const char *id, const char *address, bool leaving)
 {
-  const shard_worker_t info = { .id = id,
-                                .started_ms = START_WALL_MS,
-                                .address = address,
-                                .service = "service",
-                                .label = "a",
-                                .rack = "r",
-                                .zone = zone,
-                                .millicores = 4000,
-                                .memory_mb = 4000,
-                                .leaving = leaving };
+  shard_worker_t info = listed_worker;
 
+  info.id = id;
+  info.address = address;
+  info.leaving = leaving;
   shard_worker_listed (fixture.shard, fixture.now, &info);
 }
 
 void
-list_worker_with (const char *id, const char *address, bool leaving)
+list_worker_in (const char *id, const char *address, const char *zone)
 {
-  pass_worker (id, address, "z1", leaving);
+  shard_worker_t info = listed_worker;
+
+  info.id = id;
+  info.address = address;
+  info.zone = zone;
+  shard_worker_listed (fixture.shard, fixture.now, &info);
 }
 
 void
-list_worker_in (const char *id, const char *address, const char *zone)
+list_worker_on (const char *id, const char *address, const char *rack,
+                int64_t started_ms)
 {
-  pass_worker (id, address, zone, false);
+  shard_worker_t info = listed_worker;
+
+  info.id = id;
+  info.address = address;
+  info.rack = rack;
+  info.started_ms = started_ms;
+  shard_worker_listed (fixture.shard, fixture.now, &info);
 }
 
 void
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -50,6 +50,9 @@
 void list_worker_with (const char *id, const char *address, bool leaving);
 /** Lists a worker in an availability zone. */
 void list_worker_in (const char *id, const char *address, const char *zone);
+/** Lists an incarnation of a worker in a rack. */
+void list_worker_on (const char *id, const char *address, const char *rack,
+                     int64_t started_ms);
 /** Lists a worker that then replies to its first hold. */
 void add_ready_worker (void);
 
