Give up tasks that crash their workers

Cause: a run that is lost with its worker was requeued and counted for nothing; only ends "failed" have a limit, and long-running tasks have none. Ruled out: a count lost at takeovers (there was none).

A crash is told from a loss of power or link by refused connections. It counts against the tasks that the worker had started within the last second, unless the whole rack, or a worker on which nothing had just started, crashed at the same moment, or the worker was leaving. Suspects are kept apart from one another, so that the next crash tells which is the cause, and are cleared when a run lives for a second. At the third crash, if no other suspect of as many crashes was there, else at the fifth, the job fails: fewer than three starts after three crashes.

A start that is answered with "refused" may have been executed: the HTTP client repeats a call on a new connection if the old one ends.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -68,6 +68,20 @@
 PARTIAL_READ_CONFIRMS|src/scheduler/sched_operator.c|scheduler/test_operator|s/if (!records->has_more)/if (1)/
 ZONE_NOT_TAKEN_BACK|src/zones/zones.c|zones/test_zones|s/changed |= set_evacuated (zones, now, zone, false);//
 ZONE_GOES_BACK|src/zones/zones.c|zones/test_zones|s/version <= zone->version/false/
+STOP_MOVES_EVIDENCE|src/shard/shard_calls.c|shard/test_shard_settle|s/if (!run->stops_answered)/if (1)/
+RESTART_KEEPS_STOP|src/shard/shard_runs.c|shard/test_shard_settle|s/  run->state = RUN_STARTING;//
+FORMER_STOP_COUNTS|src/shard/shard_calls.c|shard/test_shard_settle|s/ *&& sent >= worker_get (shard, run->worker)->started_known_at)/)/
+CRASH_NOT_COUNTED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/->crashes++;/->crashes += 0;/
+CRASHES_NOT_STORED|src/jobs/job_record.c|shard/test_shard_crashes|s/task->crashes = (uint32_t)uint_at (fields, 7);//
+SUSPECTS_TOGETHER|src/shard/shard_choose.c|shard/test_shard_crashes|s/|| crashes_keep_apart (now, worker, task))/)/
+SUSPECT_NOT_CLEARED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/    task->crashes = 0;/    ;/
+RACK_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return in_rack \&\& !rack_works;/return false;/
+COMMON_CAUSE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (together \&\& crashed_without_start (shard, other))/if (0)/
+SILENCE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/first_refusal - worker->in_doubt_since <= REFUSAL_DELAY/true/
+LEAVING_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return !worker->leaving/return true/
+LATE_CRASH_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return earliest_crash (shard, worker) - run->started_at < CRASH_WINDOW;/return true;/
+PAUSED_OWNER_BLIND|src/shard/shard_crashes.c|shard/test_shard_crashes|s/in_doubt_since - worker->last_answer > shard->config.poll_idle/in_doubt_since < 0/
+UNANSWERED_NOT_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return run->start_sent;/return run->start_unanswered;/
 UNBOUNDED_OCCURRENCES|src/jobs/jobs.c|jobs/test_jobs|s/JOB_MAX_TASKS;$/JOB_MAX_TASKS * 4;/
 TABLE
 }
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -25,7 +25,7 @@
 #define SUBMISSION_FIELDS 13
 #define STEP_FIELDS 13
 #define PROGRESS_FIELDS 6
-#define TASK_FIELDS 7
+#define TASK_FIELDS 8
 
 static void pack_step (msgpack_packer *packer, const step_t *step);
 static void pack_string (msgpack_packer *packer, const char *text);
@@ -266,6 +266,7 @@
   msgpack_pack_int64 (packer, task->place.life_ms);
   pack_string (packer, task->checkpoint);
   pack_string (packer, task->place.address);
+  msgpack_pack_uint32 (packer, task->crashes);
 }
 
 int
@@ -394,6 +395,7 @@
   task->run = (uint32_t)uint_at (fields, 1);
   task->failures = (uint32_t)uint_at (fields, 2);
   task->checkpoint = string_at (fields, 5);
+  task->crashes = (uint32_t)uint_at (fields, 7);
   if (state == TASK_PLACED)
     {
       place_t place = { string_at (fields, 3), int_at (fields, 4),
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -89,7 +89,7 @@
                         that is no longer listed */
 } place_t;
 
-/** A task.  The last three fields are not stored. */
+/** A task.  The fields from RUN_HANDLE on are not stored. */
 typedef struct
 {
   task_state_t state;
@@ -97,6 +97,8 @@
   uint32_t failures; /**< runs that ended in failure */
   place_t place;     /**< of the newest run, while placed */
   char *checkpoint;  /**< newest checkpoint, NULL for none */
+  uint32_t crashes;  /**< workers that crashed as they had just started it,
+                          since a run of it lived on */
   uint32_t
       run_handle;  /**< newest run in the owner's table, HANDLE_NONE: none */
   uint32_t stalls; /**< runs stopped because they made no progress */
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -271,7 +271,7 @@
               usec_to_msec (now - worker->last_answer),
               task->checkpoint != NULL);
   if (!run->start_sent)
-    run->unsettled_since = now;
+    run->unsettled_since = run->started_at = now;
   run->start_sent = true;
   worker_lease_sent (shard, worker, now, call.lease_until);
   counter_add (COUNTER_RUNS_STARTED, 1);
@@ -321,10 +321,10 @@
   if (reply->kind == SHARD_REPLY_OTHER_WORKER)
     {
       worker->hold_due = now + HOLD_RETRY;
-      worker->in_doubt = true;
+      worker_doubt (worker, now);
       worker->unanswered_holds++;
-      run_requeue_all (shard, now, pending.worker,
-                       "another worker answers at its address");
+      crashes_worker_lost (shard, now, pending.worker,
+                           "another worker answers at its address");
       return;
     }
   if (reply->kind == SHARD_REPLY_NONE || reply->kind == SHARD_REPLY_REFUSED)
@@ -360,7 +360,7 @@
               worker->id, worker->runs->len,
               usec_to_msec (now - worker->last_answer),
               kind == SHARD_REPLY_REFUSED);
-  worker->in_doubt = true;
+  worker_doubt (worker, now);
   if (!worker->hold_in_flight)
     worker->hold_due = MIN (worker->hold_due, now);
 }
@@ -370,6 +370,7 @@
          const shard_reply_t *reply, usec_t sent, bool restarted)
 {
   worker_t *worker = worker_get (shard, handle);
+  GArray *given_up = NULL;
 
   if (reply->kind != SHARD_REPLY_OK || !reply->has_lists)
     {
@@ -387,7 +388,7 @@
         worker->refused_since = now;
       else if (worker->refused_holds >= DEAD_AFTER_REFUSALS
                && now - worker->refused_since >= DEAD_AFTER_REFUSED_SPAN)
-        run_requeue_all (shard, now, handle, "connections refused");
+        crashes_worker_lost (shard, now, handle, "connections refused");
       return;
     }
   if (!worker->fenced)
@@ -403,6 +404,11 @@
               reply->end_count);
   if (worker->in_doubt)
     shard->placement_needed = true;
+  if (restarted)
+    {
+      worker_doubt (worker, now);
+      given_up = crashes_note (shard, now, handle);
+    }
   restart_stall_timers (shard, now, worker);
   worker->in_doubt = false;
   worker->unanswered_holds = 0;
@@ -411,6 +417,8 @@
   apply_ends (shard, now, handle, reply);
   apply_runs (shard, now, handle, reply);
   requeue_missing_runs (shard, now, handle, sent, restarted);
+  if (given_up)
+    crashes_give_up (shard, now, given_up);
   sharing_apply_list (shard, now, handle);
   check_stalled (shard, now, handle);
   worker = worker_get (shard, handle);
@@ -513,6 +521,7 @@
       const run_report_t *report = &reply->runs[i];
       handle_t found = find_run (shard, handle, &report->run_id);
       run_t *run = run_get (shard, found);
+      task_t *task;
       char text[64];
 
       if (!run)
@@ -531,10 +540,11 @@
         run->progressed_at = now;
       run->percent = report->percent;
       run->measure = report->measure;
-      task_set_checkpoint (job_task (shard_entry (shard, run->run_id.job)->job,
-                                     run->run_id.occurrence, run->run_id.step,
-                                     run->run_id.index),
-                           report->checkpoint);
+      task = job_task (shard_entry (shard, run->run_id.job)->job,
+                       run->run_id.occurrence, run->run_id.step,
+                       run->run_id.index);
+      task_set_checkpoint (task, report->checkpoint);
+      crashes_run_listed (now, run, task);
       run->in_list = true;
     }
 }
--- a/src/shard/shard_choose.c
+++ b/src/shard/shard_choose.c
@@ -49,7 +49,8 @@
   handle = choose_best_worker (shard, now, c, index, false);
   if (handle == HANDLE_NONE && step->target_latency_ms)
     handle = choose_best_worker (shard, now, c, index, true);
-  if (handle == HANDLE_NONE)
+  /* A suspect may be kept off workers that suit other tasks. */
+  if (handle == HANDLE_NONE && !c->occurrence->tasks[c->step][index].crashes)
     note_unplaceable (shard, c);
   return handle;
 }
@@ -99,7 +100,7 @@
                     uint32_t index, bool ignore_interference)
 {
   const step_t *step = &c->entry->job->submission->steps[c->step];
-  handle_t avoid = c->occurrence->tasks[c->step][index].avoid;
+  const task_t *task = &c->occurrence->tasks[c->step][index];
   handle_t best = HANDLE_NONE;
   int64_t best_score = INT64_MAX;
 
@@ -109,11 +110,12 @@
       const worker_t *worker = worker_get (shard, h);
       int64_t s;
 
-      if (worker_fits (shard, now, worker, c) != FIT_OK)
+      if (worker_fits (shard, now, worker, c) != FIT_OK
+          || crashes_keep_apart (now, worker, task))
         continue;
-      s = score (shard, worker, c);
+      s = score (shard, worker, c) + crashes_score (now, worker, task);
       /* Last resort: the worker where the task failed or stalled. */
-      if (h == avoid)
+      if (h == task->avoid)
         s += SCORE_OF_AVOIDED_WORKER;
       /* The runs on the worker are checked last, since that is the most
          expensive part. */
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -41,16 +41,20 @@
       return;
     }
   for (uint32_t i = 0; i < step->count; i++)
-    if (c->occurrence->tasks[c->step][i].state == TASK_WAITING
-        && !place_task (shard, now, c, i))
-      return;
+    {
+      const task_t *task = &c->occurrence->tasks[c->step][i];
+
+      if (task->state == TASK_WAITING && !place_task (shard, now, c, i)
+          && !task->crashes)
+        return;
+    }
 }
 
 static bool
 place_task (shard_t *shard, usec_t now, const candidate_t *c, uint32_t index)
 {
   handle_t handle = choose_worker (shard, now, c, index);
-  const worker_t *worker = worker_get (shard, handle);
+  worker_t *worker = worker_get (shard, handle);
   place_t place;
 
   if (!worker)
@@ -59,6 +63,7 @@
   task_place (c->entry->job, c->occurrence, c->step, index, &place);
   run_add (shard, c->entry->job, c->occurrence, c->step, index, handle,
            RUN_UNSTORED);
+  crashes_task_placed (now, worker, &c->occurrence->tasks[c->step][index]);
   sharing_task_placed (shard, now, worker,
                        &c->entry->job->submission->steps[c->step]);
   shard_mark_dirty (shard, c->entry);
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -42,6 +42,7 @@
                                 settled, 0: none is */
   usec_t unsettled_log_due;
   usec_t call_due;        /* next time to send the start or the stop */
+  usec_t started_at;      /* the first start was sent, or the run adopted */
   usec_t accepted_at;     /* when it became RUN_ACKNOWLEDGED */
   usec_t acknowledged_at; /* successful answer to the start, first answer to a
                              stop, or first listing; 0: none */
@@ -104,6 +105,7 @@
   bool fenced;   /* has answered a hold with this owner's token */
   bool in_doubt; /* a call was not answered: nothing is started there until a
                     hold is answered */
+  usec_t in_doubt_since;
   bool hold_in_flight;
   usec_t hold_due;
   usec_t last_answer;
@@ -118,6 +120,14 @@
   uint32_t failures;        /* consecutive failed runs, each of another job */
   job_id_t failed_job;      /* job of the last counted failure */
   usec_t avoid_until;       /* gets no new runs until then */
+  /* A run may crash the worker soon after its start: the run placed last until
+     YOUNG_UNTIL, a suspected one until SUSPECT_UNTIL, a strongly suspected one
+     until STRONG_SUSPECT_UNTIL. */
+  usec_t young_until;
+  usec_t suspect_until;
+  usec_t strong_suspect_until;
+  usec_t crash_noted;       /* IN_DOUBT_SINCE of the latest noted crash */
+  bool crash_without_start; /* no run had just started at that crash */
 } worker_t;
 
 /* A call that is not answered yet. */
@@ -272,6 +282,8 @@
 /** Counts consecutive failures and pauses a worker with several. */
 void worker_record_result (worker_t *worker, usec_t now, job_id_t job,
                            bool failed);
+/** Starts nothing on the worker until it has answered a hold. */
+void worker_doubt (worker_t *worker, usec_t now);
 /** Places no new runs on the worker before UNTIL. */
 void worker_avoid (worker_t *worker, usec_t until);
 void worker_reserve (worker_t *worker, const run_t *run);
@@ -391,6 +403,26 @@
   usec_t oldest; /* since its first call */
 } unsettled_t;
 
+/* shard_crashes.c */
+/** Counts a crash of the worker against the tasks that may have caused it.
+    @return job_id_t of the jobs to be given up, for crashes_give_up */
+GArray *crashes_note (shard_t *shard, usec_t now, handle_t worker);
+/** Fails the jobs, and frees the array. */
+void crashes_give_up (shard_t *shard, usec_t now, GArray *given_up);
+/** Notes a crash of the worker, and requeues the tasks of its runs. */
+void crashes_worker_lost (shard_t *shard, usec_t now, handle_t worker,
+                          const char *why);
+/** Clears a task whose run has lived long enough. */
+void crashes_run_listed (usec_t now, const run_t *run, task_t *task);
+void crashes_task_placed (usec_t now, worker_t *worker, const task_t *task);
+/** @return whether the task must not be placed on the worker yet, since
+   another suspect there has just started */
+bool crashes_keep_apart (usec_t now, const worker_t *worker,
+                         const task_t *task);
+/** @return penalty for a task on the worker: tasks under suspicion and tasks
+    that have just started are kept apart where possible */
+int64_t crashes_score (usec_t now, const worker_t *worker, const task_t *task);
+
 /* shard_unsettled.c */
 /** Counts the unsettled runs, and logs those that have been so for long. */
 void unsettled_count (shard_t *shard, usec_t now, unsettled_t *counts);
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -361,7 +361,10 @@
       g_free (worker->address);
       worker->address = g_strdup (task->place.address);
     }
-  run_add (shard, job, occurrence, step, index, worker_handle, RUN_ADOPTED);
+  run_get (shard, run_add (shard, job, occurrence, step, index, worker_handle,
+                           RUN_ADOPTED))
+      ->started_at
+      = shard->owned_since;
 }
 
 void
--- a/src/shard/shard_waits.c
+++ b/src/shard/shard_waits.c
@@ -8,6 +8,7 @@
    workers. */
 #define LOG_INTERVAL (2 * USEC_PER_SEC)
 
+static uint32_t count_suspects (const candidate_t *c);
 static void count_workers (const shard_t *shard, usec_t now,
                            const candidate_t *c, uint32_t counts[FIT_COUNT]);
 
@@ -38,11 +39,24 @@
   log_item (LOG_LEVEL_INFO, entry->job->id, "step.waits", NULL,
             "job=%016" PRIx64 " occurrence=%u step_number=%u tasks=%u"
             " waited_ms=%" PRId64 " late=%d fits=%u away=%u evacuated=%u"
-            " full=%u excluded=%u disturbed=%u",
+            " full=%u excluded=%u disturbed=%u suspected=%u",
             entry->job->id, c->occurrence->number, c->step, tasks,
             usec_to_msec (now - entry->waits_since), c->late, counts[FIT_OK],
             counts[FIT_AWAY], counts[FIT_EVACUATED], counts[FIT_FULL],
-            counts[FIT_EXCLUDED], counts[FIT_DISTURBED]);
+            counts[FIT_EXCLUDED], counts[FIT_DISTURBED], count_suspects (c));
+}
+
+/* @return waiting tasks of the step that may have crashed a worker */
+static uint32_t
+count_suspects (const candidate_t *c)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < c->entry->job->submission->steps[c->step].count;
+       i++)
+    count += c->occurrence->tasks[c->step][i].state == TASK_WAITING
+             && c->occurrence->tasks[c->step][i].crashes;
+  return count;
 }
 
 static void
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -45,7 +45,7 @@
   /* A former owner may have extended leases until its stale_limit was over. */
   worker->leases_expired_at = shard->owned_since + shard->config.stale_limit
                               + worker_max_lease_duration (shard);
-  worker->in_doubt = true;
+  worker_doubt (worker, shard->owned_since);
   worker->last_answer = shard->owned_since;
   g_hash_table_insert (shard->workers_by_id, g_strdup (id),
                        GUINT_TO_POINTER (handle));
@@ -102,7 +102,7 @@
     {
       /* Nothing is known of the runs of the new incarnation until its next
          list arrives. */
-      worker->in_doubt = true;
+      worker_doubt (worker, now);
       worker->hold_due = now;
     }
   if (!worker->started_ms)
@@ -249,6 +249,14 @@
     }
 }
 
+void
+worker_doubt (worker_t *worker, usec_t now)
+{
+  if (!worker->in_doubt)
+    worker->in_doubt_since = now;
+  worker->in_doubt = true;
+}
+
 void
 worker_avoid (worker_t *worker, usec_t until)
 {
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -10,8 +10,10 @@
 
 #define WORKERS 8U
 #define RACKS 4U
+#define GANG_MEMBERS 3U
 #define STEP (10 * USEC_PER_MSEC)
 #define DOWN_TIME (3 * USEC_PER_SEC)
+#define GANG_TIMEOUT (3 * USEC_PER_SEC)
 #define OTHER_JOB 0x77ULL
 /* The users' limit: three starts after three workers have crashed. */
 #define MAX_STARTS 5U
@@ -33,6 +35,7 @@
   int64_t started_ms;
   bool leaving;
   GArray *runs; /* run_id_t */
+  GArray *ends; /* end_report_t */
 } sim_worker_t;
 
 /* A call that is answered later. */
@@ -46,7 +49,8 @@
 static GArray *waiting; /* waiting_call_t */
 static uint32_t starts; /* of the task that crashes its worker */
 static bool crashes;    /* the first task of JOB_ID crashes its worker */
-static bool answers_start;
+static shard_reply_kind_t fatal_reply; /* to the start of that task */
+static bool gang;                      /* all tasks are members of one */
 
 static sim_worker_t *
 find_worker (const char *id)
@@ -74,7 +78,9 @@
   set_up ();
   waiting = g_array_new (FALSE, FALSE, sizeof (waiting_call_t));
   starts = 0;
-  crashes = answers_start = true;
+  crashes = true;
+  fatal_reply = SHARD_REPLY_OK;
+  gang = false;
   for (uint32_t i = 0; i < WORKERS; i++)
     {
       sim_worker_t *w = &workers[i];
@@ -84,6 +90,7 @@
       g_snprintf (w->address, sizeof w->address, "10.0.0.%u:1", i);
       g_snprintf (w->rack, sizeof w->rack, "r%u", i % RACKS);
       w->runs = g_array_new (FALSE, FALSE, sizeof (run_id_t));
+      w->ends = g_array_new (FALSE, TRUE, sizeof (end_report_t));
     }
   shard_loaded (fixture.shard, fixture.now);
   list_workers ();
@@ -93,17 +100,54 @@
 tear_down_workers (void)
 {
   for (uint32_t i = 0; i < WORKERS; i++)
-    g_array_free (workers[i].runs, TRUE);
+    {
+      g_array_free (workers[i].runs, TRUE);
+      g_array_free (workers[i].ends, TRUE);
+    }
   g_array_free (waiting, TRUE);
   tear_down ();
 }
 
+/* Ends the other members of a gang. */
+static void
+break_gang (void)
+{
+  for (uint32_t i = 0; i < WORKERS; i++)
+    for (guint k = workers[i].runs->len; k > 0; k--)
+      {
+        end_report_t end = { workers[i].ends->len + 1,
+                             g_array_index (workers[i].runs, run_id_t, k - 1),
+                             RUN_GANG_BROKEN, "" };
+
+        g_array_append_val (workers[i].ends, end);
+        g_array_remove_index (workers[i].runs, k - 1);
+      }
+}
+
+/* Members that wait for the others end after a while. */
+static void
+end_partial_gang (void)
+{
+  static usec_t complete_at;
+  uint32_t members = 0;
+
+  for (uint32_t i = 0; i < WORKERS; i++)
+    members += workers[i].runs->len;
+  if (!members || members == GANG_MEMBERS || fixture.now < complete_at)
+    complete_at = fixture.now;
+  else if (fixture.now - complete_at >= GANG_TIMEOUT)
+    break_gang ();
+}
+
 static void
 stop_worker (sim_worker_t *w, worker_state_t state)
 {
   w->state = state;
   w->back_at = fixture.now + DOWN_TIME;
   g_array_set_size (w->runs, 0);
+  g_array_set_size (w->ends, 0);
+  if (gang)
+    break_gang ();
 }
 
 static void
@@ -136,6 +180,8 @@
     }
   lists.runs = (const run_report_t *)(void *)rows->data;
   lists.run_count = rows->len;
+  lists.ends = (const end_report_t *)(void *)w->ends->data;
+  lists.end_count = w->ends->len;
   shard_reply (fixture.shard, fixture.now, call->id, &lists);
   g_array_free (rows, TRUE);
 }
@@ -143,14 +189,13 @@
 static void
 answer_start (sim_worker_t *w, const shard_call_t *call)
 {
+  const shard_reply_t last = { .kind = fatal_reply };
   static const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
-  static const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
   bool fatal = crashes && call->run_id.job == JOB_ID && !call->run_id.index;
 
   starts += call->run_id.job == JOB_ID && !call->run_id.index;
   g_array_append_val (w->runs, call->run_id);
-  shard_reply (fixture.shard, fixture.now, call->id,
-               fatal && !answers_start ? &none : &ok);
+  shard_reply (fixture.shard, fixture.now, call->id, fatal ? &last : &ok);
   if (fatal)
     stop_worker (w, WORKER_REFUSES);
 }
@@ -237,6 +282,8 @@
       fixture.call_count = 0;
       answer_due_calls ();
       revive_workers ();
+      if (gang)
+        end_partial_gang ();
       list_workers ();
       shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
       advance (STEP);
@@ -255,7 +302,7 @@
 static void
 check_given_up (void)
 {
-  run_workers (12 * USEC_PER_SEC);
+  run_workers (20 * USEC_PER_SEC);
   CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
   CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
 }
@@ -278,7 +325,19 @@
 test_unanswered_start (void)
 {
   set_up_workers ();
-  answers_start = false;
+  fatal_reply = SHARD_REPLY_NONE;
+  add_job (1);
+  check_given_up ();
+  tear_down_workers ();
+}
+
+/* The same with starts that are repeated on a new connection, which the
+   crashed worker refuses. */
+static void
+test_refused_start (void)
+{
+  set_up_workers ();
+  fatal_reply = SHARD_REPLY_REFUSED;
   add_job (1);
   check_given_up ();
   tear_down_workers ();
@@ -301,10 +360,11 @@
 static void
 test_gang (void)
 {
-  submission_t *submission = new_submission (3);
+  submission_t *submission = new_submission (GANG_MEMBERS);
 
   submission->steps[0].gang = true;
   set_up_workers ();
+  gang = true;
   apply_submission (submission);
   check_given_up ();
   tear_down_workers ();
@@ -332,7 +392,7 @@
 
   set_up_workers ();
   add_job (1);
-  while (starts < 2)
+  for (int k = 0; k < 3000 && starts < 3; k++)
     run_workers (STEP);
   run_workers (300 * USEC_PER_MSEC);
   g_byte_array_append (progress, fixture.progress->data,
@@ -346,6 +406,45 @@
   shard_loaded (fixture.shard, fixture.now);
   g_byte_array_unref (progress);
   check_given_up ();
+  CU_ASSERT_EQUAL (starts, 3);
+  tear_down_workers ();
+}
+
+/* Guards against crashes that an owner notices late, since it was paused. */
+static void
+test_paused_owner (void)
+{
+  set_up_workers ();
+  add_job (1);
+  for (int i = 0; i < 3000 && status_of (JOB_ID) != JOB_FAILED; i++)
+    {
+      uint32_t before = starts;
+
+      run_workers (STEP);
+      if (starts != before)
+        fixture.now += 4 * USEC_PER_SEC;
+    }
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
+  CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
+  tear_down_workers ();
+}
+
+/* Guards against suspects that crash a worker together, so that nothing tells
+   which of them is the cause.  One worker is left for all. */
+static void
+test_suspects_one_by_one (void)
+{
+  set_up_workers ();
+  for (uint32_t w = 1; w < WORKERS; w++)
+    workers[w].leaving = true;
+  for (uint32_t i = 0; i < 3; i++)
+    add_job_with_id (OTHER_JOB + i, 1);
+  add_job (1);
+  run_workers (40 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
+  CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
+  for (uint32_t i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (status_of (OTHER_JOB + i), JOB_RUNNING);
   tear_down_workers ();
 }
 
@@ -398,6 +497,68 @@
   lose_power (WORKER_SILENT, 100 * USEC_PER_MSEC);
 }
 
+static void
+add_job_of_rack (job_id_t id)
+{
+  submission_t *submission = new_submission_with_id (id, 1);
+
+  submission->steps[0].required_label = g_strdup ("r0");
+  submission->steps[0].millicores = 3000;
+  apply_submission (submission);
+}
+
+/* The same for tasks that cannot run elsewhere: both have just started
+   whenever the rack crashes. */
+static void
+test_rack_of_bound_tasks_crashes (void)
+{
+  set_up_workers ();
+  crashes = false;
+  add_job_of_rack (JOB_ID);
+  add_job_of_rack (OTHER_JOB);
+  for (int i = 0; i < 6; i++)
+    {
+      uint32_t before = starts;
+
+      for (int k = 0; k < 3000 && starts == before; k++)
+        run_workers (STEP);
+      run_workers (100 * USEC_PER_MSEC);
+      stop_rack (WORKER_REFUSES);
+    }
+  CU_ASSERT (starts >= 6);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_RUNNING);
+  CU_ASSERT_EQUAL (status_of (OTHER_JOB), JOB_RUNNING);
+  tear_down_workers ();
+}
+
+/* Guards against jobs that fail because many workers crash at once. */
+static void
+test_workers_crash_together (void)
+{
+  set_up_workers ();
+  crashes = false;
+  add_job (1);
+  for (int i = 0; i < 6; i++)
+    {
+      uint32_t before = starts;
+
+      for (int k = 0; k < 3000 && starts == before; k++)
+        run_workers (STEP);
+      run_workers (100 * USEC_PER_MSEC);
+      for (uint32_t w = 0; w < WORKERS; w++)
+        if (workers[w].runs->len)
+          {
+            stop_worker (&workers[w], WORKER_REFUSES);
+            stop_worker (&workers[(w + 1) % WORKERS], WORKER_REFUSES);
+            break;
+          }
+    }
+  run_workers (12 * USEC_PER_SEC);
+  CU_ASSERT (starts >= 6);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_RUNNING);
+  tear_down_workers ();
+}
+
 /* Guards against crashes long after the start that are blamed on the task. */
 static void
 test_late_crashes (void)
@@ -429,7 +590,7 @@
     {
       uint32_t before = starts;
 
-      while (starts == before)
+      for (int k = 0; k < 300 && starts == before; k++)
         run_workers (STEP);
       for (uint32_t w = 0; w < WORKERS; w++)
         if (workers[w].runs->len)
@@ -450,11 +611,16 @@
   const suite_test_t tests[] = {
     { "task crashes workers", test_task_crashes_workers },
     { "unanswered start", test_unanswered_start },
+    { "refused start", test_refused_start },
     { "long-running task", test_long_running_task },
     { "gang", test_gang },
     { "neighbours go on", test_neighbours_go_on },
     { "successor", test_successor },
+    { "paused owner", test_paused_owner },
+    { "suspects one by one", test_suspects_one_by_one },
     { "racks crash", test_racks_crash },
+    { "rack of bound tasks crashes", test_rack_of_bound_tasks_crashes },
+    { "workers crash together", test_workers_crash_together },
     { "racks are silent", test_racks_are_silent },
     { "late crashes", test_late_crashes },
     { "leaving workers", test_leaving_workers },
