Confirm ends that change no job when nothing is left to be stored

Callers saw no fault of this so far; a worker saw an end that it listed again in every answer, since it was never confirmed, and was polled once a second without a wait, until some job changed.

Cause: an end that changes no job (of a run stopped as unknown, of a former owner's, of a gang that is done) counted as stored at once only if nothing was being stored at that moment. If an append of other jobs was in flight, only the next append confirmed it, and none came while no job changed.

Whether all applied ends are stored follows from the state (nothing dirty, no append in flight or to be retried) and is now looked up at each tick, for all workers. The append still carries the confirmations of a shard that always has something to store.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -34,6 +34,7 @@
    lists. */
 #define MISSING_AFTER_LISTS 2U
 
+static void mark_ends_stored (usec_t now, worker_t *worker);
 static void send_hold (shard_t *shard, usec_t now, handle_t handle);
 static void send_run_calls (shard_t *shard, usec_t now);
 static usec_t send_run_call (shard_t *shard, usec_t now, handle_t handle);
@@ -91,6 +92,7 @@
 calls_tick (shard_t *shard, usec_t now)
 {
   usec_t next = INT64_MAX;
+  bool unstored = shard_has_unstored (shard);
 
   /* An owner that the store has not confirmed for long may have a successor,
      which assumes that the leases of its runs have expired: it must not
@@ -103,10 +105,12 @@
   for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
        h = table_next (shard->workers, h))
     {
-      const worker_t *worker = worker_get (shard, h);
+      worker_t *worker = worker_get (shard, h);
       usec_t due = check_lease_expiry (shard, now, h);
 
       next = MIN (next, due);
+      if (!unstored)
+        mark_ends_stored (now, worker);
       if (worker->hold_in_flight || !worker->address[0])
         continue;
       if (now >= worker->hold_due)
@@ -166,6 +170,17 @@
              : shard->config.poll_busy;
 }
 
+/* With nothing left to be stored, all ends that were applied are stored, those
+   that changed no job included. */
+static void
+mark_ends_stored (usec_t now, worker_t *worker)
+{
+  if (worker->ends_stored == worker->ends_applied)
+    return;
+  worker->ends_stored = worker->ends_applied;
+  worker->hold_due = MIN (worker->hold_due, now);
+}
+
 static void
 send_hold (shard_t *shard, usec_t now, handle_t handle)
 {
@@ -506,10 +521,6 @@
   if (last == worker_get (shard, handle)->ends_applied)
     return;
   worker_get (shard, handle)->ends_applied = last;
-  /* If the ends changed no job, there is nothing to append. */
-  if (!shard->dirty_entries->len && !shard->append_in_flight
-      && !shard->append_retry)
-    worker_get (shard, handle)->ends_stored = last;
 }
 
 static void
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -253,6 +253,8 @@
 void shard_supersede (shard_t *shard, const char *why);
 
 /* shard_store.c */
+/** @return whether a change of a job is not stored yet */
+bool shard_has_unstored (const shard_t *shard);
 /** Appends the dirty jobs, or retries the last append if it failed. */
 void shard_flush (shard_t *shard, usec_t now);
 void shard_reset_batch (shard_t *shard);
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -32,6 +32,13 @@
   g_ptr_array_set_size (shard->batch_drops, 0);
 }
 
+bool
+shard_has_unstored (const shard_t *shard)
+{
+  return shard->append_in_flight || shard->append_retry
+         || shard->dirty_entries->len;
+}
+
 bool
 shard_append_has_submission (const shard_t *shard, job_id_t job)
 {
