Extend no lease at a worker that rejects holds

Callers would see tasks that no worker runs for as long as a worker answers holds with an error (429, 503, or no lists).

Cause: only an unanswered hold put the worker in doubt. After a rejected one the next hold again asked for an extension and moved the time at which the leases count as expired, every 250 ms, although the worker had extended nothing: its runs ended there, and were kept here.

A hold without lists now puts the worker in doubt, as one without an answer does: nothing is started there, no lease is extended, and its tasks are started elsewhere when the leases have expired.

The test failed before (appends 0 instead of 1 after 8 s of rejected holds).

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -389,6 +389,8 @@
 
   if (reply->kind != SHARD_REPLY_OK || !reply->has_lists)
     {
+      /* A rejected hold has extended no lease either. */
+      on_no_answer (shard, now, handle, reply->kind);
       worker->unanswered_holds++;
       worker->hold_due = now + HOLD_RETRY;
       if (worker_has_left (worker))
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -30,11 +30,28 @@
   tear_down ();
 }
 
+/* Guards against leases that count as extended at a worker that rejects every
+   hold: its runs end there, and their tasks would wait for it. */
+static void
+test_holds_rejected (void)
+{
+  const shard_reply_t unhealthy = { .kind = SHARD_REPLY_UNHEALTHY };
+
+  set_up_with_placed_run ();
+  list_worker ();
+  advance (0);
+  reply_to_hold (&first_run, 1, NULL, 0);
+  reply_to_holds (32, 250 * USEC_PER_MSEC, &unhealthy);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  tear_down ();
+}
+
 int
 main (void)
 {
   const suite_test_t tests[] = {
     { "end during an unrelated append", test_end_during_unrelated_append },
+    { "holds rejected", test_holds_rejected },
   };
   int code;
 
