Give up starts that are not answered

Cause: an unanswered start was repeated every 300 ms without end, and each repetition carried a new lease, so that neither an answer nor a lease ever ended the wait. Its stop, if one was sent, was repeated without end as well.

A start that is not answered for 2 s is withdrawn: the run is stopped, and the task is started on another worker if one has room. If the stop is not answered either, a list ends the run whose time on the worker's clock is past the last lease that a start of it carried: the worker rejects the start from then on, and a run that it had would be listed.

Ruled out: expiry by worker.leases_expired_at; it needs a worker in doubt, and an answered hold ends the doubt.

Both tests failed before (no run but the first within 6 and 12 s).

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -4,6 +4,9 @@
 #include "shard/shard_private.h"
 
 #define START_RETRY (300 * USEC_PER_MSEC)
+/* A start that is not answered for this long is withdrawn, so that the task is
+   started elsewhere. */
+#define START_LIMIT (2 * USEC_PER_SEC)
 /* A stop is idempotent and its task may not run on: unlike a start it is soon
    taken for lost, and repeated at once for the first STOPS_IN_A_ROW times. */
 #define STOP_TIMEOUT (250 * USEC_PER_MSEC)
@@ -48,6 +51,7 @@
                                   handle_t run);
 static void on_hold (shard_t *shard, usec_t now, handle_t handle,
                      const shard_reply_t *reply, usec_t sent, bool restarted);
+static void repeat_start (shard_t *shard, usec_t now, handle_t handle);
 static void on_start (shard_t *shard, usec_t now, handle_t handle,
                       const shard_reply_t *reply);
 static void on_stop (shard_t *shard, usec_t now, handle_t handle,
@@ -66,7 +70,8 @@
                         const shard_reply_t *reply);
 static void check_stalled (shard_t *shard, usec_t now, handle_t handle);
 static void requeue_missing_runs (shard_t *shard, usec_t now, handle_t handle,
-                                  usec_t sent, bool restarted);
+                                  const shard_reply_t *reply, usec_t sent,
+                                  bool restarted);
 static handle_t find_run (const shard_t *shard, handle_t worker,
                           const run_id_t *run_id);
 static usec_t check_lease_expiry (shard_t *shard, usec_t now, handle_t handle);
@@ -277,6 +282,7 @@
   call.spec = entry->job->submission->spec;
   call.checkpoint = task->checkpoint;
   run->start_in_flight = true;
+  run->start_expires_ms = MAX (run->start_expires_ms, call.lease_until);
   if (!run->start_sent)
     log_item (LOG_LEVEL_INFO, run->run_id.job, "run.start", worker->address,
               "task=%s run=%u worker=%s token=%" PRIu64 " used=%" PRIu64
@@ -433,7 +439,7 @@
   worker->last_answer = now;
   apply_ends (shard, now, handle, reply);
   apply_runs (shard, now, handle, reply);
-  requeue_missing_runs (shard, now, handle, sent, restarted);
+  requeue_missing_runs (shard, now, handle, reply, sent, restarted);
   if (given_up)
     crashes_give_up (shard, now, given_up);
   sharing_apply_list (shard, now, handle);
@@ -600,8 +606,8 @@
    takeovers, a list counts only if requested after the worker acknowledged
    the run. */
 static void
-requeue_missing_runs (shard_t *shard, usec_t now, handle_t handle, usec_t sent,
-                      bool restarted)
+requeue_missing_runs (shard_t *shard, usec_t now, handle_t handle,
+                      const shard_reply_t *reply, usec_t sent, bool restarted)
 {
   GArray *runs = g_array_copy (worker_get (shard, handle)->runs);
 
@@ -628,6 +634,14 @@
                        "not listed by its worker after the takeover");
           continue;
         }
+      /* The worker rejects a start that arrives after its lease. */
+      if (run->state == RUN_STARTING && run->start_sent
+          && reply->clock_ms > run->start_expires_ms)
+        {
+          run_requeue (shard, now, h,
+                       "not listed after the lease of its start");
+          continue;
+        }
       if (run->state != RUN_ACKNOWLEDGED || run->acknowledged_at >= sent
           || ++run->lists_missed < MISSING_AFTER_LISTS)
         continue;
@@ -636,6 +650,31 @@
   g_array_free (runs, TRUE);
 }
 
+/* Schedules the next call for a run whose start was not answered. */
+static void
+repeat_start (shard_t *shard, usec_t now, handle_t handle)
+{
+  static const char why[] = "start not answered";
+  run_t *run = run_get (shard, handle);
+  run_id_t run_id = run->run_id;
+
+  if (run->stop_requested || run->state != RUN_STARTING
+      || now - run->unsettled_since < START_LIMIT)
+    {
+      run_set_due (shard, run, now + START_RETRY);
+      return;
+    }
+  job_task (shard_entry (shard, run_id.job)->job, run_id.occurrence,
+            run_id.step, run_id.index)
+      ->avoid
+      = run->worker;
+  if (run->start_unanswered)
+    run_stop (shard, now, handle, why);
+  else
+    run_requeue (shard, now, handle, why);
+  run_stop_gang (shard, now, &run_id);
+}
+
 static void
 on_start (shard_t *shard, usec_t now, handle_t handle,
           const shard_reply_t *reply)
@@ -658,10 +697,10 @@
       return;
     case SHARD_REPLY_NONE:
       run->start_unanswered = true;
-      run_set_due (shard, run, now + START_RETRY);
+      repeat_start (shard, now, handle);
       return;
     case SHARD_REPLY_REFUSED:
-      run_set_due (shard, run, now + START_RETRY);
+      repeat_start (shard, now, handle);
       return;
     case SHARD_REPLY_NO_ROOM:
       worker_avoid (worker, now + NO_ROOM_PAUSE);
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -35,6 +35,8 @@
   bool start_unanswered; /* the worker may still execute a start, until it
                             answers a stop or its lease has expired */
   bool start_in_flight;
+  int64_t start_expires_ms; /* end of the latest lease that a start carried, on
+                               the worker's clock */
   bool stop_in_flight;
   uint32_t stops_unanswered; /* consecutive */
   uint32_t stops_answered;   /* by the worker's current incarnation */
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -297,6 +297,7 @@
      stop itself. */
   run->state = RUN_STARTING;
   run->stops_answered = 0;
+  run->start_expires_ms = INT64_MAX; /* its clock starts anew */
   run_set_due (shard, run, now);
   run_stop (shard, now, handle, "worker restarted, start not answered");
 }
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -8,9 +8,104 @@
 #include <CUnit/CUnit.h>
 #include <string.h>
 
+#define STEP (10 * USEC_PER_MSEC)
+/* Longest time until the task of an unanswered start is started elsewhere,
+   with stops that are answered and with stops that are not. */
+#define ELSEWHERE_LIMIT (6 * USEC_PER_SEC)
+#define ELSEWHERE_LIMIT_LEASE (12 * USEC_PER_SEC)
+
+/* A call that its worker answers at a time. */
+typedef struct
+{
+  shard_call_t call;
+  usec_t due;
+} open_call_t;
+
+static GArray *open_calls; /* open_call_t */
+static shard_call_t last_start;
+
 static const end_report_t end_of_unknown_run
     = { 1, { JOB_ID + 7, 0, 0, 0, 1 }, RUN_STOPPED, "" };
 
+/* Workers answer holds and list no run; starts time out, and so do stops if
+   they are lost. */
+static void
+run_without_starts (usec_t span, bool stops_lost)
+{
+  const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+  const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+
+  for (usec_t end = fixture.now + span; fixture.now < end; advance (STEP))
+    {
+      if (fixture.appends)
+        shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+      for (size_t i = 0; i < fixture.call_count; i++)
+        {
+          open_call_t c = { fixture.calls[i], fixture.now };
+
+          c.due += c.call.kind == SHARD_HOLD                  ? c.call.wait
+                   : c.call.kind == SHARD_START || stops_lost ? c.call.timeout
+                                                              : STEP;
+          g_array_append_val (open_calls, c);
+          if (c.call.kind == SHARD_START)
+            last_start = c.call;
+        }
+      fixture.call_count = 0;
+      for (guint i = open_calls->len; i > 0; i--)
+        {
+          const open_call_t c = g_array_index (open_calls, open_call_t, i - 1);
+          const shard_reply_t lists = { .kind = SHARD_REPLY_OK,
+                                        .clock_ms = usec_to_msec (fixture.now),
+                                        .started_ms = START_WALL_MS,
+                                        .has_lists = true };
+
+          if (fixture.now < c.due)
+            continue;
+          g_array_remove_index_fast (open_calls, i - 1);
+          shard_reply (fixture.shard, fixture.now, c.call.id,
+                       c.call.kind == SHARD_HOLD                  ? &lists
+                       : c.call.kind == SHARD_STOP && !stops_lost ? &ok
+                                                                  : &none);
+        }
+    }
+}
+
+static void
+start_without_answer (usec_t limit, bool stops_lost)
+{
+  set_up ();
+  open_calls = g_array_new (FALSE, FALSE, sizeof (open_call_t));
+  shard_loaded (fixture.shard, fixture.now);
+  list_worker ();
+  run_without_starts (100 * USEC_PER_MSEC, stops_lost);
+  add_job (1);
+  run_without_starts (100 * USEC_PER_MSEC, stops_lost);
+  CU_ASSERT_EQUAL_FATAL (last_start.run_id.run, 1);
+  CU_ASSERT_STRING_EQUAL (last_start.worker, "w1");
+  list_worker_with ("w2", "10.0.0.2:1", false);
+  run_without_starts (limit, stops_lost);
+  CU_ASSERT (last_start.run_id.run > 1);
+  CU_ASSERT_STRING_EQUAL (last_start.worker, "w2");
+  g_array_free (open_calls, TRUE);
+  tear_down ();
+}
+
+/* Guards against a start that is repeated without end at a worker that answers
+   only holds: the task would never go to another one. */
+static void
+test_unanswered_start_goes_elsewhere (void)
+{
+  start_without_answer (ELSEWHERE_LIMIT, false);
+}
+
+/* The same where stops are not answered either: the last lease that a start
+   carried tells when it cannot be carried out any more. */
+static void
+test_unanswered_start_and_stops (void)
+{
+  start_without_answer (ELSEWHERE_LIMIT_LEASE, true);
+}
+
 /* Guards against an end that is never confirmed to its worker: it changed no
    job, and was listed while an append of something else was in flight. */
 static void
@@ -52,6 +147,9 @@
   const suite_test_t tests[] = {
     { "end during an unrelated append", test_end_during_unrelated_append },
     { "holds rejected", test_holds_rejected },
+    { "unanswered start goes elsewhere",
+      test_unanswered_start_goes_elsewhere },
+    { "unanswered start and stops", test_unanswered_start_and_stops },
   };
   int code;
 
