Confirm ends only to the incarnation that listed them

Callers would see a task run a second time after its end was confirmed, if the owner is lost within one append (TWICE).

Cause: an append notes up to which number the ends of each worker are stored with it. If the worker restarted while the append was in flight, and its new incarnation had listed as many ends, their numbers were taken for the noted ones: the ends were confirmed, and forgotten by the worker, before the append that carried them.

The note names the incarnation, and is void if the worker is in another one.

The test failed before (acknowledged_end 1 instead of 0).

--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -146,6 +146,7 @@
 typedef struct
 {
   handle_t worker;
+  int64_t started_ms; /* the incarnation that numbers the ends */
   uint64_t ends_applied;
 } end_ack_t;
 
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -81,7 +81,7 @@
        h = table_next (shard->workers, h))
     {
       const worker_t *worker = worker_get (shard, h);
-      end_ack_t ack = { h, worker->ends_applied };
+      end_ack_t ack = { h, worker->started_ms, worker->ends_applied };
 
       if (worker->ends_applied != worker->ends_stored)
         g_array_append_val (shard->batch_end_acks, ack);
@@ -217,7 +217,7 @@
           = &g_array_index (shard->batch_end_acks, end_ack_t, i);
       worker_t *worker = worker_get (shard, ack->worker);
 
-      if (!worker || worker->ends_applied < ack->ends_applied)
+      if (!worker || worker->started_ms != ack->started_ms)
         continue;
       worker->ends_stored = ack->ends_applied;
       if (worker->ends_stored == worker->ends_applied)
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -141,6 +141,71 @@
   tear_down ();
 }
 
+static void
+answer_hold_of (int64_t started_ms, const run_report_t *runs, size_t run_count,
+                const end_report_t *ends, size_t end_count)
+{
+  const shard_reply_t reply = { .kind = SHARD_REPLY_OK,
+                                .clock_ms = usec_to_msec (fixture.now),
+                                .started_ms = started_ms,
+                                .has_lists = true,
+                                .runs = runs,
+                                .run_count = run_count,
+                                .ends = ends,
+                                .end_count = end_count };
+
+  shard_reply (fixture.shard, fixture.now, last_call (SHARD_HOLD)->id, &reply);
+}
+
+/* Two tasks run on a worker: the start of the first is answered, that of the
+   second is not. */
+static void
+set_up_two_runs (void)
+{
+  const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  add_job (2);
+  advance (USEC_PER_MSEC);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (count_calls (SHARD_START), 2);
+  for (size_t i = 0; i < fixture.call_count; i++)
+    if (fixture.calls[i].kind == SHARD_START)
+      shard_reply (fixture.shard, fixture.now, fixture.calls[i].id,
+                   fixture.calls[i].run_id.index ? &none : &ok);
+}
+
+/* Guards against an end that is confirmed before it is stored: an append that
+   carried an end of a worker's former incarnation was taken to carry that of
+   the present one, whose numbers start at 1 again. */
+static void
+test_end_numbers_of_two_incarnations (void)
+{
+  const end_report_t first = { 1, { JOB_ID, 0, 0, 0, 1 }, RUN_DONE, "" };
+  const end_report_t second = { 1, { JOB_ID, 0, 0, 1, 1 }, RUN_DONE, "" };
+
+  set_up_two_runs ();
+  answer_hold_of (START_WALL_MS, NULL, 0, &first, 1);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (fixture.appends, 2);
+  advance (USEC_PER_SEC);
+  answer_hold_of (START_WALL_MS + 5, NULL, 0, &second, 1);
+  advance (USEC_PER_MSEC);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_SEC);
+  CU_ASSERT_EQUAL (fixture.appends, 3);
+  CU_ASSERT_EQUAL (last_call (SHARD_HOLD)->acknowledged_end, 0);
+  answer_hold_of (START_WALL_MS + 5, NULL, 0, &second, 1);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (last_call (SHARD_HOLD)->acknowledged_end, 1);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -150,6 +215,8 @@
     { "unanswered start goes elsewhere",
       test_unanswered_start_goes_elsewhere },
     { "unanswered start and stops", test_unanswered_start_and_stops },
+    { "end numbers of two incarnations",
+      test_end_numbers_of_two_incarnations },
   };
   int code;
 
