Do not take a start's answer for one of the restarted worker

A task could run twice (TWICE): its worker leaves a start unanswered, answers the repetition and restarts, and that answer arrives after the restart is known. It counted as the present incarnation's, so that two lists of that one ended the run, although it may still carry out the first start; it has answered no stop yet.

Answers to starts and stops do not tell their incarnation. Those of calls sent before the present one was known now count as no answer, in the place that already sorts out answers of former incarnations; on_stop needs no check of its own any more.

The test failed before (third start before a stop was answered).

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -55,7 +55,7 @@
 static void on_start (shard_t *shard, usec_t now, handle_t handle,
                       const shard_reply_t *reply);
 static void on_stop (shard_t *shard, usec_t now, handle_t handle,
-                     const shard_reply_t *reply, usec_t sent);
+                     const shard_reply_t *reply);
 static void on_no_answer (shard_t *shard, usec_t now, handle_t handle,
                           shard_reply_kind_t kind);
 static void on_restart (worker_t *worker, usec_t now, int64_t started_ms);
@@ -366,7 +366,7 @@
       on_start (shard, now, pending.run, reply);
     }
   else if (pending.kind == SHARD_STOP)
-    on_stop (shard, now, pending.run, reply, pending.sent);
+    on_stop (shard, now, pending.run, reply);
 }
 
 static void
@@ -468,15 +468,19 @@
 /* Answers may arrive out of order.  Incarnations are told apart by the time of
    their start, which may be earlier than that of their predecessor if the
    worker's clock was set back.  An answer with an earlier start is therefore
-   stale only if its call was sent before the current incarnation was known. */
+   stale only if its call was sent before the current incarnation was known.
+   Answers to starts and stops do not tell their incarnation: they count for
+   the current one only if the call was sent since it is known. */
 static bool
 is_from_former_incarnation (const worker_t *worker,
                             const pending_call_t *pending,
                             const shard_reply_t *reply)
 {
-  return reply->started_ms && worker->started_ms
-         && reply->started_ms < worker->started_ms
-         && pending->sent < worker->started_known_at;
+  if (pending->sent >= worker->started_known_at)
+    return false;
+  if (!reply->started_ms)
+    return pending->kind != SHARD_HOLD;
+  return worker->started_ms && reply->started_ms < worker->started_ms;
 }
 
 /* Does not count the time without lists as time without progress. */
@@ -726,15 +730,14 @@
 
 static void
 on_stop (shard_t *shard, usec_t now, handle_t handle,
-         const shard_reply_t *reply, usec_t sent)
+         const shard_reply_t *reply)
 {
   run_t *run = run_get (shard, handle);
 
   if (!run)
     return;
   run->stop_in_flight = false;
-  if (reply->kind == SHARD_REPLY_OK
-      && sent >= worker_get (shard, run->worker)->started_known_at)
+  if (reply->kind == SHARD_REPLY_OK)
     {
       /* From the first answer on the worker does not start the run any more.
          Later answers tell nothing new: if they delayed the time from which
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -206,6 +206,62 @@
   tear_down ();
 }
 
+static void
+reply_to_last (shard_call_kind_t call, shard_reply_kind_t kind)
+{
+  const shard_reply_t reply = { .kind = kind };
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (last_call (call));
+  shard_reply (fixture.shard, fixture.now, last_call (call)->id, &reply);
+}
+
+/* The worker lists no run COUNT times; stops are not answered. */
+static void
+list_no_runs (int64_t started_ms, int count)
+{
+  for (int i = 0; i < count; i++)
+    {
+      answer_hold_of (started_ms, NULL, 0, NULL, 0);
+      advance (USEC_PER_SEC);
+      shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+      advance (USEC_PER_MSEC);
+      reply_to_last (SHARD_STOP, SHARD_REPLY_NONE);
+      advance (USEC_PER_MSEC);
+    }
+}
+
+/* Guards against a second run of a task: the former incarnation of its worker
+   answers a repeated start after the restart is known, and the present one may
+   still carry out the first. */
+static void
+test_start_answered_by_former_incarnation (void)
+{
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  add_job (1);
+  advance (USEC_PER_MSEC);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_MSEC);
+  reply_to_last (SHARD_START, SHARD_REPLY_NONE);
+  answer_hold_of (START_WALL_MS, NULL, 0, NULL, 0);
+  advance (500 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (count_calls (SHARD_START), 2);
+  advance (USEC_PER_MSEC);
+  answer_hold_of (START_WALL_MS + 5, NULL, 0, NULL, 0);
+  advance (USEC_PER_MSEC);
+  reply_to_last (SHARD_STOP, SHARD_REPLY_NONE);
+  reply_to_last (SHARD_START, SHARD_REPLY_OK);
+  list_no_runs (START_WALL_MS + 5, 4);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 2);
+  advance (USEC_PER_SEC);
+  reply_to_last (SHARD_STOP, SHARD_REPLY_OK);
+  list_no_runs (START_WALL_MS + 5, 3);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 3);
+  CU_ASSERT_EQUAL (last_call (SHARD_START)->run_id.run, 2);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -217,6 +273,8 @@
     { "unanswered start and stops", test_unanswered_start_and_stops },
     { "end numbers of two incarnations",
       test_end_numbers_of_two_incarnations },
+    { "start answered by a former incarnation",
+      test_start_answered_by_former_incarnation },
   };
   int code;
 
