Ask for lists soon after a stop is answered

Callers see a task without a run for 3.02 to 3.06 s where 3 s are allowed (LOST), if its worker never had the run that was stopped.

Cause: only lists requested after the answer to the stop count, and two of them have to lack the run. The hold under way was sent before, so that up to three full waits of poll_busy (1 s) pass: the stop's answer starts a wait, and nothing that happens at the worker ends it.

While an answered stop is not settled, holds of its worker wait for stop_limit at most, the time that a stop takes. A stopped run that the worker had ends in that time, and its end has the hold return anyway, so this costs calls only where the run was never there.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -165,11 +165,31 @@
   return id;
 }
 
+/* @return whether lists of the worker have to tell what became of a stopped
+   run */
+static bool
+awaits_stopped_run (const shard_t *shard, const worker_t *worker)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const run_t *run
+          = run_get (shard, g_array_index (worker->runs, handle_t, i));
+
+      if (run->stop_requested && run->stops_answered)
+        return true;
+    }
+  return false;
+}
+
 static usec_t
 hold_wait (const shard_t *shard, const worker_t *worker)
 {
   if (!worker->runs->len)
     return shard->config.poll_idle;
+  /* A run that the worker never had ends without an end, which would have the
+     hold return early. */
+  if (awaits_stopped_run (shard, worker))
+    return MIN (shard->config.poll_busy, shard->config.stop_limit);
   return worker->serving_runs && worker->best_effort_runs
              ? shard->config.poll_shared
              : shard->config.poll_busy;
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -14,6 +14,10 @@
 #define ELSEWHERE_LIMIT (6 * USEC_PER_SEC)
 #define ELSEWHERE_LIMIT_LEASE (12 * USEC_PER_SEC)
 
+/* Longest time that the platform allows a task to be without a run while there
+   is capacity. */
+#define TURN_LIMIT (3 * USEC_PER_SEC)
+
 /* A call that its worker answers at a time. */
 typedef struct
 {
@@ -23,17 +27,21 @@
 
 static GArray *open_calls; /* open_call_t */
 static shard_call_t last_start;
+static usec_t second_run_at;    /* 0: not started */
+static usec_t stop_answered_at; /* 0: none was */
+static bool starts_rejected;
 
 static const end_report_t end_of_unknown_run
     = { 1, { JOB_ID + 7, 0, 0, 0, 1 }, RUN_STOPPED, "" };
 
-/* Workers answer holds and list no run; starts time out, and so do stops if
-   they are lost. */
+/* Workers answer holds and list no run; starts time out or are rejected, and
+   stops time out if they are lost. */
 static void
 run_without_starts (usec_t span, bool stops_lost)
 {
   const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
   const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  const shard_reply_t unhealthy = { .kind = SHARD_REPLY_UNHEALTHY };
 
   for (usec_t end = fixture.now + span; fixture.now < end; advance (STEP))
     {
@@ -44,11 +52,16 @@
           open_call_t c = { fixture.calls[i], fixture.now };
 
           c.due += c.call.kind == SHARD_HOLD                  ? c.call.wait
+                   : starts_rejected                          ? STEP
                    : c.call.kind == SHARD_START || stops_lost ? c.call.timeout
                                                               : STEP;
           g_array_append_val (open_calls, c);
           if (c.call.kind == SHARD_START)
-            last_start = c.call;
+            {
+              last_start = c.call;
+              if (c.call.run_id.run == 2 && !second_run_at)
+                second_run_at = fixture.now;
+            }
         }
       fixture.call_count = 0;
       for (guint i = open_calls->len; i > 0; i--)
@@ -62,22 +75,34 @@
           if (fixture.now < c.due)
             continue;
           g_array_remove_index_fast (open_calls, i - 1);
+          if (c.call.kind == SHARD_STOP && !stops_lost && !stop_answered_at)
+            stop_answered_at = fixture.now;
           shard_reply (fixture.shard, fixture.now, c.call.id,
                        c.call.kind == SHARD_HOLD                  ? &lists
                        : c.call.kind == SHARD_STOP && !stops_lost ? &ok
-                                                                  : &none);
+                       : c.call.kind == SHARD_START && starts_rejected
+                           ? &unhealthy
+                           : &none);
         }
     }
 }
 
 static void
-start_without_answer (usec_t limit, bool stops_lost)
+set_up_open_calls (usec_t span, bool stops_lost)
 {
   set_up ();
   open_calls = g_array_new (FALSE, FALSE, sizeof (open_call_t));
+  stop_answered_at = second_run_at = 0;
+  starts_rejected = false;
   shard_loaded (fixture.shard, fixture.now);
   list_worker ();
-  run_without_starts (100 * USEC_PER_MSEC, stops_lost);
+  run_without_starts (span, stops_lost);
+}
+
+static void
+start_without_answer (usec_t limit, bool stops_lost)
+{
+  set_up_open_calls (100 * USEC_PER_MSEC, stops_lost);
   add_job (1);
   run_without_starts (100 * USEC_PER_MSEC, stops_lost);
   CU_ASSERT_EQUAL_FATAL (last_start.run_id.run, 1);
@@ -262,6 +287,31 @@
   tear_down ();
 }
 
+/* Guards against a task that waits for three full waits of a hold after its
+   stop was answered: the first hold was sent before, and two lists have to
+   lack the run.  Tries all times at which the stop may fall into a hold. */
+static void
+test_lists_after_stop (void)
+{
+  usec_t longest = 0;
+
+  for (usec_t phase = STEP; phase <= USEC_PER_SEC; phase += STEP)
+    {
+      set_up_open_calls (phase, false);
+      add_job (1);
+      run_without_starts (1200 * USEC_PER_MSEC, false);
+      starts_rejected = true;
+      list_worker_with ("w2", "10.0.0.2:1", false);
+      run_without_starts (6 * USEC_PER_SEC, false);
+      CU_ASSERT_FATAL (stop_answered_at > 0);
+      longest = MAX (longest, second_run_at - stop_answered_at);
+      g_array_free (open_calls, TRUE);
+      tear_down ();
+    }
+  CU_ASSERT (longest > 0);
+  CU_ASSERT (longest <= TURN_LIMIT);
+}
+
 int
 main (void)
 {
@@ -275,6 +325,7 @@
       test_end_numbers_of_two_incarnations },
     { "start answered by a former incarnation",
       test_start_answered_by_former_incarnation },
+    { "lists after a stop", test_lists_after_stop },
   };
   int code;
 
