Stop a gang as soon as it lacks a member

Cause: only a reported end of a member had the others stopped. A member whose start was rejected, that was missing from lists or after a takeover, or whose worker restarted, was queued again by itself; a gang is placed only as a whole, so it waited for the others, and they for it.

Stopping a member or queueing it again now stops the others, for whatever reason it happens; evacuation and unanswered starts need no call of their own.

The test failed before (stops 0 instead of 2).

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -696,7 +696,6 @@
     run_stop (shard, now, handle, why);
   else
     run_requeue (shard, now, handle, why);
-  run_stop_gang (shard, now, &run_id);
 }
 
 static void
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -321,14 +321,13 @@
 /** Applies the end that the worker reports. */
 void run_ended (shard_t *shard, usec_t now, handle_t handle,
                 const end_report_t *report);
-/** Stops the other members if the run was of a gang. */
-void run_stop_gang (shard_t *shard, usec_t now, const run_id_t *run_id);
 /** Requeues the tasks of all runs on a worker that has stopped them. */
 void run_requeue_all (shard_t *shard, usec_t now, handle_t worker_handle,
                       const char *why);
 /** A later incarnation of the run's worker answers. */
 void run_worker_restarted (shard_t *shard, usec_t now, handle_t handle);
-/** Stops a run, or requeues its task if no start was sent. */
+/** Stops a run and the others of its gang, or requeues their tasks if no
+    start was sent. */
 void run_stop (shard_t *shard, usec_t now, handle_t handle, const char *why);
 /** Stops all runs of a job that has ended. */
 void run_stop_job (shard_t *shard, usec_t now, const job_t *job,
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -8,8 +8,7 @@
                          occurrence_t *occurrence, const run_id_t *run_id);
 static void finish_gang (shard_t *shard, usec_t now, job_entry_t *entry,
                          occurrence_t *occurrence, uint32_t step);
-static void break_gang (shard_t *shard, usec_t now, occurrence_t *occurrence,
-                        const job_t *job, uint32_t step);
+static void break_gang (shard_t *shard, usec_t now, const run_id_t *run_id);
 
 const char *
 run_end_name (run_end_t end)
@@ -139,6 +138,7 @@
   occurrence->tasks[run_id.step][run_id.index].run_handle = HANDLE_NONE;
   task_requeue (entry->job, occurrence, run_id.step, run_id.index);
   shard_mark_dirty (shard, entry);
+  break_gang (shard, now, &run_id);
   shard_shrink_ended (shard, entry);
 }
 
@@ -181,8 +181,6 @@
       counted->failures++;
       task->avoid = worker;
     }
-  if (step->gang && job->end_status == JOB_QUEUED)
-    break_gang (shard, now, occurrence, job, run_id.step);
   if (failed && !step->long_running && job->end_status == JOB_QUEUED
       && counted->failures >= MAX (job->submission->max_attempts, 1))
     {
@@ -239,32 +237,21 @@
     shard_end_job (shard, now, entry, JOB_COMPLETED);
 }
 
+/* Stops the other members if the run was of a gang: they would wait at their
+   workers for one that does not come. */
 static void
-break_gang (shard_t *shard, usec_t now, occurrence_t *occurrence,
-            const job_t *job, uint32_t step)
-{
-  for (uint32_t i = 0; i < job->submission->steps[step].count; i++)
-    {
-      const run_t *run
-          = run_get (shard, occurrence->tasks[step][i].run_handle);
-
-      if (run && !run->stop_requested)
-        run_stop (shard, now, occurrence->tasks[step][i].run_handle,
-                  "another member of the gang ended");
-    }
-}
-
-void
-run_stop_gang (shard_t *shard, usec_t now, const run_id_t *run_id)
+break_gang (shard_t *shard, usec_t now, const run_id_t *run_id)
 {
   const job_entry_t *entry = shard_entry (shard, run_id->job);
-  occurrence_t *occurrence
-      = entry && entry->job && entry->job->submission
-            ? job_occurrence (entry->job, run_id->occurrence)
-            : NULL;
+  const job_t *job = entry->job;
+  occurrence_t *occurrence = job_occurrence (job, run_id->occurrence);
+  const step_t *step = &job->submission->steps[run_id->step];
 
-  if (occurrence && entry->job->submission->steps[run_id->step].gang)
-    break_gang (shard, now, occurrence, entry->job, run_id->step);
+  if (!step->gang || job->end_status != JOB_QUEUED)
+    return;
+  for (uint32_t i = 0; i < step->count; i++)
+    run_stop (shard, now, occurrence->tasks[run_id->step][i].run_handle,
+              "another member of the gang ended");
 }
 
 void
@@ -306,6 +293,7 @@
 run_stop (shard_t *shard, usec_t now, handle_t handle, const char *why)
 {
   run_t *run = run_get (shard, handle);
+  run_id_t run_id;
   char text[64];
 
   if (!run || run->stop_requested)
@@ -316,12 +304,14 @@
       run_requeue (shard, now, handle, why);
       return;
     }
+  run_id = run->run_id;
   run->stop_requested = true;
   run->unsettled_since = now;
   run_set_due (shard, run, now);
-  log_item (LOG_LEVEL_INFO, run->run_id.job, "run.stop", NULL,
-            "task=%s run=%u why=\"%s\"", run_format_id (&run->run_id, text),
-            run->run_id.run, why);
+  log_item (LOG_LEVEL_INFO, run_id.job, "run.stop", NULL,
+            "task=%s run=%u why=\"%s\"", run_format_id (&run_id, text),
+            run_id.run, why);
+  break_gang (shard, now, &run_id);
 }
 
 void
--- a/src/shard/shard_zones.c
+++ b/src/shard/shard_zones.c
@@ -38,7 +38,6 @@
 {
   static const char why[] = "zone is evacuated";
   const run_t *run = run_get (shard, handle);
-  run_id_t run_id = run->run_id;
 
   if (run->stop_requested)
     return;
@@ -47,5 +46,4 @@
     run_requeue (shard, now, handle, why);
   else
     run_stop (shard, now, handle, why);
-  run_stop_gang (shard, now, &run_id);
 }
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -312,6 +312,33 @@
   CU_ASSERT (longest <= TURN_LIMIT);
 }
 
+/* Guards against a gang that waits for its time limit at the workers after one
+   of its starts was rejected: until then its task has no run. */
+static void
+test_gang_without_member (void)
+{
+  const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  const shard_reply_t no_room = { .kind = SHARD_REPLY_NO_ROOM };
+  submission_t *submission = new_submission (3);
+
+  submission->steps[0].gang = true;
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  apply_submission (submission);
+  advance (USEC_PER_MSEC);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (count_calls (SHARD_START), 3);
+  for (size_t i = 0; i < fixture.call_count; i++)
+    if (fixture.calls[i].kind == SHARD_START)
+      shard_reply (fixture.shard, fixture.now, fixture.calls[i].id,
+                   fixture.calls[i].run_id.index == 1 ? &no_room : &ok);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_STOP), 2);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -326,6 +353,7 @@
     { "start answered by a former incarnation",
       test_start_answered_by_former_incarnation },
     { "lists after a stop", test_lists_after_stop },
+    { "gang without a member", test_gang_without_member },
   };
   int code;
 
