Worlds: holds wait, starts are lost or rejected, tasks are not left idle

A hold that had just arrived was compared with a wait that began at time 0, so that each was answered at once, and lists came more often than stops.

A hold now waits as it says. It acknowledges ends once, when it arrives, instead of each time it is looked at: an end that no list has shown yet was dropped otherwise.

New faults: starts that never arrive (lost_start_share), and workers that reject all starts for up to 3 s (unhealthy_interval). New check, the rule's (LOST): after the faults no task whose turn has come is without a run for 3 s while there is capacity for it twice over and less than half is in use. A step that depends on a task whose end was lost in a crash is left out, since no owner may have learned of that end.

--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -80,6 +80,17 @@
              SEED_COUNT);
 }
 
+/* Guards against runs that a worker never had and that are not given up: their
+   starts are lost, and repetitions are rejected. */
+static void
+test_lost_starts (void)
+{
+  run_seeds ((world_config_t){ .lost_start_share = 0.4,
+                               .unhealthy_interval = 200 * USEC_PER_MSEC,
+                               .canceled_job_share = 0.1 },
+             SEED_COUNT);
+}
+
 /* Guards against ends that are acknowledged to the worker before they are
    stored. */
 static void
@@ -189,6 +200,7 @@
     { "cancellations", test_cancellations },
     { "lost replies", test_lost_replies },
     { "delayed calls", test_delayed_calls },
+    { "lost starts", test_lost_starts },
     { "lost append replies", test_lost_append_replies },
     { "takeovers", test_takeovers },
     { "former owner", test_former_owner },
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -25,6 +25,11 @@
 /* A member of a gang waits this long for the others; then all work.  */
 #define GANG_TIMEOUT (4 * USEC_PER_SEC)
 #define GANG_WORK (800 * USEC_PER_MSEC)
+/* After the faults, a task with its turn and capacity for it is without a run
+   for at most this long.  */
+#define IDLE_LIMIT (3 * USEC_PER_SEC)
+#define IDLE_CHECK_INTERVAL (50 * USEC_PER_MSEC)
+#define UNHEALTHY_MAX (3 * USEC_PER_SEC)
 /* Longest time between two reads of the operator's records by an owner.  */
 #define ZONES_READ_INTERVAL (600 * USEC_PER_MSEC)
 
@@ -52,6 +57,7 @@
   char address[32];
   int64_t started_ms;
   bool up;
+  usec_t unhealthy_until; /* rejects starts until then */
   uint64_t token;
   int64_t lease_until; /* ms on the worker's clock */
   usec_t clock_start;  /* simulated time at which the clock showed 0 */
@@ -80,7 +86,11 @@
   uint32_t failures;
   bool done;
   bool acknowledged; /* an owner has acknowledged its successful end */
+  bool end_lost;     /* its worker crashed with the successful end, which no
+                        owner may have learned of */
   int running_count; /* workers on which it is running */
+  usec_t idle_since; /* its turn has come, there is capacity for it, and it has
+                        not been running since then, 0: is not so */
 } sim_task_t;
 
 typedef struct
@@ -147,6 +157,8 @@
   usec_t takeover_due;
   usec_t crash_due;
   usec_t outage_due;
+  usec_t unhealthy_due;
+  usec_t idle_check_due;
   uint32_t violations;
 };
 
@@ -355,6 +367,7 @@
   world->takeover_due = world->now + config->takeover_interval;
   world->crash_due = world->now + config->worker_crash_interval;
   world->outage_due = world->now + config->store_outage_interval;
+  world->unhealthy_due = world->now + config->unhealthy_interval;
   return world;
 }
 
@@ -560,6 +573,13 @@
   event->worker = g_strdup (call->worker);
   event->spec = g_strdup (call->spec);
   event->worker_started_ms = find_worker (world, call->worker)->started_ms;
+  if (call->kind == SHARD_START
+      && draw_fault (world, world->config.lost_start_share))
+    {
+      event_free (event);
+      schedule_timeout (world, owner, call);
+      return;
+    }
   event->reply_lost = draw_fault (world, world->config.lost_reply_share);
   if (draw_fault (world, world->config.delayed_call_share))
     {
@@ -654,10 +674,13 @@
 {
   char *key = task_key (&call->run_id);
   gpointer highest = g_hash_table_lookup (worker->highest_run, key);
+  bool unhealthy = world->now < worker->unhealthy_until;
   sim_run_t run = { .run_id = call->run_id };
   sim_job_t *job = find_job (world, call->run_id.job);
 
   g_free (key);
+  if (unhealthy)
+    return SHARD_REPLY_UNHEALTHY;
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const sim_run_t *other = &g_array_index (worker->runs, sim_run_t, i);
@@ -771,6 +794,7 @@
 
   task->running_count--;
   task->done |= how == RUN_DONE;
+  task->end_lost &= how != RUN_DONE;
   g_array_append_val (worker->ends, end);
   g_hash_table_replace (worker->highest_run, task_key (&run.run_id),
                         GUINT_TO_POINTER (run.run_id.run));
@@ -880,9 +904,11 @@
         stop_run (world, worker, call);
       else if (call->kind == SHARD_HOLD)
         {
-          acknowledge_ends (world, worker, call->acknowledged_end);
+          if (!event->waiting_since)
+            acknowledge_ends (world, worker, call->acknowledged_end);
           if (call->wait && !worker->ends->len
-              && world->now - MAX (event->waiting_since, 1) < call->wait
+              && (!event->waiting_since
+                  || world->now - event->waiting_since < call->wait)
               && !event->reply_lost)
             {
               event_t *again = g_new0 (event_t, 1);
@@ -940,6 +966,12 @@
       g_array_remove_index (worker->runs, 0);
       break_gang (world, &run_id);
     }
+  for (guint i = 0; i < worker->ends->len; i++)
+    {
+      const sim_end_t *end = &g_array_index (worker->ends, sim_end_t, i);
+
+      get_task (world, &end->run_id)->end_lost |= end->end == RUN_DONE;
+    }
   g_array_set_size (worker->ends, 0);
   g_hash_table_remove_all (worker->highest_run);
   worker->last_end_number = 0;
@@ -1077,9 +1109,22 @@
     {
       world->store_down = false;
       for (uint32_t i = 0; i < world->config.workers; i++)
-        world->workers[i].up = true;
+        {
+          world->workers[i].up = true;
+          world->workers[i].unhealthy_until = 0;
+        }
       return;
     }
+  if (world->config.unhealthy_interval && world->now >= world->unhealthy_due)
+    {
+      uint32_t i = (uint32_t)g_rand_int_range (world->rng, 0,
+                                               (gint32)world->config.workers);
+
+      world->unhealthy_due = world->now + world->config.unhealthy_interval;
+      world->workers[i].unhealthy_until
+          = world->now
+            + g_rand_int_range (world->rng, 0, (gint32)UNHEALTHY_MAX);
+    }
   if (world->config.takeover_interval && world->now >= world->takeover_due)
     {
       world->takeover_due = world->now + world->config.takeover_interval;
@@ -1175,6 +1220,91 @@
     }
 }
 
+/* @return whether COUNT tasks fit twice over while less than half of all
+   capacity is in use */
+static bool
+has_room (const shard_world_t *world, uint32_t count)
+{
+  uint32_t used = 0;
+  uint32_t free_runs = 0;
+
+  for (uint32_t i = 0; i < world->config.workers; i++)
+    {
+      const sim_worker_t *worker = &world->workers[i];
+
+      used += worker->runs->len;
+      free_runs += WORKER_CAPACITY - MIN (worker->runs->len, WORKER_CAPACITY);
+    }
+  return free_runs >= 2 * count
+         && 2 * used < world->config.workers * WORKER_CAPACITY;
+}
+
+static bool
+step_has_turn (shard_world_t *world, const submission_t *submission,
+               uint32_t step)
+{
+  const step_t *s = &submission->steps[step];
+
+  for (uint32_t i = 0; i < s->depends_on_count; i++)
+    for (uint32_t t = 0; t < submission->steps[s->depends_on[i]].count; t++)
+      {
+        run_id_t run_id = { submission->id, 0, s->depends_on[i], t, 0 };
+        const sim_task_t *task = get_task (world, &run_id);
+
+        if (!task->done || task->end_lost)
+          return false;
+      }
+  return true;
+}
+
+static void
+check_idle_step (shard_world_t *world, const submission_t *submission,
+                 uint32_t step)
+{
+  const step_t *s = &submission->steps[step];
+  bool idle = step_has_turn (world, submission, step)
+              && has_room (world, s->gang ? s->count : 1);
+
+  for (uint32_t i = 0; i < s->count; i++)
+    {
+      run_id_t run_id = { submission->id, 0, step, i, 0 };
+      sim_task_t *task = get_task (world, &run_id);
+
+      if (!idle || task->done || task->running_count)
+        task->idle_since = 0;
+      else if (!task->idle_since)
+        task->idle_since = world->now;
+      else if (world->now - task->idle_since > IDLE_LIMIT)
+        {
+          report_violation (world, &run_id,
+                            "task without a run while there is capacity");
+          task->idle_since = INT64_MAX;
+        }
+    }
+}
+
+static void
+check_idle_tasks (shard_world_t *world)
+{
+  const sim_owner_t *owner = &world->owners[world->current_owner];
+
+  if (world->faults_enabled || world->now < world->idle_check_due)
+    return;
+  world->idle_check_due = world->now + IDLE_CHECK_INTERVAL;
+  for (uint32_t i = 0; i < world->config.jobs; i++)
+    {
+      const sim_job_t *job = &world->jobs[i];
+      job_status_t status = JOB_QUEUED;
+
+      if (!job->accepted || job->cancelled
+          || shard_status (owner->shard, i + 1, &status) == -ENOENT
+          || status > JOB_RUNNING)
+        continue;
+      for (uint32_t s = 0; s < job->submission->step_count; s++)
+        check_idle_step (world, job->submission, s);
+    }
+}
+
 static void
 check_final_states (shard_world_t *world)
 {
@@ -1220,6 +1350,7 @@
       advance_workers (world);
       handle_events (world);
       tick_owners (world);
+      check_idle_tasks (world);
     }
   check_final_states (world);
   return world->violations;
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -6,7 +6,9 @@
  * at a worker: no task has two runs at a time, and none is started after its
  * end was acknowledged, before the steps that it depends on are done, after
  * its attempts are used up, after the cancellation of its job was confirmed,
- * or in an evacuated availability zone.
+ * or in an evacuated availability zone.  Once the faults are over, no task
+ * whose turn has come is without a run for longer than 3 s while there is
+ * capacity for it twice over and less than half of all capacity is in use.
  */
 #ifndef SUPPORT_SHARD_WORLD_H
 #define SUPPORT_SHARD_WORLD_H
@@ -24,11 +26,15 @@
   double delayed_call_share;      /**< share of calls executed 2 to 9 s late,
                                      without a reply */
   double lost_append_reply_share; /**< share of appends whose reply is lost */
+  double lost_start_share;        /**< share of starts that never arrive at
+                                     their worker */
   double failed_run_share;        /**< share of runs that fail */
   double canceled_job_share;      /**< share of jobs that are canceled */
   usec_t takeover_interval;       /**< between changes of owner, 0 for none */
   bool keep_former_owner;         /**< former owners run on after a takeover */
   usec_t worker_crash_interval; /**< between crashes of workers, 0 for none */
+  usec_t unhealthy_interval; /**< between times of up to 3 s in which a worker
+                                rejects all starts, 0 for none */
   usec_t store_outage_interval; /**< between outages of 4 s of the store, 0 for
                                    none */
   usec_t evacuation_interval;   /**< between evacuations of an availability
