--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -70,7 +70,7 @@
 ZONE_GOES_BACK|src/zones/zones.c|zones/test_zones|s/version <= zone->version/false/
 STOP_MOVES_EVIDENCE|src/shard/shard_calls.c|shard/test_shard_settle|s/if (!run->stops_answered)/if (1)/
 RESTART_KEEPS_STOP|src/shard/shard_runs.c|shard/test_shard_settle|s/  run->state = RUN_STARTING;//
-FORMER_STOP_COUNTS|src/shard/shard_calls.c|shard/test_shard_settle|s/ *&& sent >= worker_get (shard, run->worker)->started_known_at)/)/
+FORMER_STOP_COUNTS|src/shard/shard_calls.c|shard/test_shard_settle|s/return pending->kind != SHARD_HOLD;/return false;/
 CRASH_NOT_COUNTED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/->crashes++;/->crashes += 0;/
 CRASHES_NOT_STORED|src/jobs/job_record.c|shard/test_shard_crashes|s/task->crashes = (uint32_t)uint_at (fields, 7);//
 SUSPECTS_TOGETHER|src/shard/shard_choose.c|shard/test_shard_crashes|s/|| crashes_keep_apart (now, worker, task))/)/
