Send no start beyond a capacity that has shrunk

Found by reading.

Cause: the capacity of a worker was compared only when a task was placed. A start that was placed before the worker shrank was sent after it: when its record was stored, when the worker answered again after a silence, or as a repetition of a start without an answer.

Change: a start is withdrawn, as in an evacuated zone, while the runs of its worker, those being started and stopped included, need more cores, memory or accelerators than the latest list says. A run that may have reached the worker is closed by a stop first; the other members of its gang are stopped. Runs that the worker has go on. The code that withdraws starts moves from shard_zones.c to shard_withdraw.c. worker.capacity logs each change.

Ruled out: stops of runs that the worker has (the rule is about starts); a count of the unanswered starts only (what is stored and not sent counts too).

The worlds now have workers that shrink, grow and are cut off, and count a smaller capacity 4.5 s after it has shrunk.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -61,9 +61,10 @@
 APPENDS_AT_ONCE|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/request->deadline - APPEND_RESERVE/now/
 IMAGES_SPREAD|src/shard/shard_choose.c|shard/test_shard_sharing|s/result += score_of_images (shard, worker, c->image);/(void)score_of_images;/
 EVACUATION_IGNORED|src/shard/shard_choose.c|shard/test_shard_zones|s/if (worker->evacuated)/if (0)/
-EVACUATED_START_SENT|src/shard/shard_calls.c|shard/test_shard_zones|s/if (worker->evacuated)/if (0)/
+EVACUATED_START_SENT|src/shard/shard_withdraw.c|shard/test_shard_zones|s/if (worker->evacuated)/if (0)/
 OLD_VIEW_OF_ZONES|src/shard/shard_zones.c|shard/test_shard_zones|s/return !shard->config.zones/return true/
 GANG_MEMBER_WITHDRAWN|src/shard/shard_runs.c|shard/test_shard_zones|s/^  break_gang (shard, now, .run_id);//
+SHRUNK_START_SENT|src/shard/shard_withdraw.c|shard/test_shard_capacity|s/if (worker_is_over_capacity (worker))/if (0)/
 OPERATOR_PAGE_LOST|src/scheduler/sched_operator.c|scheduler/test_operator|s/log->more_pages = records->has_more .*/log->more_pages = false;/
 PARTIAL_READ_CONFIRMS|src/scheduler/sched_operator.c|scheduler/test_operator|s/if (!records->has_more)/if (1)/
 ZONE_NOT_TAKEN_BACK|src/zones/zones.c|zones/test_zones|s/changed |= set_evacuated (zones, now, zone, false);//
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -104,7 +104,7 @@
   X (ZONES_EVACUATED, "zones_evacuated", "zones", "gauge",                    \
      "availability zones in which no task may start")                         \
   X (STARTS_WITHDRAWN, "starts_withdrawn_total", "runs", "counter",           \
-     "placed runs withdrawn since their zone was evacuated")                  \
+     "placed runs withdrawn: evacuated zone or less capacity of the worker")  \
   X (TASKS_KEPT_AWAY, "tasks_kept_away_total", "tasks", "counter",            \
      "tasks found waiting while workers of evacuated zones were left out")    \
   X (TABLE_ROWS, "table_rows", "rows", "gauge",                               \
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -287,11 +287,8 @@
       run->call_due = now + HOLD_RETRY;
       return;
     }
-  if (worker->evacuated)
-    {
-      zones_withdraw_start (shard, now, handle);
-      return;
-    }
+  if (withdraw_start (shard, now, handle))
+    return;
   call.id = add_pending_call (shard, now, SHARD_START, run->worker, handle);
   call.address = worker->address;
   call.worker = worker->id;
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -293,6 +293,9 @@
 void worker_avoid (worker_t *worker, usec_t until);
 void worker_reserve (worker_t *worker, const run_t *run);
 void worker_release (worker_t *worker, const run_t *run);
+/** @return whether the worker's runs, those that are being started or stopped
+    included, need more than its capacity, which may have shrunk */
+bool worker_is_over_capacity (const worker_t *worker);
 
 /* shard_zones.c */
 /** Looks up whether the worker's zone is evacuated. */
@@ -300,9 +303,11 @@
 /** @return whether what is known of the zones is recent enough to start tasks
  */
 bool zones_are_current (const shard_t *shard, usec_t now);
-/** Withdraws a start that must not be sent or repeated, since the worker's
-    zone is evacuated. */
-void zones_withdraw_start (shard_t *shard, usec_t now, handle_t run);
+
+/* shard_withdraw.c */
+/** Withdraws the start of a run if its worker must not get it any more.
+    @return whether it was withdrawn */
+bool withdraw_start (shard_t *shard, usec_t now, handle_t run);
 
 /* shard_runs.c */
 run_t *run_get (const shard_t *shard, handle_t handle);
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -15,6 +15,7 @@
 #define AVOID_MAX (12 * USEC_PER_SEC)
 
 static void update_text (char **target, const char *text);
+static void update_capacity (worker_t *worker, const shard_worker_t *info);
 
 worker_t *
 worker_get (const shard_t *shard, handle_t handle)
@@ -118,11 +119,28 @@
               "worker=%s leaving=%d runs=%u", info->id, info->leaving,
               worker->runs->len);
   worker->leaving = info->leaving;
+  update_capacity (worker, info);
   worker->listed = true;
+  shard->placement_needed = true;
+}
+
+static void
+update_capacity (worker_t *worker, const shard_worker_t *info)
+{
+  if (worker->millicores == info->millicores
+      && worker->memory_mb == info->memory_mb
+      && worker->accelerators == info->accelerators)
+    return;
+  if (worker->listed)
+    log_line (LOG_LEVEL_INFO, "worker.capacity", worker->address,
+              "worker=%s millicores=%u used=%" PRIu64
+              " memory_mb=%u used=%" PRIu64 " accelerators=%u used=%" PRIu64,
+              worker->id, info->millicores, worker->used_millicores,
+              info->memory_mb, worker->used_memory_mb, info->accelerators,
+              worker->used_accelerators);
   worker->millicores = info->millicores;
   worker->memory_mb = info->memory_mb;
   worker->accelerators = info->accelerators;
-  shard->placement_needed = true;
 }
 
 void
@@ -288,3 +306,11 @@
   worker->serving_millicores -= run->target_ms ? run->millicores : 0;
   worker->best_effort_runs -= run->best_effort;
 }
+
+bool
+worker_is_over_capacity (const worker_t *worker)
+{
+  return worker->used_millicores > worker->millicores
+         || worker->used_memory_mb > worker->memory_mb
+         || worker->used_accelerators > worker->accelerators;
+}
--- a/src/shard/shard_zones.c
+++ b/src/shard/shard_zones.c
@@ -30,20 +30,3 @@
     zones_update_worker (shard, worker_get (shard, h));
   shard->placement_needed = true;
 }
-
-/* A run whose start was sent but not answered is closed by a stop, since the
-   worker may have it. */
-void
-zones_withdraw_start (shard_t *shard, usec_t now, handle_t handle)
-{
-  static const char why[] = "zone is evacuated";
-  const run_t *run = run_get (shard, handle);
-
-  if (run->stop_requested)
-    return;
-  counter_add (COUNTER_STARTS_WITHDRAWN, 1);
-  if (run->start_sent && !run->start_unanswered)
-    run_requeue (shard, now, handle, why);
-  else
-    run_stop (shard, now, handle, why);
-}
--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -163,6 +163,24 @@
              SEED_COUNT);
 }
 
+/* Guards against starts beyond the capacity of a worker that has shrunk. */
+static void
+test_capacity_changes (void)
+{
+  run_seeds ((world_config_t){ .resize_interval = 300 * USEC_PER_MSEC,
+                               .takeover_interval = 7900 * USEC_PER_MSEC,
+                               .keep_former_owner = true,
+                               .store_outage_interval = 5 * USEC_PER_SEC,
+                               .worker_cut_interval = 900 * USEC_PER_MSEC,
+                               .lost_reply_share = 0.05,
+                               .delayed_call_share = 0.02,
+                               .canceled_job_share = 0.1,
+                               .best_effort = true,
+                               .jobs = 120,
+                               .gangs = true },
+             2 * SEED_COUNT);
+}
+
 /* All faults in combination. */
 static void
 test_all_faults (void)
@@ -207,6 +225,7 @@
     { "worker crashes", test_crashes },
     { "store outages", test_outages },
     { "evacuations", test_evacuations },
+    { "capacity changes", test_capacity_changes },
     { "all faults", test_all_faults },
     { "gangs", test_gangs },
   };
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -16,10 +16,24 @@
 #define LINK_DELAY (4 * USEC_PER_MSEC)
 #define STORE_ROUND_TRIP (8 * USEC_PER_MSEC)
 #define OUTAGE_DURATION (4 * USEC_PER_SEC)
+/* A worker that is cut off is back before its leases have expired. */
+#define CUT_MIN (4 * USEC_PER_SEC)
+#define CUT_MAX (LEASE_DURATION - 300 * USEC_PER_MSEC)
+/* Longer than SHRUNK_AFTER. */
+#define LIST_OUTAGE_DURATION (7 * USEC_PER_SEC)
 #define OWNER_COUNT 2U
 #define START_WALL_MS 1700000000000LL
-/* Runs, each of which needs 1000 millicores. */
+/* Runs, each of which needs RUN_MILLICORES and RUN_MEMORY_MB. */
 #define WORKER_CAPACITY 8U
+#define RUN_MILLICORES 1000U
+#define RUN_MEMORY_MB 100U
+/* Longest time until a worker reports a change of its capacity. */
+#define REPORT_INTERVAL (1500 * USEC_PER_MSEC)
+/* From this long after a worker's capacity has shrunk, no start may exceed
+   it. */
+#define SHRUNK_AFTER (3 * USEC_PER_SEC + REPORT_INTERVAL)
+/* Latest arrival of a delayed call. */
+#define DELAY_MAX (9 * USEC_PER_SEC)
 #define MAX_PRINTED_VIOLATIONS 5U
 #define CALL_TIMEOUT (700 * USEC_PER_MSEC)
 /* A member of a gang waits this long for the others; then all work.  */
@@ -33,10 +47,26 @@
 /* Longest time between two reads of the operator's records by an owner.  */
 #define ZONES_READ_INTERVAL (600 * USEC_PER_MSEC)
 
+/* What a worker has had room for since AT. */
+typedef struct
+{
+  usec_t at;
+  uint32_t millicores;
+  uint32_t memory_mb;
+} sim_capacity_t;
+
+/* A worker's entry in the platform's list. */
+typedef struct
+{
+  sim_capacity_t capacity;
+  int64_t started_ms;
+} sim_entry_t;
+
 typedef struct
 {
   run_id_t run_id;
   usec_t ends_at;
+  bool best_effort; /* its millicores are not counted */
   bool fails;
   bool gang;
   bool gang_complete; /* all members are present and work */
@@ -58,12 +88,17 @@
   int64_t started_ms;
   bool up;
   usec_t unhealthy_until; /* rejects starts until then */
+  usec_t cut_until; /* owners do not reach it until then */
   uint64_t token;
   int64_t lease_until; /* ms on the worker's clock */
   usec_t clock_start;  /* simulated time at which the clock showed 0 */
   double clock_rate;   /* relative to simulated time */
-  GArray *runs;        /* sim_run_t */
-  GArray *ends;        /* sim_end_t */
+  GArray *capacities;  /* sim_capacity_t of this incarnation, the last one is
+                          in force */
+  sim_entry_t entry;
+  usec_t report_due; /* when ENTRY is updated */
+  GArray *runs;      /* sim_run_t */
+  GArray *ends;      /* sim_end_t */
   uint64_t last_end_number;
   GHashTable *highest_run; /* task key -> highest run stopped or ended */
 } sim_worker_t;
@@ -154,11 +189,16 @@
   sim_job_t *jobs;
   bool store_down;
   bool faults_enabled;
+  usec_t faults_end;
   usec_t takeover_due;
   usec_t crash_due;
   usec_t outage_due;
   usec_t unhealthy_due;
   usec_t idle_check_due;
+  usec_t resize_due;
+  usec_t cut_due;
+  usec_t list_outage_due;
+  bool list_down; /* the list of workers cannot be read */
   uint32_t violations;
 };
 
@@ -179,6 +219,9 @@
 static void end_run (shard_world_t *world, sim_worker_t *worker, guint index,
                      run_end_t how);
 static void take_over (shard_world_t *world);
+static void set_capacity (const shard_world_t *world, sim_worker_t *worker,
+                          uint32_t processor_runs, uint32_t memory_runs);
+static void update_entry (sim_worker_t *worker);
 
 static const shard_ops_t world_ops
     = { on_call, on_append, on_settled, on_superseded, wall_ms };
@@ -252,6 +295,13 @@
   return NULL;
 }
 
+static sim_worker_t *
+draw_worker (shard_world_t *world)
+{
+  return &world->workers[g_rand_int_range (world->rng, 0,
+                                           (gint32)world->config.workers)];
+}
+
 static int64_t
 worker_clock_ms (const shard_world_t *world, const sim_worker_t *worker)
 {
@@ -298,11 +348,12 @@
       step_t *step = &submission->steps[s];
 
       step->count = (uint32_t)g_rand_int_range (world->rng, 1, 6);
-      step->millicores = 1000;
-      step->memory_mb = 100;
+      step->millicores = RUN_MILLICORES;
+      step->memory_mb = RUN_MEMORY_MB;
       step->declared_ms = 500;
       step->gang
           = world->config.gangs && g_rand_int_range (world->rng, 0, 3) == 0;
+      step->best_effort = world->config.best_effort && s % 2;
       if (!s)
         continue;
       step->depends_on = g_new0 (uint32_t, 1);
@@ -347,6 +398,9 @@
       worker->up = true;
       worker->started_ms = START_WALL_MS;
       worker->clock_rate = 1 - 0.02 * g_rand_double (world->rng);
+      worker->capacities = g_array_new (FALSE, FALSE, sizeof (sim_capacity_t));
+      set_capacity (world, worker, WORKER_CAPACITY, WORKER_CAPACITY);
+      update_entry (worker);
       worker->runs = g_array_new (FALSE, FALSE, sizeof (sim_run_t));
       worker->ends = g_array_new (FALSE, FALSE, sizeof (sim_end_t));
       worker->highest_run
@@ -368,6 +422,9 @@
   world->crash_due = world->now + config->worker_crash_interval;
   world->outage_due = world->now + config->store_outage_interval;
   world->unhealthy_due = world->now + config->unhealthy_interval;
+  world->resize_due = world->now + config->resize_interval;
+  world->cut_due = world->now + config->worker_cut_interval;
+  world->list_outage_due = world->now + config->list_outage_interval;
   return world;
 }
 
@@ -381,6 +438,7 @@
     }
   for (uint32_t i = 0; i < world->config.workers; i++)
     {
+      g_array_free (world->workers[i].capacities, TRUE);
       g_array_free (world->workers[i].runs, TRUE);
       g_array_free (world->workers[i].ends, TRUE);
       g_hash_table_destroy (world->workers[i].highest_run);
@@ -402,18 +460,20 @@
 static void
 pass_worker_list (shard_world_t *world, sim_owner_t *owner)
 {
+  if (world->list_down)
+    return;
   for (uint32_t i = 0; i < world->config.workers; i++)
     {
       const sim_worker_t *worker = &world->workers[i];
       shard_worker_t info = { .id = worker->id,
-                              .started_ms = worker->started_ms,
+                              .started_ms = worker->entry.started_ms,
                               .address = worker->address,
                               .service = "service",
                               .label = "a",
                               .rack = "r",
                               .zone = world_zone_name (i % WORLD_ZONES),
-                              .millicores = 8000,
-                              .memory_mb = 8000 };
+                              .millicores = worker->entry.capacity.millicores,
+                              .memory_mb = worker->entry.capacity.memory_mb };
 
       if (worker->up)
         shard_worker_listed (owner->shard, world->now, &info);
@@ -586,7 +646,7 @@
       event->reply_lost = event->delayed = true;
       schedule_event (world, event,
                       world->now
-                          + g_rand_int_range (world->rng, 2000000, 9000000));
+                          + g_rand_int_range (world->rng, 2000000, DELAY_MAX));
     }
   else
     schedule_event (
@@ -667,6 +727,89 @@
       }
 }
 
+static void
+set_capacity (const shard_world_t *world, sim_worker_t *worker,
+              uint32_t processor_runs, uint32_t memory_runs)
+{
+  sim_capacity_t capacity = {
+    world->now, processor_runs * RUN_MILLICORES,
+    /* Memory is ample unless it is what the worker lacks. */
+    memory_runs * RUN_MEMORY_MB
+        * (memory_runs == WORKER_CAPACITY && world->config.best_effort ? 2 : 1)
+  };
+
+  g_array_append_val (worker->capacities, capacity);
+}
+
+static void
+update_entry (sim_worker_t *worker)
+{
+  worker->report_due = INT64_MAX;
+  worker->entry.started_ms = worker->started_ms;
+  worker->entry.capacity = g_array_index (worker->capacities, sim_capacity_t,
+                                          worker->capacities->len - 1);
+}
+
+/* Draws another capacity; half of the workers get back all they had. */
+static void
+resize_worker (shard_world_t *world, sim_worker_t *worker)
+{
+  uint32_t runs = (uint32_t)g_rand_int_range (world->rng, 0, WORKER_CAPACITY);
+  bool grows = g_rand_boolean (world->rng);
+  bool memory = g_rand_boolean (world->rng);
+
+  set_capacity (world, worker, grows || memory ? WORKER_CAPACITY : runs,
+                grows || !memory ? WORKER_CAPACITY : runs);
+  if (worker->report_due == INT64_MAX)
+    worker->report_due
+        = world->now + g_rand_int_range (world->rng, 0, REPORT_INTERVAL);
+}
+
+/* @return the most that the worker has had room for since SINCE */
+static sim_capacity_t
+largest_capacity (const sim_worker_t *worker, usec_t since)
+{
+  sim_capacity_t largest = { 0 };
+
+  for (guint i = worker->capacities->len; i > 0; i--)
+    {
+      const sim_capacity_t *c
+          = &g_array_index (worker->capacities, sim_capacity_t, i - 1);
+
+      largest.millicores = MAX (largest.millicores, c->millicores);
+      largest.memory_mb = MAX (largest.memory_mb, c->memory_mb);
+      if (c->at <= since)
+        break;
+    }
+  return largest;
+}
+
+/* @return whether a further run exceeds the capacity */
+static bool
+exceeds (const sim_worker_t *worker, const sim_capacity_t *capacity,
+         bool best_effort)
+{
+  uint32_t millicores = best_effort ? 0 : RUN_MILLICORES;
+
+  for (guint i = 0; i < worker->runs->len; i++)
+    if (!g_array_index (worker->runs, sim_run_t, i).best_effort)
+      millicores += RUN_MILLICORES;
+  return millicores > capacity->millicores
+         || (worker->runs->len + 1) * RUN_MEMORY_MB > capacity->memory_mb;
+}
+
+static void
+check_capacity (shard_world_t *world, const sim_worker_t *worker,
+                const run_id_t *run_id, bool best_effort, bool delayed)
+{
+  sim_capacity_t capacity = largest_capacity (
+      worker, world->now - SHRUNK_AFTER - (delayed ? DELAY_MAX : 0));
+
+  if (exceeds (worker, &capacity, best_effort))
+    report_violation (world, run_id,
+                      "start beyond the capacity of the worker");
+}
+
 /* @param delayed the call has arrived seconds late */
 static shard_reply_kind_t
 start_run (shard_world_t *world, sim_worker_t *worker,
@@ -677,6 +820,7 @@
   bool unhealthy = world->now < worker->unhealthy_until;
   sim_run_t run = { .run_id = call->run_id };
   sim_job_t *job = find_job (world, call->run_id.job);
+  sim_capacity_t now_free;
 
   g_free (key);
   if (unhealthy)
@@ -692,11 +836,13 @@
     return SHARD_REPLY_STALE;
   if (call->lease_until <= worker_clock_ms (world, worker))
     return SHARD_REPLY_EXPIRED;
-  if (world->config.check_capacity && worker->runs->len >= WORKER_CAPACITY)
+  run.best_effort = job && job->submission
+                    && job->submission->steps[call->run_id.step].best_effort;
+  now_free = largest_capacity (worker, world->now);
+  if (world->config.check_capacity
+      && exceeds (worker, &now_free, run.best_effort))
     return SHARD_REPLY_NO_ROOM;
-  if (worker->runs->len >= WORKER_CAPACITY)
-    report_violation (world, &call->run_id,
-                      "start beyond the capacity of the worker");
+  check_capacity (world, worker, &call->run_id, run.best_effort, delayed);
   check_start (world, &call->run_id);
   if (!delayed)
     check_zone (world, worker, &call->run_id);
@@ -882,7 +1028,7 @@
   /* A delayed call that reaches another incarnation of its worker cannot be
      detected: the platform numbers incarnations, but calls do not carry the
      number.  See docs/platform.md.  */
-  if (!worker->up
+  if (!worker->up || world->now < worker->cut_until
       || (event->delayed && event->worker_started_ms != worker->started_ms)
       || (call->kind == SHARD_HOLD
           && event->worker_started_ms != worker->started_ms))
@@ -955,8 +1101,7 @@
 static void
 crash_worker (shard_world_t *world)
 {
-  sim_worker_t *worker = &world->workers[g_rand_int_range (
-      world->rng, 0, (gint32)world->config.workers)];
+  sim_worker_t *worker = draw_worker (world);
 
   while (worker->runs->len)
     {
@@ -980,6 +1125,11 @@
   worker->clock_start = world->now;
   worker->started_ms = START_WALL_MS + usec_to_msec (world->now);
   worker->up = g_rand_boolean (world->rng);
+  if (!world->config.resize_interval)
+    return;
+  /* The next incarnation is of another size. */
+  g_array_set_size (worker->capacities, 0);
+  resize_worker (world, worker);
 }
 
 /* Ends the runs that are finished or whose lease has expired. */
@@ -1102,16 +1252,48 @@
     }
 }
 
+static void
+cut_worker (shard_world_t *world, sim_worker_t *worker)
+{
+  worker->cut_until
+      = world->now + g_rand_int_range (world->rng, CUT_MIN, CUT_MAX);
+  if (world->config.resize_interval)
+    resize_worker (world, worker);
+}
+
+/* After the faults each worker is up and has the room that it began with. */
+static void
+restore_worker (shard_world_t *world, sim_worker_t *worker)
+{
+  const sim_capacity_t *last = &g_array_index (
+      worker->capacities, sim_capacity_t, worker->capacities->len - 1);
+
+  worker->up = true;
+  worker->cut_until = 0;
+  if (last->at >= world->faults_end)
+    return;
+  set_capacity (world, worker, WORKER_CAPACITY, WORKER_CAPACITY);
+  update_entry (worker);
+}
+
+static void
+report_capacities (shard_world_t *world)
+{
+  for (uint32_t i = 0; i < world->config.workers; i++)
+    if (world->now >= world->workers[i].report_due)
+      update_entry (&world->workers[i]);
+}
+
 static void
 inject_faults (shard_world_t *world)
 {
   if (!world->faults_enabled)
     {
-      world->store_down = false;
+      world->store_down = world->list_down = false;
       for (uint32_t i = 0; i < world->config.workers; i++)
         {
-          world->workers[i].up = true;
           world->workers[i].unhealthy_until = 0;
+          restore_worker (world, &world->workers[i]);
         }
       return;
     }
@@ -1135,6 +1317,25 @@
       world->crash_due = world->now + world->config.worker_crash_interval;
       crash_worker (world);
     }
+  if (world->config.resize_interval && world->now >= world->resize_due)
+    {
+      world->resize_due = world->now + world->config.resize_interval;
+      resize_worker (world, draw_worker (world));
+    }
+  if (world->config.worker_cut_interval && world->now >= world->cut_due)
+    {
+      world->cut_due = world->now + world->config.worker_cut_interval;
+      cut_worker (world, draw_worker (world));
+    }
+  if (world->config.list_outage_interval
+      && world->now >= world->list_outage_due)
+    {
+      world->list_down = !world->list_down;
+      world->list_outage_due
+          = world->now
+            + (world->list_down ? LIST_OUTAGE_DURATION
+                                : world->config.list_outage_interval);
+    }
   if (world->config.store_outage_interval && world->now >= world->outage_due)
     {
       world->store_down = !world->store_down;
@@ -1334,11 +1535,13 @@
 {
   usec_t listed = 0;
 
+  world->faults_end = faults_until;
   while (world->now < until)
     {
       world->now += 2 * USEC_PER_MSEC;
       world->faults_enabled = world->now < faults_until;
       inject_faults (world);
+      report_capacities (world);
       world_zones_tick (&world->zones, world->now, world->faults_enabled);
       if (world->now - listed > USEC_PER_SEC)
         {
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -6,9 +6,11 @@
  * at a worker: no task has two runs at a time, and none is started after its
  * end was acknowledged, before the steps that it depends on are done, after
  * its attempts are used up, after the cancellation of its job was confirmed,
- * or in an evacuated availability zone.  Once the faults are over, no task
- * whose turn has come is without a run for longer than 3 s while there is
- * capacity for it twice over and less than half of all capacity is in use.
+ * in an evacuated availability zone, or beyond the capacity of its worker,
+ * where a smaller one counts 4.5 s after it has shrunk.  Once the faults are
+ * over, no task whose turn has come is without a run for longer than 3 s while
+ * there is capacity for it twice over and less than half of all capacity is in
+ * use.
  */
 #ifndef SUPPORT_SHARD_WORLD_H
 #define SUPPORT_SHARD_WORLD_H
@@ -39,6 +41,15 @@
                                    none */
   usec_t evacuation_interval;   /**< between evacuations of an availability
                                    zone, 0 for none */
+  usec_t resize_interval;       /**< between changes of the capacity of a
+                                   worker, 0 for none; then a crashed worker
+                                   is back with another one */
+  usec_t worker_cut_interval;   /**< between cuts of a worker from all owners
+                                   for 4 to 5.7 s, 0 for none; with
+                                   RESIZE_INTERVAL it is resized as well */
+  usec_t list_outage_interval;  /**< between outages of 7 s of the list of
+                                   workers, 0 for none */
+  bool best_effort;             /**< every other step is best effort */
   bool check_capacity; /**< workers reject starts beyond their capacity */
   bool gangs;          /**< a third of the steps are gangs */
 } world_config_t;
