Place nothing on a worker that has shrunk below what it runs

Callers saw best-effort tasks that never start: they were placed, stored and withdrawn in a circle, one append each time.

Cause: the processor time left for best-effort tasks is estimated from what tasks with a target use, not from what they declare. On a worker that has shrunk below the declared sum the estimate may still leave some.

Change: a worker whose runs need more than its capacity gets nothing, whatever the task needs, so that placement and start agree.

Before: test_shard_capacity "best effort" failed (an append too many, and no start after the worker had grown). After: it passes.

--- a/src/shard/shard_choose.c
+++ b/src/shard/shard_choose.c
@@ -144,6 +144,10 @@
     return FIT_AWAY;
   if (worker->evacuated)
     return FIT_EVACUATED;
+  /* Nothing is started on a worker that has shrunk below what it runs, even
+     if the task needs nothing of what is short. */
+  if (worker_is_over_capacity (worker))
+    return FIT_FULL;
   if (step->best_effort
           ? step->millicores > sharing_leftover (worker)
           : worker->used_millicores + step->millicores > worker->millicores)
--- a/src/shard/test_shard_capacity.c
+++ b/src/shard/test_shard_capacity.c
@@ -246,6 +246,38 @@
   tear_down ();
 }
 
+/* Guards against best-effort tasks on a worker that is too small for what it
+   runs, although that leaves processor time unused. */
+static void
+test_best_effort (void)
+{
+  submission_t *serving = new_submission (1);
+  submission_t *filling = new_submission_with_id (SECOND_JOB, 1);
+  uint32_t appends;
+
+  serving->steps[0].millicores = 4 * CORE;
+  serving->steps[0].long_running = true;
+  serving->steps[0].target_latency_ms = 20;
+  serving->steps[0].image = g_strdup ("serving");
+  filling->steps[0].millicores = CORE / 10;
+  filling->steps[0].best_effort = true;
+  set_up_workers (four_tasks, (capacity_t){ 0 });
+  apply_submission (serving);
+  store_and_send ();
+  reply_to_starts ("w1", &ok);
+  list_with ("w1", (capacity_t){ 3 * CORE, AMPLE, AMPLE });
+  appends = fixture.appends;
+  apply_submission (filling);
+  store_and_send ();
+  advance (200 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_starts_at ("w1"), 1);
+  CU_ASSERT_EQUAL (fixture.appends, appends);
+  list_with ("w1", four_tasks);
+  store_and_send ();
+  CU_ASSERT_EQUAL (count_starts_at ("w1"), 2);
+  tear_down ();
+}
+
 /* Guards against tasks that wait on after their worker has grown. */
 static void
 test_growth (void)
@@ -314,6 +346,7 @@
     { "running task", test_running_task },
     { "gang", test_gang },
     { "unstored gang", test_unstored_gang },
+    { "best effort", test_best_effort },
     { "growth", test_growth },
     { "stopped run counts", test_stopped_run_counts },
     { "successor", test_successor },
