Start nothing by a list of workers too old to show that they shrank

Callers saw nothing; rule LIMIT was not kept. Found by reading.

Cause: an owner went on placing and starting tasks while it could not read the list of workers: appends were stored but reads of the list were not answered (some partitions away), or the owner had been paused. A worker that had shrunk meanwhile was filled as before.

Change: the owner keeps the time as of which the list is known: when the read was sent that reached its end. Once it is older than [workers] shrunk_ms (the platform's contact_ms; workers report within one interval, which the rule adds) less the time of a call, nothing is placed or started on workers of a service that does not reject what is beyond its capacity (rejects_overload in the configuration; unknown services count as such). Other workers are used as before: they keep the rule by themselves, and a list that cannot be read costs their callers nothing. The dump shows the age of the list and each worker's capacity.

Ruled out: a limit for all workers (it would stop starts for as long as the list is away, without need); the age of a worker's own entry (an entry that does not change is not written anew).

The world "smaller incarnations" is new and was clean before.

--- a/bench/jobs_product.c
+++ b/bench/jobs_product.c
@@ -124,8 +124,16 @@
   return p->now / USEC_PER_MSEC;
 }
 
-static const shard_ops_t ops
-    = { on_call, on_append, on_settled, on_superseded, wall_ms };
+static bool
+rejects_overload (void *ctx, const char *service)
+{
+  (void)ctx;
+  (void)service;
+  return true;
+}
+
+static const shard_ops_t ops = { on_call,       on_append, on_settled,
+                                 on_superseded, wall_ms,   rejects_overload };
 
 static void
 start_run (product_t *p, const event_t *event)
--- a/src/queues/queues.c
+++ b/src/queues/queues.c
@@ -11,6 +11,7 @@
   uint64_t version;
   GHashTable *by_name; /* name -> queue_rules_t */
   GHashTable *by_host; /* host -> GPtrArray of queue_rules_t, not owned */
+  GHashTable *guarded_services; /* names */
 };
 
 static void rules_free (void *data);
@@ -26,6 +27,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, rules_free);
   queues->by_host
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, list_free);
+  queues->guarded_services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return queues;
 }
 
@@ -36,6 +39,7 @@
     return;
   g_hash_table_destroy (queues->by_host);
   g_hash_table_destroy (queues->by_name);
+  g_hash_table_destroy (queues->guarded_services);
   g_free (queues);
 }
 
@@ -60,6 +64,18 @@
   g_ptr_array_add (list, copy);
 }
 
+void
+queues_add_guarded_service (queues_t *queues, const char *service)
+{
+  g_hash_table_add (queues->guarded_services, g_strdup (service));
+}
+
+bool
+queues_rejects_overload (const queues_t *queues, const char *service)
+{
+  return g_hash_table_contains (queues->guarded_services, service);
+}
+
 uint64_t
 queues_version (const queues_t *queues)
 {
--- a/src/queues/queues.h
+++ b/src/queues/queues.h
@@ -30,6 +30,14 @@
     RULES. */
 void queues_add (queues_t *queues, const queue_rules_t *rules);
 
+/** Records that the workers of a service reject starts beyond their capacity.
+ */
+void queues_add_guarded_service (queues_t *queues, const char *service);
+
+/** @return whether the workers of the service reject starts beyond their
+    capacity */
+bool queues_rejects_overload (const queues_t *queues, const char *service);
+
 /** @return version of the configuration */
 uint64_t queues_version (const queues_t *queues);
 
--- a/src/scheduler/sched_store.c
+++ b/src/scheduler/sched_store.c
@@ -45,9 +45,11 @@
 static void shard_settled (void *ctx, job_id_t job);
 static void shard_superseded (void *ctx);
 static int64_t wall_ms (void *ctx);
+static bool rejects_overload (void *ctx, const char *service);
 
 const shard_ops_t sched_shard_ops
-    = { shard_call, shard_append, shard_settled, shard_superseded, wall_ms };
+    = { shard_call,       shard_append, shard_settled,
+        shard_superseded, wall_ms,      rejects_overload };
 
 /* Context of a store call that is made as the owner of a shard.  */
 typedef struct
@@ -436,3 +438,12 @@
   (void)ctx;
   return usec_to_msec (g_get_real_time ());
 }
+
+static bool
+rejects_overload (void *ctx, const char *service)
+{
+  const shard_state_t *state = ctx;
+  const queues_t *queues = state->scheduler->queues;
+
+  return queues && queues_rejects_overload (queues, service);
+}
--- a/src/scheduler/sched_workers.c
+++ b/src/scheduler/sched_workers.c
@@ -13,6 +13,7 @@
 static void apply_worker (scheduler_t *s, usec_t now,
                           const store_record_t *record);
 static void drop_unlisted (scheduler_t *s, usec_t now);
+static void confirm_list (scheduler_t *s, usec_t as_of);
 
 void
 workers_reload (scheduler_t *s, usec_t now)
@@ -41,6 +42,7 @@
     return s->workers_due;
   s->workers_busy = true;
   s->workers_due = now + WORKERS_INTERVAL;
+  s->workers_sent = now;
   if (s->workers_loaded)
     {
       s->backend->ops->read (s->backend->ctx, &read, on_workers, s);
@@ -49,6 +51,7 @@
   if (!s->workers_more_pages)
     {
       s->workers_last_key[0] = '\0';
+      s->workers_list_sent = now;
       s->workers_next_offset_known = false;
       g_hash_table_remove_all (s->worker_shards);
     }
@@ -79,6 +82,8 @@
   if (s->workers_loaded)
     {
       s->workers_next_offset = records->next_offset;
+      if (!records->has_more)
+        confirm_list (s, s->workers_sent);
       return;
     }
   if (!s->workers_next_offset_known)
@@ -94,6 +99,7 @@
     }
   s->workers_loaded = true;
   drop_unlisted (s, now);
+  confirm_list (s, s->workers_list_sent);
 }
 
 /* All workers of a rack belong to the same shard.  */
@@ -156,3 +162,10 @@
   for (uint32_t i = 0; i < s->shard_count; i++)
     shard_worker_list_read (s->shards[i].shard, now, s->worker_shards);
 }
+
+static void
+confirm_list (scheduler_t *s, usec_t as_of)
+{
+  for (uint32_t i = 0; i < s->shard_count; i++)
+    shard_workers_confirmed (s->shards[i].shard, as_of);
+}
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -135,7 +135,8 @@
           .keep_ended = settings->keep_ended,
           .append_bytes = settings->append_bytes / 2,
           .zones = s->zones,
-          .zones_max_age = settings->evacuate - WORKER_CALL_TIMEOUT };
+          .zones_max_age = settings->evacuate - WORKER_CALL_TIMEOUT,
+          .workers_max_age = settings->shrunk - WORKER_CALL_TIMEOUT };
 
   s->shard_count = count;
   s->shards = g_new0 (shard_state_t, count);
--- a/src/scheduler/settings.h
+++ b/src/scheduler/settings.h
@@ -24,6 +24,8 @@
   usec_t stop_limit;          /**< [workers] stop_ms */
   usec_t evacuate;            /**< [workers] evacuate_ms, after which no
                                      task starts in an evacuated zone */
+  usec_t shrunk;              /**< [workers] shrunk_ms, after which no start
+                                     exceeds a capacity that was reported */
   uint32_t shards;            /**< [scheduler] shards, 0: derived
                                      from the number of workers when the
                                      site first starts */
--- /dev/null
+++ b/src/scheduler/test_workers.c
@@ -0,0 +1,233 @@
+/* The list of workers against a backend that answers when the test says so. */
+#include "scheduler/sched_private.h"
+#include "support/suite.h"
+
+#include <CUnit/CUnit.h>
+
+#define SHRUNK (3 * USEC_PER_SEC)
+
+/* The read that is in flight. */
+typedef struct
+{
+  store_records_done_t done;
+  void *ctx;
+  bool latest; /* a page of the latest records */
+} fake_read_t;
+
+static fake_read_t fake;
+static scheduler_settings_t settings
+    = { .shrunk = SHRUNK, .partitions = 1, .append_bytes = 65536 };
+static scheduler_t *scheduler;
+static usec_t now; /* of the last read */
+
+static void
+fake_read (void *ctx, const store_read_t *read, store_records_done_t done,
+           void *done_ctx)
+{
+  (void)ctx;
+  CU_ASSERT_EQUAL (read->topic, TOPIC_WORKERS);
+  fake = (fake_read_t){ .done = done, .ctx = done_ctx };
+}
+
+static void
+fake_latest (void *ctx, topic_t topic, uint32_t part, const char *after,
+             usec_t timeout, store_records_done_t done, void *done_ctx)
+{
+  (void)ctx;
+  (void)part;
+  (void)after;
+  (void)timeout;
+  CU_ASSERT_EQUAL (topic, TOPIC_WORKERS);
+  fake = (fake_read_t){ .done = done, .ctx = done_ctx, .latest = true };
+}
+
+/* An entry's value is the capacity in millicores, or unreadable. */
+static int
+fake_worker (void *ctx, const store_record_t *record, shard_worker_t *info)
+{
+  static char id[16];
+  char text[16];
+
+  (void)ctx;
+  blob_copy (record->key, id, sizeof id);
+  blob_copy (record->value, text, sizeof text);
+  *info = (shard_worker_t){ .id = id,
+                            .address = "10.0.0.1:1",
+                            .service = "s",
+                            .label = "a",
+                            .rack = "r",
+                            .zone = "z",
+                            .millicores
+                            = (uint32_t)g_ascii_strtoull (text, NULL, 10) };
+  if (!text[0])
+    return -ENOENT;
+  return g_ascii_isdigit (text[0]) ? 0 : -EBADMSG;
+}
+
+static const backend_ops_t ops = { .read = fake_read,
+                                   .read_latest = fake_latest,
+                                   .decode_worker = fake_worker };
+static const backend_t backend = { &ops, NULL };
+
+static void
+set_up (void)
+{
+  memset (&fake, 0, sizeof fake);
+  now = clock_now ();
+  scheduler = g_new0 (scheduler_t, 1);
+  scheduler->backend = &backend;
+  scheduler->settings = &settings;
+  scheduler->zones = zones_new ();
+  scheduler->worker_shards
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sched_set_shards (scheduler, 1);
+  scheduler->shards[0].owned = true;
+  shard_acquire (scheduler->shards[0].shard, now, 1);
+}
+
+static void
+tear_down (void)
+{
+  shard_free (scheduler->shards[0].shard);
+  zones_free (scheduler->zones);
+  g_hash_table_destroy (scheduler->worker_shards);
+  g_free (scheduler->shards);
+  g_free (scheduler->owners);
+  g_free (scheduler);
+}
+
+static store_record_t
+record (const char *key, const char *value, uint64_t offset)
+{
+  return (store_record_t){ blob_of (key), blob_of (value), offset };
+}
+
+/* Sends the next read; none may be in flight. */
+static void
+send_read (void)
+{
+  fake.done = NULL;
+  now += USEC_PER_SEC;
+  workers_tick (scheduler, now);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fake.done);
+}
+
+static void
+answer (store_result_t result, const store_record_t *records, size_t count,
+        uint64_t next_offset, bool has_more)
+{
+  const store_records_t answer = { .result = result,
+                                   .records = records,
+                                   .count = count,
+                                   .next_offset = next_offset,
+                                   .has_more = has_more };
+
+  fake.done (fake.ctx, &answer);
+}
+
+/* @return a value that shard_dump shows, of the first worker if WORKER */
+static json_int_t
+dumped (const char *name, bool worker)
+{
+  json_t *dump = shard_dump (scheduler->shards[0].shard, now);
+  const json_t *object
+      = worker ? json_array_get (json_object_get (dump, "workers"), 0) : dump;
+  json_int_t value = json_integer_value (json_object_get (object, name));
+
+  json_decref (dump);
+  return value;
+}
+
+/* @return age of the list of workers when the last read was sent, in ms */
+static json_int_t
+list_age (void)
+{
+  return dumped ("workers_age_ms", false);
+}
+
+/* Guards against a capacity that is not followed. */
+static void
+test_capacity (void)
+{
+  const store_record_t list[] = { record ("w1", "4000", 3) };
+  const store_record_t changes[]
+      = { record ("w1", "3000", 5), record ("w1", "1000", 6) };
+
+  set_up ();
+  send_read ();
+  answer (STORE_OK, list, 1, 5, false);
+  CU_ASSERT_EQUAL (dumped ("millicores", true), 4000);
+  send_read ();
+  answer (STORE_OK, changes, 2, 7, false);
+  CU_ASSERT_EQUAL (dumped ("millicores", true), 1000);
+  tear_down ();
+}
+
+/* Guards against a list that counts as known before its last page, or from the
+   time of its last page. */
+static void
+test_age_of_pages (void)
+{
+  const store_record_t first[] = { record ("w1", "4000", 3) };
+  const store_record_t second[] = { record ("w2", "4000", 4) };
+
+  set_up ();
+  send_read ();
+  answer (STORE_OK, first, 1, 5, true);
+  CU_ASSERT (list_age () > usec_to_msec (SHRUNK));
+  send_read ();
+  answer (STORE_OK, second, 1, 5, false);
+  CU_ASSERT_EQUAL (list_age (), 1000);
+  tear_down ();
+}
+
+/* Guards against a list that counts as known although reads fail, or stop
+   before the newest record. */
+static void
+test_age_of_reads (void)
+{
+  const store_record_t some[] = { record ("w1", "4000", 5) };
+
+  set_up ();
+  send_read ();
+  answer (STORE_OK, NULL, 0, 5, false);
+  CU_ASSERT_EQUAL (list_age (), 0);
+  send_read ();
+  answer (STORE_UNKNOWN, NULL, 0, 5, false);
+  CU_ASSERT_EQUAL (list_age (), 1000);
+  send_read ();
+  answer (STORE_OK, some, 1, 6, true);
+  CU_ASSERT_EQUAL (list_age (), 2000);
+  send_read ();
+  answer (STORE_OK, NULL, 0, 6, false);
+  CU_ASSERT_EQUAL (list_age (), 0);
+  tear_down ();
+}
+
+/* Guards against an owner that takes the list of its former ownership for
+   known. */
+static void
+test_age_after_takeover (void)
+{
+  set_up ();
+  send_read ();
+  answer (STORE_OK, NULL, 0, 5, false);
+  shard_release (scheduler->shards[0].shard);
+  shard_acquire (scheduler->shards[0].shard, now, 2);
+  CU_ASSERT (list_age () > usec_to_msec (SHRUNK));
+  tear_down ();
+}
+
+int
+main (void)
+{
+  const suite_test_t tests[] = {
+    { "capacity", test_capacity },
+    { "age of pages", test_age_of_pages },
+    { "age of reads", test_age_of_reads },
+    { "age after takeover", test_age_after_takeover },
+  };
+
+  log_open ("test", LOG_LEVEL_ERR);
+  return suite_main ("workers", tests, sizeof tests / sizeof *tests);
+}
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -148,6 +148,7 @@
   shard->owned = false;
   shard->active = false;
   shard->worker_list_complete = false;
+  shard->workers_known_at = 0;
   shard->append_in_flight = false;
   shard->append_retry = false;
   clear_jobs (shard);
@@ -678,15 +679,18 @@
 
       json_array_append_new (
           workers,
-          json_pack ("{s:s, s:s, s:b, s:b, s:b, s:b, s:I, s:I, s:i, s:I}",
+          json_pack ("{s:s, s:s, s:b, s:b, s:b, s:b, s:I, s:I, s:I, s:i, s:I}",
                      "id", w->id, "zone", w->zone, "evacuated", w->evacuated,
                      "fenced", w->fenced, "in_doubt", w->in_doubt, "leaving",
-                     w->leaving, "used_millicores",
-                     (json_int_t)w->used_millicores, "fill_millicores",
-                     (json_int_t)w->best_effort_millicores, "runs",
-                     (int)w->runs->len, "silent_ms",
+                     w->leaving, "millicores", (json_int_t)w->millicores,
+                     "used_millicores", (json_int_t)w->used_millicores,
+                     "fill_millicores", (json_int_t)w->best_effort_millicores,
+                     "runs", (int)w->runs->len, "silent_ms",
                      (json_int_t)usec_to_msec (now - w->last_answer)));
     }
+  json_object_set_new (
+      dump, "workers_age_ms",
+      json_integer (usec_to_msec (now - shard->workers_known_at)));
   json_object_set_new (dump, "workers", workers);
   return dump;
 }
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -35,11 +35,14 @@
   usec_t stale_limit;  /**< no calls are sent to workers once the store has not
                           confirmed the ownership for this long */
   usec_t keep_ended;   /**< how long an ended job stays known */
-  uint32_t append_bytes; /**< size at which an append is full */
-  const zones_t *zones;  /**< evacuated availability zones, NULL: no zone is
-                            ever evacuated */
-  usec_t zones_max_age;  /**< nothing is started while the state of the zones
-                            is older than this */
+  uint32_t append_bytes;  /**< size at which an append is full */
+  const zones_t *zones;   /**< evacuated availability zones, NULL: no zone is
+                             ever evacuated */
+  usec_t zones_max_age;   /**< nothing is started while the state of the zones
+                             is older than this */
+  usec_t workers_max_age; /**< nothing is started on workers that accept more
+                             than they have room for while the list of workers
+                             is older than this */
 } shard_config_t;
 
 /** A worker as listed by the platform. */
@@ -192,6 +195,9 @@
   void (*superseded) (void *ctx);
   /** @return wall clock in ms */
   int64_t (*wall_ms) (void *ctx);
+  /** @return whether the workers of the service reject starts beyond their
+      capacity */
+  bool (*rejects_overload) (void *ctx, const char *service);
 } shard_ops_t;
 
 shard_t *shard_new (const shard_config_t *config, const shard_ops_t *ops,
@@ -254,6 +260,9 @@
     listed. */
 void shard_worker_list_read (shard_t *shard, usec_t now, GHashTable *listed);
 
+/** The workers have been listed as they were at AS_OF. */
+void shard_workers_confirmed (shard_t *shard, usec_t as_of);
+
 /** A zone was evacuated or taken back. */
 void shard_zones_changed (shard_t *shard);
 
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -282,7 +282,8 @@
 
   /* A start extends all leases of the worker, so none is sent to a worker in
      doubt. */
-  if (!worker->clock_at || worker->in_doubt || !zones_are_current (shard, now))
+  if (!worker->clock_at || worker->in_doubt || !zones_are_current (shard, now)
+      || !worker_capacity_is_known (shard, now, worker))
     {
       run->call_due = now + HOLD_RETRY;
       return;
--- a/src/shard/shard_choose.c
+++ b/src/shard/shard_choose.c
@@ -140,7 +140,8 @@
   const step_t *step = &order->steps[c->step];
 
   if (!worker->listed || worker->leaving || !worker->fenced || worker->in_doubt
-      || now < worker->avoid_until)
+      || now < worker->avoid_until
+      || !worker_capacity_is_known (shard, now, worker))
     return FIT_AWAY;
   if (worker->evacuated)
     return FIT_EVACUATED;
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -233,6 +233,7 @@
   bool interference_changed;     /* since the model was last stored */
 
   bool worker_list_complete; /* read as a whole at least once */
+  usec_t workers_known_at;   /* the list of workers is as of then */
   bool placement_needed;     /* a waiting task may fit now */
   usec_t last_placement;     /* time of the last pass */
   GArray *unplaceable;       /* unplaceable_t, of the current pass */
@@ -293,6 +294,10 @@
 void worker_avoid (worker_t *worker, usec_t until);
 void worker_reserve (worker_t *worker, const run_t *run);
 void worker_release (worker_t *worker, const run_t *run);
+/** @return whether the worker's capacity is known well enough to start runs:
+    the list of workers is recent, or the worker rejects what does not fit */
+bool worker_capacity_is_known (const shard_t *shard, usec_t now,
+                               const worker_t *worker);
 /** @return whether the worker's runs, those that are being started or stopped
     included, need more than its capacity, which may have shrunk */
 bool worker_is_over_capacity (const worker_t *worker);
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -307,6 +307,21 @@
   worker->best_effort_runs -= run->best_effort;
 }
 
+void
+shard_workers_confirmed (shard_t *shard, usec_t as_of)
+{
+  if (shard->owned)
+    shard->workers_known_at = MAX (shard->workers_known_at, as_of);
+}
+
+bool
+worker_capacity_is_known (const shard_t *shard, usec_t now,
+                          const worker_t *worker)
+{
+  return now - shard->workers_known_at <= shard->config.workers_max_age
+         || shard->ops->rejects_overload (shard->ctx, worker->service);
+}
+
 bool
 worker_is_over_capacity (const worker_t *worker)
 {
--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -181,6 +181,32 @@
              2 * SEED_COUNT);
 }
 
+/* Guards against starts by a list of workers that is too old to show that they
+   have shrunk. */
+static void
+test_old_lists (void)
+{
+  run_seeds ((world_config_t){ .resize_interval = 300 * USEC_PER_MSEC,
+                               .list_outage_interval = 2 * USEC_PER_SEC,
+                               .takeover_interval = 9700 * USEC_PER_MSEC,
+                               .keep_former_owner = true,
+                               .lost_reply_share = 0.02,
+                               .jobs = 120 },
+             SEED_COUNT);
+}
+
+/* Guards against starts beyond the capacity of the incarnation that follows a
+   larger one, once its entry has had time to arrive. */
+static void
+test_smaller_incarnations (void)
+{
+  run_seeds ((world_config_t){ .resize_interval = 900 * USEC_PER_MSEC,
+                               .worker_crash_interval = 700 * USEC_PER_MSEC,
+                               .lost_reply_share = 0.05,
+                               .workers = 3 },
+             2 * SEED_COUNT);
+}
+
 /* All faults in combination. */
 static void
 test_all_faults (void)
@@ -226,6 +252,8 @@
     { "store outages", test_outages },
     { "evacuations", test_evacuations },
     { "capacity changes", test_capacity_changes },
+    { "old lists", test_old_lists },
+    { "smaller incarnations", test_smaller_incarnations },
     { "all faults", test_all_faults },
     { "gangs", test_gangs },
   };
--- a/src/shard/test_shard_capacity.c
+++ b/src/shard/test_shard_capacity.c
@@ -336,6 +336,53 @@
   tear_down ();
 }
 
+/* Advances the clock without a new list of workers. */
+static void
+advance_without_list (usec_t span)
+{
+  fixture.now += span;
+  zones_confirm (fixture.zones, fixture.now);
+  shard_ownership_confirmed (fixture.shard, fixture.now);
+  shard_tick (fixture.shard, fixture.now);
+}
+
+/* Guards against placements and starts by an owner that does not know whether
+   workers have shrunk, such as one that was paused. */
+static void
+test_old_list (void)
+{
+  set_up_workers (four_tasks, (capacity_t){ 0 });
+  add_job (1);
+  advance_without_list (WORKERS_MAX_AGE + USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (fixture.appends, 0);
+  advance (200 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  fixture.now += WORKERS_MAX_AGE + USEC_PER_MSEC;
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance_without_list (0);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 0);
+  advance (300 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 1);
+  tear_down ();
+}
+
+/* Guards against tasks that wait for a list of workers which reject what they
+   have no room for. */
+static void
+test_old_list_of_guarded_workers (void)
+{
+  set_up_workers (four_tasks, (capacity_t){ 0 });
+  fixture.workers_reject_overload = true;
+  add_job (1);
+  advance_without_list (WORKERS_MAX_AGE + USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  fixture.now += WORKERS_MAX_AGE;
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance_without_list (0);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 1);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -350,6 +397,8 @@
     { "growth", test_growth },
     { "stopped run counts", test_stopped_run_counts },
     { "successor", test_successor },
+    { "old list", test_old_list },
+    { "old list of guarded workers", test_old_list_of_guarded_workers },
   };
 
   int code;
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -63,8 +63,16 @@
   return START_WALL_MS + usec_to_msec (fixture.now);
 }
 
-static const shard_ops_t ops
-    = { on_call, on_append, on_settled, on_superseded, wall_ms };
+static bool
+rejects_overload (void *ctx, const char *service)
+{
+  (void)ctx;
+  CU_ASSERT_STRING_EQUAL (service, "service");
+  return fixture.workers_reject_overload;
+}
+
+static const shard_ops_t ops = { on_call,       on_append, on_settled,
+                                 on_superseded, wall_ms,   rejects_overload };
 
 submission_t *
 new_submission_with_id (job_id_t id, uint32_t tasks)
@@ -131,7 +139,8 @@
                                   .keep_ended = 60 * USEC_PER_SEC,
                                   .append_bytes = 1 << 20,
                                   .zones = zones,
-                                  .zones_max_age = ZONES_MAX_AGE };
+                                  .zones_max_age = ZONES_MAX_AGE,
+                                  .workers_max_age = WORKERS_MAX_AGE };
   GByteArray *progress = fixture.progress;
 
   memset (&fixture, 0, sizeof fixture);
@@ -210,6 +219,7 @@
 {
   fixture.now += span;
   zones_confirm (fixture.zones, fixture.now);
+  shard_workers_confirmed (fixture.shard, fixture.now);
   shard_ownership_confirmed (fixture.shard, fixture.now);
   shard_tick (fixture.shard, fixture.now);
 }
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -8,6 +8,8 @@
 #include "shard/shard.h"
 
 #define MAX_CALLS 64U
+/** Age from which on a list of workers is too old for starts. */
+#define WORKERS_MAX_AGE (2 * USEC_PER_SEC)
 #define START_WALL_MS 1700000000000LL
 #define JOB_ID 0x5c0e7a21d94b36f8ULL
 
@@ -23,6 +25,7 @@
   bool submission_deleted; /**< by the last submission record */
   uint32_t settled;
   uint32_t superseded;
+  bool workers_reject_overload; /**< false unless the test sets it */
   GByteArray *progress; /**< value of the last appended progress record */
   usec_t now;
 } fixture_t;
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -93,8 +93,7 @@
   int64_t lease_until; /* ms on the worker's clock */
   usec_t clock_start;  /* simulated time at which the clock showed 0 */
   double clock_rate;   /* relative to simulated time */
-  GArray *capacities;  /* sim_capacity_t of this incarnation, the last one is
-                          in force */
+  GArray *capacities;  /* sim_capacity_t, the last one is in force */
   sim_entry_t entry;
   usec_t report_due; /* when ENTRY is updated */
   GArray *runs;      /* sim_run_t */
@@ -210,6 +209,7 @@
 static void on_settled (void *ctx, job_id_t job);
 static void on_superseded (void *ctx);
 static int64_t wall_ms (void *ctx);
+static bool rejects_overload (void *ctx, const char *service);
 static void report_violation (shard_world_t *world, const run_id_t *run_id,
                               const char *text);
 static void execute_call (shard_world_t *world, event_t *event);
@@ -224,7 +224,8 @@
 static void update_entry (sim_worker_t *worker);
 
 static const shard_ops_t world_ops
-    = { on_call, on_append, on_settled, on_superseded, wall_ms };
+    = { on_call,       on_append, on_settled,
+        on_superseded, wall_ms,   rejects_overload };
 
 static bool
 draw_fault (shard_world_t *world, double share)
@@ -317,6 +318,15 @@
   return START_WALL_MS + usec_to_msec (owner->world->now);
 }
 
+static bool
+rejects_overload (void *ctx, const char *service)
+{
+  const sim_owner_t *owner = ctx;
+
+  (void)service;
+  return owner->world->config.check_capacity;
+}
+
 static void
 report_violation (shard_world_t *world, const run_id_t *run_id,
                   const char *text)
@@ -367,16 +377,18 @@
 world_new (const world_config_t *config)
 {
   shard_world_t *world = g_new0 (shard_world_t, 1);
-  shard_config_t shard = { .lease = LEASE_DURATION,
-                           .stop_limit = 200 * USEC_PER_MSEC,
-                           .poll_busy = USEC_PER_SEC,
-                           .poll_shared = 400 * USEC_PER_MSEC,
-                           .poll_idle = 2 * USEC_PER_SEC,
-                           .call_timeout = CALL_TIMEOUT,
-                           .stale_limit = 12 * USEC_PER_SEC,
-                           .keep_ended = 3600 * USEC_PER_SEC,
-                           .append_bytes = 1U << 20,
-                           .zones_max_age = WORLD_EVACUATE - CALL_TIMEOUT };
+  shard_config_t shard
+      = { .lease = LEASE_DURATION,
+          .stop_limit = 200 * USEC_PER_MSEC,
+          .poll_busy = USEC_PER_SEC,
+          .poll_shared = 400 * USEC_PER_MSEC,
+          .poll_idle = 2 * USEC_PER_SEC,
+          .call_timeout = CALL_TIMEOUT,
+          .stale_limit = 12 * USEC_PER_SEC,
+          .keep_ended = 3600 * USEC_PER_SEC,
+          .append_bytes = 1U << 20,
+          .zones_max_age = WORLD_EVACUATE - CALL_TIMEOUT,
+          .workers_max_age = SHRUNK_AFTER - REPORT_INTERVAL - CALL_TIMEOUT };
 
   world->config = *config;
   world->rng = g_rand_new_with_seed (config->seed);
@@ -478,6 +490,7 @@
       if (worker->up)
         shard_worker_listed (owner->shard, world->now, &info);
     }
+  shard_workers_confirmed (owner->shard, world->now);
 }
 
 static void
@@ -1125,11 +1138,9 @@
   worker->clock_start = world->now;
   worker->started_ms = START_WALL_MS + usec_to_msec (world->now);
   worker->up = g_rand_boolean (world->rng);
-  if (!world->config.resize_interval)
-    return;
   /* The next incarnation is of another size. */
-  g_array_set_size (worker->capacities, 0);
-  resize_worker (world, worker);
+  if (world->config.resize_interval)
+    resize_worker (world, worker);
 }
 
 /* Ends the runs that are finished or whose lease has expired. */
