Test that a full worker is not filled and emptied in turn

Since a start beyond the capacity is withdrawn, placement without a look at the capacity (mutant NO_CAPACITY) passed all tests: tasks were placed, stored and withdrawn in a circle. "full worker" of test_shard_capacity counts appends and withdrawn starts, and the mutant is held against it.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -35,7 +35,7 @@
 NO_ATTEMPT_LIMIT|src/shard/shard_runs.c|shard/test_shard|s/counted->failures >= MAX (job->submission->max_attempts, 1)/counted->failures > 1000/
 SAME_RUN_NUMBER|src/jobs/jobs.c|jobs/test_jobs|s/task->run++;//
 NO_STEP_ORDER|src/jobs/jobs.c|jobs/test_jobs|s/if (occurrence->unfinished\[s->depends_on\[i\]\])/if (0)/
-NO_CAPACITY|src/shard/shard_choose.c|shard/test_shard|s/worker->used_millicores + step->millicores > worker->millicores/false/
+NO_CAPACITY|src/shard/shard_choose.c|shard/test_shard_capacity|s/worker->used_millicores + step->millicores > worker->millicores/false/
 START_ON_LEAVING|src/shard/shard_choose.c|shard/test_shard_steps|s/worker->leaving ||//
 PARTIAL_GANG|src/shard/shard_place.c|shard/test_shard_steps|s/undo_gang_placement (shard, now, c, i);//
 HARM_GOES_ON|src/shard/shard_sharing.c|shard/test_shard_sharing|s/run->measure > run->target_ms \&\& worker->best_effort_runs/false/
@@ -65,6 +65,7 @@
 OLD_VIEW_OF_ZONES|src/shard/shard_zones.c|shard/test_shard_zones|s/return !shard->config.zones/return true/
 GANG_MEMBER_WITHDRAWN|src/shard/shard_runs.c|shard/test_shard_zones|s/^  break_gang (shard, now, .run_id);//
 SHRUNK_START_SENT|src/shard/shard_withdraw.c|shard/test_shard_capacity|s/if (worker_is_over_capacity (worker))/if (0)/
+OVERFULL_WORKER_USED|src/shard/shard_choose.c|shard/test_shard_capacity|s/if (worker_is_over_capacity (worker))/if (0)/
 OLD_LIST_OF_WORKERS|src/shard/shard_workers.c|shard/test_shard|s/return now - shard->workers_known_at <= .*/return true/
 PARTIAL_LIST_CONFIRMS|src/scheduler/sched_workers.c|scheduler/test_workers|s/if (!records->has_more)/if (1)/
 OPERATOR_PAGE_LOST|src/scheduler/sched_operator.c|scheduler/test_operator|s/log->more_pages = records->has_more .*/log->more_pages = false;/
--- a/src/shard/test_shard_capacity.c
+++ b/src/shard/test_shard_capacity.c
@@ -1,4 +1,5 @@
 /* Unit tests of workers whose capacity changes while they run tasks. */
+#include "base/counters.h"
 #include "base/log.h"
 #include "support/shard_fixture.h"
 #include "support/suite.h"
@@ -278,6 +279,25 @@
   tear_down ();
 }
 
+/* Guards against tasks that are placed on a full worker and withdrawn in
+   turn. */
+static void
+test_full_worker (void)
+{
+  uint64_t before = counter_get (COUNTER_STARTS_WITHDRAWN);
+
+  set_up_workers (four_tasks, (capacity_t){ 0 });
+  add_job (5);
+  store_and_send ();
+  reply_to_starts ("w1", &ok);
+  store_and_send ();
+  advance (200 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_starts_at ("w1"), 4);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_STARTS_WITHDRAWN), before);
+  tear_down ();
+}
+
 /* Guards against tasks that wait on after their worker has grown. */
 static void
 test_growth (void)
@@ -394,6 +414,7 @@
     { "gang", test_gang },
     { "unstored gang", test_unstored_gang },
     { "best effort", test_best_effort },
+    { "full worker", test_full_worker },
     { "growth", test_growth },
     { "stopped run counts", test_stopped_run_counts },
     { "successor", test_successor },
