--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -88,7 +88,7 @@
   int64_t started_ms;
   bool up;
   usec_t unhealthy_until; /* rejects starts until then */
-  usec_t cut_until; /* owners do not reach it until then */
+  usec_t cut_until;       /* owners do not reach it until then */
   uint64_t token;
   int64_t lease_until; /* ms on the worker's clock */
   usec_t clock_start;  /* simulated time at which the clock showed 0 */
