Use a restarted worker only once its new entry is read

An owner that heard of a restart from the worker itself, before it had read the new incarnation's entry in the list, placed tasks by the label, rack and capacity of the former one. The new one may be smaller or of another kind (LIMIT, ROUTE).

A worker is used only if the entry that was read and its latest answer are of the same incarnation.

Tests that restart a worker now list its new incarnation as well, as the platform does.

--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -82,10 +82,11 @@
   char *label;
   char *rack;
   char *zone;
-  bool evacuated;          /* its zone is */
-  int64_t started_ms;      /* identifies its incarnation, 0: unknown */
-  usec_t started_known_at; /* when an answer last changed STARTED_MS */
-  bool listed;             /* by the platform */
+  bool evacuated;           /* its zone is */
+  int64_t started_ms;       /* identifies its incarnation, 0: unknown */
+  usec_t started_known_at;  /* when an answer last changed STARTED_MS */
+  int64_t entry_started_ms; /* incarnation that the list describes */
+  bool listed;              /* by the platform */
   bool leaving;
   uint32_t millicores;
   uint32_t memory_mb;
@@ -386,7 +387,7 @@
 typedef enum
 {
   FIT_OK,
-  FIT_AWAY,      /* not listed, leaving, silent or avoided */
+  FIT_AWAY,      /* not listed as it is, leaving, silent or avoided */
   FIT_EVACUATED, /* its availability zone is */
   FIT_FULL,      /* too little capacity is free */
   FIT_EXCLUDED,  /* another service or label, or enough tasks of the step */
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -108,6 +108,7 @@
     }
   if (!worker->started_ms)
     worker->started_ms = info->started_ms;
+  worker->entry_started_ms = info->started_ms;
   update_text (&worker->address, info->address);
   update_text (&worker->service, info->service);
   update_text (&worker->label, info->label);
--- a/src/shard/test_shard_capacity.c
+++ b/src/shard/test_shard_capacity.c
@@ -403,6 +403,33 @@
   tear_down ();
 }
 
+/* Guards against starts at a restarted worker by what is known of its former
+   incarnation, which may have been larger or of another kind. */
+static void
+test_restarted_worker (void)
+{
+  const shard_reply_t restarted = { .kind = SHARD_REPLY_OK,
+                                    .clock_ms = 1,
+                                    .started_ms = START_WALL_MS + 5,
+                                    .has_lists = true };
+
+  set_up_workers (four_tasks, (capacity_t){ 0 });
+  advance (USEC_PER_MSEC);
+  for (size_t i = 0; i < fixture.call_count; i++)
+    if (fixture.calls[i].kind == SHARD_HOLD
+        && strcmp (fixture.calls[i].worker, "w1") == 0)
+      shard_reply (fixture.shard, fixture.now, fixture.calls[i].id,
+                   &restarted);
+  add_job (4);
+  store_and_send ();
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 0);
+  list_incarnation ("w1", START_WALL_MS + 5,
+                    (capacity_t){ 2 * CORE, AMPLE, AMPLE });
+  store_and_send ();
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 2);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -418,6 +445,7 @@
     { "growth", test_growth },
     { "stopped run counts", test_stopped_run_counts },
     { "successor", test_successor },
+    { "restarted worker", test_restarted_worker },
     { "old list", test_old_list },
     { "old list of guarded workers", test_old_list_of_guarded_workers },
   };
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -274,6 +274,7 @@
   CU_ASSERT_EQUAL_FATAL (count_calls (SHARD_START), 2);
   advance (USEC_PER_MSEC);
   answer_hold_of (START_WALL_MS + 5, NULL, 0, NULL, 0);
+  list_worker_on ("w1", "10.0.0.1:1", "r", START_WALL_MS + 5);
   advance (USEC_PER_MSEC);
   reply_to_last (SHARD_STOP, SHARD_REPLY_NONE);
   reply_to_last (SHARD_START, SHARD_REPLY_OK);
--- a/src/shard/test_shard_settle.c
+++ b/src/shard/test_shard_settle.c
@@ -25,6 +25,15 @@
 static uint32_t starts;
 static GArray *holds; /* waiting_hold_t */
 
+/* Lists the present incarnation of w1 and, if BOTH, of w2. */
+static void
+list_workers (bool both)
+{
+  list_worker_on ("w1", "10.0.0.1:1", "r", started_ms);
+  if (both)
+    list_worker_on ("w2", "10.0.0.2:1", "r", started_ms);
+}
+
 static void
 set_up_two_workers (void)
 {
@@ -34,7 +43,7 @@
   stops_answered = true;
   starts = 0;
   holds = g_array_new (FALSE, FALSE, sizeof (waiting_hold_t));
-  list_worker_with ("w1", "10.0.0.1:1", false);
+  list_workers (false);
   advance (0);
   reply_as_ready ("w1");
   fixture.call_count = 0;
@@ -132,7 +141,7 @@
   run_workers (1500 * USEC_PER_MSEC);
   CU_ASSERT_EQUAL_FATAL (starts, 2);
   CU_ASSERT_EQUAL (last_start.run_id.run, 1);
-  list_worker_with ("w2", "10.0.0.2:1", false);
+  list_workers (true);
   reply_to_start (SHARD_REPLY_UNHEALTHY);
 }
 
@@ -160,6 +169,7 @@
   stops_answered = false;
   run_workers (300 * USEC_PER_MSEC);
   started_ms += 1000;
+  list_workers (true);
   run_workers (2 * SETTLE_LIMIT);
   CU_ASSERT_EQUAL (starts, 2);
   shard_reply (fixture.shard, fixture.now, last_stop.id, &none);
@@ -182,6 +192,7 @@
   stops_answered = false;
   run_workers (100 * USEC_PER_MSEC);
   started_ms += 1000;
+  list_workers (true);
   run_workers (SETTLE_LIMIT);
   shard_reply (fixture.shard, fixture.now, last_stop.id, &ok);
   run_workers (2 * SETTLE_LIMIT);
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -437,6 +437,7 @@
   advance (USEC_PER_MSEC);
   shard_reply (fixture.shard, fixture.now, last_call (SHARD_HOLD)->id,
                &restarted);
+  list_worker_on ("w1", "10.0.0.1:1", "r", START_WALL_MS + 5);
   advance (USEC_PER_MSEC);
   shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
   advance (USEC_PER_MSEC);
