Do not store a model that the platform refuses for its size

On a site with thousands of pairs of images that share workers, nothing of the shard would be stored any more, no job accepted by its owner and no task started.

Cause: the model of interference is stored with other records, and an append is repeated with the same records until it is stored. The platform refuses records over 256 KiB; the model grows with the pairs and had no bound, unlike submissions and the progress of jobs.

A larger model is logged and not stored: a successor then starts from the last one that was.

The test failed before (largest record above 262,144 bytes).

--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -9,6 +9,9 @@
 /* Shortest interval between appends of the interference model.  A new owner
    lacks the measurements made after the last of them. */
 #define INTERFERENCE_STORE_INTERVAL (USEC_PER_SEC)
+/* The platform accepts records of up to 256 KiB.  It would refuse a larger one
+   in every repetition of its append, and with it all other records. */
+#define INTERFERENCE_MAX_BYTES 200000U
 
 static void add_interference (shard_t *shard, usec_t now);
 static void add_record (shard_t *shard, record_kind_t kind, job_id_t job,
@@ -99,9 +102,16 @@
   GByteArray *value = g_byte_array_new ();
 
   interference_encode (shard->interference, value);
-  add_record (shard, RECORD_INTERFERENCE, 0, value);
   shard->interference_changed = false;
   shard->interference_store_due = now + INTERFERENCE_STORE_INTERVAL;
+  if (value->len <= INTERFERENCE_MAX_BYTES)
+    {
+      add_record (shard, RECORD_INTERFERENCE, 0, value);
+      return;
+    }
+  log_line (LOG_LEVEL_WARNING, "learned.large", NULL,
+            "shard=%u bytes=%u not stored", shard->number, value->len);
+  g_byte_array_unref (value);
 }
 
 /* @return bytes added to the batch */
--- a/src/shard/test_shard_sharing.c
+++ b/src/shard/test_shard_sharing.c
@@ -10,6 +10,9 @@
 #include <CUnit/CUnit.h>
 #include <string.h>
 
+/* Largest record that the platform accepts. */
+#define RECORD_LIMIT 262144U
+
 /* Applies a model that has observed a task of image "s" alone and beside two
    cores of image "f", each of which adds a tenth. */
 static void
@@ -55,7 +58,7 @@
 /* Sets up the owner of a long-running task with a latency target that runs on
    the only worker. */
 static void
-set_up_with_target (uint32_t millicores)
+set_up_with_model (void (*apply_model) (void), uint32_t millicores)
 {
   const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
   submission_t *submission = new_submission (1);
@@ -65,7 +68,7 @@
   submission->steps[0].target_latency_ms = 45;
   submission->steps[0].image = g_strdup ("s");
   set_up ();
-  apply_interference_model ();
+  apply_model ();
   shard_loaded (fixture.shard, fixture.now);
   add_ready_worker ();
   apply_submission (submission);
@@ -76,6 +79,12 @@
   shard_reply (fixture.shard, fixture.now, last_call (SHARD_START)->id, &ok);
 }
 
+static void
+set_up_with_target (uint32_t millicores)
+{
+  set_up_with_model (apply_interference_model, millicores);
+}
+
 static void
 add_best_effort_job (void)
 {
@@ -149,6 +158,64 @@
   tear_down ();
 }
 
+/* Applies a model with so many pairs of images that its record is larger than
+   the platform accepts. */
+static void
+apply_large_interference_model (void)
+{
+  interference_t *model = interference_new ();
+  GByteArray *bytes = g_byte_array_new ();
+  own_load_t load = { 0 };
+
+  for (uint32_t i = 0; i < 100 * 100; i++)
+    {
+      char victim[32];
+      char aggressor[32];
+      disturbance_t disturbance = { 0, 1 };
+
+      g_snprintf (victim, sizeof victim, "serving-%u", i / 100);
+      g_snprintf (aggressor, sizeof aggressor, "filling-%u", i % 100);
+      disturbance.image = interference_image_id (aggressor);
+      interference_observe (model, interference_image_id (victim), &load,
+                            USEC_PER_SEC, 20, &disturbance, 1);
+    }
+  interference_encode (model, bytes);
+  CU_ASSERT (bytes->len > RECORD_LIMIT);
+  shard_apply_record (fixture.shard, fixture.now, RECORD_INTERFERENCE, 0,
+                      (blob_t){ (char *)bytes->data, bytes->len });
+  g_byte_array_unref (bytes);
+  interference_free (model);
+}
+
+/* Guards against a shard that stores nothing any more: a record that the
+   platform refuses for its size is in every repetition of its append. */
+static void
+test_large_model (void)
+{
+  const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  const run_report_t runs[] = {
+    { { JOB_ID, 0, 0, 0, 1 }, "", 100, 14 },
+    { { JOB_ID + 1, 0, 0, 0, 1 }, "", 10, 2000 },
+  };
+
+  set_up_with_model (apply_large_interference_model, 1000);
+  add_best_effort_job ();
+  for (int i = 0; i < 4; i++)
+    report_tail_latency (13);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  fixture.largest_record = 0;
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (last_call (SHARD_START));
+  shard_reply (fixture.shard, fixture.now, last_call (SHARD_START)->id, &ok);
+  advance (USEC_PER_SEC);
+  reply_to_hold (runs, 2, NULL, 0);
+  add_job_with_id (JOB_ID + 2, 1);
+  advance (2 * USEC_PER_SEC);
+  CU_ASSERT (fixture.largest_record > 0);
+  CU_ASSERT (fixture.largest_record <= RECORD_LIMIT);
+  tear_down ();
+}
+
 /* Submits a long-running task with a latency target and waits for its start.
    @return the worker of the run */
 static const char *
@@ -202,6 +269,7 @@
     { "best-effort run stopped over target", test_best_effort_stopped },
     { "best-effort run between peaks", test_best_effort_between_peaks },
     { "best-effort run beside an idle task", test_best_effort_beside_idle },
+    { "large model", test_large_model },
   };
   int code;
 
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -26,6 +26,9 @@
   (void)ctx;
   (void)sequence;
   fixture.appends++;
+  for (size_t i = 0; i < count; i++)
+    fixture.largest_record
+        = MAX (fixture.largest_record, records[i].value.len);
   for (size_t i = 0; i < count; i++)
     if (records[i].kind == RECORD_SUBMISSION)
       {
