Decide the layout although the number of workers keeps changing

At its first start a site whose workers come and go within less than 0.7 s (crashes, a registry that drops and adds entries) would decide no layout: no shard exists, and every submission is refused.

Cause: the layout waits until the number of workers has been the same for 0.7 s; each change starts that time anew, without an end.

It is now decided at the latest 5 s after the first list with a worker (and the deferral of processes that would propose many shards).

The test failed before (no layout proposed within 10 s).

--- a/src/scheduler/sched_layout.c
+++ b/src/scheduler/sched_layout.c
@@ -22,8 +22,10 @@
 #define DEFERRAL_MAX (3 * USEC_PER_SEC)
 #define LAYOUT_INTERVAL (200 * USEC_PER_MSEC)
 /* Workers of a site that starts register within seconds.  The layout is
-   decided once their number has been stable for this long. */
+   decided once their number has been stable for this long, or this long after
+   the first one if it keeps changing. */
 #define WORKER_COUNT_STABLE_TIME (700 * USEC_PER_MSEC)
+#define WORKER_COUNT_TIME_MAX (5 * USEC_PER_SEC)
 #define LAYOUT_TIMEOUT (1000 * USEC_PER_MSEC)
 #define LAYOUT_KEY "layout"
 
@@ -138,6 +140,7 @@
 {
   scheduler_t *s = ctx;
   usec_t now = clock_now ();
+  usec_t ready_at;
   uint32_t shards;
 
   s->layout_busy = false;
@@ -158,11 +161,13 @@
   if (s->partial_worker_count != s->worker_count)
     s->worker_count_since = now;
   s->worker_count = s->partial_worker_count;
+  if (s->worker_count && !s->first_workers_at)
+    s->first_workers_at = now;
   shards = layout_shards (s->worker_count, s->settings->partitions,
                           s->settings->cpu_share);
-  if (s->worker_count
-      && now - s->worker_count_since
-             >= WORKER_COUNT_STABLE_TIME + layout_deferral (shards))
+  ready_at = MIN (s->worker_count_since + WORKER_COUNT_STABLE_TIME,
+                  s->first_workers_at + WORKER_COUNT_TIME_MAX);
+  if (s->worker_count && now >= ready_at + layout_deferral (shards))
     propose_layout (s, shards);
 }
 
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -197,6 +197,8 @@
   uint32_t partial_worker_count; /* workers on the pages read so far */
   uint32_t worker_count;         /* in the last complete list */
   usec_t worker_count_since;     /* worker_count is unchanged since then */
+  usec_t first_workers_at;       /* first complete list with a worker, 0: none
+                                  */
   char worker_count_last_key[256];
   shard_state_t *shards; /* one per shard */
   shard_owner_t *owners; /* one per shard */
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -22,6 +22,8 @@
 #define CHECK_AT (2700 * USEC_PER_MSEC)
 /* The second join is sent 250 to 410 ms after the start, by the random delay
    of the first, and answered between the leave and the end of the process. */
+/* Longest time until a site has a layout: traffic starts then. */
+#define LAYOUT_RUN (10 * USEC_PER_SEC)
 #define SLOW_JOIN (500 * USEC_PER_MSEC)
 #define ANSWER_DELAY (2 * USEC_PER_MSEC)
 #define READ_DELAY (50 * USEC_PER_MSEC)
@@ -54,6 +56,10 @@
   bool unavailable;      /* every call is refused */
   bool slow_joins;       /* joins are slow once the shard is loaded */
   uint32_t lost_leaves;  /* number of leaves to leave unanswered */
+  bool no_layout;        /* the layout is not decided, and every other list of
+                            workers is empty */
+  uint32_t worker_lists; /* number of lists of workers read */
+  bool layout_proposed;
   uint32_t lost_appends; /* number of appends of records to leave unanswered */
   usec_t request_sent;   /* by the caller */
   usec_t answered_at;
@@ -137,6 +143,7 @@
       fake.appends_hang && append->count ? 10 * LONG_RUN : ANSWER_DELAY);
 
   (void)ctx;
+  fake.layout_proposed |= append->topic == TOPIC_LAYOUT;
   if (append->count && !fake.appended_at)
     fake.appended_at = clock_now ();
   fake.fence_epoch = append->epoch;
@@ -184,7 +191,9 @@
   a->owns_ctx = topic == TOPIC_WORK;
   if (topic == TOPIC_CONFIG)
     a->record.key = blob_of ("config");
-  else if (topic == TOPIC_LAYOUT)
+  else if (fake.no_layout && topic == TOPIC_WORKERS && fake.worker_lists++ % 2)
+    a->record.key = blob_of ("w1");
+  else if (!fake.no_layout && topic == TOPIC_LAYOUT)
     a->record = (store_record_t){ .key = blob_of ("layout"),
                                   .value = blob_of ("1 350") };
 }
@@ -432,6 +441,8 @@
                               address */
   SCENARIO_DEAD_OWNER,     /* the owner has ended */
   SCENARIO_LIVE_OWNER,     /* the owner is alive */
+  SCENARIO_NO_LAYOUT,      /* the number of workers keeps changing before the
+                              layout is decided */
   SCENARIO_LOST_APPENDS    /* the answers to two appends are lost */
 } scenario_t;
 
@@ -477,8 +488,9 @@
       "[scheduler]\ngrace_ms = 1500\n%s",
       addresses.callers, addresses.ready, addresses.peers, addresses.operators,
       addresses.store,
-      scenario == SCENARIO_SMALL_VM ? "[limits]\ncpu_share = 0.03\n"
-                                    : "shards = 1\n");
+      scenario == SCENARIO_SMALL_VM    ? "[limits]\ncpu_share = 0.03\n"
+      : scenario == SCENARIO_NO_LAYOUT ? "[limits]\ncpu_share = 0.5\n"
+                                       : "shards = 1\n");
 }
 
 static const char *
@@ -505,6 +517,7 @@
   fake.fence_result = fence_result;
   fake.pending = g_ptr_array_new ();
   fake.loop = paused_loop_new ();
+  fake.no_layout = scenario == SCENARIO_NO_LAYOUT;
   fake.appends_hang = scenario == SCENARIO_STOP
                       || scenario == SCENARIO_SLOW_JOINS
                       || scenario == SCENARIO_LOST_LEAVES;
@@ -520,7 +533,8 @@
 run_scheduler (store_result_t fence_result, scenario_t scenario)
 {
   bool outage = scenario == SCENARIO_OUTAGE;
-  bool has_caller = scenario != SCENARIO_NO_CALLER && !owner_of (scenario);
+  bool has_caller = scenario != SCENARIO_NO_CALLER
+                    && scenario != SCENARIO_NO_LAYOUT && !owner_of (scenario);
   int peer_socket = scenario == SCENARIO_LIVE_OWNER ? listen_as_peer () : -1;
   char *text = settings_text (scenario);
   GArray *problems = g_array_new (FALSE, TRUE, sizeof (problem_t));
@@ -545,7 +559,9 @@
     clock_timer_start (&action, SUBMIT_AT);
   if (scenario == SCENARIO_SMALL_VM || outage)
     clock_timer_start (&check, CHECK_AT);
-  clock_timer_start (&end, has_caller ? LONG_RUN : SHORT_RUN);
+  clock_timer_start (&end, scenario == SCENARIO_NO_LAYOUT ? LAYOUT_RUN
+                           : has_caller                   ? LONG_RUN
+                                                          : SHORT_RUN);
   code = scheduler_main (fake.loop, &settings, &backend);
   free_pending_answers ();
   /* The client reads the answer of the stopped process.  */
@@ -560,6 +576,16 @@
   return code;
 }
 
+/* Guards against a site that is never divided into shards, since the number of
+   its workers keeps changing. */
+static void
+test_layout_with_changing_workers (void)
+{
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_NO_LAYOUT), 0);
+  CU_ASSERT (fake.worker_lists > 10);
+  CU_ASSERT (fake.layout_proposed);
+}
+
 /* A new owner fences before it loads: otherwise a former owner could append
    records after the new one has read the shard (ruedas-plata mix, seed
    697102618399). */
@@ -944,6 +970,7 @@
     { "known job in an outage", test_known_job_in_outage },
     { "malformed frames", test_malformed_frames },
     { "layout", test_layout },
+    { "layout with changing workers", test_layout_with_changing_workers },
     { "settings", test_settings },
   };
 
