Test that builds side by side read each other's records

During an upgrade or a rollback each shard is owned by either build in turn. What one writes the other has to read: submission, progress and interference records, the layout, and the frames between peers.

The test reads them, compares what this build writes with them field by field (only records and tasks may grow, at their ends), reads records with appended fields, and passes records on as an owner does that takes over.

--- /dev/null
+++ b/src/scheduler/test_records.c
@@ -0,0 +1,140 @@
+/* Tests that builds which run side by side read each other's stored records
+   and peer frames.  The files in tests/data were written by the build of the
+   commit that their directory names. */
+#include "scheduler/sched_private.h"
+#include "support/records.h"
+#include "support/suite.h"
+
+#include <CUnit/CUnit.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#define FORMER "tests/data/records-54e4ae6"
+
+static const char *const files[]
+    = { "submission", "progress", "ended",      "interference", "hello",
+        "job_ask",    "job_tell", "job_submit", "owner_left" };
+
+static char *
+new_dir (void)
+{
+  char *dir = g_dir_make_tmp ("records-XXXXXX", NULL);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (dir);
+  return dir;
+}
+
+static void
+free_dir (char *dir)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (files); i++)
+    {
+      char *path = g_build_filename (dir, files[i], NULL);
+
+      g_unlink (path);
+      g_free (path);
+    }
+  CU_ASSERT_EQUAL (g_rmdir (dir), 0);
+  g_free (dir);
+}
+
+static void
+expect_text (const char *dir, const char *expected)
+{
+  GString *text = g_string_new (NULL);
+
+  records_print (dir, text);
+  CU_ASSERT_STRING_EQUAL (text->str, expected);
+  if (strcmp (text->str, expected) != 0)
+    fprintf (stderr, "%s is read as\n%s", dir, text->str);
+  g_string_free (text, TRUE);
+}
+
+static char *
+former_text (void)
+{
+  char *text = NULL;
+
+  CU_ASSERT_FATAL (g_file_get_contents (FORMER "/text", &text, NULL, NULL));
+  return text;
+}
+
+/* Guards against jobs of an earlier build that are lost or started again. */
+static void
+test_earlier_records (void)
+{
+  char *expected = former_text ();
+
+  expect_text (FORMER, expected);
+  g_free (expected);
+}
+
+/* Guards against records that an earlier build, which takes over a shard
+   during an upgrade or a rollback, reads as something else. */
+static void
+test_read_by_earlier_build (void)
+{
+  char *dir = new_dir ();
+
+  CU_ASSERT_EQUAL (records_write (dir), 0);
+  CU_ASSERT (records_are_extensions (FORMER, dir));
+  free_dir (dir);
+}
+
+/* Guards against fields of a later build that make a record unreadable. */
+static void
+test_appended_fields (void)
+{
+  char *dir = new_dir ();
+  char *expected = former_text ();
+
+  CU_ASSERT_EQUAL (records_extend (FORMER, dir), 0);
+  CU_ASSERT (records_are_extensions (FORMER, dir));
+  CU_ASSERT (!records_are_extensions (dir, FORMER));
+  expect_text (dir, expected);
+  g_free (expected);
+  free_dir (dir);
+}
+
+/* Guards against a takeover that changes what a record says. */
+static void
+test_takeover (void)
+{
+  char *dir = new_dir ();
+  char *expected = former_text ();
+
+  CU_ASSERT_EQUAL (records_rewrite (FORMER, dir), 0);
+  CU_ASSERT (records_are_extensions (FORMER, dir));
+  expect_text (dir, expected);
+  g_free (expected);
+  free_dir (dir);
+}
+
+/* Guards against a build that divides the jobs into other shards. */
+static void
+test_layout_record (void)
+{
+  char text[LAYOUT_TEXT_MAX];
+  uint32_t shards = 0;
+  uint32_t workers = 0;
+
+  layout_format (2, 350, text);
+  CU_ASSERT_STRING_EQUAL (text, "2 350");
+  CU_ASSERT (layout_parse ("2 350 9", 12, &shards, &workers));
+  CU_ASSERT_EQUAL (shards, 2);
+  CU_ASSERT_EQUAL (workers, 350);
+}
+
+int
+main (void)
+{
+  const suite_test_t tests[] = {
+    { "records of an earlier build", test_earlier_records },
+    { "records for an earlier build", test_read_by_earlier_build },
+    { "appended fields", test_appended_fields },
+    { "takeover", test_takeover },
+    { "layout record", test_layout_record },
+  };
+
+  return suite_main ("records", tests, sizeof tests / sizeof *tests);
+}
