Ignore message types and appended fields of a later build

Seen: nothing yet, all builds so far send the same messages. With one type or field more in a later build, each frame of it would close the connection to an earlier build, along with the queries and submissions on it, for the whole of an upgrade or a rollback.

Cause: messages.h promises that types and fields are appended, but the decoder required exactly the fields that it knew, and a link took an unknown type for a damaged frame. Class: a reader that is stricter than the rule by which writers may change.

Change: fields beyond the known ones are ignored, missing ones are refused as before. A link ignores unknown types after HELLO and counts them (peer_unknown_frames_total). It helps upgrades from this build on only: earlier ones still close the connection.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -30,6 +30,8 @@
      "bytes sent to peers")                                                   \
   X (PEER_BAD_FRAMES, "peer_bad_frames_total", "frames", "counter",           \
      "frames that could not be decoded; the connection was closed")           \
+  X (PEER_UNKNOWN_FRAMES, "peer_unknown_frames_total", "frames", "counter",   \
+     "frames of types that this build does not know; they were ignored")      \
   X (PEER_CONNECTS, "peer_connects_total", "connections", "counter",          \
      "connections opened to peers")                                           \
   X (PLATFORM_BYTES, "platform_bytes_total", "bytes", "counter",              \
--- a/src/base/messages.c
+++ b/src/base/messages.c
@@ -59,9 +59,11 @@
   const wire_schema_t *schema = message_schema (type);
 
   memset (message, 0, sizeof *message);
-  if (!schema)
-    return err_set (err, -EBADMSG, "decode", NULL, "unknown message type %d",
+  if (type >= 0 && !schema)
+    return err_set (err, -ENOMSG, "decode", NULL, "unknown message type %d",
                     type);
+  if (!schema)
+    return err_set (err, -EBADMSG, "decode", NULL, "not a message");
   message->type = (message_type_t)type;
   return wire_decode (schema, bytes, &message->u, err);
 }
--- a/src/base/messages.h
+++ b/src/base/messages.h
@@ -4,6 +4,8 @@
  * Each message is listed once with its fields; its structure, field table and
  * type number are generated from the list.  Type numbers and the order of
  * fields are part of the protocol and must not change; new ones are appended.
+ * A build ignores types and appended fields that it does not know, and refuses
+ * messages without a field that it knows.
  */
 #ifndef BASE_MESSAGES_H
 #define BASE_MESSAGES_H
@@ -212,7 +214,7 @@
 void message_encode (const message_t *message, GByteArray *out);
 
 /** Decodes any message; call message_clear afterwards, also after an error.
-    @return 0 or -EBADMSG */
+    @return 0, -EBADMSG, or -ENOMSG for a type that only a later build knows */
 int message_decode (blob_t bytes, message_t *message, err_t *err);
 
 /** Frees what message_decode allocated. */
--- a/src/base/test_base.c
+++ b/src/base/test_base.c
@@ -232,6 +232,27 @@
   g_byte_array_free (bytes, TRUE);
 }
 
+/* Guards against messages of a later build that cannot be read: it may append
+   fields.  A field that is missing is another matter. */
+static void
+test_message_appended_fields (void)
+{
+  /* JOB_TELL with the fields 77, 1, 2, 3. */
+  const char known[] = "\x95\x0d\x4d\x01\x02\x03";
+  const char appended[] = "\x97\x0d\x4d\x01\x02\x03\xc4\x01z\x05";
+  const char missing[] = "\x94\x0d\x4d\x01\x02";
+  const char later_type[] = "\x92\x3f\x01";
+  message_t in;
+
+  CU_ASSERT_EQUAL (message_decode (blob_of (known), &in, NULL), 0);
+  CU_ASSERT_EQUAL (in.u.job_tell.pending, 3);
+  CU_ASSERT_EQUAL (message_decode (blob_of (appended), &in, NULL), 0);
+  CU_ASSERT_EQUAL (in.u.job_tell.id, 77);
+  CU_ASSERT_EQUAL (in.u.job_tell.pending, 3);
+  CU_ASSERT_EQUAL (message_decode (blob_of (missing), &in, NULL), -EBADMSG);
+  CU_ASSERT_EQUAL (message_decode (blob_of (later_type), &in, NULL), -ENOMSG);
+}
+
 /* Guards against a counter that is missing from the metrics text. */
 static void
 test_counters_text (void)
@@ -256,6 +277,7 @@
   { "table walk", test_table_walk },
   { "message round trip", test_message_round_trip },
   { "bad bytes", test_message_refuses_bad_bytes },
+  { "appended fields", test_message_appended_fields },
   { "counters text", test_counters_text },
 };
 
--- a/src/base/wire.c
+++ b/src/base/wire.c
@@ -224,9 +224,9 @@
   uint64_t type;
 
   if (object->type != MSGPACK_OBJECT_ARRAY
-      || object->via.array.size != schema->field_count + 1)
-    return err_set (err, -EBADMSG, "decode", NULL,
-                    "%s: wrong number of fields", schema->name);
+      || object->via.array.size < schema->field_count + 1)
+    return err_set (err, -EBADMSG, "decode", NULL, "%s: too few fields",
+                    schema->name);
   items = object->via.array.ptr;
   if (!decode_u64 (&items[0], &type) || type != schema->type)
     return err_set (err, -EBADMSG, "decode", NULL, "%s: wrong message type",
--- a/src/base/wire.h
+++ b/src/base/wire.h
@@ -53,7 +53,8 @@
 int wire_type (blob_t bytes);
 
 /** Decodes BYTES into MESSAGE (schema->size bytes).  Blobs of the message
-    point into BYTES.  Call wire_clear afterwards, also after an error.
+    point into BYTES.  Appended fields that the schema lacks are ignored.  Call
+    wire_clear afterwards, also after an error.
     @return 0; -EBADMSG if the bytes are not exactly one message of the schema
  */
 int wire_decode (const wire_schema_t *schema, blob_t bytes, void *message,
--- a/src/net/peerlink.c
+++ b/src/net/peerlink.c
@@ -344,8 +344,15 @@
 {
   message_t message;
   err_t err = { 0 };
-  bool valid = message_decode (frame, &message, &err) == 0;
+  int code = message_decode (frame, &message, &err);
+  bool valid = code == 0;
 
+  /* A later build may send more types of messages. */
+  if (code == -ENOMSG && in->node)
+    {
+      counter_add (COUNTER_PEER_UNKNOWN_FRAMES, 1);
+      return true;
+    }
   if (valid && message.type == MSG_HELLO)
     {
       valid = message.u.hello.protocol == MESSAGE_PROTOCOL_VERSION;
