Read interference records with appended fields

Seen: nothing yet, the record has not changed. With one field more in a later build, an earlier one that takes over the shard would drop the whole model (learned.unreadable) and start tasks beside others that they are known to disturb, until it has learned that again.

Cause: the decoder required exactly the fields that it knew, as that of peer messages did; the records of jobs may grow.

Before the change "appended fields" (test_interference) failed with 3 assertions. Earlier builds still drop a model with more fields, so that none may be appended while one of them may own a shard.

--- a/src/interference/interference.c
+++ b/src/interference/interference.c
@@ -345,7 +345,7 @@
   msgpack_unpacked_init (&unpacked);
   ok = msgpack_unpack_next (&unpacked, bytes.data, bytes.len, NULL)
            == MSGPACK_UNPACK_SUCCESS
-       && root->type == MSGPACK_OBJECT_ARRAY && root->via.array.size == 2;
+       && root->type == MSGPACK_OBJECT_ARRAY && root->via.array.size >= 2;
   g_hash_table_remove_all (model->idle_tails);
   g_ptr_array_set_size (model->by_victim, 0);
   model->pair_count = 0;
@@ -368,7 +368,7 @@
 {
   image_id_t image;
 
-  if (row->type != MSGPACK_OBJECT_ARRAY || row->via.array.size != 2)
+  if (row->type != MSGPACK_OBJECT_ARRAY || row->via.array.size < 2)
     return false;
   image = decode_image (&row->via.array.ptr[0]);
   if (!image || !(decode_number (&row->via.array.ptr[1]) > 0))
@@ -385,7 +385,7 @@
   image_id_t aggressor;
   pair_t *pair;
 
-  if (row->type != MSGPACK_OBJECT_ARRAY || row->via.array.size != 4)
+  if (row->type != MSGPACK_OBJECT_ARRAY || row->via.array.size < 4)
     return false;
   victim = decode_image (&field[0]);
   aggressor = decode_image (&field[1]);
--- a/src/interference/interference.h
+++ b/src/interference/interference.h
@@ -79,7 +79,8 @@
     with them. */
 void interference_encode (const interference_t *model, GByteArray *out);
 
-/** Replaces the contents of the model with an encoded model.
+/** Replaces the contents of the model with an encoded model.  Fields that a
+    later build has appended are ignored.
     @return 0, or -EBADMSG: rows before the malformed one are kept */
 int interference_decode (interference_t *model, blob_t bytes);
 
--- a/src/interference/test_interference.c
+++ b/src/interference/test_interference.c
@@ -124,6 +124,29 @@
   g_byte_array_unref (bytes);
 }
 
+/* Guards against a model that is lost to an earlier build when a later one
+   appends fields. */
+static void
+test_appended_fields (void)
+{
+  /* Idle tail of 4 ms and slope of 0.125, each followed by a field more. */
+  const char bytes[] = "\x93\x91\x93\xa6served\xca\x40\x80\0\0\x07"
+                       "\x91\x95\xa6served\xa3"
+                       "bad\xca\x3e\0\0\0\xca\x38\0\0\0\x07\x09";
+  interference_t *model = interference_new ();
+
+  CU_ASSERT_EQUAL (
+      interference_decode (model, (blob_t){ bytes, sizeof bytes - 1 }), 0);
+  CU_ASSERT_DOUBLE_EQUAL (interference_slope (model,
+                                              interference_image_id ("served"),
+                                              interference_image_id ("bad")),
+                          0.125, 1e-5);
+  CU_ASSERT (interference_max_utilization (
+                 model, interference_image_id ("served"), TARGET_MS)
+             < 0.8);
+  interference_free (model);
+}
+
 /* Guards against a second trial of a pair within the given span. */
 static void
 test_trials (void)
@@ -146,6 +169,7 @@
     { "load fluctuation", test_load_fluctuation },
     { "utilization limit", test_utilization_limit },
     { "encoding", test_encoding },
+    { "appended fields", test_appended_fields },
     { "trials", test_trials },
   };
 
