Test that builds agree on shards, partitions and keys of records

A later build that hashed jobs to other shards, or named their records otherwise, would not know what an earlier one has accepted, and give its identifiers to two owners.

--- a/src/scheduler/test_records.c
+++ b/src/scheduler/test_records.c
@@ -125,6 +125,27 @@
   CU_ASSERT_EQUAL (workers, 350);
 }
 
+/* Guards against a build that looks for a job in another shard, partition or
+   record.  The numbers are those of 54e4ae6. */
+static void
+test_place_of_records (void)
+{
+  const scheduler_settings_t settings = { .partitions = 12 };
+  scheduler_t s = { .settings = &settings, .shard_count = 3 };
+  char key[RECORD_KEY_LEN + 1];
+
+  CU_ASSERT_EQUAL (sched_shard_of (&s, 0xfedcba9876543210ULL), 0);
+  CU_ASSERT_EQUAL (sched_shard_of (&s, 0x5c0e7a21d94b36f8ULL), 2);
+  CU_ASSERT_EQUAL (sched_partition_of (&s, 1), 4);
+  CU_ASSERT_EQUAL (sched_partition_of (&s, 2), 8);
+  record_key (RECORD_SUBMISSION, 0x5c0e7a21d94b36f8ULL, key);
+  CU_ASSERT_STRING_EQUAL (key, "j5c0e7a21d94b36f8");
+  record_key (RECORD_PROGRESS, 0x5c0e7a21d94b36f8ULL, key);
+  CU_ASSERT_STRING_EQUAL (key, "s5c0e7a21d94b36f8");
+  record_key (RECORD_INTERFERENCE, 0, key);
+  CU_ASSERT_STRING_EQUAL (key, "i0000000000000000");
+}
+
 int
 main (void)
 {
@@ -134,6 +155,7 @@
     { "appended fields", test_appended_fields },
     { "takeover", test_takeover },
     { "layout record", test_layout_record },
+    { "place of records", test_place_of_records },
   };
 
   return suite_main ("records", tests, sizeof tests / sizeof *tests);
