Status shows the version of a process; raise it to 0.2.0

Seen: during an upgrade neither status nor the log tells which build a process runs: all builds since the first call themselves 0.1.0.

GET /status has the version, and `limpethinge status` prints it, "unknown" for an earlier build. Objects depend on the Makefile, so that a raised version is in all of them. The soak checks the version of each process that is there.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
        libclang-rt-14-dev make mandoc spin gnuplot-nox
 
 BUILD ?= build$(if $(SAN),-san,)
-VERSION = 0.1.0
+VERSION = 0.2.0
 
 CFLAGS = $(CPPFLAGS) -std=gnu11 -O2 -g -Wall -Wextra -Wshadow -Wstrict-prototypes \
          -Wmissing-prototypes -Werror -D_GNU_SOURCE \
@@ -74,7 +74,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcunit
 
-$(BUILD)/%.o: %.c
+$(BUILD)/%.o: %.c Makefile
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
 
--- a/src/cli/cli_operator.c
+++ b/src/cli/cli_operator.c
@@ -206,20 +206,24 @@
   json_int_t offset = 0;
   const char *zone = "";
   const char *incarnation = "";
+  const char *version = "unknown"; /* builds before 0.2.0 do not tell it */
   int ready = 0;
   int draining = 0;
   int healthy = 0;
 
-  if (json_unpack (status, "{s:I, s:s, s:s, s:b, s:b, s:I, s:{s:I, s:b}}",
-                   "node", &node, "zone", &zone, "incarnation", &incarnation,
-                   "ready", &ready, "draining", &draining, "bundle", &bundle,
-                   "log", "offset", &offset, "healthy", &healthy))
+  if (json_unpack (status, "{s:I, s?s, s:s, s:s, s:b, s:b, s:I, s:{s:I, s:b}}",
+                   "node", &node, "version", &version, "zone", &zone,
+                   "incarnation", &incarnation, "ready", &ready, "draining",
+                   &draining, "bundle", &bundle, "log", "offset", &offset,
+                   "healthy", &healthy))
     {
       json_decref (status);
       return cli_fail (CLI_ERROR, "response is not a valid status");
     }
-  printf ("node %" JSON_INTEGER_FORMAT " in zone %s, incarnation %s: %s%s\n",
-          node, zone, incarnation, choose (ready, "ready", "not ready"),
+  printf ("node %" JSON_INTEGER_FORMAT
+          " in zone %s, version %s, incarnation %s: %s%s\n",
+          node, zone, version, incarnation,
+          choose (ready, "ready", "not ready"),
           choose (draining, ", draining", ""));
   printf ("bundle %" JSON_INTEGER_FORMAT " in force\n", bundle);
   printf ("log %s, read up to offset %" JSON_INTEGER_FORMAT "\n",
--- a/src/cli/test_cli.c
+++ b/src/cli/test_cli.c
@@ -137,8 +137,11 @@
   "order submit" CALLER_OPTIONS "--class plates --idempotency-key k "
 #define ENDED_ORDER(outcome, status)                                          \
   "{\"state\":\"ended\",\"outcome\":\"" outcome "\",\"status\":" status "}"
-#define STATUS_BODY                                                           \
-  "{\"node\":1,\"incarnation\":\"a\",\"zone\":\"z\",\"ready\":true,"          \
+/* The first is that of a build that does not tell its version. */
+#define EARLIER_STATUS_BODY "{\"node\":1," STATUS_FIELDS
+#define STATUS_BODY "{\"node\":1,\"version\":\"0.2.0\"," STATUS_FIELDS
+#define STATUS_FIELDS                                                         \
+  "\"incarnation\":\"a\",\"zone\":\"z\",\"ready\":true,"                      \
   "\"draining\":false,\"bundle\":3,\"log\":{\"offset\":9,\"healthy\":true},"  \
   "\"shards\":[{\"shard\":0,\"owner\":1,\"epoch\":1,\"active\":true}],"       \
   "\"peers\":[{\"node\":2,\"state\":\"live\",\"bundle\":3}],"                 \
@@ -202,6 +205,8 @@
     "GET /orders/1/wait", 404, CLI_ERROR },
   { cli_status, "status --url @URL", NULL, STATUS_BODY, "GET /status", 200,
     CLI_OK },
+  { cli_status, "status --url @URL", NULL, EARLIER_STATUS_BODY, "GET /status",
+    200, CLI_OK },
   { cli_status, "status --url @URL", NULL, "[1]", "GET /status", 200,
     CLI_ERROR },
   { cli_status, "status", NULL, "", "", 0, CLI_USAGE },
--- a/src/node/node_operators.c
+++ b/src/node/node_operators.c
@@ -237,12 +237,12 @@
   g_snprintf (incarnation, sizeof incarnation, "%016" PRIx64,
               node->incarnation);
   return json_pack (
-      "{s:i, s:s, s:s, s:b, s:b, s:I, s:{s:I, s:b}, s:o, s:o}", "node",
-      (int)node->settings->node, "incarnation", incarnation, "zone",
-      node->settings->zones[node->settings->zone], "ready",
-      node_bundle (node) != NULL, "draining", node->draining, "bundle",
-      bundle ? (json_int_t)bundle->version : (json_int_t)0, "log", "offset",
-      (json_int_t)journal_offset (node->journal), "healthy",
+      "{s:i, s:s, s:s, s:s, s:b, s:b, s:I, s:{s:I, s:b}, s:o, s:o}", "node",
+      (int)node->settings->node, "version", VERSION, "incarnation",
+      incarnation, "zone", node->settings->zones[node->settings->zone],
+      "ready", node_bundle (node) != NULL, "draining", node->draining,
+      "bundle", bundle ? (json_int_t)bundle->version : (json_int_t)0, "log",
+      "offset", (json_int_t)journal_offset (node->journal), "healthy",
       journal_healthy (node->journal), "shards", shards_json (node, now),
       "peers", peers_json (node));
 }
--- a/src/scheduler/sched_admin.c
+++ b/src/scheduler/sched_admin.c
@@ -109,11 +109,12 @@
             (json_int_t)(s->shards[i].owned ? s->node : s->owners[i].node),
             "active", shard_is_active (s->shards[i].shard)));
   return json_text (json_pack (
-      "{s:I, s:s, s:s, s:b, s:b, s:I, s:{s:I, s:b}, s:o, s:[], s:o}", "node",
-      (json_int_t)s->node, "zone", s->settings->zone, "incarnation",
-      incarnation, "ready", is_ready (s, now), "draining", s->stopping,
-      "bundle", (json_int_t)(s->queues ? queues_version (s->queues) : 0),
-      "log", "offset", (json_int_t)s->operator_log.next_offset, "healthy",
+      "{s:I, s:s, s:s, s:s, s:b, s:b, s:I, s:{s:I, s:b}, s:o, s:[], s:o}",
+      "node", (json_int_t)s->node, "version", VERSION, "zone",
+      s->settings->zone, "incarnation", incarnation, "ready",
+      is_ready (s, now), "draining", s->stopping, "bundle",
+      (json_int_t)(s->queues ? queues_version (s->queues) : 0), "log",
+      "offset", (json_int_t)s->operator_log.next_offset, "healthy",
       sched_store_healthy (s, now), "shards", shards, "peers", "zones",
       zones_status (s, now)));
 }
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -214,6 +214,15 @@
 		wrong_jobs=$((wrong_jobs + 1))
 	fi
 done
+# Processes that have not ended have the present build.
+version=$(sed -n 's/^VERSION = //p' Makefile)
+for i in $(seq $NODE_COUNT); do
+	actual=$(curl -s -m 4 "http://$NET.$((10 + i)):$((BASE + 53))/status" | jq -r .version)
+	if [ -n "$actual" ] && [ "$actual" != "$version" ]; then
+		echo "soak: seed $SEED: node $i has version $actual, expected $version"
+		wrong_jobs=$((wrong_jobs + 1))
+	fi
+done
 # Rows of tables are reused: each table keeps some 1,024 free ones.
 for i in $(seq $NODE_COUNT); do
 	rows=$(curl -s -m 4 "http://$NET.$((10 + i)):$((BASE + 53))/counters" |
