Start with settings that have a later build's keys

A rollback that exchanges the program and not the settings file would take the site down.

Cause: an unknown section or key was a problem like any other. It is the only kind that a correct file has for an earlier build.

Change: `limpethinge schedule` reports unknown sections and keys and goes on; all other problems stop it as before, and `limpethinge check` refuses both. Builds up to here cannot be mended: the earlier file goes back first.

"settings of a later build" (test_scheduler) fails with 2 assertions if an unknown key counts as any other problem, as before.

--- a/src/base/inifile.c
+++ b/src/base/inifile.c
@@ -54,6 +54,7 @@
 static void complete_sections (ini_file_t *file);
 static void add_problem_at (ini_file_t *file, int line, const char *section,
                             const char *key, const char *format, va_list args);
+static void add_unknown (ini_file_t *file, const char *key, const char *text);
 static void add_problem (ini_file_t *file, const char *key, const char *format,
                          ...) __attribute__ ((format (printf, 3, 4)));
 static gint compare_lines (gconstpointer a, gconstpointer b);
@@ -220,7 +221,7 @@
   words = g_strsplit (file->section_title, " ", 2);
   file->section = section_find (file, words[0] ? words[0] : "", words[1]);
   if (!file->section)
-    add_problem (file, "", "unknown section");
+    add_unknown (file, "", "unknown section");
   else if (g_hash_table_contains (file->line_numbers, file->section_title))
     add_problem (file, "", "duplicate section; the first is at line %d",
                  GPOINTER_TO_INT (g_hash_table_lookup (file->line_numbers,
@@ -327,7 +328,7 @@
   if (key)
     parse_key (file, key, value);
   else
-    add_problem (file, name, "unknown key");
+    add_unknown (file, name, "unknown key");
   return 1;
 }
 
@@ -410,6 +411,14 @@
   va_end (args);
 }
 
+static void
+add_unknown (ini_file_t *file, const char *key, const char *text)
+{
+  add_problem (file, key, "%s", text);
+  g_array_index (file->problems, problem_t, file->problems->len - 1).unknown
+      = true;
+}
+
 static void
 add_problem_at (ini_file_t *file, int line, const char *section,
                 const char *key, const char *format, va_list args)
--- a/src/base/inifile.h
+++ b/src/base/inifile.h
@@ -19,6 +19,7 @@
   int line;
   char key[64];
   char text[160]; /**< the problem and the allowed values */
+  bool unknown;   /**< a section or key that a later build may know */
 } problem_t;
 
 typedef enum
--- a/src/cli/cli_schedule.c
+++ b/src/cli/cli_schedule.c
@@ -6,6 +6,7 @@
 #include "platform/platform.h"
 #include "scheduler/scheduler.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
 /* Environment variable in which the platform passes the settings path.  */
@@ -55,7 +56,9 @@
   else if (problems->len)
     {
       cli_print_problems (path, problems);
-      code = CLI_INVALID_FILE;
+      fflush (stdout);
+      if (!scheduler_settings_usable (problems))
+        code = CLI_INVALID_FILE;
     }
   g_array_free (problems, TRUE);
   return code;
--- a/src/scheduler/settings.c
+++ b/src/scheduler/settings.c
@@ -109,6 +109,15 @@
             problems);
 }
 
+bool
+scheduler_settings_usable (const GArray *problems)
+{
+  for (guint i = 0; i < problems->len; i++)
+    if (!g_array_index (problems, problem_t, i).unknown)
+      return false;
+  return true;
+}
+
 const ini_section_t *
 scheduler_settings_sections (size_t *count)
 {
--- a/src/scheduler/settings.h
+++ b/src/scheduler/settings.h
@@ -47,6 +47,10 @@
 void scheduler_settings_read (blob_t text, scheduler_settings_t *settings,
                               GArray *problems);
 
+/** @return whether the process can run with these problems: unknown sections
+    and keys are those of a later build before a rollback */
+bool scheduler_settings_usable (const GArray *problems);
+
 /** @return the table of sections, for the reference pages */
 const ini_section_t *scheduler_settings_sections (size_t *count);
 
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -951,6 +951,38 @@
   g_array_free (problems, TRUE);
 }
 
+#define VALID_SETTINGS                                                        \
+  "[node]\nname = n\nzone = z\n[listen]\ncallers = 10.0.0.1:1\n"              \
+  "ready = 10.0.0.1:2\npeers = 10.0.0.1:3\noperators = 10.0.0.1:4\n"          \
+  "[store]\naddress = 10.0.0.2:1\n"
+
+static bool
+settings_usable (const char *text, guint problem_count)
+{
+  GArray *problems = g_array_new (FALSE, TRUE, sizeof (problem_t));
+  scheduler_settings_t settings;
+  bool usable;
+
+  scheduler_settings_read (blob_of (text), &settings, problems);
+  usable = scheduler_settings_usable (problems);
+  CU_ASSERT_EQUAL (problems->len, problem_count);
+  scheduler_settings_clear (&settings);
+  g_array_free (problems, TRUE);
+  return usable;
+}
+
+/* Guards against a rollback after which no process starts, since the settings
+   file has a key of the later build.  The key is reported all the same. */
+static void
+test_settings_of_later_build (void)
+{
+  CU_ASSERT (settings_usable (VALID_SETTINGS, 0));
+  CU_ASSERT (settings_usable (VALID_SETTINGS "later_ms = 3000\n", 1));
+  CU_ASSERT (settings_usable (VALID_SETTINGS "[later]\nkey = 1\n", 1));
+  CU_ASSERT (!settings_usable (VALID_SETTINGS "partitions = many\n", 1));
+  CU_ASSERT (!settings_usable ("[node]\nname = n\nzone = z\nlater = 1\n", 3));
+}
+
 int
 main (void)
 {
@@ -972,6 +1004,7 @@
     { "layout", test_layout },
     { "layout with changing workers", test_layout_with_changing_workers },
     { "settings", test_settings },
+    { "settings of a later build", test_settings_of_later_build },
   };
 
   log_open ("test", LOG_LEVEL_ERR);
