Mark workers with suspects once a gang is placed as a whole

Cause: each member that is placed marks its worker, on which other suspects are not placed for a second. The next member of the same gang counted as such a suspect, so the placement was undone, but the marks stayed; each pass set them anew, and kept suspects of other jobs off the workers as well. Ruled out: the count of a gang (it is per member and stored).

Workers are marked when all members have a worker. Members of a gang are not kept apart from each other: they are of one job, which fails as a whole.

The test failed before: "gang of suspects", starts 2 instead of 3, no run on the worker that is left.

--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -7,6 +7,7 @@
 static void place_step (shard_t *shard, usec_t now, const candidate_t *c);
 static bool place_task (shard_t *shard, usec_t now, const candidate_t *c,
                         uint32_t index);
+static void note_placed (const shard_t *shard, usec_t now, const task_t *task);
 static void place_gang (shard_t *shard, usec_t now, const candidate_t *c);
 static void undo_gang_placement (shard_t *shard, usec_t now,
                                  const candidate_t *c, uint32_t count);
@@ -44,8 +45,11 @@
     {
       const task_t *task = &c->occurrence->tasks[c->step][i];
 
-      if (task->state == TASK_WAITING && !place_task (shard, now, c, i)
-          && !task->crashes)
+      if (task->state != TASK_WAITING)
+        continue;
+      if (place_task (shard, now, c, i))
+        note_placed (shard, now, task);
+      else if (!task->crashes)
         return;
     }
 }
@@ -63,14 +67,22 @@
   task_place (c->entry->job, c->occurrence, c->step, index, &place);
   run_add (shard, c->entry->job, c->occurrence, c->step, index, handle,
            RUN_UNSTORED);
-  crashes_task_placed (now, worker, &c->occurrence->tasks[c->step][index]);
   sharing_task_placed (shard, now, worker,
                        &c->entry->job->submission->steps[c->step]);
   shard_mark_dirty (shard, c->entry);
   return true;
 }
 
-/* Places all members of a gang or none, with the same run number. */
+static void
+note_placed (const shard_t *shard, usec_t now, const task_t *task)
+{
+  const run_t *run = run_get (shard, task->run_handle);
+
+  crashes_task_placed (now, worker_get (shard, run->worker), task);
+}
+
+/* Places all members of a gang or none, with the same run number.  Members
+   under suspicion are not kept apart from each other. */
 static void
 place_gang (shard_t *shard, usec_t now, const candidate_t *c)
 {
@@ -96,7 +108,10 @@
       return;
     }
   for (uint32_t i = 0; i < count; i++)
-    task_set_checkpoint (&tasks[i], saved);
+    {
+      task_set_checkpoint (&tasks[i], saved);
+      note_placed (shard, now, &tasks[i]);
+    }
 }
 
 /* Undoes the placement of the first COUNT members of a gang.  */
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -448,18 +448,26 @@
   tear_down_workers ();
 }
 
-/* Stops all workers of the rack of the first task of JOB_ID. */
-static void
-stop_rack (worker_state_t state)
+/* @return a worker that runs a task of JOB_ID, NULL if there is none */
+static sim_worker_t *
+worker_of_job (void)
 {
   for (uint32_t i = 0; i < WORKERS; i++)
     for (guint k = 0; k < workers[i].runs->len; k++)
       if (g_array_index (workers[i].runs, run_id_t, k).job == JOB_ID)
-        {
-          for (uint32_t other = i % RACKS; other < WORKERS; other += RACKS)
-            stop_worker (&workers[other], state);
-          return;
-        }
+        return &workers[i];
+  return NULL;
+}
+
+/* Stops all workers of the rack of the first task of JOB_ID. */
+static void
+stop_rack (worker_state_t state)
+{
+  const sim_worker_t *w = worker_of_job ();
+
+  for (uint32_t i = 0; w && i < WORKERS; i++)
+    if (strcmp (workers[i].rack, w->rack) == 0)
+      stop_worker (&workers[i], state);
 }
 
 static void
@@ -605,6 +613,33 @@
   tear_down_workers ();
 }
 
+/* Guards against a gang that waits for good: its members are suspects, and a
+   single worker is left for them. */
+static void
+test_gang_of_suspects (void)
+{
+  submission_t *submission = new_submission (GANG_MEMBERS);
+
+  submission->steps[0].gang = true;
+  set_up_workers ();
+  gang = true;
+  crashes = false;
+  for (uint32_t w = 1; w < WORKERS; w++)
+    workers[w].leaving = true;
+  apply_submission (submission);
+  for (uint32_t i = 1; i <= 2; i++)
+    {
+      for (int k = 0; k < 3000 && starts < i; k++)
+        run_workers (STEP);
+      run_workers (100 * USEC_PER_MSEC);
+      stop_worker (&workers[0], WORKER_REFUSES);
+    }
+  run_workers (12 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (starts, 3);
+  CU_ASSERT_EQUAL (workers[0].runs->len, GANG_MEMBERS);
+  tear_down_workers ();
+}
+
 int
 main (void)
 {
@@ -624,6 +659,7 @@
     { "racks are silent", test_racks_are_silent },
     { "late crashes", test_late_crashes },
     { "leaving workers", test_leaving_workers },
+    { "gang of suspects", test_gang_of_suspects },
   };
   int code;
 
