Store that a task is cleared of suspicion

Cause: crashes_run_listed changed the count without marking the job to be stored. Ruled out: the age of an adopted run. It is unknown to the successor, which rightly takes the run for a recent one; the count was wrong.

The test failed before: "successor of a cleared task", job failed, starts 3 instead of 4.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -78,7 +78,8 @@
 CRASH_NOT_COUNTED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/->crashes++;/->crashes += 0;/
 CRASHES_NOT_STORED|src/jobs/job_record.c|shard/test_shard_crashes|s/task->crashes = (uint32_t)uint_at (fields, 7);//
 SUSPECTS_TOGETHER|src/shard/shard_choose.c|shard/test_shard_crashes|s/|| crashes_keep_apart (now, worker, task))/)/
-SUSPECT_NOT_CLEARED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/    task->crashes = 0;/    ;/
+SUSPECT_NOT_CLEARED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^  task->crashes = 0;/  ;/
+CLEARING_NOT_STORED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/shard_mark_dirty (shard, shard_entry (shard, run->run_id.job));//
 RACK_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return in_rack \&\& !rack_works;/return false;/
 COMMON_CAUSE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (together \&\& crashed_without_start (shard, other))/if (0)/
 SILENCE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/first_refusal - worker->in_doubt_since <= REFUSAL_DELAY/true/
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -585,7 +585,7 @@
                        run->run_id.occurrence, run->run_id.step,
                        run->run_id.index);
       task_set_checkpoint (task, report->checkpoint);
-      crashes_run_listed (now, run, task);
+      crashes_run_listed (shard, now, run, task);
       run->in_list = true;
     }
 }
--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -107,10 +107,12 @@
 }
 
 void
-crashes_run_listed (usec_t now, const run_t *run, task_t *task)
+crashes_run_listed (shard_t *shard, usec_t now, const run_t *run, task_t *task)
 {
-  if (task->crashes && now - run->started_at >= CRASH_WINDOW)
-    task->crashes = 0;
+  if (!task->crashes || now - run->started_at < CRASH_WINDOW)
+    return;
+  task->crashes = 0;
+  shard_mark_dirty (shard, shard_entry (shard, run->run_id.job));
 }
 
 void
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -428,7 +428,8 @@
 void crashes_worker_lost (shard_t *shard, usec_t now, handle_t worker,
                           const char *why);
 /** Clears a task whose run has lived long enough. */
-void crashes_run_listed (usec_t now, const run_t *run, task_t *task);
+void crashes_run_listed (shard_t *shard, usec_t now, const run_t *run,
+                         task_t *task);
 void crashes_task_placed (usec_t now, worker_t *worker, const task_t *task);
 /** @return whether the task must not be placed on the worker yet, since
    another suspect there has just started */
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -470,6 +470,16 @@
       stop_worker (&workers[i], state);
 }
 
+static void
+stop_worker_of_job (void)
+{
+  sim_worker_t *w = worker_of_job ();
+
+  CU_ASSERT_PTR_NOT_NULL (w);
+  if (w)
+    stop_worker (w, WORKER_REFUSES);
+}
+
 static void
 lose_power (worker_state_t state, usec_t after)
 {
@@ -640,6 +650,42 @@
   tear_down_workers ();
 }
 
+/* Guards against a suspicion that a successor does not know to be lifted. */
+static void
+test_successor_of_cleared_task (void)
+{
+  GByteArray *progress = g_byte_array_new ();
+
+  set_up_workers ();
+  crashes = false;
+  add_job (1);
+  for (uint32_t i = 1; i <= 2; i++)
+    {
+      for (int k = 0; k < 3000 && starts < i; k++)
+        run_workers (STEP);
+      run_workers (100 * USEC_PER_MSEC);
+      stop_worker_of_job ();
+    }
+  run_workers (20 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (starts, 3);
+  g_byte_array_append (progress, fixture.progress->data,
+                       fixture.progress->len);
+  shard_acquire (fixture.shard, fixture.now, 2);
+  g_array_set_size (waiting, 0);
+  fixture.call_count = 0;
+  add_job (1);
+  shard_apply_record (fixture.shard, fixture.now, RECORD_PROGRESS, JOB_ID,
+                      (blob_t){ (char *)progress->data, progress->len });
+  shard_loaded (fixture.shard, fixture.now);
+  g_byte_array_unref (progress);
+  list_workers ();
+  stop_worker_of_job ();
+  run_workers (12 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_RUNNING);
+  CU_ASSERT_EQUAL (starts, 4);
+  tear_down_workers ();
+}
+
 int
 main (void)
 {
@@ -660,6 +706,7 @@
     { "late crashes", test_late_crashes },
     { "leaving workers", test_leaving_workers },
     { "gang of suspects", test_gang_of_suspects },
+    { "successor of a cleared task", test_successor_of_cleared_task },
   };
   int code;
 
