Count crashes under starts that were repeated for long

Callers saw a task start on worker after worker: a start that gets no answer is repeated, and may be executed long after it was first sent. A worker that crashed at once then crashed over a second after the run's STARTED_AT: the crash was not counted against the task, and taken for one without a start, so that other crashes at that moment counted as having a common cause.

Ruled out: the takeover (a single owner saw runs 2 to 7), a common cause (none was logged for them).

For a run whose start was not answered at first, the time at which the worker was known to have it counts instead.

The test failed before: "start repeated for long", job not failed, starts over the limit.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -84,7 +84,8 @@
 COMMON_CAUSE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (together \&\& crashed_without_start (shard, other))/if (0)/
 SILENCE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/first_refusal - worker->in_doubt_since <= REFUSAL_DELAY/true/
 LEAVING_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return !worker->leaving/return true/
-LATE_CRASH_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return earliest_crash (shard, worker) - run->started_at < CRASH_WINDOW;/return true;/
+LATE_CRASH_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return earliest_crash (shard, worker) - latest_start (run) < CRASH_WINDOW;/return true;/
+REPEATED_START_FORGOTTEN|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return run->start_unanswered ? MAX/return false ? MAX/
 PAUSED_OWNER_BLIND|src/shard/shard_crashes.c|shard/test_shard_crashes|s/in_doubt_since - worker->last_answer > shard->config.poll_idle/in_doubt_since < 0/
 UNANSWERED_NOT_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return run->start_sent;/return run->start_unanswered;/
 UNBOUNDED_OCCURRENCES|src/jobs/jobs.c|jobs/test_jobs|s/JOB_MAX_TASKS;$/JOB_MAX_TASKS * 4;/
--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -43,6 +43,7 @@
                                    const worker_t *worker);
 static bool is_suspect (const shard_t *shard, const worker_t *worker,
                         const run_t *run);
+static usec_t latest_start (const run_t *run);
 static usec_t earliest_crash (const shard_t *shard, const worker_t *worker);
 static task_t *task_of_run (const shard_t *shard, const run_t *run);
 static void count_crash (shard_t *shard, const worker_t *worker);
@@ -109,7 +110,7 @@
 void
 crashes_run_listed (shard_t *shard, usec_t now, const run_t *run, task_t *task)
 {
-  if (!task->crashes || now - run->started_at < CRASH_WINDOW)
+  if (!task->crashes || now - latest_start (run) < CRASH_WINDOW)
     return;
   task->crashes = 0;
   shard_mark_dirty (shard, shard_entry (shard, run->run_id.job));
@@ -216,10 +217,19 @@
 is_suspect (const shard_t *shard, const worker_t *worker, const run_t *run)
 {
   if (run->state == RUN_ACKNOWLEDGED || run->state == RUN_ADOPTED)
-    return earliest_crash (shard, worker) - run->started_at < CRASH_WINDOW;
+    return earliest_crash (shard, worker) - latest_start (run) < CRASH_WINDOW;
   return run->start_sent;
 }
 
+/* A start that was not answered at first may have been executed at any time
+   until the worker was known to have the run. */
+static usec_t
+latest_start (const run_t *run)
+{
+  return run->start_unanswered ? MAX (run->started_at, run->accepted_at)
+                               : run->started_at;
+}
+
 /* Holds are answered at least every POLL_IDLE.  If the latest answer is older,
    the owner did not notice the crash at once: it was paused or cut off. */
 static usec_t
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -51,6 +51,7 @@
 static bool crashes;    /* the first task of JOB_ID crashes its worker */
 static shard_reply_kind_t fatal_reply; /* to the start of that task */
 static bool gang;                      /* all tasks are members of one */
+static uint32_t lost_starts;           /* of each run of that task */
 
 static sim_worker_t *
 find_worker (const char *id)
@@ -81,6 +82,7 @@
   crashes = true;
   fatal_reply = SHARD_REPLY_OK;
   gang = false;
+  lost_starts = 0;
   for (uint32_t i = 0; i < WORKERS; i++)
     {
       sim_worker_t *w = &workers[i];
@@ -191,8 +193,17 @@
 {
   const shard_reply_t last = { .kind = fatal_reply };
   static const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  static const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+  static uint32_t lost;
   bool fatal = crashes && call->run_id.job == JOB_ID && !call->run_id.index;
 
+  if (fatal && lost < lost_starts)
+    {
+      lost++;
+      shard_reply (fixture.shard, fixture.now, call->id, &none);
+      return;
+    }
+  lost = 0;
   starts += call->run_id.job == JOB_ID && !call->run_id.index;
   g_array_append_val (w->runs, call->run_id);
   shard_reply (fixture.shard, fixture.now, call->id, fatal ? &last : &ok);
@@ -686,6 +697,18 @@
   tear_down_workers ();
 }
 
+/* Guards against a start that is not answered at first, and is carried out
+   long after it was first sent. */
+static void
+test_start_repeated_for_long (void)
+{
+  set_up_workers ();
+  lost_starts = 2;
+  add_job (1);
+  check_given_up ();
+  tear_down_workers ();
+}
+
 int
 main (void)
 {
@@ -707,6 +730,7 @@
     { "leaving workers", test_leaving_workers },
     { "gang of suspects", test_gang_of_suspects },
     { "successor of a cleared task", test_successor_of_cleared_task },
+    { "start repeated for long", test_start_repeated_for_long },
   };
   int code;
 
