Judge a list by the worker's clock when suspicion is lifted

Callers saw a task crash worker after worker without an end, where the owner is paused after a start: it then reads a list that the worker sent before it crashed.

The life of a run is now the time between two lists on the worker's clock, and an answer is as old as the worker's clock shows. Ruled out: the time from which a crash is counted after a pause, which "paused owner" covers.

The test failed before, and with only one of the two parts: "list read after a pause", job not failed, starts over the limit.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -454,7 +454,7 @@
   worker->in_doubt = false;
   worker->unanswered_holds = 0;
   worker->refused_holds = 0;
-  worker->last_answer = now;
+  worker->last_answer = now - worker_answer_age (worker, now, reply->clock_ms);
   apply_ends (shard, now, handle, reply);
   apply_runs (shard, now, handle, reply);
   requeue_missing_runs (shard, now, handle, reply, sent, restarted);
@@ -585,7 +585,7 @@
                        run->run_id.occurrence, run->run_id.step,
                        run->run_id.index);
       task_set_checkpoint (task, report->checkpoint);
-      crashes_run_listed (shard, now, run, task);
+      crashes_run_listed (shard, reply->clock_ms, run, task);
       run->in_list = true;
     }
 }
--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -107,10 +107,15 @@
   crashes_give_up (shard, now, given_up);
 }
 
+/* The life of a run is measured on the worker's clock: the owner may read a
+   list long after the worker has sent it. */
 void
-crashes_run_listed (shard_t *shard, usec_t now, const run_t *run, task_t *task)
+crashes_run_listed (shard_t *shard, int64_t clock_ms, run_t *run, task_t *task)
 {
-  if (!task->crashes || now - latest_start (run) < CRASH_WINDOW)
+  if (!run->first_listed_ms)
+    run->first_listed_ms = clock_ms;
+  if (!task->crashes
+      || clock_ms - run->first_listed_ms < usec_to_msec (CRASH_WINDOW))
     return;
   task->crashes = 0;
   shard_mark_dirty (shard, shard_entry (shard, run->run_id.job));
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -43,16 +43,18 @@
   usec_t unsettled_since;    /* the first call of the start or stop that is not
                                 settled, 0: none is */
   usec_t unsettled_log_due;
-  usec_t call_due;        /* next time to send the start or the stop */
-  usec_t started_at;      /* the first start was sent, or the run adopted */
-  usec_t accepted_at;     /* when it became RUN_ACKNOWLEDGED */
-  usec_t acknowledged_at; /* successful answer to the start, first answer to a
-                             stop, or first listing; 0: none */
-  uint32_t percent;       /* of its work, from the latest list */
-  usec_t progressed_at;   /* when PERCENT last changed, or the worker answered
-                             again after a pause */
-  bool in_list;           /* found in the list being applied */
-  uint32_t lists_missed;  /* consecutive lists without it */
+  usec_t call_due;         /* next time to send the start or the stop */
+  usec_t started_at;       /* the first start was sent, or the run adopted */
+  int64_t first_listed_ms; /* the worker's clock at the first list that has
+                              the run */
+  usec_t accepted_at;      /* when it became RUN_ACKNOWLEDGED */
+  usec_t acknowledged_at;  /* successful answer to the start, first answer to a
+                              stop, or first listing; 0: none */
+  uint32_t percent;        /* of its work, from the latest list */
+  usec_t progressed_at;    /* when PERCENT last changed, or the worker answered
+                              again after a pause */
+  bool in_list;            /* found in the list being applied */
+  uint32_t lists_missed;   /* consecutive lists without it */
   uint32_t millicores;
   uint32_t memory_mb;
   uint32_t accelerators;
@@ -280,6 +282,10 @@
 /** @return a lower bound of the worker's clock, in ms */
 int64_t worker_clock (const worker_t *worker, usec_t now);
 void worker_set_clock (worker_t *worker, usec_t now, int64_t worker_ms);
+/** @return how long ago, at least, the worker sent an answer with this time on
+    its clock */
+usec_t worker_answer_age (const worker_t *worker, usec_t now,
+                          int64_t worker_ms);
 /** @return longest time on the local clock until a lease granted now has
     expired */
 usec_t worker_max_lease_duration (const shard_t *shard);
@@ -428,7 +434,7 @@
 void crashes_worker_lost (shard_t *shard, usec_t now, handle_t worker,
                           const char *why);
 /** Clears a task whose run has lived long enough. */
-void crashes_run_listed (shard_t *shard, usec_t now, const run_t *run,
+void crashes_run_listed (shard_t *shard, int64_t clock_ms, run_t *run,
                          task_t *task);
 void crashes_task_placed (usec_t now, worker_t *worker, const task_t *task);
 /** @return whether the task must not be placed on the worker yet, since
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -224,6 +224,14 @@
   worker->clock_at = now;
 }
 
+usec_t
+worker_answer_age (const worker_t *worker, usec_t now, int64_t worker_ms)
+{
+  if (!worker->clock_at || !worker_ms)
+    return 0;
+  return MAX (worker_clock (worker, now) - worker_ms, 0) * USEC_PER_MSEC;
+}
+
 usec_t
 worker_max_lease_duration (const shard_t *shard)
 {
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -52,6 +52,8 @@
 static shard_reply_kind_t fatal_reply; /* to the start of that task */
 static bool gang;                      /* all tasks are members of one */
 static uint32_t lost_starts;           /* of each run of that task */
+static bool lists_before_crash; /* the owner is paused after each start, and
+                                   then reads a list from before the crash */
 
 static sim_worker_t *
 find_worker (const char *id)
@@ -83,6 +85,7 @@
   fatal_reply = SHARD_REPLY_OK;
   gang = false;
   lost_starts = 0;
+  lists_before_crash = false;
   for (uint32_t i = 0; i < WORKERS; i++)
     {
       sim_worker_t *w = &workers[i];
@@ -164,11 +167,11 @@
 }
 
 static void
-answer_hold (sim_worker_t *w, const shard_call_t *call)
+answer_hold (sim_worker_t *w, const shard_call_t *call, usec_t now)
 {
   GArray *rows = g_array_new (FALSE, TRUE, sizeof (run_report_t));
   shard_reply_t lists = { .kind = SHARD_REPLY_OK,
-                          .clock_ms = usec_to_msec (fixture.now),
+                          .clock_ms = usec_to_msec (now),
                           .started_ms = w->started_ms,
                           .has_lists = true };
 
@@ -176,7 +179,7 @@
     {
       run_report_t row = { .run_id = g_array_index (w->runs, run_id_t, i),
                            .checkpoint = "",
-                           .percent = (uint32_t)(fixture.now / 30000) };
+                           .percent = (uint32_t)(now / 30000) };
 
       g_array_append_val (rows, row);
     }
@@ -188,6 +191,25 @@
   g_array_free (rows, TRUE);
 }
 
+/* Has the owner read a list of now after a pause. */
+static void
+read_late_list (sim_worker_t *w)
+{
+  usec_t now = fixture.now;
+
+  fixture.now += 1500 * USEC_PER_MSEC;
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      shard_call_t call = g_array_index (waiting, waiting_call_t, i).call;
+
+      if (call.kind != SHARD_HOLD || strcmp (call.worker, w->id) != 0)
+        continue;
+      g_array_remove_index (waiting, i);
+      answer_hold (w, &call, now);
+      return;
+    }
+}
+
 static void
 answer_start (sim_worker_t *w, const shard_call_t *call)
 {
@@ -207,6 +229,8 @@
   starts += call->run_id.job == JOB_ID && !call->run_id.index;
   g_array_append_val (w->runs, call->run_id);
   shard_reply (fixture.shard, fixture.now, call->id, fatal ? &last : &ok);
+  if (fatal && lists_before_crash)
+    read_late_list (w);
   if (fatal)
     stop_worker (w, WORKER_REFUSES);
 }
@@ -235,7 +259,7 @@
     shard_reply (fixture.shard, fixture.now, c->call.id,
                  w->state == WORKER_SILENT ? &none : &refused);
   else if (c->call.kind == SHARD_HOLD)
-    answer_hold (w, &c->call);
+    answer_hold (w, &c->call, fixture.now);
   else if (c->call.kind == SHARD_START)
     answer_start (w, &c->call);
   else
@@ -709,6 +733,21 @@
   tear_down_workers ();
 }
 
+/* Guards against a task that is cleared by a list from before the crash, which
+   a paused owner reads late. */
+static void
+test_list_read_after_pause (void)
+{
+  set_up_workers ();
+  add_job (1);
+  lists_before_crash = true;
+  for (int i = 0; i < 3000 && status_of (JOB_ID) != JOB_FAILED; i++)
+    run_workers (STEP);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
+  CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
+  tear_down_workers ();
+}
+
 int
 main (void)
 {
@@ -731,6 +770,7 @@
     { "gang of suspects", test_gang_of_suspects },
     { "successor of a cleared task", test_successor_of_cleared_task },
     { "start repeated for long", test_start_repeated_for_long },
+    { "list read after a pause", test_list_read_after_pause },
   };
   int code;
 
