Count crashes of workers whose notice to leave is read later

A planned stop follows its notice by seconds: only a worker that was known to leave when it fell silent counts as leaving. A worker that is listed for the first time may have been leaving before.

The test failed before: "notice after a crash", job not failed, starts over the limit.

--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -153,13 +153,15 @@
 }
 
 /* A process that has ended refuses connections; where power or the link is
-   lost, calls are not answered. */
+   lost, calls are not answered.  A notice to leave that was read after the
+   crash does not make it a planned stop. */
 static bool
 is_crash (const worker_t *worker, usec_t now)
 {
   usec_t first_refusal = worker->refused_holds ? worker->refused_since : now;
 
-  return !worker->leaving
+  return !(worker->leaving
+           && worker->leaving_known_at <= worker->in_doubt_since)
          && first_refusal - worker->in_doubt_since <= REFUSAL_DELAY;
 }
 
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -90,6 +90,7 @@
   int64_t entry_started_ms; /* incarnation that the list describes */
   bool listed;              /* by the platform */
   bool leaving;
+  usec_t leaving_known_at; /* since when LEAVING is set */
   uint32_t millicores;
   uint32_t memory_mb;
   uint32_t accelerators;
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -119,6 +119,10 @@
     log_line (LOG_LEVEL_INFO, "worker.leaving", info->address,
               "worker=%s leaving=%d runs=%u", info->id, info->leaving,
               worker->runs->len);
+  /* A worker that is listed for the first time may have been leaving before.
+   */
+  if (!worker->leaving)
+    worker->leaving_known_at = worker->listed ? now : worker->in_doubt_since;
   worker->leaving = info->leaving;
   update_capacity (worker, info);
   worker->listed = true;
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -13,6 +13,7 @@
 #define GANG_MEMBERS 3U
 #define STEP (10 * USEC_PER_MSEC)
 #define DOWN_TIME (3 * USEC_PER_SEC)
+#define NOTICE_DELAY (100 * USEC_PER_MSEC)
 #define GANG_TIMEOUT (3 * USEC_PER_SEC)
 #define OTHER_JOB 0x77ULL
 /* The users' limit: three starts after three workers have crashed. */
@@ -52,6 +53,7 @@
 static shard_reply_kind_t fatal_reply; /* to the start of that task */
 static bool gang;                      /* all tasks are members of one */
 static uint32_t lost_starts;           /* of each run of that task */
+static bool notice_after_crash; /* crashed workers are listed as leaving */
 static bool lists_before_crash; /* the owner is paused after each start, and
                                    then reads a list from before the crash */
 
@@ -85,6 +87,7 @@
   fatal_reply = SHARD_REPLY_OK;
   gang = false;
   lost_starts = 0;
+  notice_after_crash = false;
   lists_before_crash = false;
   for (uint32_t i = 0; i < WORKERS; i++)
     {
@@ -155,6 +158,15 @@
     break_gang ();
 }
 
+static void
+send_late_notices (void)
+{
+  for (uint32_t i = 0; i < WORKERS; i++)
+    if (workers[i].state == WORKER_REFUSES
+        && fixture.now >= workers[i].back_at - DOWN_TIME + NOTICE_DELAY)
+      workers[i].leaving = true;
+}
+
 static void
 revive_workers (void)
 {
@@ -317,6 +329,8 @@
       fixture.call_count = 0;
       answer_due_calls ();
       revive_workers ();
+      if (notice_after_crash)
+        send_late_notices ();
       if (gang)
         end_partial_gang ();
       list_workers ();
@@ -733,6 +747,18 @@
   tear_down_workers ();
 }
 
+/* Guards against crashes that are taken for planned stops, since the worker's
+   notice to leave is read after the crash. */
+static void
+test_notice_after_crash (void)
+{
+  set_up_workers ();
+  notice_after_crash = true;
+  add_job (1);
+  check_given_up ();
+  tear_down_workers ();
+}
+
 /* Guards against a task that is cleared by a list from before the crash, which
    a paused owner reads late. */
 static void
@@ -770,6 +796,7 @@
     { "gang of suspects", test_gang_of_suspects },
     { "successor of a cleared task", test_successor_of_cleared_task },
     { "start repeated for long", test_start_repeated_for_long },
+    { "notice after a crash", test_notice_after_crash },
     { "list read after a pause", test_list_read_after_pause },
   };
   int code;
