Take planned stops of workers for no common cause of a crash

Callers saw a task crash more workers than the limit while others were replaced: a worker that leaves as planned ends with nothing started on it, as nothing is placed there, so that a crash elsewhere within 0.3 s counted as having a common cause and was not counted against the task.

Cause: crashed_with looked at refused connections only. Ruled out: the order in which the two are noticed.

A worker that was known to leave when it fell silent did not crash with another one.

The test failed before: "workers leave meanwhile", starts over the limit.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -83,7 +83,8 @@
 RACK_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return in_rack \&\& !rack_works;/return false;/
 COMMON_CAUSE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (together \&\& crashed_without_start (shard, other))/if (0)/
 SILENCE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/first_refusal - worker->in_doubt_since <= REFUSAL_DELAY/true/
-LEAVING_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return !(worker->leaving/return !(false/
+LEAVING_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return !has_stopped (worker)/return true/
+LEAVING_IS_COMMON|src/shard/shard_crashes.c|shard/test_shard_crashes|s/ \&\& !has_stopped (other)//
 LATE_NOTICE_CLEARS|src/shard/shard_crashes.c|shard/test_shard_crashes|s/worker->leaving_known_at <= worker->in_doubt_since/true/
 LATE_CRASH_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return earliest_crash (shard, worker) - latest_start (run) < CRASH_WINDOW;/return true;/
 REPEATED_START_FORGOTTEN|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return run->start_unanswered ? MAX/return false ? MAX/
--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -37,6 +37,7 @@
 #define SCORE_PER_RUN_AT_RISK 10000
 
 static bool is_crash (const worker_t *worker, usec_t now);
+static bool has_stopped (const worker_t *worker);
 static bool has_common_cause (const shard_t *shard, const worker_t *worker);
 static bool crashed_with (const worker_t *worker, const worker_t *other);
 static bool crashed_without_start (const shard_t *shard,
@@ -153,18 +154,24 @@
 }
 
 /* A process that has ended refuses connections; where power or the link is
-   lost, calls are not answered.  A notice to leave that was read after the
-   crash does not make it a planned stop. */
+   lost, calls are not answered. */
 static bool
 is_crash (const worker_t *worker, usec_t now)
 {
   usec_t first_refusal = worker->refused_holds ? worker->refused_since : now;
 
-  return !(worker->leaving
-           && worker->leaving_known_at <= worker->in_doubt_since)
+  return !has_stopped (worker)
          && first_refusal - worker->in_doubt_since <= REFUSAL_DELAY;
 }
 
+/* @return whether the worker has ended as planned.  A notice to leave that was
+   read after the worker fell silent does not count. */
+static bool
+has_stopped (const worker_t *worker)
+{
+  return worker->leaving && worker->leaving_known_at <= worker->in_doubt_since;
+}
+
 /* @return whether the whole rack crashed at the same moment, or a worker on
    which nothing had just started */
 static bool
@@ -197,8 +204,8 @@
 {
   usec_t apart = other->in_doubt_since - worker->in_doubt_since;
 
-  return other->in_doubt && other->refused_holds && apart <= SAME_MOMENT
-         && apart >= -SAME_MOMENT;
+  return other->in_doubt && other->refused_holds && !has_stopped (other)
+         && apart <= SAME_MOMENT && apart >= -SAME_MOMENT;
 }
 
 /* @return whether a crash of the worker has another cause than a task.  Its
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -13,6 +13,7 @@
 #define GANG_MEMBERS 3U
 #define STEP (10 * USEC_PER_MSEC)
 #define DOWN_TIME (3 * USEC_PER_SEC)
+#define LEAVING_WORKERS 3U
 #define NOTICE_DELAY (100 * USEC_PER_MSEC)
 #define GANG_TIMEOUT (3 * USEC_PER_SEC)
 #define OTHER_JOB 0x77ULL
@@ -53,9 +54,10 @@
 static shard_reply_kind_t fatal_reply; /* to the start of that task */
 static bool gang;                      /* all tasks are members of one */
 static uint32_t lost_starts;           /* of each run of that task */
-static bool notice_after_crash; /* crashed workers are listed as leaving */
-static bool lists_before_crash; /* the owner is paused after each start, and
-                                   then reads a list from before the crash */
+static bool notice_after_crash;    /* crashed workers are listed as leaving */
+static bool one_leaves_with_crash; /* a leaving worker ends with each crash */
+static bool lists_before_crash;    /* the owner is paused after each start, and
+                                      then reads a list from before the crash */
 
 static sim_worker_t *
 find_worker (const char *id)
@@ -88,6 +90,7 @@
   gang = false;
   lost_starts = 0;
   notice_after_crash = false;
+  one_leaves_with_crash = false;
   lists_before_crash = false;
   for (uint32_t i = 0; i < WORKERS; i++)
     {
@@ -243,6 +246,9 @@
   shard_reply (fixture.shard, fixture.now, call->id, fatal ? &last : &ok);
   if (fatal && lists_before_crash)
     read_late_list (w);
+  if (fatal && one_leaves_with_crash)
+    stop_worker (&workers[WORKERS - 1 - starts % LEAVING_WORKERS],
+                 WORKER_REFUSES);
   if (fatal)
     stop_worker (w, WORKER_REFUSES);
 }
@@ -759,6 +765,21 @@
   tear_down_workers ();
 }
 
+/* Guards against crashes that are taken for ones with a common cause, since
+   other workers leave at the same moments. */
+static void
+test_workers_leave_meanwhile (void)
+{
+  set_up_workers ();
+  for (uint32_t i = WORKERS - LEAVING_WORKERS; i < WORKERS; i++)
+    workers[i].leaving = true;
+  one_leaves_with_crash = true;
+  run_workers (USEC_PER_SEC);
+  add_job (1);
+  check_given_up ();
+  tear_down_workers ();
+}
+
 /* Guards against a task that is cleared by a list from before the crash, which
    a paused owner reads late. */
 static void
@@ -797,6 +818,7 @@
     { "successor of a cleared task", test_successor_of_cleared_task },
     { "start repeated for long", test_start_repeated_for_long },
     { "notice after a crash", test_notice_after_crash },
+    { "workers leave meanwhile", test_workers_leave_meanwhile },
     { "list read after a pause", test_list_read_after_pause },
   };
   int code;
