Start nothing beside a task that has been in two crashes

Callers saw jobs failed that could be done: a task that had been beside the causes of two crashes was started together with a third one, which had not been started before; it was given up at that crash, and the cause was not counted.

Tasks not under suspicion were kept off such a worker only where another one had room; a worker that is back from a crash is often the only one.

They now wait for a second, or take another worker.

The test failed before: "fresh task beside a suspect", the other job failed.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -78,6 +78,7 @@
 CRASH_NOT_COUNTED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/->crashes++;/->crashes += 0;/
 CRASHES_NOT_STORED|src/jobs/job_record.c|shard/test_shard_crashes|s/task->crashes = (uint32_t)uint_at (fields, 7);//
 SUSPECTS_TOGETHER|src/shard/shard_choose.c|shard/test_shard_crashes|s/|| crashes_keep_apart (now, worker, task))/)/
+FRESH_BESIDE_SUSPECT|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^                    : worker->strong_suspect_until);/: task->crashes ? worker->strong_suspect_until : 0);/
 SUSPECT_NOT_CLEARED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^  task->crashes = 0;/  ;/
 CLEARING_NOT_STORED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/shard_mark_dirty (shard, shard_entry (shard, run->run_id.job));//
 RACK_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return in_rack \&\& !rack_works;/return false;/
--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -30,7 +30,6 @@
 #define MAX_CRASHES 5U
 /* Larger than the preference for a rack, smaller than the avoidance of a
    worker on which the task failed. */
-#define SCORE_OF_STRONG_SUSPECT (1LL << 36)
 #define SCORE_OF_OTHER_SUSPECT (1LL << 35)
 #define SCORE_OF_YOUNG_RUN (1LL << 34)
 /* Larger than any score for load: the runs that a crash would take along. */
@@ -132,22 +131,22 @@
     worker->strong_suspect_until = now + CRASH_WINDOW;
 }
 
-/* Waits for at most CRASH_WINDOW for each strong suspect: until then its run
-   has crashed the worker or cleared the task. */
+/* Nothing is started beside a strong suspect, so that a crash is not blamed on
+   the wrong task.  Waits for at most CRASH_WINDOW for each strong suspect:
+   until then its run has crashed the worker or lived on. */
 bool
 crashes_keep_apart (usec_t now, const worker_t *worker, const task_t *task)
 {
   return now < (task->crashes >= CRASHES_OF_STRONG_SUSPECT
                     ? worker->suspect_until
-                : task->crashes ? worker->strong_suspect_until
-                                : 0);
+                    : worker->strong_suspect_until);
 }
 
 int64_t
 crashes_score (usec_t now, const worker_t *worker, const task_t *task)
 {
   if (!task->crashes)
-    return now < worker->strong_suspect_until ? SCORE_OF_STRONG_SUSPECT : 0;
+    return 0;
   return (now < worker->suspect_until ? SCORE_OF_OTHER_SUSPECT : 0)
          + (now < worker->young_until ? SCORE_OF_YOUNG_RUN : 0)
          + (int64_t)worker->runs->len * SCORE_PER_RUN_AT_RISK;
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -439,7 +439,7 @@
                          task_t *task);
 void crashes_task_placed (usec_t now, worker_t *worker, const task_t *task);
 /** @return whether the task must not be placed on the worker yet, since
-   another suspect there has just started */
+    a suspect there has just started */
 bool crashes_keep_apart (usec_t now, const worker_t *worker,
                          const task_t *task);
 /** @return penalty for a task on the worker: tasks under suspicion and tasks
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -780,6 +780,30 @@
   tear_down_workers ();
 }
 
+/* Guards against a suspect that is given up for a crash which a task beside it
+   has caused that had not been started before.  One worker is left. */
+static void
+test_fresh_task_beside_suspect (void)
+{
+  set_up_workers ();
+  for (uint32_t w = 1; w < WORKERS; w++)
+    workers[w].leaving = true;
+  add_job_with_id (OTHER_JOB, 1);
+  for (uint32_t i = 1; i <= 2; i++)
+    {
+      for (int k = 0; k < 3000 && !workers[0].runs->len; k++)
+        run_workers (STEP);
+      run_workers (100 * USEC_PER_MSEC);
+      stop_worker (&workers[0], WORKER_REFUSES);
+    }
+  add_job (1);
+  run_workers (30 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
+  CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
+  CU_ASSERT_EQUAL (status_of (OTHER_JOB), JOB_RUNNING);
+  tear_down_workers ();
+}
+
 /* Guards against a task that is cleared by a list from before the crash, which
    a paused owner reads late. */
 static void
@@ -819,6 +843,7 @@
     { "start repeated for long", test_start_repeated_for_long },
     { "notice after a crash", test_notice_after_crash },
     { "workers leave meanwhile", test_workers_leave_meanwhile },
+    { "fresh task beside a suspect", test_fresh_task_beside_suspect },
     { "list read after a pause", test_list_read_after_pause },
   };
   int code;
