Count crashes that a successor finds at its takeover

Only workers that have answered this owner show a common cause by what ran on them. A whole rack that is down still does. A successor cannot tell how long adopted runs had lived; their tasks are cleared when they are listed again.

The test failed before: "successors one after another", starts over the limit.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -82,7 +82,8 @@
 SUSPECT_NOT_CLEARED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^  task->crashes = 0;/  ;/
 CLEARING_NOT_STORED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/shard_mark_dirty (shard, shard_entry (shard, run->run_id.job));//
 RACK_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return in_rack \&\& !rack_works;/return false;/
-COMMON_CAUSE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (together \&\& crashed_without_start (shard, other))/if (0)/
+COMMON_CAUSE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (together \&\& other->fenced \&\& crashed_without_start (shard, other))/if (0)/
+DOWN_AT_TAKEOVER_IS_COMMON|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (together \&\& other->fenced/if (together/
 SILENCE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/first_refusal - worker->in_doubt_since <= REFUSAL_DELAY/true/
 LEAVING_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return !has_stopped (worker)/return true/
 LEAVING_IS_COMMON|src/shard/shard_crashes.c|shard/test_shard_crashes|s/ \&\& !has_stopped (other)//
--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -187,7 +187,9 @@
 
       if (other == worker || !other->listed)
         continue;
-      if (together && crashed_without_start (shard, other))
+      /* It is not known when a worker went down that has not answered this
+         owner. */
+      if (together && other->fenced && crashed_without_start (shard, other))
         return true;
       if (strcmp (other->rack, worker->rack) == 0)
         {
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -804,6 +804,54 @@
   tear_down_workers ();
 }
 
+/* Has a successor take over with what is stored. */
+static void
+take_over (uint64_t token)
+{
+  GByteArray *progress = g_byte_array_new ();
+
+  g_byte_array_append (progress, fixture.progress->data,
+                       fixture.progress->len);
+  shard_acquire (fixture.shard, fixture.now, token);
+  g_array_set_size (waiting, 0);
+  fixture.call_count = 0;
+  add_job (1);
+  shard_apply_record (fixture.shard, fixture.now, RECORD_PROGRESS, JOB_ID,
+                      (blob_t){ (char *)progress->data, progress->len });
+  shard_loaded (fixture.shard, fixture.now);
+  g_byte_array_unref (progress);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    list_worker_on (workers[i].id, workers[i].address, workers[i].rack,
+                    workers[i].started_ms);
+}
+
+/* Guards against crashes that a successor finds at its takeover and takes for
+   ones with a common cause, since an idle worker is down as well. */
+static void
+test_successors_one_after_another (void)
+{
+  sim_worker_t *idle = &workers[WORKERS - 1];
+
+  set_up_workers ();
+  g_strlcpy (idle->rack, "r9", sizeof idle->rack);
+  list_workers ();
+  add_job (1);
+  for (uint64_t token = 2; token < 12 && status_of (JOB_ID) != JOB_FAILED;
+       token++)
+    {
+      uint32_t before = starts;
+
+      for (int k = 0; k < 1500 && starts == before; k++)
+        run_workers (STEP);
+      run_workers (100 * USEC_PER_MSEC);
+      if (!idle->runs->len)
+        stop_worker (idle, WORKER_REFUSES);
+      take_over (token);
+    }
+  check_given_up ();
+  tear_down_workers ();
+}
+
 /* Guards against a task that is cleared by a list from before the crash, which
    a paused owner reads late. */
 static void
@@ -844,6 +892,7 @@
     { "notice after a crash", test_notice_after_crash },
     { "workers leave meanwhile", test_workers_leave_meanwhile },
     { "fresh task beside a suspect", test_fresh_task_beside_suspect },
+    { "successors one after another", test_successors_one_after_another },
     { "list read after a pause", test_list_read_after_pause },
   };
   int code;
