Do not take refused connections for the end of a listed worker

A refusal shows that nothing answers, not that nothing runs. It counts now only for a worker whose entry in the list is gone, as when a worker left before a takeover. Else the tasks wait for the next incarnation, another worker at the address, the end of the entry or that of the leases.

Ruled out: keeping the rule for its speed.

"refusals of a listed worker" failed before (the task was placed again).

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -20,9 +20,11 @@
 #define HOLD_INTERVAL_UNSTORED (USEC_PER_SEC)
 #define NO_ROOM_PAUSE (200 * USEC_PER_MSEC)
 #define UNHEALTHY_PAUSE (1500 * USEC_PER_MSEC)
-/* A worker that refuses connections is taken to have ended with all of its
-   runs after this many refusals over at least this time.  A single refusal may
-   come from a process that is still starting. */
+/* A worker that is no longer listed and refuses connections is taken to have
+   ended with all of its runs after this many refusals over at least this time.
+   One that is listed may run on where a device between refuses for it: its
+   tasks wait for its next incarnation, the end of its entry or of its leases.
+   A single refusal may come from a process that is still starting. */
 #define DEAD_AFTER_REFUSALS 2U
 #define DEAD_AFTER_REFUSED_SPAN (400 * USEC_PER_MSEC)
 /* A run whose reported percentage has not changed for this long is stalled.
@@ -427,7 +429,7 @@
         }
       if (!worker->refused_holds++)
         worker->refused_since = now;
-      else if (worker->refused_holds >= DEAD_AFTER_REFUSALS
+      else if (!worker->listed && worker->refused_holds >= DEAD_AFTER_REFUSALS
                && now - worker->refused_since >= DEAD_AFTER_REFUSED_SPAN)
         crashes_worker_lost (shard, now, handle, "connections refused");
       return;
--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -205,8 +205,12 @@
 {
   usec_t apart = other->in_doubt_since - worker->in_doubt_since;
 
-  return other->in_doubt && other->refused_holds && !has_stopped (other)
-         && apart <= SAME_MOMENT && apart >= -SAME_MOMENT;
+  bool crashed
+      = (other->in_doubt && other->refused_holds)
+        || (other->crash_noted && other->crash_noted == other->in_doubt_since);
+
+  return crashed && !has_stopped (other) && apart <= SAME_MOMENT
+         && apart >= -SAME_MOMENT;
 }
 
 /* @return whether a crash of the worker has another cause than a task.  Its
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -340,6 +340,26 @@
   tear_down ();
 }
 
+/* Guards against two runs of a task: a worker runs on while connections to it
+   are refused in its place, as its entry in the list shows. */
+static void
+test_refusals_of_a_listed_worker (void)
+{
+  const shard_reply_t refused = { .kind = SHARD_REPLY_REFUSED };
+
+  set_up_with_placed_run ();
+  list_worker ();
+  advance (0);
+  reply_to_hold (&first_run, 1, NULL, 0);
+  reply_to_holds (12, 300 * USEC_PER_MSEC, &refused);
+  CU_ASSERT_EQUAL (fixture.appends, 0);
+  shard_worker_unlisted (fixture.shard, fixture.now, "w1");
+  reply_to_holds (4, 300 * USEC_PER_MSEC, &refused);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -354,6 +374,7 @@
     { "start answered by a former incarnation",
       test_start_answered_by_former_incarnation },
     { "lists after a stop", test_lists_after_stop },
+    { "refusals of a listed worker", test_refusals_of_a_listed_worker },
     { "gang without a member", test_gang_without_member },
   };
   int code;
