Assume one crash of a run that an earlier build has not counted

Cause: an earlier build neither counts crashes nor keeps the count of a later one when it writes the record again. Nothing in the record tells a crash, but a former run that has not failed may have ended with one.

Change: a record without the field has one crash assumed for such a task. Not two: the task would be given up after a single crash that this build has seen, which a job may not be failed for. A run that lives on clears it as before, and records of this build always have the field.

"uncounted crashes" (test_records) failed before with 1 assertion.

--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -33,6 +33,8 @@
                              const submission_t *submission,
                              const occurrence_t *occurrence);
 static void pack_task (msgpack_packer *packer, const task_t *task);
+static uint32_t read_crashes (const task_t *task, uint64_t state,
+                              const msgpack_object *fields);
 static const msgpack_object *element_at (const msgpack_object *array,
                                          uint32_t i);
 static uint64_t uint_at (const msgpack_object *array, uint32_t i);
@@ -395,7 +397,7 @@
   task->run = (uint32_t)uint_at (fields, 1);
   task->failures = (uint32_t)uint_at (fields, 2);
   task->checkpoint = string_at (fields, 5);
-  task->crashes = (uint32_t)uint_at (fields, 7);
+  task->crashes = read_crashes (task, state, fields);
   if (state == TASK_PLACED)
     {
       place_t place = { string_at (fields, 3), int_at (fields, 4),
@@ -411,6 +413,19 @@
   return true;
 }
 
+/* A build without this field does not count crashes.  A former run that has
+   not failed may have ended with one; a single crash is assumed, so that the
+   task is given up only after two that this build has seen. */
+static uint32_t
+read_crashes (const task_t *task, uint64_t state, const msgpack_object *fields)
+{
+  uint32_t ended = task->run - (state == TASK_PLACED && task->run);
+
+  if (element_at (fields, 7))
+    return (uint32_t)uint_at (fields, 7);
+  return ended > task->failures ? 1 : 0;
+}
+
 static const msgpack_object *
 element_at (const msgpack_object *array, uint32_t i)
 {
--- a/src/scheduler/test_records.c
+++ b/src/scheduler/test_records.c
@@ -69,6 +69,27 @@
   g_free (expected);
 }
 
+/* Guards against a task that is started three times more by this build after
+   three workers have crashed under it, which an earlier build has not counted:
+   a former run that has not failed may have ended so.  */
+static void
+test_uncounted_crashes (void)
+{
+  GByteArray *submission = records_read (FORMER, "submission");
+  GByteArray *progress = records_read (FORMER, "progress");
+  job_t *job = job_new (submission_decode (records_blob (submission)));
+
+  CU_ASSERT_EQUAL (job_decode (job, records_blob (progress)), 0);
+  CU_ASSERT_EQUAL (job_task (job, 0, 0, 1)->failures, 2);
+  CU_ASSERT_EQUAL (job_task (job, 0, 0, 1)->crashes, 0);
+  CU_ASSERT_EQUAL (job_task (job, 0, 0, 2)->run, 2);
+  CU_ASSERT_EQUAL (job_task (job, 0, 0, 2)->crashes, 1);
+  CU_ASSERT_EQUAL (job_task (job, 0, 0, 3)->crashes, 0);
+  g_byte_array_unref (submission);
+  g_byte_array_unref (progress);
+  job_free (job);
+}
+
 /* Guards against records that an earlier build, which takes over a shard
    during an upgrade or a rollback, reads as something else. */
 static void
@@ -151,6 +172,7 @@
 {
   const suite_test_t tests[] = {
     { "records of an earlier build", test_earlier_records },
+    { "uncounted crashes", test_uncounted_crashes },
     { "records for an earlier build", test_read_by_earlier_build },
     { "appended fields", test_appended_fields },
     { "takeover", test_takeover },
