Switch off the mechanisms for builds side by side in the mutation test

CRASHES_NOT_STORED follows the renamed line; UNCOUNTED_CRASHES, LATER_SETTINGS_REFUSED and LATER_FRAMES_REFUSED are new.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -76,7 +76,10 @@
 RESTART_KEEPS_STOP|src/shard/shard_runs.c|shard/test_shard_settle|s/  run->state = RUN_STARTING;//
 FORMER_STOP_COUNTS|src/shard/shard_calls.c|shard/test_shard_settle|s/return pending->kind != SHARD_HOLD;/return false;/
 CRASH_NOT_COUNTED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/->crashes++;/->crashes += 0;/
-CRASHES_NOT_STORED|src/jobs/job_record.c|shard/test_shard_crashes|s/task->crashes = (uint32_t)uint_at (fields, 7);//
+CRASHES_NOT_STORED|src/jobs/job_record.c|shard/test_shard_crashes|s/task->crashes = read_crashes (task, state, fields);//
+UNCOUNTED_CRASHES|src/jobs/job_record.c|scheduler/test_records|s/return ended > task->failures ? 1 : 0;/return 0;/
+LATER_SETTINGS_REFUSED|src/scheduler/settings.c|scheduler/test_scheduler|s/if (!g_array_index (problems, problem_t, i).unknown)/if (true)/
+LATER_FRAMES_REFUSED|src/net/peerlink.c|net/test_peerlink|s/if (code == -ENOMSG \&\& in->node)/if (false)/
 SUSPECTS_TOGETHER|src/shard/shard_choose.c|shard/test_shard_crashes|s/|| crashes_keep_apart (now, worker, task))/)/
 FRESH_BESIDE_SUSPECT|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^                    : worker->strong_suspect_until);/: task->crashes ? worker->strong_suspect_until : 0);/
 SUSPECT_NOT_CLEARED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^  task->crashes = 0;/  ;/
