Count unknown runs against a worker's capacity

Callers saw nothing; rule LIMIT was broken on a trial deployment whose workers start what exceeds their capacity.

Cause: a listed run that the owner does not know is told to stop, but was not counted: the owner started tasks in the room that it still takes up ("what is being stopped still counts"). What it needs is not known. Such runs are there after a worker was given up that ran on, such as one behind a cut that resets connections.

Change: a worker whose latest list has unknown runs counts as over its capacity. The stop is answered by a list soon; tasks are then placed at once.

"stray run counts" of test_shard_capacity failed before (a start beside the unknown run).

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -559,6 +559,10 @@
 apply_runs (shard_t *shard, usec_t now, handle_t handle,
             const shard_reply_t *reply)
 {
+  worker_t *worker = worker_get (shard, handle);
+
+  shard->placement_needed |= worker->stray_runs != 0;
+  worker->stray_runs = 0;
   for (size_t i = 0; i < reply->run_count; i++)
     {
       const run_report_t *report = &reply->runs[i];
@@ -573,6 +577,7 @@
                     worker_get (shard, handle)->address,
                     "task=%s run=%u not known to this owner, stopping it",
                     run_format_id (&report->run_id, text), report->run_id.run);
+          worker->stray_runs++;
           send_stop (shard, now, handle, &report->run_id, HANDLE_NONE);
           continue;
         }
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -103,6 +103,7 @@
   uint64_t used_accelerators;
   uint32_t serving_runs; /* runs with a target */
   uint32_t best_effort_runs;
+  uint32_t stray_runs;      /* in the latest list, not known to this owner */
   GArray *runs;             /* handle_t of run_t */
   GArray *recent_runs;      /* recent_run_t */
   usec_t over_target_since; /* a run has exceeded its target beside best-effort
@@ -307,7 +308,8 @@
 bool worker_capacity_is_known (const shard_t *shard, usec_t now,
                                const worker_t *worker);
 /** @return whether the worker's runs, those that are being started or stopped
-    included, need more than its capacity, which may have shrunk */
+    included, need more than its capacity, which may have shrunk, or it has
+   runs of which nothing is known */
 bool worker_is_over_capacity (const worker_t *worker);
 
 /* shard_zones.c */
--- a/src/shard/shard_withdraw.c
+++ b/src/shard/shard_withdraw.c
@@ -30,6 +30,6 @@
   if (worker->evacuated)
     return "zone is evacuated";
   if (worker_is_over_capacity (worker))
-    return "capacity has shrunk";
+    return "worker is over its capacity";
   return NULL;
 }
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -338,7 +338,7 @@
 bool
 worker_is_over_capacity (const worker_t *worker)
 {
-  return worker->used_millicores > worker->millicores
+  return worker->stray_runs || worker->used_millicores > worker->millicores
          || worker->used_memory_mb > worker->memory_mb
          || worker->used_accelerators > worker->accelerators;
 }
--- a/src/shard/test_shard_capacity.c
+++ b/src/shard/test_shard_capacity.c
@@ -338,6 +338,27 @@
   tear_down ();
 }
 
+/* Guards against room that a run takes up which this owner does not know and
+   has just told the worker to stop. */
+static void
+test_stray_run_counts (void)
+{
+  const run_report_t stray
+      = { .run_id = { SECOND_JOB, 0, 0, 0, 1 }, .checkpoint = "" };
+
+  set_up_workers (four_tasks, (capacity_t){ 0 });
+  advance (USEC_PER_SEC);
+  reply_with_lists ("w1", &stray, 1, NULL, 0);
+  add_job (1);
+  store_and_send ();
+  CU_ASSERT_EQUAL (count_calls (SHARD_STOP), 1);
+  CU_ASSERT_EQUAL (count_starts_at ("w1"), 0);
+  reply_as_ready ("w1");
+  store_and_send ();
+  CU_ASSERT_EQUAL (count_starts_at ("w1"), 1);
+  tear_down ();
+}
+
 /* Guards against a successor that does not count what its predecessor has
    started. */
 static void
@@ -444,6 +465,7 @@
     { "full worker", test_full_worker },
     { "growth", test_growth },
     { "stopped run counts", test_stopped_run_counts },
+    { "stray run counts", test_stray_run_counts },
     { "successor", test_successor },
     { "restarted worker", test_restarted_worker },
     { "old list", test_old_list },
