--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -4,7 +4,7 @@
  *
  * Faults are drawn from a seed.  It audits what it sees: no task runs twice at
  * a time, none starts after its end was confirmed, before the step in front of
- * it is done or in an evacuated zone.
+ * it is done, in an evacuated zone or beyond the capacity of its worker.
  */
 #ifndef STANDIN_FLEET_H
 #define STANDIN_FLEET_H
@@ -31,6 +31,10 @@
                             and the operator wrote, 0: none */
   uint32_t evacuate_every; /* ms between evacuations of a zone, 0: none */
   uint32_t evacuate_ms;    /* nothing may start in a zone from then on */
+  uint32_t resize_every;   /* ms between changes of a worker's capacity, 0:
+                              none; each task then needs one core */
+  uint32_t shrunk_ms;      /* no start may exceed a smaller capacity from then
+                              on, counted from the report that follows */
 } fleet_config_t;
 
 typedef struct fleet fleet_t;
@@ -69,6 +73,19 @@
 bool fleet_zone_is_closed (const zones_plan_t *plan, uint32_t zone,
                            usec_t now);
 
+/* fleet_capacity.c */
+typedef struct capacity_plan capacity_plan_t;
+
+capacity_plan_t *fleet_capacity_new (fleet_t *fleet);
+void fleet_capacity_free (capacity_plan_t *plan);
+/** Changes the capacity of workers. */
+void fleet_capacity_tick (capacity_plan_t *plan, usec_t now);
+/** @return cores of the worker */
+uint32_t fleet_capacity_cores (const capacity_plan_t *plan, uint32_t worker);
+/** @return the most cores that the worker has had since SINCE */
+uint32_t fleet_capacity_limit (const capacity_plan_t *plan, uint32_t worker,
+                               usec_t since);
+
 struct fleet
 {
   fleet_config_t config;
@@ -77,6 +94,7 @@
   store_t *store;
   workers_t *workers;
   zones_plan_t *zones;
+  capacity_plan_t *capacity;
   httpd_t *httpd; /* of the store */
 };
 
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -9,7 +9,6 @@
 
 #define REGISTER_INTERVAL (USEC_PER_SEC)
 #define LEASE_MS 6000
-#define MILLICORES 16000
 #define MEMORY_MB 32000
 #define REPORTS_MOST 20U
 #define LATE_LEAST_MS 1500
@@ -86,6 +85,8 @@
   json_t *reports;
 };
 
+static void check_capacity (const worker_t *w, const char *name, uint32_t run,
+                            usec_t now);
 static void on_request (void *ctx, const httpd_request_t *request);
 static void on_abandoned (void *ctx, handle_t handle);
 static const httpd_ops_t worker_ops = { on_request, on_abandoned };
@@ -275,6 +276,8 @@
   if (!late
       && fleet_zone_is_closed (all->fleet->zones, w->index % FLEET_ZONES, now))
     broken (all, name, number, "started in an evacuated zone");
+  if (!late)
+    check_capacity (w, name, number, now);
   check_order (all, name, number, spec ? spec : "");
   task->running++;
   all->starts++;
@@ -283,6 +286,20 @@
   return NULL;
 }
 
+/* A smaller capacity counts SHRUNK_MS after the report that follows. */
+static void
+check_capacity (const worker_t *w, const char *name, uint32_t run, usec_t now)
+{
+  const fleet_t *fleet = w->all->fleet;
+  usec_t since = now - REGISTER_INTERVAL
+                 - (usec_t)fleet->config.shrunk_ms * USEC_PER_MSEC;
+
+  if (fleet->config.resize_every
+      && w->runs->len
+             >= fleet_capacity_limit (fleet->capacity, w->index, since))
+    broken (w->all, name, run, "started beyond the capacity");
+}
+
 static void
 stop (worker_t *w, const json_t *body)
 {
@@ -463,8 +480,9 @@
       entry = json_pack (
           "{s:s, s:s, s:s, s:s, s:i, s:{s:i, s:i, s:i}, s:[s, s]}", "service",
           "s", "address", w->address, "zone", zone, "state", "ready", "born",
-          1, "capacity", "cpu", MILLICORES, "mem_mb", MEMORY_MB, "gpu", 0,
-          "labels", "a", rack);
+          1, "capacity", "cpu",
+          (int)fleet_capacity_cores (all->fleet->capacity, i) * 1000, "mem_mb",
+          MEMORY_MB, "gpu", 0, "labels", "a", rack);
       text = json_dumps (entry, JSON_COMPACT);
       fleet_store_put (all->fleet->store, "keyed.servers", w->id, text);
       free (text);
--- a/standin/main_fleet.c
+++ b/standin/main_fleet.c
@@ -22,6 +22,7 @@
   fleet_workers_tick (fleet->workers, now);
   fleet_store_tick (fleet->store, now);
   fleet_zones_tick (fleet->zones, now);
+  fleet_capacity_tick (fleet->capacity, now);
 }
 
 static void
@@ -66,6 +67,7 @@
   fleet->store = fleet_store_new (fleet);
   fleet->workers = fleet_workers_new (fleet);
   fleet->zones = fleet_zones_new (fleet);
+  fleet->capacity = fleet_capacity_new (fleet);
   fleet_store_put (fleet->store, "keyed.op", "config", first_config);
   ev_timer_init (&tick, on_tick, TICK_S, TICK_S);
   tick.data = fleet;
@@ -73,6 +75,7 @@
   ev_signal_init (&term, on_signal, SIGTERM);
   ev_signal_start (fleet->loop, &term);
   ev_run (fleet->loop, 0);
+  fleet_capacity_free (fleet->capacity);
   fleet_zones_free (fleet->zones);
   fleet_workers_free (fleet->workers);
   fleet_store_free (fleet->store);
@@ -83,10 +86,11 @@
 int
 main (int argc, char **argv)
 {
-  static fleet_t fleet = {
-    .config
-    = { .seed = 1, .workers = 6, .partitions = 12, .evacuate_ms = 5000 }
-  };
+  static fleet_t fleet = { .config = { .seed = 1,
+                                       .workers = 6,
+                                       .partitions = 12,
+                                       .evacuate_ms = 5000,
+                                       .shrunk_ms = 3000 } };
   fleet_config_t *c = &fleet.config;
   int store_port = 0;
   int worker_port = 0;
@@ -115,6 +119,10 @@
       "Time between evacuations of a zone", "MS" },
     { "evacuate-ms", 0, 0, G_OPTION_ARG_INT, &c->evacuate_ms,
       "Time after which nothing starts in an evacuated zone", "MS" },
+    { "resize-every", 0, 0, G_OPTION_ARG_INT, &c->resize_every,
+      "Time between changes of a worker's capacity", "MS" },
+    { "shrunk-ms", 0, 0, G_OPTION_ARG_INT, &c->shrunk_ms,
+      "Time after which no start exceeds a smaller capacity", "MS" },
     G_OPTION_ENTRY_NULL
   };
   GOptionContext *context = g_option_context_new ("");
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -2,8 +2,8 @@
 # soak.sh BUILD [SEED [SECONDS [PROCESSES]]]: runs scheduling processes on
 # loopback against the stand-in of the platform.  Processes are killed, paused,
 # stopped and restarted in overlapping sequences while callers submit, query
-# and cancel jobs and the operator evacuates zones; the store and the workers inject faults drawn from the same
-# seed.  At the end each accepted job must be known and ended, and the stand-in
+# and cancel jobs, the operator evacuates zones and workers shrink and grow; the
+# store and the workers inject faults drawn from the same seed.  At the end each accepted job must be known and ended, and the stand-in
 # must have recorded no violation.  Ends only processes that it started.
 # With FORMER_BUILD set to the build of an earlier commit, the site begins with
 # that build, restarted processes have either, and at the end all have the
@@ -17,6 +17,9 @@
 EVACUATE_MS=1500
 EVACUATE_EVERY=${FORMER_BUILD:+0}
 EVACUATE_EVERY=${EVACUATE_EVERY:-700}
+SHRUNK_MS=1500
+RESIZE_EVERY=${FORMER_BUILD:+0}
+RESIZE_EVERY=${RESIZE_EVERY:-150}
 TABLE_ROWS_MAX=20000
 WORK=$(mktemp -d)
 RANDOM=$SEED
@@ -63,7 +66,8 @@
 [store]
 address = $STORE
 END
-	[ -n "$FORMER_BUILD" ] || printf '[workers]\nevacuate_ms = %d\n' $EVACUATE_MS
+	[ -n "$FORMER_BUILD" ] || printf \
+	    '[workers]\nevacuate_ms = %d\nshrunk_ms = %d\n' $EVACUATE_MS $SHRUNK_MS
 }
 
 start_node() {
@@ -160,7 +164,9 @@
     --deal-every $((RANDOM % 2 * 4000)) \
     --forget-every $((RANDOM % 2 * 3000)) \
     --evacuate-every $((RANDOM % 3 * EVACUATE_EVERY)) \
-    --evacuate-ms $EVACUATE_MS >"$WORK/fleet.log" 2>&1 &
+    --evacuate-ms $EVACUATE_MS \
+    --resize-every $(((SEED + 2) % 3 * RESIZE_EVERY)) \
+    --shrunk-ms $SHRUNK_MS >"$WORK/fleet.log" 2>&1 &
 FLEET_PID=$!
 for i in $(seq $NODE_COUNT); do
 	node_settings "$i" >"$WORK/node-$i.ini"
