--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -66,6 +66,7 @@
 GANG_MEMBER_WITHDRAWN|src/shard/shard_runs.c|shard/test_shard_zones|s/^  break_gang (shard, now, .run_id);//
 SHRUNK_START_SENT|src/shard/shard_withdraw.c|shard/test_shard_capacity|s/if (worker_is_over_capacity (worker))/if (0)/
 OVERFULL_WORKER_USED|src/shard/shard_choose.c|shard/test_shard_capacity|s/if (worker_is_over_capacity (worker))/if (0)/
+STRAY_RUNS_UNCOUNTED|src/shard/shard_calls.c|shard/test_shard_capacity|s/worker->stray_runs++;//
 OLD_LIST_OF_WORKERS|src/shard/shard_workers.c|shard/test_shard|s/return now - shard->workers_known_at <= .*/return true/
 PARTIAL_LIST_CONFIRMS|src/scheduler/sched_workers.c|scheduler/test_workers|s/if (!records->has_more)/if (1)/
 OPERATOR_PAGE_LOST|src/scheduler/sched_operator.c|scheduler/test_operator|s/log->more_pages = records->has_more .*/log->more_pages = false;/
