A new owner knows which workers were leaving

What happened: a worker is emptied and leaves at 22.43 s, in the moment when the owner is killed. The next owner adopts its runs from the records, finds it in no list, and gets no answer, and no refusal, from its address: it waits until leases that the former owner may have extended have expired, 9.5 s. At 28.77 s it is stopped and another owner takes over, and the wait begins anew: the runs are given up at 38.26 s.

Cause: that a worker which was leaving, is not listed and does not answer has left was known only to the owner that had seen it leaving.

The progress record now says of a placed task whether its worker was listed as leaving (an appended field; earlier builds read over it, and their records read as 'not leaving'). A new owner that has read the list of workers without it takes the worker to have left as soon as a hold is not answered.

Ruled out: waiting for less than a lease; an owner cannot know that nobody has extended it. So a worker that crashes silently, was not leaving and answers none of several owners in a row still has its tasks wait anew with each.

The test failed before (no append after the takeover, with the list read before the records and after them).

--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -25,7 +25,7 @@
 #define SUBMISSION_FIELDS 13
 #define STEP_FIELDS 13
 #define PROGRESS_FIELDS 6
-#define TASK_FIELDS 8
+#define TASK_FIELDS 9
 
 static void pack_step (msgpack_packer *packer, const step_t *step);
 static void pack_string (msgpack_packer *packer, const char *text);
@@ -269,6 +269,7 @@
   pack_string (packer, task->checkpoint);
   pack_string (packer, task->place.address);
   msgpack_pack_uint32 (packer, task->crashes);
+  msgpack_pack_uint32 (packer, task->worker_leaves);
 }
 
 int
@@ -407,6 +408,7 @@
         return false;
       task->run--;
       task_place (job, occurrence, step, index, &place);
+      task->worker_leaves = uint_at (fields, 8) != 0;
       g_free (place.worker);
       g_free (place.address);
     }
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -277,6 +277,7 @@
   place_clear (&task->place);
   task->place.worker = g_strdup (place->worker);
   task->place.life_ms = place->life_ms;
+  task->worker_leaves = false;
   task->place.address = g_strdup (place->address ? place->address : "");
   occurrence->placed[step]++;
   job->placed++;
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -93,12 +93,13 @@
 typedef struct
 {
   task_state_t state;
-  uint32_t run;      /**< number of the newest run, 0 before the first */
-  uint32_t failures; /**< runs that ended in failure */
-  place_t place;     /**< of the newest run, while placed */
-  char *checkpoint;  /**< newest checkpoint, NULL for none */
-  uint32_t crashes;  /**< workers that crashed as they had just started it,
-                          since a run of it lived on */
+  uint32_t run;       /**< number of the newest run, 0 before the first */
+  uint32_t failures;  /**< runs that ended in failure */
+  place_t place;      /**< of the newest run, while placed */
+  bool worker_leaves; /**< its worker was listed as leaving */
+  char *checkpoint;   /**< newest checkpoint, NULL for none */
+  uint32_t crashes;   /**< workers that crashed as they had just started it,
+                           since a run of it lived on */
   uint32_t
       run_handle;  /**< newest run in the owner's table, HANDLE_NONE: none */
   uint32_t stalls; /**< runs stopped because they made no progress */
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -352,6 +352,9 @@
       g_free (worker->address);
       worker->address = g_strdup (task->place.address);
     }
+  /* If the list is read later, that looks for workers that were leaving. */
+  if (shard->worker_list_complete && !worker->listed)
+    worker->leaving |= task->worker_leaves;
   run_get (shard, run_add (shard, job, occurrence, step, index, worker_handle,
                            RUN_ADOPTED))
       ->started_at
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -15,6 +15,8 @@
 #define AVOID_MAX (12 * USEC_PER_SEC)
 
 static void update_text (char **target, const char *text);
+static void set_leaving (shard_t *shard, worker_t *worker, bool leaving);
+static bool was_leaving (const shard_t *shard, const worker_t *worker);
 static void update_capacity (worker_t *worker, const shard_worker_t *info);
 
 worker_t *
@@ -75,6 +77,31 @@
   *target = g_strdup (text);
 }
 
+/* The records of the runs tell it to a later owner, which no longer finds a
+   worker that has left in the list. */
+static void
+set_leaving (shard_t *shard, worker_t *worker, bool leaving)
+{
+  if (worker->leaving == leaving)
+    return;
+  worker->leaving = leaving;
+  log_line (LOG_LEVEL_INFO, "worker.leaving", worker->address,
+            "worker=%s leaving=%d runs=%u", worker->id, leaving,
+            worker->runs->len);
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const run_id_t *run_id
+          = &run_get (shard, g_array_index (worker->runs, handle_t, i))
+                 ->run_id;
+      job_entry_t *entry = shard_entry (shard, run_id->job);
+
+      job_task (entry->job, run_id->occurrence, run_id->step, run_id->index)
+          ->worker_leaves
+          = leaving;
+      shard_mark_dirty (shard, entry);
+    }
+}
+
 void
 shard_worker_listed (shard_t *shard, usec_t now, const shard_worker_t *info)
 {
@@ -115,15 +142,11 @@
   update_text (&worker->rack, info->rack);
   update_text (&worker->zone, info->zone);
   zones_update_worker (shard, worker);
-  if (worker->leaving != info->leaving)
-    log_line (LOG_LEVEL_INFO, "worker.leaving", info->address,
-              "worker=%s leaving=%d runs=%u", info->id, info->leaving,
-              worker->runs->len);
   /* A worker that is listed for the first time may have been leaving before.
    */
   if (!worker->leaving)
     worker->leaving_known_at = worker->listed ? now : worker->in_doubt_since;
-  worker->leaving = info->leaving;
+  set_leaving (shard, worker, info->leaving);
   update_capacity (worker, info);
   worker->listed = true;
   shard->placement_needed = true;
@@ -170,16 +193,36 @@
   return worker->leaving && !worker->listed && worker->unanswered_holds;
 }
 
+/* @return whether a former owner knew the worker to be leaving */
+static bool
+was_leaving (const shard_t *shard, const worker_t *worker)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const run_id_t *run_id
+          = &run_get (shard, g_array_index (worker->runs, handle_t, i))
+                 ->run_id;
+
+      if (job_task (shard_entry (shard, run_id->job)->job, run_id->occurrence,
+                    run_id->step, run_id->index)
+              ->worker_leaves)
+        return true;
+    }
+  return false;
+}
+
 void
 shard_worker_list_read (shard_t *shard, usec_t now, GHashTable *listed)
 {
   for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
        h = table_next (shard->workers, h))
     {
-      const worker_t *worker = worker_get (shard, h);
+      worker_t *worker = worker_get (shard, h);
 
       if (worker->listed && !g_hash_table_contains (listed, worker->id))
         shard_worker_unlisted (shard, now, worker->id);
+      else if (!worker->listed)
+        worker->leaving |= was_leaving (shard, worker);
     }
   if (!shard->owned || shard->worker_list_complete)
     return;
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -360,6 +360,54 @@
   tear_down ();
 }
 
+/* A run is on a worker that is leaving, and a new owner takes over. */
+static void
+set_up_takeover_of_leaving (void)
+{
+  set_up_with_placed_run ();
+  list_worker ();
+  advance (0);
+  reply_to_hold (&first_run, 1, NULL, 0);
+  list_worker_leaving (true);
+  advance (USEC_PER_MSEC);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  shard_release (fixture.shard);
+  shard_acquire (fixture.shard, fixture.now, 2);
+  add_job (1);
+  shard_apply_record (
+      fixture.shard, fixture.now, RECORD_PROGRESS, JOB_ID,
+      (blob_t){ (char *)fixture.progress->data, fixture.progress->len });
+}
+
+/* Guards against a task that waits anew for a lease with each takeover: its
+   worker was leaving with a former owner and has left.  The list of workers
+   may be read before the records or after them. */
+static void
+test_worker_left_before_takeover (void)
+{
+  const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+  GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
+  uint32_t appends;
+
+  set_up_takeover_of_leaving ();
+  shard_loaded (fixture.shard, fixture.now);
+  appends = fixture.appends;
+  reply_to_holds (2, 500 * USEC_PER_MSEC, &none);
+  CU_ASSERT_EQUAL (fixture.appends, appends);
+  shard_worker_list_read (fixture.shard, fixture.now, listed);
+  reply_to_holds (4, 500 * USEC_PER_MSEC, &none);
+  CU_ASSERT_EQUAL (fixture.appends, appends + 1);
+  tear_down ();
+  set_up_takeover_of_leaving ();
+  shard_worker_list_read (fixture.shard, fixture.now, listed);
+  shard_loaded (fixture.shard, fixture.now);
+  appends = fixture.appends;
+  reply_to_holds (4, 500 * USEC_PER_MSEC, &none);
+  CU_ASSERT_EQUAL (fixture.appends, appends + 1);
+  g_hash_table_destroy (listed);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -376,6 +424,7 @@
     { "lists after a stop", test_lists_after_stop },
     { "refusals of a listed worker", test_refusals_of_a_listed_worker },
     { "gang without a member", test_gang_without_member },
+    { "worker left before a takeover", test_worker_left_before_takeover },
   };
   int code;
 
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -546,10 +546,13 @@
   reply_to_hold (&first_run, 1, NULL, 0);
   advance (USEC_PER_MSEC);
   shard_worker_unlisted (fixture.shard, fixture.now, "w1");
-  CU_ASSERT_EQUAL (fixture.appends, 0);
-  shard_reply (fixture.shard, fixture.now, last_call (SHARD_HOLD)->id, &none);
+  CU_ASSERT_EQUAL (fixture.appends, 1); /* that its worker leaves */
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
   advance (USEC_PER_MSEC);
   CU_ASSERT_EQUAL (fixture.appends, 1);
+  shard_reply (fixture.shard, fixture.now, last_call (SHARD_HOLD)->id, &none);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (fixture.appends, 2);
   tear_down ();
 }
 
