Replace a mutant that survives

LATE_LIST_CLEARS passed the owner's clock to both lists, whose difference is the same; it now clears at the first list, which "list read after a pause" finds.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -95,7 +95,7 @@
 LATE_CRASH_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return earliest_crash (shard, worker) - latest_start (run) < CRASH_WINDOW;/return true;/
 REPEATED_START_FORGOTTEN|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return run->start_unanswered ? MAX/return false ? MAX/
 LATE_LIST_TAKEN_FOR_RECENT|src/shard/shard_workers.c|shard/test_shard_crashes|s/return MAX (worker_clock (worker, now) - worker_ms, 0)/return 0/
-LATE_LIST_CLEARS|src/shard/shard_calls.c|shard/test_shard_crashes|s/crashes_run_listed (shard, reply->clock_ms,/crashes_run_listed (shard, usec_to_msec (now),/
+LATE_LIST_CLEARS|src/shard/shard_crashes.c|shard/test_shard_crashes|s/run->first_listed_ms = clock_ms;/run->first_listed_ms = clock_ms - 1500;/
 PAUSED_OWNER_BLIND|src/shard/shard_crashes.c|shard/test_shard_crashes|s/in_doubt_since - worker->last_answer > shard->config.poll_idle/in_doubt_since < 0/
 UNANSWERED_NOT_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return run->start_sent;/return run->start_unanswered;/
 UNBOUNDED_OCCURRENCES|src/jobs/jobs.c|jobs/test_jobs|s/JOB_MAX_TASKS;$/JOB_MAX_TASKS * 4;/
