Stand-in: workers lose calls, reject starts, answer late, crash

A run whose start is never executed was possible only by a start carried out late and refused then.

Calls may now be lost before they are executed (--drop); for some seconds a worker rejects all starts with 503, loses half of its calls, leaves half of its starts and stops unanswered and carries them out later, or crashes and returns with a later birth. The configuration changes as well.

--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -6,7 +6,7 @@
 bool
 fleet_chance (fleet_t *fleet, double share)
 {
-  return share > 0 && g_rand_double (fleet->random) < share;
+  return share > 0 && !fleet->calm && g_rand_double (fleet->random) < share;
 }
 
 void
--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -14,6 +14,17 @@
 #include <glib.h>
 #include <jansson.h>
 
+/** What can be the matter with a worker for some seconds. */
+typedef enum
+{
+  SPELL_UNHEALTHY, /**< rejects starts with 503 */
+  SPELL_LOSS,      /**< half of the calls are neither executed nor answered */
+  SPELL_LATE,      /**< half of the starts and stops are not answered, and
+                      carried out later */
+  SPELL_CRASH,     /**< loses all that it runs, returns with a later birth */
+  SPELL_COUNT
+} spell_t;
+
 typedef struct
 {
   uint32_t seed;
@@ -22,8 +33,11 @@
   uint16_t store_port;
   uint16_t worker_port; /* of the first worker */
   uint32_t partitions;
-  double lose;           /* share of worker calls whose answer is lost */
-  double late;           /* share of starts that are carried out later */
+  double lose; /* share of worker calls whose answer is lost */
+  double late; /* share of starts that are carried out later */
+  double drop; /* share of worker calls that are not executed */
+  uint32_t spell_every[SPELL_COUNT]; /* ms between spells, 0: none */
+  uint32_t config_every; /* ms between versions of the configuration */
   double store_lose;     /* share of appends done without an answer */
   uint32_t outage_every; /* ms between outages of the store of 2 s, 0: none */
   uint32_t deal_every;   /* ms between redistributions of all partitions */
@@ -86,6 +100,16 @@
 uint32_t fleet_capacity_limit (const capacity_plan_t *plan, uint32_t worker,
                                usec_t since);
 
+/* fleet_spells.c */
+typedef struct spells spells_t;
+
+spells_t *fleet_spells_new (fleet_t *fleet);
+void fleet_spells_free (spells_t *spells);
+/** Draws the workers on which spells begin. */
+void fleet_spells_tick (spells_t *spells, usec_t now);
+bool fleet_spell_acts (const spells_t *spells, uint32_t worker, spell_t spell,
+                       usec_t now);
+
 struct fleet
 {
   fleet_config_t config;
@@ -95,6 +119,11 @@
   workers_t *workers;
   zones_plan_t *zones;
   capacity_plan_t *capacity;
+  spells_t *spells;
+  bool spells_over; /* no more spells and lost calls */
+  bool calm;        /* no more faults */
+  uint32_t version; /* of the configuration */
+  usec_t config_due;
   httpd_t *httpd; /* of the store */
 };
 
--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -567,19 +567,20 @@
 fleet_store_tick (store_t *store, usec_t now)
 {
   const fleet_config_t *config = &store->fleet->config;
+  bool calm = store->fleet->calm;
 
-  if (config->outage_every && now >= store->outage_due)
+  if (config->outage_every && !calm && now >= store->outage_due)
     {
       store->outage_end = now + OUTAGE;
       store->outage_due
           = store->outage_end + config->outage_every * USEC_PER_MSEC;
     }
-  if (config->deal_every && now >= store->deal_due)
+  if (config->deal_every && !calm && now >= store->deal_due)
     {
       store->deal_due = now + config->deal_every * USEC_PER_MSEC;
       revoke_all (store);
     }
-  if (config->forget_every && now >= store->forget_due)
+  if (config->forget_every && !calm && now >= store->forget_due)
     {
       store->forget_due = now + config->forget_every * USEC_PER_MSEC;
       forget (store);
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -15,6 +15,11 @@
 #define LATE_MOST_MS 5000
 #define RUN_LEAST_MS 60
 #define RUN_MOST_MS 900
+/* Of calls during SPELL_LOSS and SPELL_LATE. */
+#define SPELL_SHARE 0.5
+/* A crashed worker refuses connections for this long. */
+#define DOWN_LEAST_MS 1000
+#define DOWN_MOST_MS 4000
 
 typedef struct
 {
@@ -42,6 +47,7 @@
 typedef struct
 {
   usec_t at;
+  bool starts; /* else a stop */
   char *body;
 } late_t;
 
@@ -52,6 +58,9 @@
   httpd_t *httpd;
   char id[16];
   char address[64];
+  usec_t born;
+  int64_t born_ms;
+  usec_t down_until;
   uint64_t token;
   int64_t lease_until;
   GArray *runs;  /* run_t */
@@ -74,13 +83,15 @@
 {
   fleet_t *fleet;
   worker_t *rows;
-  usec_t born;
   usec_t register_due;
   GHashTable *tasks; /* name -> task_t */
   GHashTable *specs; /* job -> text */
   uint32_t starts;
   uint32_t done;
   uint32_t lapsed;
+  uint32_t crashes;
+  uint32_t dropped;
+  uint32_t unhealthy;
   uint32_t broken;
   json_t *reports;
 };
@@ -89,12 +100,14 @@
                             usec_t now);
 static void on_request (void *ctx, const httpd_request_t *request);
 static void on_abandoned (void *ctx, handle_t handle);
+static void boot (worker_t *w, usec_t now);
+static void clear (worker_t *w);
 static const httpd_ops_t worker_ops = { on_request, on_abandoned };
 
 static int64_t
-clock_ms (const workers_t *all, usec_t now)
+clock_ms (const worker_t *w, usec_t now)
 {
-  return usec_to_msec (now - all->born) + 1;
+  return usec_to_msec (now - w->born) + 1;
 }
 
 workers_t *
@@ -103,7 +116,6 @@
   workers_t *all = g_new0 (workers_t, 1);
 
   all->fleet = fleet;
-  all->born = clock_now ();
   all->rows = g_new0 (worker_t, fleet->config.workers);
   all->tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   all->specs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -111,11 +123,6 @@
   for (uint32_t i = 0; i < fleet->config.workers; i++)
     {
       worker_t *w = &all->rows[i];
-      httpd_config_t config = { .address = w->address,
-                                .max_connections = 256,
-                                .max_body = 65536,
-                                .timeout = 60 * USEC_PER_SEC };
-      err_t err = { 0 };
 
       w->all = all;
       w->index = i;
@@ -128,13 +135,47 @@
       w->late = g_array_new (FALSE, FALSE, sizeof (late_t));
       w->highest
           = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-      w->httpd = httpd_new (fleet->loop, &config, &worker_ops, w, &err);
-      if (!w->httpd)
-        fprintf (stderr, "%s: %s\n", w->address, err.text);
+      boot (w, clock_now ());
     }
   return all;
 }
 
+static void
+boot (worker_t *w, usec_t now)
+{
+  httpd_config_t config = { .address = w->address,
+                            .max_connections = 256,
+                            .max_body = 65536,
+                            .timeout = 60 * USEC_PER_SEC };
+  err_t err = { 0 };
+
+  w->born = now;
+  w->born_ms = g_get_real_time () / USEC_PER_MSEC;
+  w->httpd = httpd_new (w->all->fleet->loop, &config, &worker_ops, w, &err);
+  if (!w->httpd)
+    fprintf (stderr, "%s: %s\n", w->address, err.text);
+}
+
+/* Forgets all that a life of the worker knew.  */
+static void
+clear (worker_t *w)
+{
+  for (guint k = 0; k < w->runs->len; k++)
+    g_free (g_array_index (w->runs, run_t, k).task);
+  for (guint k = 0; k < w->ends->len; k++)
+    g_free (g_array_index (w->ends, end_t, k).task);
+  for (guint k = 0; k < w->late->len; k++)
+    g_free (g_array_index (w->late, late_t, k).body);
+  g_array_set_size (w->runs, 0);
+  g_array_set_size (w->ends, 0);
+  g_array_set_size (w->holds, 0);
+  g_array_set_size (w->late, 0);
+  g_hash_table_remove_all (w->highest);
+  w->token = 0;
+  w->lease_until = 0;
+  w->last_end = 0;
+}
+
 void
 fleet_workers_free (workers_t *all)
 {
@@ -142,13 +183,9 @@
     {
       worker_t *w = &all->rows[i];
 
-      httpd_free (w->httpd);
-      for (guint k = 0; k < w->runs->len; k++)
-        g_free (g_array_index (w->runs, run_t, k).task);
-      for (guint k = 0; k < w->ends->len; k++)
-        g_free (g_array_index (w->ends, end_t, k).task);
-      for (guint k = 0; k < w->late->len; k++)
-        g_free (g_array_index (w->late, late_t, k).body);
+      if (w->httpd)
+        httpd_free (w->httpd);
+      clear (w);
       g_array_free (w->runs, TRUE);
       g_array_free (w->ends, TRUE);
       g_array_free (w->holds, TRUE);
@@ -216,9 +253,11 @@
 json_t *
 fleet_workers_audit (const workers_t *all)
 {
-  return json_pack ("{s:i, s:i, s:i, s:i, s:O}", "broken", (int)all->broken,
-                    "starts", (int)all->starts, "done", (int)all->done,
-                    "lapsed", (int)all->lapsed, "reports", all->reports);
+  return json_pack ("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:O}", "broken",
+                    (int)all->broken, "starts", (int)all->starts, "done",
+                    (int)all->done, "lapsed", (int)all->lapsed, "crashes",
+                    (int)all->crashes, "dropped", (int)all->dropped,
+                    "unhealthy", (int)all->unhealthy, "reports", all->reports);
 }
 
 /* --- Runs --- */
@@ -244,6 +283,26 @@
   g_array_remove_index (w->runs, index);
 }
 
+static void
+crash (worker_t *w, usec_t now)
+{
+  for (guint i = 0; i < w->runs->len; i++)
+    {
+      const run_t *run = &g_array_index (w->runs, run_t, i);
+      task_t *task = task_of (w->all, run->task);
+
+      task->running--;
+    }
+  w->all->crashes++;
+  w->down_until
+      = now
+        + g_rand_int_range (w->all->fleet->random, DOWN_LEAST_MS, DOWN_MOST_MS)
+              * USEC_PER_MSEC;
+  httpd_free (w->httpd);
+  w->httpd = NULL;
+  clear (w);
+}
+
 /* @param late the call arrived before, and was not carried out then */
 static const char *
 start (worker_t *w, const json_t *body, usec_t now, bool late)
@@ -267,7 +326,7 @@
       return NULL;
   if (GPOINTER_TO_UINT (g_hash_table_lookup (w->highest, name)) >= number)
     return "old";
-  if (lease <= clock_ms (all, now))
+  if (lease <= clock_ms (w, now))
     return "late";
   if (task->running)
     broken (all, name, number, "two runs at a time");
@@ -351,9 +410,9 @@
           ended, json_pack ("[I, s, i, s, s]", (json_int_t)end->number,
                             end->task, (int)end->run, end->how, ""));
     }
-  return json_pack ("{s:I, s:I, s:o, s:o}", "clock_ms",
-                    (json_int_t)clock_ms (w->all, now), "born", (json_int_t)1,
-                    "running", running, "ended", ended);
+  return json_pack (
+      "{s:I, s:I, s:o, s:o}", "clock_ms", (json_int_t)clock_ms (w, now),
+      "born", (json_int_t)w->born_ms, "running", running, "ended", ended);
 }
 
 /* --- Calls --- */
@@ -363,7 +422,7 @@
         usec_t now)
 {
   json_t *body
-      = json_pack ("{s:I}", "clock_ms", (json_int_t)clock_ms (w->all, now));
+      = json_pack ("{s:I}", "clock_ms", (json_int_t)clock_ms (w, now));
 
   if (reason)
     json_object_set_new (body, "reason", json_string (reason));
@@ -373,6 +432,29 @@
     fleet_answer (w->httpd, http, status, body);
 }
 
+/* Draws a fault of a call.
+   @param share outside of the spell */
+static bool
+spell_strikes (const worker_t *w, spell_t spell, double share, usec_t now)
+{
+  fleet_t *fleet = w->all->fleet;
+  bool acts = fleet_spell_acts (fleet->spells, w->index, spell, now);
+
+  return fleet_chance (fleet, acts ? MAX (share, SPELL_SHARE) : share);
+}
+
+static void
+add_late (worker_t *w, const httpd_request_t *request, bool starts, usec_t now)
+{
+  late_t late = { now
+                      + g_rand_int_range (w->all->fleet->random, LATE_LEAST_MS,
+                                          LATE_MOST_MS)
+                            * USEC_PER_MSEC,
+                  starts, g_strndup (request->body.data, request->body.len) };
+
+  g_array_append_val (w->late, late);
+}
+
 static void
 on_request (void *ctx, const httpd_request_t *request)
 {
@@ -386,23 +468,26 @@
   bool lost = fleet_chance (fleet, fleet->config.lose);
   bool starts = strcmp (request->path, "/-/run-start") == 0;
 
-  if (starts && fleet_chance (fleet, fleet->config.late))
+  if (spell_strikes (w, SPELL_LOSS,
+                     fleet->spells_over ? 0 : fleet->config.drop, now))
+    w->all->dropped++;
+  else if (strcmp (request->path, "/-/hold") != 0
+           && spell_strikes (w, SPELL_LATE, starts ? fleet->config.late : 0,
+                             now))
+    add_late (w, request, starts, now);
+  else if (starts
+           && fleet_spell_acts (fleet->spells, w->index, SPELL_UNHEALTHY, now))
     {
-      late_t late = { now
-                          + g_rand_int_range (fleet->random, LATE_LEAST_MS,
-                                              LATE_MOST_MS)
-                                * USEC_PER_MSEC,
-                      g_strndup (request->body.data, request->body.len) };
-
-      g_array_append_val (w->late, late);
+      w->all->unhealthy++;
+      answer (w, request->handle, lost, 503, NULL, now);
     }
   else if (token < w->token)
     answer (w, request->handle, lost, 409, "fence", now);
   else
     {
       w->token = token;
-      w->lease_until = MAX (w->lease_until,
-                            MIN (lease, clock_ms (w->all, now) + LEASE_MS));
+      w->lease_until
+          = MAX (w->lease_until, MIN (lease, clock_ms (w, now) + LEASE_MS));
       if (starts)
         {
           const char *reason = start (w, body, now, false);
@@ -458,7 +543,12 @@
       if ((uint64_t)json_integer_value (
               json_object_get (body, "fencing_token"))
           >= w->token)
-        (void)start (w, body, now, true);
+        {
+          if (late.starts)
+            (void)start (w, body, now, true);
+          else
+            stop (w, body);
+        }
       json_decref (body);
       g_free (late.body);
     }
@@ -475,12 +565,14 @@
       json_t *entry;
       char *text;
 
+      if (!w->httpd)
+        continue;
       g_snprintf (rack, sizeof rack, "r%u", i / 3);
       g_snprintf (zone, sizeof zone, "z%u", i % FLEET_ZONES);
       entry = json_pack (
-          "{s:s, s:s, s:s, s:s, s:i, s:{s:i, s:i, s:i}, s:[s, s]}", "service",
+          "{s:s, s:s, s:s, s:s, s:I, s:{s:i, s:i, s:i}, s:[s, s]}", "service",
           "s", "address", w->address, "zone", zone, "state", "ready", "born",
-          1, "capacity", "cpu",
+          (json_int_t)w->born_ms, "capacity", "cpu",
           (int)fleet_capacity_cores (all->fleet->capacity, i) * 1000, "mem_mb",
           MEMORY_MB, "gpu", 0, "labels", "a", rack);
       text = json_dumps (entry, JSON_COMPACT);
@@ -490,6 +582,23 @@
     }
 }
 
+/* @return whether the worker is up */
+static bool
+crash_and_boot (worker_t *w, usec_t now)
+{
+  bool ill
+      = fleet_spell_acts (w->all->fleet->spells, w->index, SPELL_CRASH, now);
+
+  if (w->httpd && ill)
+    crash (w, now);
+  else if (!w->httpd && !ill && now >= w->down_until)
+    {
+      boot (w, now);
+      w->all->register_due = now;
+    }
+  return w->httpd != NULL;
+}
+
 void
 fleet_workers_tick (workers_t *all, usec_t now)
 {
@@ -502,9 +611,11 @@
     {
       worker_t *w = &all->rows[k];
 
+      if (!crash_and_boot (w, now))
+        continue;
       run_late (w, now);
       for (guint i = w->runs->len; i > 0; i--)
-        if (clock_ms (all, now) > w->lease_until)
+        if (clock_ms (w, now) > w->lease_until)
           end_run (w, i - 1, "lapsed");
         else if (now >= g_array_index (w->runs, run_t, i - 1).ends)
           end_run (w, i - 1, "done");
--- a/standin/fleet_zones.c
+++ b/standin/fleet_zones.c
@@ -56,7 +56,7 @@
         plan->since[i] = 0;
         put (fleet, i, "");
       }
-  if (!interval || now < plan->due)
+  if (!interval || fleet->calm || now < plan->due)
     return;
   plan->due = now + interval;
   zone = (uint32_t)g_rand_int_range (fleet->random, 0, FLEET_ZONES);
--- a/standin/main_fleet.c
+++ b/standin/main_fleet.c
@@ -1,5 +1,7 @@
 /** @file
- * Stand-in of the users' platform: command line and timer.
+ * Stand-in of the users' platform: command line, timer and configuration.
+ * SIGUSR1 ends the spells of workers and the loss of calls before they are
+ * executed, SIGUSR2 all faults.
  */
 #include "fleet.h"
 #include "net/clock.h"
@@ -9,6 +11,7 @@
 #define TICK_S 0.005
 
 static void on_tick (EV_P_ ev_timer *timer, int events);
+static void put_config (fleet_t *fleet, usec_t now);
 static void on_signal (EV_P_ ev_signal *signal, int events);
 
 static void
@@ -19,6 +22,8 @@
 
   (void)loop;
   (void)events;
+  put_config (fleet, now);
+  fleet_spells_tick (fleet->spells, now);
   fleet_workers_tick (fleet->workers, now);
   fleet_store_tick (fleet->store, now);
   fleet_zones_tick (fleet->zones, now);
@@ -28,20 +33,53 @@
 static void
 on_signal (EV_P_ ev_signal *signal, int events)
 {
-  (void)signal;
+  fleet_t *fleet = signal->data;
+
   (void)events;
-  ev_break (EV_A_ EVBREAK_ALL);
+  if (signal->signum == SIGTERM)
+    ev_break (EV_A_ EVBREAK_ALL);
+  fleet->spells_over = true;
+  fleet->calm = signal->signum == SIGUSR2;
 }
 
-/* Two queues on one host, as the configuration states them.  */
-static const char first_config[]
-    = "{\"version\":1,\"routes\":[{\"name\":\"q1\",\"host\":\"jobs.example\","
-      "\"path_prefix\":\"/q1/\",\"timeout_ms\":3000,\"target_latency_ms\":250,"
+/* Two queues on one host, as the configuration states them, and one that
+   comes and goes.  */
+static const char config_format[]
+    = "{\"version\":%u,\"routes\":[{\"name\":\"q1\",\"host\":\"jobs.example\","
+      "\"path_prefix\":\"/q1/\",\"timeout_ms\":%u,\"target_latency_ms\":250,"
       "\"priority\":0,\"service\":\"s\",\"attempts\":3,\"stretch\":2},{"
       "\"name\":\"q2\",\"host\":\"jobs.example\",\"path_prefix\":\"/q2/\","
       "\"timeout_ms\":3000,\"target_latency_ms\":1000,\"priority\":2,"
-      "\"service\":\"s\",\"attempts\":3,\"stretch\":2}],\"services\":[],"
-      "\"limits\":{}}";
+      "\"service\":\"s\",\"attempts\":3,\"stretch\":2}%s],"
+      "\"services\":[],\"limits\":{}}";
+static const char extra_route[]
+    = ",{\"name\":\"q3\",\"host\":\"jobs.example\","
+      "\"path_prefix\":\"/q3/\",\"timeout_ms\":3000,"
+      "\"target_latency_ms\":250,\"priority\":1,\"service\":\"s\","
+      "\"attempts\":3,\"stretch\":2}";
+
+static void
+put_config (fleet_t *fleet, usec_t now)
+{
+  usec_t interval = fleet->config.config_every * USEC_PER_MSEC;
+  uint32_t timeout_ms = 3000;
+  char *text;
+
+  if (fleet->version && (!interval || fleet->calm || now < fleet->config_due))
+    return;
+  fleet->config_due = now + interval;
+  if (fleet->version)
+    {
+      fleet->version += (uint32_t)g_rand_int_range (fleet->random, 1, 4);
+      timeout_ms = (uint32_t)g_rand_int_range (fleet->random, 2800, 4000);
+    }
+  else
+    fleet->version = 1;
+  text = g_strdup_printf (config_format, fleet->version, timeout_ms,
+                          fleet->version % 2 ? "" : extra_route);
+  fleet_store_put (fleet->store, "keyed.op", "config", text);
+  g_free (text);
+}
 
 static int
 run (fleet_t *fleet)
@@ -53,6 +91,8 @@
                             .timeout = 60 * USEC_PER_SEC };
   ev_timer tick;
   ev_signal term;
+  ev_signal usr1;
+  ev_signal usr2;
   err_t err = { 0 };
 
   g_snprintf (address, sizeof address, "%s:%u", fleet->config.host,
@@ -68,14 +108,23 @@
   fleet->workers = fleet_workers_new (fleet);
   fleet->zones = fleet_zones_new (fleet);
   fleet->capacity = fleet_capacity_new (fleet);
-  fleet_store_put (fleet->store, "keyed.op", "config", first_config);
+  fleet->spells = fleet_spells_new (fleet);
+  put_config (fleet, clock_now ());
   ev_timer_init (&tick, on_tick, TICK_S, TICK_S);
   tick.data = fleet;
   ev_timer_start (fleet->loop, &tick);
   ev_signal_init (&term, on_signal, SIGTERM);
+  term.data = fleet;
   ev_signal_start (fleet->loop, &term);
+  ev_signal_init (&usr1, on_signal, SIGUSR1);
+  usr1.data = fleet;
+  ev_signal_start (fleet->loop, &usr1);
+  ev_signal_init (&usr2, on_signal, SIGUSR2);
+  usr2.data = fleet;
+  ev_signal_start (fleet->loop, &usr2);
   ev_run (fleet->loop, 0);
   fleet_capacity_free (fleet->capacity);
+  fleet_spells_free (fleet->spells);
   fleet_zones_free (fleet->zones);
   fleet_workers_free (fleet->workers);
   fleet_store_free (fleet->store);
@@ -83,15 +132,57 @@
   return 0;
 }
 
-int
-main (int argc, char **argv)
-{
-  static fleet_t fleet = { .config = { .seed = 1,
+static fleet_t standin = { .config = { .seed = 1,
                                        .workers = 6,
                                        .partitions = 12,
                                        .evacuate_ms = 5000,
                                        .shrunk_ms = 3000 } };
-  fleet_config_t *c = &fleet.config;
+
+static const GOptionEntry fault_entries[] = {
+  { "lose", 0, 0, G_OPTION_ARG_DOUBLE, &standin.config.lose,
+    "Share of worker calls whose answer is lost", "SHARE" },
+  { "late", 0, 0, G_OPTION_ARG_DOUBLE, &standin.config.late,
+    "Share of starts that are carried out later", "SHARE" },
+  { "drop", 0, 0, G_OPTION_ARG_DOUBLE, &standin.config.drop,
+    "Share of worker calls that are lost before they are executed", "SHARE" },
+  { "unhealthy-every", 0, 0, G_OPTION_ARG_INT,
+    &standin.config.spell_every[SPELL_UNHEALTHY],
+    "Time between workers that reject starts for some seconds", "MS" },
+  { "loss-every", 0, 0, G_OPTION_ARG_INT,
+    &standin.config.spell_every[SPELL_LOSS],
+    "Time between workers that lose half of their calls for some seconds",
+    "MS" },
+  { "late-every", 0, 0, G_OPTION_ARG_INT,
+    &standin.config.spell_every[SPELL_LATE],
+    "Time between workers that carry out half of their calls later", "MS" },
+  { "crash-every", 0, 0, G_OPTION_ARG_INT,
+    &standin.config.spell_every[SPELL_CRASH],
+    "Time between crashes of a worker", "MS" },
+  { "config-every", 0, 0, G_OPTION_ARG_INT, &standin.config.config_every,
+    "Time between versions of the configuration", "MS" },
+  { "store-lose", 0, 0, G_OPTION_ARG_DOUBLE, &standin.config.store_lose,
+    "Share of appends done without an answer", "SHARE" },
+  { "outage-every", 0, 0, G_OPTION_ARG_INT, &standin.config.outage_every,
+    "Time between outages of the store", "MS" },
+  { "deal-every", 0, 0, G_OPTION_ARG_INT, &standin.config.deal_every,
+    "Time between redistributions of all partitions", "MS" },
+  { "forget-every", 0, 0, G_OPTION_ARG_INT, &standin.config.forget_every,
+    "Time between losses of the operator's and the workers' history", "MS" },
+  { "evacuate-every", 0, 0, G_OPTION_ARG_INT, &standin.config.evacuate_every,
+    "Time between evacuations of a zone", "MS" },
+  { "evacuate-ms", 0, 0, G_OPTION_ARG_INT, &standin.config.evacuate_ms,
+    "Time after which nothing starts in an evacuated zone", "MS" },
+  { "resize-every", 0, 0, G_OPTION_ARG_INT, &standin.config.resize_every,
+    "Time between changes of a worker's capacity", "MS" },
+  { "shrunk-ms", 0, 0, G_OPTION_ARG_INT, &standin.config.shrunk_ms,
+    "Time after which no start exceeds a smaller capacity", "MS" },
+  G_OPTION_ENTRY_NULL
+};
+
+int
+main (int argc, char **argv)
+{
+  fleet_config_t *c = &standin.config;
   int store_port = 0;
   int worker_port = 0;
   char *host = g_strdup ("127.0.0.1");
@@ -103,26 +194,6 @@
       "Port of the first worker", "PORT" },
     { "workers", 0, 0, G_OPTION_ARG_INT, &c->workers, "Workers", "N" },
     { "seed", 0, 0, G_OPTION_ARG_INT, &c->seed, "Seed of the faults", "N" },
-    { "lose", 0, 0, G_OPTION_ARG_DOUBLE, &c->lose,
-      "Share of worker calls whose answer is lost", "SHARE" },
-    { "late", 0, 0, G_OPTION_ARG_DOUBLE, &c->late,
-      "Share of starts that are carried out later", "SHARE" },
-    { "store-lose", 0, 0, G_OPTION_ARG_DOUBLE, &c->store_lose,
-      "Share of appends done without an answer", "SHARE" },
-    { "outage-every", 0, 0, G_OPTION_ARG_INT, &c->outage_every,
-      "Time between outages of the store", "MS" },
-    { "deal-every", 0, 0, G_OPTION_ARG_INT, &c->deal_every,
-      "Time between redistributions of all partitions", "MS" },
-    { "forget-every", 0, 0, G_OPTION_ARG_INT, &c->forget_every,
-      "Time between losses of the operator's and the workers' history", "MS" },
-    { "evacuate-every", 0, 0, G_OPTION_ARG_INT, &c->evacuate_every,
-      "Time between evacuations of a zone", "MS" },
-    { "evacuate-ms", 0, 0, G_OPTION_ARG_INT, &c->evacuate_ms,
-      "Time after which nothing starts in an evacuated zone", "MS" },
-    { "resize-every", 0, 0, G_OPTION_ARG_INT, &c->resize_every,
-      "Time between changes of a worker's capacity", "MS" },
-    { "shrunk-ms", 0, 0, G_OPTION_ARG_INT, &c->shrunk_ms,
-      "Time after which no start exceeds a smaller capacity", "MS" },
     G_OPTION_ENTRY_NULL
   };
   GOptionContext *context = g_option_context_new ("");
@@ -130,6 +201,7 @@
   int code = 64;
 
   g_option_context_add_main_entries (context, entries, NULL);
+  g_option_context_add_main_entries (context, fault_entries, NULL);
   if (g_option_context_parse (context, &argc, &argv, &error))
     {
       c->host = host;
@@ -137,10 +209,10 @@
       c->worker_port = (uint16_t)worker_port;
       if (c->store_port && c->worker_port)
         {
-          fleet.loop = ev_default_loop (EVFLAG_AUTO);
-          fleet.random = g_rand_new_with_seed (c->seed);
-          code = run (&fleet);
-          g_rand_free (fleet.random);
+          standin.loop = ev_default_loop (EVFLAG_AUTO);
+          standin.random = g_rand_new_with_seed (c->seed);
+          code = run (&standin);
+          g_rand_free (standin.random);
         }
       else
         fprintf (stderr, "--store-port and --worker-port are required\n");
