Soak: jobs with a task that crashes its workers, by SOAK_DEADLY=1

A share of the jobs is deadly: the worker that starts the first task of one drops all that it runs within 0.3 s, refuses connections for 1 to 4 s and returns with a later birth. A deadly job has to end as failed or canceled, another one may not end as failed. The audit counts the starts of a deadly task after three workers have crashed under it; the third one is a violation.

Workers crash for no other reason in these runs. Whether the machines were in touch is not checked, so that this check is stricter than the rule.

--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -4,7 +4,8 @@
  *
  * Faults are drawn from a seed.  It audits what it sees: no task runs twice at
  * a time, none starts after its end was confirmed, before the step in front of
- * it is done, in an evacuated zone or beyond the capacity of its worker.
+ * it is done, in an evacuated zone or beyond a worker's capacity, and a task
+ * under which workers crash is not started without end.
  */
 #ifndef STANDIN_FLEET_H
 #define STANDIN_FLEET_H
@@ -37,6 +38,7 @@
   double late; /* share of starts that are carried out later */
   double drop; /* share of worker calls that are not executed */
   uint32_t spell_every[SPELL_COUNT]; /* ms between spells, 0: none */
+  gboolean limit_deadly; /* too many starts of a deadly task are a violation */
   uint32_t config_every; /* ms between versions of the configuration */
   double store_lose;     /* share of appends done without an answer */
   uint32_t outage_every; /* ms between outages of the store of 2 s, 0: none */
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -20,12 +20,20 @@
 /* A crashed worker refuses connections for this long. */
 #define DOWN_LEAST_MS 1000
 #define DOWN_MOST_MS 4000
+/* The first task of a job with such a spec crashes each worker that starts it,
+   this long after the start at most. */
+#define DEADLY_SUFFIX " deadly"
+#define DEADLY_MOST_MS 300
+/* After so many crashes under a task so many starts are too many. */
+#define DEADLY_CRASHES 3U
+#define DEADLY_STARTS 3U
 
 typedef struct
 {
   char *task;
   uint32_t run;
   usec_t ends;
+  bool deadly;
 } run_t;
 
 typedef struct
@@ -60,6 +68,7 @@
   char address[64];
   usec_t born;
   int64_t born_ms;
+  usec_t crash_at; /* 0: not due */
   usec_t down_until;
   uint64_t token;
   int64_t lease_until;
@@ -77,6 +86,8 @@
   uint32_t running;
   bool done;
   bool confirmed;
+  uint32_t crashes;      /* of workers, under a deadly task */
+  uint32_t starts_after; /* starts after DEADLY_CRASHES */
 } task_t;
 
 struct workers
@@ -92,6 +103,7 @@
   uint32_t crashes;
   uint32_t dropped;
   uint32_t unhealthy;
+  uint32_t deadly_starts; /* most starts of a task after DEADLY_CRASHES */
   uint32_t broken;
   json_t *reports;
 };
@@ -253,11 +265,12 @@
 json_t *
 fleet_workers_audit (const workers_t *all)
 {
-  return json_pack ("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:O}", "broken",
+  return json_pack ("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:O}", "broken",
                     (int)all->broken, "starts", (int)all->starts, "done",
                     (int)all->done, "lapsed", (int)all->lapsed, "crashes",
                     (int)all->crashes, "dropped", (int)all->dropped,
-                    "unhealthy", (int)all->unhealthy, "reports", all->reports);
+                    "unhealthy", (int)all->unhealthy, "deadly_starts",
+                    (int)all->deadly_starts, "reports", all->reports);
 }
 
 /* --- Runs --- */
@@ -283,6 +296,32 @@
   g_array_remove_index (w->runs, index);
 }
 
+static bool
+is_deadly (const char *name, const char *spec)
+{
+  return spec && g_str_has_suffix (spec, DEADLY_SUFFIX)
+         && g_str_has_suffix (name, ".0.0.0");
+}
+
+static void
+start_deadly (worker_t *w, const char *name, uint32_t number, usec_t now,
+              bool late)
+{
+  workers_t *all = w->all;
+  task_t *task = task_of (all, name);
+
+  if (!w->crash_at)
+    w->crash_at = now
+                  + g_rand_int_range (all->fleet->random, 0, DEADLY_MOST_MS)
+                        * USEC_PER_MSEC;
+  if (task->crashes < DEADLY_CRASHES || late)
+    return;
+  task->starts_after++;
+  all->deadly_starts = MAX (all->deadly_starts, task->starts_after);
+  if (all->fleet->config.limit_deadly && task->starts_after == DEADLY_STARTS)
+    broken (all, name, number, "started again and again after crashes");
+}
+
 static void
 crash (worker_t *w, usec_t now)
 {
@@ -292,8 +331,10 @@
       task_t *task = task_of (w->all, run->task);
 
       task->running--;
+      task->crashes += run->deadly;
     }
   w->all->crashes++;
+  w->crash_at = 0;
   w->down_until
       = now
         + g_rand_int_range (w->all->fleet->random, DOWN_LEAST_MS, DOWN_MOST_MS)
@@ -318,7 +359,8 @@
                 now
                     + g_rand_int_range (all->fleet->random, RUN_LEAST_MS,
                                         RUN_MOST_MS)
-                          * USEC_PER_MSEC };
+                          * USEC_PER_MSEC,
+                is_deadly (name, spec) };
 
   for (guint i = 0; i < w->runs->len; i++)
     if (strcmp (g_array_index (w->runs, run_t, i).task, name) == 0
@@ -338,6 +380,11 @@
   if (!late)
     check_capacity (w, name, number, now);
   check_order (all, name, number, spec ? spec : "");
+  if (run.deadly)
+    {
+      run.ends = INT64_MAX; /* its worker crashes first */
+      start_deadly (w, name, number, now, late);
+    }
   task->running++;
   all->starts++;
   run.task = g_strdup (name);
@@ -589,7 +636,7 @@
   bool ill
       = fleet_spell_acts (w->all->fleet->spells, w->index, SPELL_CRASH, now);
 
-  if (w->httpd && ill)
+  if (w->httpd && (ill || (w->crash_at && now >= w->crash_at)))
     crash (w, now);
   else if (!w->httpd && !ill && now >= w->down_until)
     {
--- a/standin/main_soak.c
+++ b/standin/main_soak.c
@@ -163,6 +163,7 @@
   int seed = 1;
   int jobs = 4000;
   int connections = 3;
+  double deadly = 0;
   char **nodes = NULL;
   GOptionEntry entries[]
       = { { "node", 0, 0, G_OPTION_ARG_STRING_ARRAY, &nodes,
@@ -171,6 +172,8 @@
             "Connections to each process", "N" },
           { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the jobs", "N" },
           { "jobs", 0, 0, G_OPTION_ARG_INT, &jobs, "Most jobs", "N" },
+          { "deadly", 0, 0, G_OPTION_ARG_DOUBLE, &deadly,
+            "Share of jobs with a task that crashes its worker", "SHARE" },
           { "interval", 0, 0, G_OPTION_ARG_INT, &soak.interval_ms,
             "Time between requests of a connection", "MS" },
           { "settle", 0, 0, G_OPTION_ARG_INT, &soak.settle_s,
@@ -186,7 +189,7 @@
     {
       soak.loop = ev_default_loop (EVFLAG_AUTO);
       soak.random = g_rand_new_with_seed ((guint32)seed);
-      soak.jobs = soak_jobs_new ((uint32_t)seed, (uint32_t)jobs);
+      soak.jobs = soak_jobs_new ((uint32_t)seed, (uint32_t)jobs, deadly);
       soak.users = g_ptr_array_new ();
       add_users (&soak, nodes, connections);
       code = run (&soak);
--- a/standin/soak.h
+++ b/standin/soak.h
@@ -59,7 +59,7 @@
   ASK_CANCEL
 } ask_t;
 
-jobs_t *soak_jobs_new (uint32_t seed, uint32_t most);
+jobs_t *soak_jobs_new (uint32_t seed, uint32_t most, double deadly);
 void soak_jobs_free (jobs_t *jobs);
 
 /** Draws the next request of the load.
--- a/standin/soak_jobs.c
+++ b/standin/soak_jobs.c
@@ -19,6 +19,7 @@
   uint32_t counts[STEPS_MAX];
   uint32_t steps;
   bool best_effort;
+  bool deadly;
   bool to_cancel;
   uint32_t attempts;
   bool in_flight; /* a submission has no answer yet */
@@ -35,6 +36,7 @@
   GRand *random;
   uint32_t seed;
   uint32_t most;
+  double deadly;
   GPtrArray *all;    /* job_t */
   GQueue *to_submit; /* again */
   GQueue *to_cancel;
@@ -44,13 +46,14 @@
 static bool is_as_expected (const job_t *job);
 
 jobs_t *
-soak_jobs_new (uint32_t seed, uint32_t most)
+soak_jobs_new (uint32_t seed, uint32_t most, double deadly)
 {
   jobs_t *jobs = g_new0 (jobs_t, 1);
 
   jobs->random = g_rand_new_with_seed (seed + 7);
   jobs->seed = seed;
   jobs->most = most;
+  jobs->deadly = deadly;
   jobs->all = g_ptr_array_new_with_free_func (g_free);
   jobs->to_submit = g_queue_new ();
   jobs->to_cancel = g_queue_new ();
@@ -80,6 +83,7 @@
         = (uint32_t)g_rand_int_range (jobs->random, 1, TASKS_MAX + 1);
   job->best_effort = !g_rand_int_range (jobs->random, 0, BEST_EFFORT_ONE_IN);
   job->to_cancel = !g_rand_int_range (jobs->random, 0, CANCEL_ONE_IN);
+  job->deadly = g_rand_double (jobs->random) < jobs->deadly;
   return job;
 }
 
@@ -140,7 +144,8 @@
 
   for (uint32_t i = 0; i < job->steps; i++)
     g_string_append_printf (body, "%s%u", i ? "," : "", job->counts[i]);
-  g_string_append (body, "\",\"steps\":[");
+  g_string_append_printf (body, "%s\",\"steps\":[",
+                          job->deadly ? " deadly" : "");
   for (uint32_t i = 0; i < job->steps; i++)
     {
       g_string_append_printf (body,
@@ -209,6 +214,9 @@
     return !job->in_flight;
   if (!job->accepted && !job->unknown)
     return false;
+  if (job->deadly)
+    return strcmp (job->state, "failed") == 0
+           || (canceled && job->cancel_asked);
   if (job->cancelled)
     return canceled;
   return completed || (canceled && job->cancel_asked);
@@ -219,6 +227,7 @@
 {
   uint32_t accepted = 0;
   uint32_t cancelled = 0;
+  uint32_t deadly = 0;
   uint32_t wrong = 0;
 
   for (guint i = 0; i < jobs->all->len; i++)
@@ -227,16 +236,18 @@
 
       accepted += job->accepted;
       cancelled += job->cancelled;
+      deadly += job->accepted && job->deadly;
       if (job->settled)
         continue;
       wrong++;
-      printf ("%s job %016" G_GINT64_MODIFIER "x is %s%s\n",
+      printf ("%s job %016" G_GINT64_MODIFIER "x is %s%s%s\n",
               job->accepted  ? "accepted"
               : job->unknown ? "unanswered"
                              : "rejected",
-              job->id, job->state, job->cancelled ? ", cancelled" : "");
+              job->id, job->state, job->cancelled ? ", cancelled" : "",
+              job->deadly ? ", deadly" : "");
     }
-  printf ("%u accepted, %u cancelled, %u jobs wrong\n", accepted, cancelled,
-          wrong);
+  printf ("%u accepted, %u cancelled, %u deadly, %u jobs wrong\n", accepted,
+          cancelled, deadly, wrong);
   return wrong + !accepted;
 }
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -16,12 +16,14 @@
 # that build, restarted processes have either, and at the end all have the
 # present one.  No zone is evacuated then, which the earlier build may not know.
 #
-# Environment: SOAK_KEEP=DIR keeps the files of a failed run there.
+# Environment: SOAK_DEADLY=1 adds jobs whose first task crashes its workers;
+# SOAK_KEEP=DIR keeps the files of a failed run there.
 BUILD=$1
 SEED=${2:-1}
 FAULT_SECONDS=${3:-12}
 NODE_COUNT=${4:-4}
 WORKER_COUNT=${5:-9}
+DEADLY=${SOAK_DEADLY:-0}
 SETTLE_SECONDS=60
 CALM_SETTLE_SECONDS=20
 GRACE_SECONDS=6
@@ -227,7 +229,13 @@
 	--resize-every $(((SEED + 2) % 3 * RESIZE_EVERY))
 	--shrunk-ms $SHRUNK_MS)
 calm=$((RANDOM % 2))
-echo "soak: seed $SEED: ${faults[*]}, calm $calm"
+deadly_share=0
+if [ "$DEADLY" != 0 ]; then
+	# Other crashes would excuse that a job without such a task is given up.
+	faults+=(--limit-deadly --crash-every 0)
+	deadly_share=0.0$((RANDOM % 7 + 1))
+fi
+echo "soak: seed $SEED: ${faults[*]}, deadly $deadly_share, calm $calm"
 "$BUILD/bin/standin-fleet" --host $NET.1 --store-port "$BASE" --worker-port $((BASE + 10)) \
     --workers "$WORKER_COUNT" --seed "$SEED" --evacuate-ms $EVACUATE_MS \
     "${faults[@]}" >"$WORK/fleet.log" 2>&1 &
@@ -241,7 +249,7 @@
 	nodes+=(--node "$(callers_address "$i")")
 done
 sleep 3
-"$BUILD/bin/standin-soak" "${nodes[@]}" --seed "$SEED" \
+"$BUILD/bin/standin-soak" "${nodes[@]}" --seed "$SEED" --deadly "$deadly_share" \
     --interval $((NODE_COUNT * 25)) \
     --settle $((calm ? CALM_SETTLE_SECONDS : SETTLE_SECONDS)) \
     >"$WORK/callers" 2>&1 &
