Count crashes of workers that are back when a successor has loaded

A successor that took over a second before it heard of the worker took the time since for silence, as if the worker had lost its power, and counted nothing.

Cause: IN_DOUBT_SINCE of a worker that this owner has never heard is the takeover, not the worker's last answer. Such a worker cannot be called silent; what it was running is counted once, as at any other crash.

"successor finds worker back" failed before (starts 4, expected 3).

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -88,7 +88,8 @@
 RACK_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return in_rack \&\& !rack_works;/return false;/
 COMMON_CAUSE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (together \&\& other->fenced \&\& crashed_without_start (shard, other))/if (0)/
 DOWN_AT_TAKEOVER_IS_COMMON|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (together \&\& other->fenced/if (together/
-SILENCE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/first_refusal - worker->in_doubt_since <= REFUSAL_DELAY/true/
+SILENCE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/first_refusal - worker->in_doubt_since > REFUSAL_DELAY/false/
+SUCCESSOR_BLIND|src/shard/shard_crashes.c|shard/test_shard_crashes|s/worker->last_answer != shard->owned_since/true/
 LEAVING_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return !has_stopped (worker)/return true/
 LEAVING_IS_COMMON|src/shard/shard_crashes.c|shard/test_shard_crashes|s/ \&\& !has_stopped (other)//
 LATE_NOTICE_CLEARS|src/shard/shard_crashes.c|shard/test_shard_crashes|s/worker->leaving_known_at <= worker->in_doubt_since/true/
--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -35,7 +35,8 @@
 /* Larger than any score for load: the runs that a crash would take along. */
 #define SCORE_PER_RUN_AT_RISK 10000
 
-static bool is_crash (const worker_t *worker, usec_t now);
+static bool is_crash (const shard_t *shard, const worker_t *worker,
+                      usec_t now);
 static bool has_stopped (const worker_t *worker);
 static bool has_common_cause (const shard_t *shard, const worker_t *worker);
 static bool crashed_with (const worker_t *worker, const worker_t *other);
@@ -58,7 +59,8 @@
   worker_t *worker = worker_get (shard, handle);
   GArray *given_up = g_array_new (FALSE, FALSE, sizeof (job_id_t));
 
-  if (!is_crash (worker, now) || worker->crash_noted == worker->in_doubt_since)
+  if (!is_crash (shard, worker, now)
+      || worker->crash_noted == worker->in_doubt_since)
     return given_up;
   worker->crash_without_start = crashed_without_start (shard, worker);
   worker->crash_noted = worker->in_doubt_since;
@@ -153,14 +155,16 @@
 }
 
 /* A process that has ended refuses connections; where power or the link is
-   lost, calls are not answered. */
+   lost, calls are not answered.  A new owner does not know how a worker ended
+   that has never answered it. */
 static bool
-is_crash (const worker_t *worker, usec_t now)
+is_crash (const shard_t *shard, const worker_t *worker, usec_t now)
 {
   usec_t first_refusal = worker->refused_holds ? worker->refused_since : now;
+  bool was_silent = worker->last_answer != shard->owned_since
+                    && first_refusal - worker->in_doubt_since > REFUSAL_DELAY;
 
-  return !has_stopped (worker)
-         && first_refusal - worker->in_doubt_since <= REFUSAL_DELAY;
+  return !has_stopped (worker) && !was_silent;
 }
 
 /* @return whether the worker has ended as planned.  A notice to leave that was
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -439,27 +439,56 @@
   tear_down_workers ();
 }
 
-/* Guards against a count that a successor does not know. */
+/* Has a successor take over with what is stored.
+   @param loading time until it has loaded the records */
 static void
-test_successor (void)
+take_over (uint64_t token, usec_t loading)
 {
   GByteArray *progress = g_byte_array_new ();
 
-  set_up_workers ();
-  add_job (1);
-  for (int k = 0; k < 3000 && starts < 3; k++)
-    run_workers (STEP);
-  run_workers (300 * USEC_PER_MSEC);
   g_byte_array_append (progress, fixture.progress->data,
                        fixture.progress->len);
-  shard_acquire (fixture.shard, fixture.now, 2);
+  shard_acquire (fixture.shard, fixture.now, token);
   g_array_set_size (waiting, 0);
   fixture.call_count = 0;
   add_job (1);
   shard_apply_record (fixture.shard, fixture.now, RECORD_PROGRESS, JOB_ID,
                       (blob_t){ (char *)progress->data, progress->len });
+  fixture.now += loading;
   shard_loaded (fixture.shard, fixture.now);
   g_byte_array_unref (progress);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    list_worker_on (workers[i].id, workers[i].address, workers[i].rack,
+                    workers[i].started_ms);
+}
+
+/* Guards against a count that a successor does not know. */
+static void
+test_successor (void)
+{
+  set_up_workers ();
+  add_job (1);
+  for (int k = 0; k < 3000 && starts < 3; k++)
+    run_workers (STEP);
+  run_workers (300 * USEC_PER_MSEC);
+  take_over (2, 0);
+  check_given_up ();
+  CU_ASSERT_EQUAL (starts, 3);
+  tear_down_workers ();
+}
+
+/* Guards against a crash that nobody counts: the worker is back in another
+   incarnation before the successor has loaded the records. */
+static void
+test_successor_finds_worker_back (void)
+{
+  set_up_workers ();
+  add_job (1);
+  for (int k = 0; k < 3000 && starts < 3; k++)
+    run_workers (STEP);
+  fixture.now += DOWN_TIME;
+  revive_workers ();
+  take_over (2, 2 * USEC_PER_SEC);
   check_given_up ();
   CU_ASSERT_EQUAL (starts, 3);
   tear_down_workers ();
@@ -709,8 +738,6 @@
 static void
 test_successor_of_cleared_task (void)
 {
-  GByteArray *progress = g_byte_array_new ();
-
   set_up_workers ();
   crashes = false;
   add_job (1);
@@ -723,16 +750,7 @@
     }
   run_workers (20 * USEC_PER_SEC);
   CU_ASSERT_EQUAL (starts, 3);
-  g_byte_array_append (progress, fixture.progress->data,
-                       fixture.progress->len);
-  shard_acquire (fixture.shard, fixture.now, 2);
-  g_array_set_size (waiting, 0);
-  fixture.call_count = 0;
-  add_job (1);
-  shard_apply_record (fixture.shard, fixture.now, RECORD_PROGRESS, JOB_ID,
-                      (blob_t){ (char *)progress->data, progress->len });
-  shard_loaded (fixture.shard, fixture.now);
-  g_byte_array_unref (progress);
+  take_over (2, 0);
   list_workers ();
   stop_worker_of_job ();
   run_workers (12 * USEC_PER_SEC);
@@ -804,27 +822,6 @@
   tear_down_workers ();
 }
 
-/* Has a successor take over with what is stored. */
-static void
-take_over (uint64_t token)
-{
-  GByteArray *progress = g_byte_array_new ();
-
-  g_byte_array_append (progress, fixture.progress->data,
-                       fixture.progress->len);
-  shard_acquire (fixture.shard, fixture.now, token);
-  g_array_set_size (waiting, 0);
-  fixture.call_count = 0;
-  add_job (1);
-  shard_apply_record (fixture.shard, fixture.now, RECORD_PROGRESS, JOB_ID,
-                      (blob_t){ (char *)progress->data, progress->len });
-  shard_loaded (fixture.shard, fixture.now);
-  g_byte_array_unref (progress);
-  for (uint32_t i = 0; i < WORKERS; i++)
-    list_worker_on (workers[i].id, workers[i].address, workers[i].rack,
-                    workers[i].started_ms);
-}
-
 /* Guards against crashes that a successor finds at its takeover and takes for
    ones with a common cause, since an idle worker is down as well. */
 static void
@@ -846,7 +843,7 @@
       run_workers (100 * USEC_PER_MSEC);
       if (!idle->runs->len)
         stop_worker (idle, WORKER_REFUSES);
-      take_over (token);
+      take_over (token, 0);
     }
   check_given_up ();
   tear_down_workers ();
@@ -878,6 +875,7 @@
     { "gang", test_gang },
     { "neighbours go on", test_neighbours_go_on },
     { "successor", test_successor },
+    { "successor finds worker back", test_successor_finds_worker_back },
     { "paused owner", test_paused_owner },
     { "suspects one by one", test_suspects_one_by_one },
     { "racks crash", test_racks_crash },
