Do not report a request as refused that was sent before

A start or stop that a worker has read counted as not executed, if its kept connection then broke and libcurl's repetition on a new connection was refused.

The client looked at the last connection only. It tells now that a connection was refused only if no byte of the request was sent before.

"refused after sent" failed before (refused 1, expected 0).

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -368,8 +368,8 @@
     answer.transfer_result = HTTP_NOT_SENT;
   if (code == CURLE_OPERATION_TIMEDOUT)
     record_timeout (client, transfer->peer);
-  answer.connection_refused
-      = code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
+  answer.connection_refused = code == CURLE_COULDNT_CONNECT
+                              && os_error == ECONNREFUSED && !request_bytes;
   answer.status = answer.transfer_result == HTTP_ANSWERED ? (int)status : 0;
   answer.body
       = (blob_t){ (char *)transfer->answer->data, transfer->answer->len };
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -26,7 +26,8 @@
 typedef struct
 {
   http_result_t transfer_result;
-  bool connection_refused; /**< no process listens at the address */
+  bool connection_refused; /**< nothing listens at the address, and no request
+                                was sent on a former connection */
   int status;              /**< HTTP status, 0 unless answered */
   blob_t body;             /**< valid during the callback */
   bool leaving;            /**< header Limpethinge-Leaving was set */
--- a/src/net/test_http_client.c
+++ b/src/net/test_http_client.c
@@ -27,10 +27,22 @@
   http_client_t *client;
   uint32_t answered;
   uint32_t timed_out;
+  uint32_t refused;
+  bool ends; /* the server ends as it has read the next request */
 } fixture_t;
 
 static fixture_t f;
 
+static void
+end_server (EV_P_ ev_io *io)
+{
+  ev_io_stop (EV_A_ & f.accept);
+  close (f.socket);
+  ev_io_stop (EV_A_ io);
+  close (io->fd);
+  f.socket = io->fd = -1;
+}
+
 static void
 on_readable (EV_P_ ev_io *io, int events)
 {
@@ -43,6 +55,11 @@
       ev_io_stop (EV_A_ io);
       return;
     }
+  if (f.ends)
+    {
+      end_server (EV_A_ io);
+      return;
+    }
   if (io - f.connections >= f.silent_count)
     CU_ASSERT_EQUAL (send (io->fd, response, sizeof response - 1, 0),
                      (ssize_t)(sizeof response - 1));
@@ -103,6 +120,7 @@
 
   f.answered += answer->transfer_result == HTTP_ANSWERED;
   f.timed_out += answer->transfer_result != HTTP_ANSWERED;
+  f.refused += answer->connection_refused;
   if (!--*open)
     ev_break (f.loop, EVBREAK_ALL);
 }
@@ -154,12 +172,30 @@
   tear_down ();
 }
 
+/* Guards against a request that counts as not executed although a server has
+   read it: the connection broke, and its repetition was refused. */
+static void
+test_refused_after_sent (void)
+{
+  set_up ();
+  request (1);
+  CU_ASSERT_EQUAL (f.answered, 1);
+  f.ends = true;
+  request (1);
+  CU_ASSERT_EQUAL (f.answered, 1);
+  CU_ASSERT_EQUAL (f.refused, 0);
+  request (1);
+  CU_ASSERT_EQUAL (f.refused, 1);
+  tear_down ();
+}
+
 int
 main (void)
 {
   const suite_test_t tests[] = {
     { "silent connections", test_silent_connections },
     { "connection reused", test_connection_reused },
+    { "refused after sent", test_refused_after_sent },
   };
 
   return suite_main ("http client", tests, sizeof tests / sizeof *tests);
--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -208,7 +208,6 @@
 crashed_with (const worker_t *worker, const worker_t *other)
 {
   usec_t apart = other->in_doubt_since - worker->in_doubt_since;
-
   bool crashed
       = (other->in_doubt && other->refused_holds)
         || (other->crash_noted && other->crash_noted == other->in_doubt_since);
@@ -233,9 +232,8 @@
 }
 
 /* @return whether the worker may have been executing the start of the run when
-   it crashed.  A start without an answer may be executed late.  A refused one
-   may have been executed before: the HTTP client sends it again on a new
-   connection if the old one ends. */
+   it crashed.  A start without an answer may be executed late, and one that is
+   refused may repeat one that was executed. */
 static bool
 is_suspect (const shard_t *shard, const worker_t *worker, const run_t *run)
 {
