Close connections opened for one request after it

For a second after a timeout, and for each repeated attempt, a new connection is opened although idle ones exist. It became an idle one itself for up to 20 s, so that their number was bounded by libcurl's cache only. Such connections are closed now, and a peer has no more of them than requests were under way at once.

The limit is a second less now, and requests use new connections for up to two seconds after a timeout.

Ruled out: a race of the stand-in's count. It keeps connections with a suspended request although the client has closed them, but these are no more than the slots of the instance.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -69,6 +69,7 @@
 
 static void open_pool (http_client_t *client, pool_t *pool);
 static void copy_peer (const char *url, char peer[PEER_TEXT_SIZE]);
+static void use_new_connection (const transfer_t *transfer);
 static void set_connection_age (const transfer_t *transfer);
 static void record_timeout (http_client_t *client, const char *peer);
 static int on_socket (CURL *easy, curl_socket_t fd, int what, void *ctx,
@@ -131,9 +132,19 @@
   g_strlcpy (peer, host, MIN (strcspn (host, "/") + 1, PEER_TEXT_SIZE));
 }
 
+/* Opens a connection for this request alone.  Kept after the request, it would
+   add to those that the peer holds open for us, one for each such request.  */
+static void
+use_new_connection (const transfer_t *transfer)
+{
+  curl_easy_setopt (transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt (transfer->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 /* A connection may go silent for good while new ones work, and its peer's
    other connections with it.  After a request has timed out, connections that
-   are older are not used again.  */
+   are older are not used again.  libcurl compares whole seconds, rounded
+   down, and uses connections that are as old as the limit.  */
 static void
 set_connection_age (const transfer_t *transfer)
 {
@@ -143,12 +154,12 @@
 
   if (!timeout)
     return;
-  if (age_s >= IDLE_CONNECTION_MAX_AGE_S)
+  if (age_s > IDLE_CONNECTION_MAX_AGE_S)
     g_hash_table_remove (transfer->client->timeouts, transfer->peer);
-  else if (age_s)
-    curl_easy_setopt (transfer->easy, CURLOPT_MAXLIFETIME_CONN, age_s);
+  else if (age_s > 1)
+    curl_easy_setopt (transfer->easy, CURLOPT_MAXLIFETIME_CONN, age_s - 1);
   else
-    curl_easy_setopt (transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+    use_new_connection (transfer);
 }
 
 static void
@@ -249,7 +260,7 @@
         }
       if (request->new_connection
           || (!request->body.len && !request->repeatable))
-        curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+        use_new_connection (transfer);
     }
   set_connection_age (transfer);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, transfer->headers);
--- a/src/net/test_http_client.c
+++ b/src/net/test_http_client.c
@@ -11,6 +11,8 @@
 
 #define MAX_CONNECTIONS 8
 #define REQUEST_TIMEOUT (150 * USEC_PER_MSEC)
+/* libcurl counts the age of connections in whole seconds. */
+#define NEXT_SECOND_US 1050000U
 
 static const char response[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
@@ -22,13 +24,15 @@
   ev_io accept;
   ev_io connections[MAX_CONNECTIONS];
   uint32_t connection_count;
+  uint32_t closed_count; /* connections that the client has closed */
   uint32_t silent_count; /* the first connections do not answer */
   char url[64];
   http_client_t *client;
   uint32_t answered;
   uint32_t timed_out;
   uint32_t refused;
-  bool ends; /* the server ends as it has read the next request */
+  bool new_connections; /* each request asks for one */
+  bool ends;            /* the server ends as it has read the next request */
 } fixture_t;
 
 static fixture_t f;
@@ -53,6 +57,7 @@
   if (len <= 0)
     {
       ev_io_stop (EV_A_ io);
+      f.closed_count++;
       return;
     }
   if (f.ends)
@@ -133,6 +138,7 @@
                                    .url = f.url,
                                    .body = blob_of ("{}"),
                                    .timeout = REQUEST_TIMEOUT,
+                                   .new_connection = f.new_connections,
                                    .repeatable = true };
   uint32_t open = count;
 
@@ -159,6 +165,51 @@
   tear_down ();
 }
 
+/* Guards against connections that pile up: those opened beside idle ones that
+   are not used must not become idle ones themselves. */
+static void
+test_new_connections_closed (void)
+{
+  static const struct
+  {
+    bool new_connections;
+    uint32_t silent_count;
+  } rows[] = { { false, 1 }, { true, 0 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      set_up ();
+      f.silent_count = rows[i].silent_count;
+      request (1);
+      CU_ASSERT_EQUAL (f.timed_out, rows[i].silent_count);
+      f.new_connections = rows[i].new_connections;
+      for (int k = 0; k < 5; k++)
+        request (1);
+      ev_run (f.loop, EVRUN_NOWAIT);
+      CU_ASSERT_EQUAL (f.answered + f.timed_out, 6);
+      CU_ASSERT (f.connection_count - f.closed_count <= 1);
+      tear_down ();
+    }
+}
+
+/* Guards against reuse of a connection that is older than the timeout by less
+   than a second. */
+static void
+test_age_in_whole_seconds (void)
+{
+  set_up ();
+  request (2);
+  CU_ASSERT_EQUAL (f.answered, 2);
+  f.silent_count = 2;
+  request (1);
+  CU_ASSERT_EQUAL (f.timed_out, 1);
+  g_usleep (NEXT_SECOND_US);
+  request (1);
+  CU_ASSERT_EQUAL (f.answered, 3);
+  CU_ASSERT_EQUAL (f.timed_out, 1);
+  tear_down ();
+}
+
 /* Guards against a new connection for each request. */
 static void
 test_connection_reused (void)
@@ -194,6 +245,8 @@
 {
   const suite_test_t tests[] = {
     { "silent connections", test_silent_connections },
+    { "new connections closed", test_new_connections_closed },
+    { "age in whole seconds", test_age_in_whole_seconds },
     { "connection reused", test_connection_reused },
     { "refused after sent", test_refused_after_sent },
   };
