Handle signals that arrive while a service starts

SIGPIPE ended either service as soon as the reader of its log was gone (status 141); that was found on the way.

The signals that services handle are blocked as main begins and unblocked when the loop watches them, and blocked again before the scheduler gives its watchers up, since libev restores the default action then. SIGPIPE is ignored. serve logs SIGHUP as schedule does.

--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -1,10 +1,12 @@
 /** @file
  * Program entry point: dispatches to the subcommands.
  */
+#include "base/signals.h"
 #include "cli/cli.h"
 
 #include <curl/curl.h>
 #include <sodium.h>
+#include <string.h>
 
 static const cli_command_t commands[] = {
   { "serve", cli_serve, "run an entry process" },
@@ -23,11 +25,17 @@
     "stop a process after it has finished its running work" },
 };
 
+static const char *const services[] = { "serve", "schedule" };
+
+static bool is_service (int argc, char **argv);
+
 int
 main (int argc, char **argv)
 {
   int code;
 
+  if (is_service (argc, argv))
+    signals_block ();
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT))
     return cli_fail (CLI_ERROR, "cannot initialize libsodium or libcurl");
   code = cli_dispatch ("limpethinge", commands, G_N_ELEMENTS (commands), argc,
@@ -35,3 +43,12 @@
   curl_global_cleanup ();
   return code;
 }
+
+static bool
+is_service (int argc, char **argv)
+{
+  for (size_t i = 0; argc > 1 && i < G_N_ELEMENTS (services); i++)
+    if (strcmp (argv[1], services[i]) == 0)
+      return true;
+  return false;
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -4,6 +4,7 @@
 #include "node/node.h"
 #include "base/counters.h"
 #include "base/log.h"
+#include "base/signals.h"
 #include "net/clock.h"
 #include "node/node_private.h"
 
@@ -304,14 +305,19 @@
   ev_prepare_init (&node->prepare, on_prepare);
   ev_signal_init (&node->sigterm, on_signal, SIGTERM);
   ev_signal_init (&node->sigint, on_signal, SIGINT);
+  ev_signal_init (&node->sighup, on_signal, SIGHUP);
   node->timer.data = node;
   node->prepare.data = node;
   node->sigterm.data = node;
   node->sigint.data = node;
+  node->sighup.data = node;
   node->ticks_due = true;
   ev_prepare_start (node->loop, &node->prepare);
   ev_signal_start (node->loop, &node->sigterm);
   ev_signal_start (node->loop, &node->sigint);
+  ev_signal_start (node->loop, &node->sighup);
+  signals_ignore_pipe ();
+  signals_unblock ();
 }
 
 static void
@@ -387,7 +393,11 @@
 
   (void)loop;
   (void)events;
-  node_start_drain (node, "received SIGTERM or SIGINT");
+  if (signal->signum == SIGHUP)
+    log_line (LOG_LEVEL_NOTICE, "reload", NULL,
+              "settings take effect at the next start");
+  else
+    node_start_drain (node, "received SIGTERM or SIGINT");
 }
 
 static usec_t
--- a/src/node/node_private.h
+++ b/src/node/node_private.h
@@ -171,6 +171,7 @@
   ev_prepare prepare;
   ev_signal sigterm;
   ev_signal sigint;
+  ev_signal sighup;
   bool ticks_due; /**< run the ticks before the loop blocks */
 };
 
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -1,6 +1,7 @@
 /** @file
  * The scheduling process: start, event loop, planned stop.
  */
+#include "base/signals.h"
 #include "scheduler/sched_private.h"
 
 #include <arpa/inet.h>
@@ -207,12 +208,17 @@
   ev_signal_start (s->loop, &s->term);
   ev_signal_start (s->loop, &s->interrupt);
   ev_signal_start (s->loop, &s->hup);
+  signals_ignore_pipe ();
+  signals_unblock ();
   s->tick_due = true;
 }
 
 static void
 scheduler_free (scheduler_t *s)
 {
+  /* libev restores the default action of a signal that it no longer
+     watches.  */
+  signals_block ();
   clock_timer_stop (&s->timer);
   ev_prepare_stop (s->loop, &s->prepare);
   ev_signal_stop (s->loop, &s->term);
