A submission that another process has stored is not withdrawn

What callers could see: a job that had been accepted was unknown (410), and was started much later by the next owner, also if its cancelling had been answered with 410 meanwhile (LOST, UNASKED).

Cause: a process whose offer was not answered for 0.75 s appends the submission itself. The owner that took the offer late reads that record while it still holds the submission as not stored, and ignored it, since the job was known. If its own append was late by 0.5 s it then withdrew the job. The record had been read already, so that the job was unknown to this owner for good.

--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -684,6 +684,36 @@
   tear_down ();
 }
 
+/* Guards against a job that its owner withdraws although a caller's process
+   has stored the submission: the job would be unknown until the next owner
+   starts it, whatever callers were told meanwhile. */
+static void
+test_no_withdrawal_of_stored (void)
+{
+  job_status_t status;
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  add_job_with_id (JOB_ID + 1, 1);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  CU_ASSERT_EQUAL (submit (), -EINPROGRESS);
+  add_job (1);
+  CU_ASSERT_EQUAL (shard_submission_state (fixture.shard, JOB_ID), 0);
+  CU_ASSERT_EQUAL (shard_withdraw (fixture.shard, fixture.now, JOB_ID),
+                   -EALREADY);
+  CU_ASSERT_EQUAL (shard_status (fixture.shard, JOB_ID, &status), 0);
+  for (int i = 0; i < 2; i++)
+    {
+      shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+      advance (USEC_PER_MSEC);
+    }
+  CU_ASSERT_EQUAL (fixture.submissions, 0);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 2);
+  tear_down ();
+}
+
 /* Guards against a repeated submission with the same identifier that starts
    the tasks again. */
 static void
@@ -735,6 +765,7 @@
     { "repeated submission", test_repeated_submission },
     { "withdrawn submission", test_withdrawn_submission },
     { "no withdrawal during append", test_no_withdrawal_during_append },
+    { "no withdrawal of a stored submission", test_no_withdrawal_of_stored },
   };
   int code;
 
