A job is unknown only when all that was stored before is read

Cause: the owner answered 410 for a job that it did not know once 0.5 s had passed and a read of the store had succeeded that was sent up to 1.5 s ago. Submissions that fronts append themselves reach the owner by these reads only.

Now 410 needs a read that was sent after the query arrived and reached the end of the log (read_as_of). Queries for unknown jobs are answered by that read instead of a fixed delay, and the read that follows does not wait for new records. Otherwise the query is repeated until the caller's time is over. This holds for states as well (LOST by 410).

Two mutants in scripts/mutants-sched.sh. A 410 is logged by the process that answers it (job.absent).

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -56,6 +56,8 @@
 PEER_NUMBERS_UNCHECKED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/m->code < REPLY_KNOWN || m->code > REPLY_WITHDRAWN/false/
 CARRIED_IS_WITHDRAWN|src/shard/shard.c|shard/test_shard_steps|s/ || shard_append_has_submission (shard, id)//
 STORED_IS_WITHDRAWN|src/shard/shard.c|shard/test_shard_steps|/^      g_bytes_unref (entry->unstored_submission);/,+1d
+UNREAD_IS_UNKNOWN|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/if (state->read_as_of >= query->arrived_at)/if (timed_out)/
+PARTIAL_READ_IS_COMPLETE|src/scheduler/sched_store.c|scheduler/test_scheduler|s/^  if (records->has_more)$/  if (0)/
 WITHDRAWN_STAYS|src/shard/shard.c|shard/test_shard_steps|s/  g_hash_table_remove (shard->jobs, &id);//
 JOINS_WITH_AN_OWNER|src/scheduler/sched_member.c|scheduler/test_scheduler|s/if (!s->unowned \&\&/if (0 \&\&/
 MEMBER_STAYS|src/scheduler/sched_member.c|scheduler/test_scheduler|s/return sched_owns_any_shard (s)$/return true/
--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -3,8 +3,9 @@
  */
 #include "scheduler/sched_private.h"
 
-/* How long a query for an unknown job is deferred: longer than a read of the
-   store takes, since the job's record may not have been read yet. */
+/* How long a query for an unknown job is deferred: longer than the read in
+   flight and the next one take, since the job's record may not have been read
+   yet. */
 #define UNKNOWN_JOB_WAIT (500 * USEC_PER_MSEC)
 /* How long a query is deferred until the job's end is stored. */
 #define END_STORED_WAIT (250 * USEC_PER_MSEC)
@@ -19,9 +20,6 @@
    to the caller's process to append, since a refused record would block all
    others of the owner's batch. */
 #define RECORD_MAX_BYTES 200000U
-/* After this long without a successful read, an unknown job's record may be
-   stored but not read yet. */
-#define READ_STALE_AFTER (1000 * USEC_PER_MSEC)
 
 /* The upper half of the field `pending` of a reply has the receiver's rank as
    a successor of the owner. */
@@ -40,9 +38,9 @@
 static reply_code_t accept_submission (scheduler_t *s, usec_t now,
                                        uint32_t shard, job_id_t job,
                                        blob_t record);
-static bool answer_query (scheduler_t *s, usec_t now, uint32_t shard,
-                          query_kind_t kind, job_id_t job, const char *queue,
-                          bool timed_out, query_reply_t *reply);
+static bool answer_query (scheduler_t *s, usec_t now,
+                          const deferred_query_t *query, bool timed_out,
+                          query_reply_t *reply);
 static void send_reply (scheduler_t *s, usec_t now, node_id_t peer,
                         uint64_t id, const query_reply_t *reply);
 static void defer_query (scheduler_t *s, usec_t now, deferred_query_t *query);
@@ -50,6 +48,7 @@
                             bool timed_out);
 static bool withdraw_submission (scheduler_t *s, usec_t now,
                                  const deferred_query_t *query);
+static bool awaits_read (const scheduler_t *s, guint index, uint32_t shard);
 
 const peerlink_ops_t sched_peerlink_ops
     = { on_message, on_connected, on_refused };
@@ -59,23 +58,20 @@
 {
   const shard_owner_t *owner = &s->owners[request->shard];
   message_t message = { .type = MSG_JOB_ASK };
+  deferred_query_t query = { .id = request->id,
+                             .kind = request->kind,
+                             .job = request->job,
+                             .shard = request->shard,
+                             .arrived_at = now };
   query_reply_t reply;
 
   if (s->shards[request->shard].owned)
     {
-      if (answer_query (s, now, request->shard, request->kind, request->job,
-                        request->queue, false, &reply))
+      g_strlcpy (query.queue, request->queue, sizeof query.queue);
+      if (answer_query (s, now, &query, false, &reply))
         callers_on_reply (s, now, request->id, &reply);
       else
-        {
-          deferred_query_t query = { .id = request->id,
-                                     .kind = request->kind,
-                                     .job = request->job,
-                                     .shard = request->shard };
-
-          g_strlcpy (query.queue, request->queue, sizeof query.queue);
-          defer_query (s, now, &query);
-        }
+        defer_query (s, now, &query);
       return 0;
     }
   if (!owner->node || owner->self)
@@ -243,7 +239,8 @@
                              .id = ask->id,
                              .kind = (query_kind_t)ask->kind,
                              .job = ask->job,
-                             .shard = (uint32_t)ask->shard };
+                             .shard = (uint32_t)ask->shard,
+                             .arrived_at = now };
   uint32_t shard = query.shard;
   query_reply_t reply = { .code = REPLY_NOT_OWNER };
 
@@ -256,8 +253,7 @@
     }
   blob_copy (ask->queue, query.queue, sizeof query.queue);
   if (shard >= s->shard_count || !s->shards[shard].owned
-      || answer_query (s, now, shard, query.kind, ask->job, query.queue, false,
-                       &reply))
+      || answer_query (s, now, &query, false, &reply))
     send_reply (s, now, node, ask->id, &reply);
   else
     defer_query (s, now, &query);
@@ -266,11 +262,12 @@
 /* @param timed_out answer now, even if the result is not final
    @return false if the query is to be deferred */
 static bool
-answer_query (scheduler_t *s, usec_t now, uint32_t shard, query_kind_t kind,
-              job_id_t job, const char *queue, bool timed_out,
-              query_reply_t *reply)
+answer_query (scheduler_t *s, usec_t now, const deferred_query_t *query,
+              bool timed_out, query_reply_t *reply)
 {
-  shard_state_t *state = &s->shards[shard];
+  shard_state_t *state = &s->shards[query->shard];
+  query_kind_t kind = query->kind;
+  job_id_t job = query->job;
   int code;
 
   *reply = (query_reply_t){ .code = REPLY_TRY_LATER };
@@ -287,7 +284,7 @@
   if (kind == QUERY_PENDING)
     {
       reply->code = REPLY_KNOWN;
-      reply->pending = shard_pending (state->shard, queue);
+      reply->pending = shard_pending (state->shard, query->queue);
       return true;
     }
   code = kind == QUERY_CANCEL
@@ -305,10 +302,11 @@
       reply->code = REPLY_UNKNOWN;
       return true;
     case -ENOENT:
-      if (timed_out
-          && now - state->last_read_ok < READ_STALE_AFTER + UNKNOWN_JOB_WAIT)
+      /* The job's submission may be stored and not read yet: a job that is
+         said to be unknown must not start later. */
+      if (state->read_as_of >= query->arrived_at)
         reply->code = REPLY_UNKNOWN;
-      return timed_out;
+      return timed_out || reply->code == REPLY_UNKNOWN;
     default:
       /* An end that is not stored is not reported: a new owner might not know
          it.  */
@@ -357,6 +355,7 @@
                        : code                      ? END_STORED_WAIT
                                                    : FINISHING_WAIT);
   query->ownership_id = s->shards[query->shard].ownership_id;
+  query->unknown_job = query->kind != QUERY_SUBMIT && code == -ENOENT;
   g_array_append_val (s->deferred_queries, *query);
   sched_wake (s);
 }
@@ -369,8 +368,7 @@
   query_reply_t reply = { .code = REPLY_NOT_OWNER };
 
   if (s->shards[query.shard].owned
-      && !answer_query (s, now, query.shard, query.kind, query.job,
-                        query.queue, timed_out, &reply))
+      && !answer_query (s, now, &query, timed_out, &reply))
     return;
   if (timed_out && query.kind == QUERY_SUBMIT && reply.code == REPLY_TRY_LATER
       && withdraw_submission (s, now, &query))
@@ -412,6 +410,34 @@
       retry_deferred (s, now, i - 1, false);
 }
 
+/* @return whether a deferred query is for a job that the shard does not know
+ */
+static bool
+awaits_read (const scheduler_t *s, guint index, uint32_t shard)
+{
+  const deferred_query_t *query
+      = &g_array_index (s->deferred_queries, deferred_query_t, index);
+
+  return query->unknown_job && query->shard == shard;
+}
+
+void
+queries_read_complete (scheduler_t *s, usec_t now, uint32_t shard)
+{
+  for (guint i = s->deferred_queries->len; i > 0; i--)
+    if (i <= s->deferred_queries->len && awaits_read (s, i - 1, shard))
+      retry_deferred (s, now, i - 1, false);
+}
+
+bool
+queries_await_read (const scheduler_t *s, uint32_t shard)
+{
+  for (guint i = 0; i < s->deferred_queries->len; i++)
+    if (awaits_read (s, i, shard))
+      return true;
+  return false;
+}
+
 usec_t
 queries_tick (scheduler_t *s, usec_t now)
 {
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -458,6 +458,9 @@
         }
       break;
     case REPLY_UNKNOWN:
+      log_item (LOG_LEVEL_INFO, request->job, "job.absent", NULL,
+                "job=%016" PRIx64 " kind=%d age_ms=%" PRId64, request->job,
+                (int)request->kind, usec_to_msec (now - request->arrived_at));
       finish_request (s, request, 410, 0,
                       ops->error_body (s->backend->ctx, "no such job"));
       break;
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -97,8 +97,10 @@
   job_id_t job;
   uint32_t shard;
   char queue[QUEUE_NAME_MAX];
+  usec_t arrived_at;
   usec_t deadline;
   uint64_t ownership_id; /* of the ownership that accepted a submission */
+  bool unknown_job;      /* answered after a read of the store at the latest */
 } deferred_query_t;
 
 /* A shard as this process sees it, whether it owns the shard or not.  */
@@ -122,7 +124,7 @@
   bool next_offset_known;
   bool read_busy;
   usec_t read_due;
-  usec_t last_read_ok;         /* send time of the last successful read */
+  usec_t read_as_of;           /* all records stored before are read */
   uint32_t unanswered_appends; /* in succession */
   uint64_t ownership_id;       /* incremented when an ownership begins or ends;
                                   answers to calls of a former one are
@@ -375,5 +377,10 @@
 usec_t queries_tick (scheduler_t *s, usec_t now);
 /** Retries deferred queries: the job may be known or its end stored now. */
 void queries_job_changed (scheduler_t *s, usec_t now, job_id_t job);
+/** Retries deferred queries for jobs that the shard did not know: all records
+    stored before its read_as_of are read. */
+void queries_read_complete (scheduler_t *s, usec_t now, uint32_t shard);
+/** @return whether deferred queries wait for the next read of the shard */
+bool queries_await_read (const scheduler_t *s, uint32_t shard);
 
 #endif
--- a/src/scheduler/sched_store.c
+++ b/src/scheduler/sched_store.c
@@ -271,7 +271,6 @@
   state->loading = false;
   if (shard_is_active (state->shard))
     return; /* reload after STORE_EXPIRED; the shard stays active */
-  state->last_read_ok = sent;
   shard_loaded (state->shard, now);
 }
 
@@ -300,11 +299,12 @@
 read_next (shard_state_t *state)
 {
   const scheduler_t *s = state->scheduler;
-  store_read_t read = { .topic = TOPIC_WORK,
-                        .part = sched_partition_of (s, state->number),
-                        .from = state->next_offset,
-                        .wait = READ_WAIT,
-                        .timeout = READ_WAIT + READ_TIMEOUT };
+  store_read_t read
+      = { .topic = TOPIC_WORK,
+          .part = sched_partition_of (s, state->number),
+          .from = state->next_offset,
+          .wait = queries_await_read (s, state->number) ? 0 : READ_WAIT,
+          .timeout = READ_WAIT + READ_TIMEOUT };
 
   state->read_busy = true;
   s->backend->ops->read (s->backend->ctx, &read, on_read,
@@ -335,11 +335,14 @@
       state->read_due = now + READ_RETRY;
       return;
     }
-  state->last_read_ok = sent;
   state->next_offset = records->next_offset;
   for (size_t i = 0; i < records->count; i++)
     deliver_record (state, now, &records->records[i]);
   state->read_due = now;
+  if (records->has_more)
+    return;
+  state->read_as_of = sent;
+  queries_read_complete (state->scheduler, now, state->number);
 }
 
 /* --- Operations for a shard --- */
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -27,6 +27,9 @@
 #define SLOW_JOIN (500 * USEC_PER_MSEC)
 #define ANSWER_DELAY (2 * USEC_PER_MSEC)
 #define READ_DELAY (50 * USEC_PER_MSEC)
+#define SLOW_READ (600 * USEC_PER_MSEC)
+#define JOB_ID 0x5c0e7a21d94b36f8ULL
+#define JOB_PATH "/q/5c0e7a21d94b36f8"
 #define MEMBER_SUFFIX "/0000000000000001"
 #define CONFIG_VERSION 9U
 #define GENERATION 7U
@@ -61,7 +64,13 @@
   uint32_t worker_lists; /* number of lists of workers read */
   bool layout_proposed;
   uint32_t lost_appends; /* number of appends of records to leave unanswered */
-  usec_t request_sent;   /* by the caller */
+  usec_t read_delay;
+  bool reads_behind;       /* each read of records leaves further ones */
+  GByteArray *late_record; /* submission of JOB_ID that another process has
+                              stored, NULL for none */
+  usec_t late_record_at;   /* it is in no answer to a read sent before */
+  bool late_record_read;
+  usec_t request_sent; /* by the caller */
   usec_t answered_at;
   usec_t appended_at;    /* first append of records */
   const char *owner;     /* member that owns the shard, NULL for none */
@@ -88,7 +97,8 @@
   bool assigned;
   const char *owner;
   store_record_t record; /* result of a read if its key is set */
-  bool owns_ctx;         /* the callback would free ctx */
+  bool has_more;
+  bool owns_ctx; /* the callback would free ctx */
 } store_answer_t;
 
 static fake_store_t fake;
@@ -100,7 +110,8 @@
   store_part_t part = { .part = 0, .member = a->owner };
   store_records_t records = { .result = a->result,
                               .records = &a->record,
-                              .count = a->record.key.len ? 1 : 0 };
+                              .count = a->record.key.len ? 1 : 0,
+                              .has_more = a->has_more };
   store_parts_t parts = { .result = a->result,
                           .generation = GENERATION,
                           .parts = &part,
@@ -161,15 +172,38 @@
     a->result = fake.appends_refused ? STORE_REFUSED : fake.fence_result;
 }
 
+/* Has the read return the late record if it was stored before. */
+static void
+add_late_record (store_answer_t *a)
+{
+  static char key[RECORD_KEY_LEN + 1];
+
+  if (!fake.late_record || fake.late_record_read
+      || clock_now () < fake.late_record_at)
+    return;
+  fake.late_record_read = true;
+  record_key (RECORD_SUBMISSION, JOB_ID, key);
+  a->record.key = blob_of (key);
+  a->record.value = (blob_t){ (const char *)fake.late_record->data,
+                              fake.late_record->len };
+}
+
 static void
 fake_read (void *ctx, const store_read_t *read, store_records_done_t done,
            void *done_ctx)
 {
-  store_answer_t *a = answer_later ("read", READ_DELAY);
+  store_answer_t *a = answer_later (
+      "read", read->topic == TOPIC_WORK && fake.read_delay ? fake.read_delay
+                                                           : READ_DELAY);
 
   (void)ctx;
   if (read->topic == TOPIC_CONFIG)
     a->record.key = blob_of ("config");
+  if (read->topic == TOPIC_WORK)
+    {
+      a->has_more = fake.reads_behind;
+      add_late_record (a);
+    }
   a->records = done;
   a->ctx = done_ctx;
   a->owns_ctx = read->topic == TOPIC_WORK;
@@ -291,6 +325,13 @@
   return submission;
 }
 
+static char *
+fake_status_body (void *ctx, job_status_t status)
+{
+  (void)ctx;
+  return strdup (job_status_name (status));
+}
+
 static char *
 fake_error_body (void *ctx, const char *text)
 {
@@ -308,6 +349,7 @@
   .decode_config = fake_config,
   .decode_zone = fake_zone,
   .decode_submission = fake_submission,
+  .status_body = fake_status_body,
   .error_body = fake_error_body,
   .deadline_header = "Deadline",
 };
@@ -342,11 +384,10 @@
 on_submit_then_stop (void *ctx)
 {
   clock_timer_t *timer = ctx;
-  const http_request_t request
-      = { .method = "POST",
-          .url = url_of (addresses.callers, "/q/5c0e7a21d94b36f8"),
-          .body = blob_of ("{}"),
-          .timeout = 5 * USEC_PER_SEC };
+  const http_request_t request = { .method = "POST",
+                                   .url = url_of (addresses.callers, JOB_PATH),
+                                   .body = blob_of ("{}"),
+                                   .timeout = 5 * USEC_PER_SEC };
 
   if (!fake.submitted)
     {
@@ -386,7 +427,7 @@
                              .timeout = 5 * USEC_PER_SEC };
 
   (void)ctx;
-  request.url = url_of (addresses.callers, "/q/5c0e7a21d94b36f8");
+  request.url = url_of (addresses.callers, JOB_PATH);
   if (!fake.submitted)
     {
       fake.submitted = true;
@@ -398,6 +439,22 @@
   http_client_send (fake.client, &request, on_other_answer, NULL);
 }
 
+/* Cancels a job; its submission is stored by another process just before if
+   the store has a late record.  */
+static void
+on_cancel (void *ctx)
+{
+  static const char *const headers[] = { "Deadline: 2000", NULL };
+  const http_request_t request = { .method = "DELETE",
+                                   .url = url_of (addresses.callers, JOB_PATH),
+                                   .headers = headers,
+                                   .timeout = 5 * USEC_PER_SEC };
+
+  (void)ctx;
+  fake.request_sent = fake.late_record_at = clock_now ();
+  http_client_send (fake.client, &request, on_answer, NULL);
+}
+
 /* Sends a readiness check.  */
 static void
 on_check (void *ctx)
@@ -443,7 +500,11 @@
   SCENARIO_LIVE_OWNER,     /* the owner is alive */
   SCENARIO_NO_LAYOUT,      /* the number of workers keeps changing before the
                               layout is decided */
-  SCENARIO_LOST_APPENDS    /* the answers to two appends are lost */
+  SCENARIO_LOST_APPENDS,   /* the answers to two appends are lost */
+  SCENARIO_CANCEL_UNKNOWN, /* a job is cancelled that was not submitted */
+  SCENARIO_CANCEL_BEHIND,  /* the same while each read leaves records */
+  SCENARIO_CANCEL_UNREAD   /* a job is cancelled whose submission is stored
+                              and not read yet */
 } scenario_t;
 
 /* Opens the socket of a peer that accepts connections and sends nothing.  */
@@ -509,6 +570,29 @@
     }
 }
 
+static bool
+has_cancel (scenario_t scenario)
+{
+  return scenario == SCENARIO_CANCEL_UNKNOWN
+         || scenario == SCENARIO_CANCEL_BEHIND
+         || scenario == SCENARIO_CANCEL_UNREAD;
+}
+
+/* @return an encoded submission of JOB_ID */
+static GByteArray *
+new_record (void)
+{
+  GByteArray *record = g_byte_array_new ();
+  submission_t *submission = fake_submission (NULL, blob_of (""), NULL);
+
+  submission->id = JOB_ID;
+  submission->queue = g_strdup ("queue");
+  submission->service = g_strdup ("service");
+  submission_encode (submission, record);
+  submission_free (submission);
+  return record;
+}
+
 /* Prepares the fake store and the client. */
 static void
 set_up_fake (store_result_t fence_result, scenario_t scenario)
@@ -526,6 +610,13 @@
   fake.lost_appends = scenario == SCENARIO_LOST_APPENDS ? 2 : 0;
   fake.owner = owner_of (scenario);
   fake.appends_refused = scenario == SCENARIO_SMALL_VM;
+  fake.reads_behind = scenario == SCENARIO_CANCEL_BEHIND;
+  if (scenario == SCENARIO_CANCEL_UNREAD)
+    {
+      fake.read_delay = SLOW_READ;
+      fake.late_record = new_record ();
+      fake.late_record_at = INT64_MAX;
+    }
   fake.client = http_client_new (fake.loop, COUNTER_UPSTREAM_BYTES);
 }
 
@@ -551,7 +642,10 @@
   g_free (text);
   set_up_fake (fence_result, scenario);
   clock_timer_init (&action, fake.loop,
-                    outage ? on_submit_again : on_submit_then_stop, &action);
+                    outage                  ? on_submit_again
+                    : has_cancel (scenario) ? on_cancel
+                                            : on_submit_then_stop,
+                    &action);
   clock_timer_init (&check, fake.loop, outage ? on_submit_again : on_check,
                     NULL);
   clock_timer_init (&end, fake.loop, on_run_end, NULL);
@@ -570,6 +664,8 @@
   scheduler_settings_clear (&settings);
   http_client_free (fake.client);
   g_ptr_array_free (fake.pending, TRUE);
+  if (fake.late_record)
+    g_byte_array_unref (fake.late_record);
   paused_loop_free (fake.loop);
   if (peer_socket >= 0)
     close (peer_socket);
@@ -826,6 +922,30 @@
   CU_ASSERT_EQUAL (fake.other_job_status, 503);
 }
 
+/* A caller is told that a job is unknown only once the owner has read all
+   that was stored before the request.  Jobs that another process had stored
+   were said to be unknown, and started long after (ruedas-plata-grown, day
+   full-workers-store-in-trouble, seed 31). */
+static void
+test_cancel_of_unknown_job (void)
+{
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_CANCEL_UNKNOWN), 0);
+  CU_ASSERT_EQUAL (fake.answer_status, 410);
+  CU_ASSERT (fake.answered_at - fake.request_sent < 500 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_CANCEL_BEHIND), 0);
+  CU_ASSERT_EQUAL (fake.answer_status, 503);
+}
+
+/* A job whose submission was stored before it is cancelled, and read after,
+   is cancelled: its tasks are not started. */
+static void
+test_cancel_of_unread_job (void)
+{
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_CANCEL_UNREAD), 0);
+  CU_ASSERT (fake.late_record_read);
+  CU_ASSERT_EQUAL (fake.answer_status, 200);
+}
+
 /* Creates a scheduler without shards and HTTP servers.  */
 static scheduler_t *
 new_bare_scheduler (void)
@@ -1000,6 +1120,8 @@
     { "lost append", test_lost_append },
     { "ready after a store refusal", test_ready_after_store_refusal },
     { "known job in an outage", test_known_job_in_outage },
+    { "cancel of an unknown job", test_cancel_of_unknown_job },
+    { "cancel of an unread job", test_cancel_of_unread_job },
     { "malformed frames", test_malformed_frames },
     { "layout", test_layout },
     { "layout with changing workers", test_layout_with_changing_workers },
