Count crashes when the list of workers is read before the records

Callers saw a task started on after three workers had crashed under it (BUDGET), where the owner changed meanwhile.

Cause: a new owner may read the list of workers before it has loaded the records. If the crashed worker is listed in its next incarnation by then, that incarnation was taken for the one on which the run was placed. Its first answer was no restart, and the run was requeued as not listed after the takeover, without a crash being counted.

The worker of an adopted run now has the incarnation that the record names, until it answers.

The test "successor reads list first" failed before: more than five starts.

--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -345,7 +345,9 @@
   if (worker_handle == HANDLE_NONE)
     worker_handle = worker_add (shard, task->place.worker);
   worker = worker_get (shard, worker_handle);
-  if (!worker->started_ms)
+  /* The list may already have the next incarnation.  Its first answer must
+     count as a restart. */
+  if (!worker->runs->len || worker->started_ms < task->place.life_ms)
     worker->started_ms = task->place.life_ms;
   if (!worker->address[0])
     {
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -58,6 +58,8 @@
 static bool one_leaves_with_crash; /* a leaving worker ends with each crash */
 static bool lists_before_crash;    /* the owner is paused after each start, and
                                       then reads a list from before the crash */
+static bool
+    lists_before_records; /* successors read the list of workers first */
 
 static sim_worker_t *
 find_worker (const char *id)
@@ -92,6 +94,7 @@
   notice_after_crash = false;
   one_leaves_with_crash = false;
   lists_before_crash = false;
+  lists_before_records = false;
   for (uint32_t i = 0; i < WORKERS; i++)
     {
       sim_worker_t *w = &workers[i];
@@ -439,6 +442,14 @@
   tear_down_workers ();
 }
 
+static void
+list_all_workers (void)
+{
+  for (uint32_t i = 0; i < WORKERS; i++)
+    list_worker_on (workers[i].id, workers[i].address, workers[i].rack,
+                    workers[i].started_ms);
+}
+
 /* Has a successor take over with what is stored.
    @param loading time until it has loaded the records */
 static void
@@ -455,11 +466,11 @@
   shard_apply_record (fixture.shard, fixture.now, RECORD_PROGRESS, JOB_ID,
                       (blob_t){ (char *)progress->data, progress->len });
   fixture.now += loading;
+  if (lists_before_records)
+    list_all_workers ();
   shard_loaded (fixture.shard, fixture.now);
   g_byte_array_unref (progress);
-  for (uint32_t i = 0; i < WORKERS; i++)
-    list_worker_on (workers[i].id, workers[i].address, workers[i].rack,
-                    workers[i].started_ms);
+  list_all_workers ();
 }
 
 /* Guards against a count that a successor does not know. */
@@ -864,6 +875,29 @@
   tear_down_workers ();
 }
 
+/* Guards against a crash that a successor does not count: the list of workers
+   is read before the records, and already has the next incarnation. */
+static void
+test_successor_reads_list_first (void)
+{
+  set_up_workers ();
+  add_job (1);
+  for (uint64_t token = 2; token < 12 && status_of (JOB_ID) != JOB_FAILED;
+       token++)
+    {
+      uint32_t before = starts;
+
+      for (int k = 0; k < 1500 && starts == before; k++)
+        run_workers (STEP);
+      fixture.now += DOWN_TIME;
+      revive_workers ();
+      lists_before_records = true;
+      take_over (token, 300 * USEC_PER_MSEC);
+    }
+  check_given_up ();
+  tear_down_workers ();
+}
+
 int
 main (void)
 {
@@ -892,6 +926,7 @@
     { "fresh task beside a suspect", test_fresh_task_beside_suspect },
     { "successors one after another", test_successors_one_after_another },
     { "list read after a pause", test_list_read_after_pause },
+    { "successor reads list first", test_successor_reads_list_first },
   };
   int code;
 
