Keep suspects apart until their runs are known to live

Callers saw jobs fail that had only been beside a task that crashes workers.

Cause: a strong suspect was kept apart for a second from its placement on. While the store was slow, its start was sent after that second, together with that of another suspect placed on the same worker, and the crash counted against both. A second after the start is not enough either, where the crash is noticed later than that.

Each worker now counts its runs that are not known to have lived, from their placement until a list shows that they lived, or until they end. Nothing is placed beside one of a strong suspect. Holds at such a worker wait for a shorter time, so that it is soon known.

The test "slow append between suspects" failed before: an innocent job failed.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -191,8 +191,8 @@
   if (!worker->runs->len)
     return shard->config.poll_idle;
   /* A run that the worker never had ends without an end, which would have the
-     hold return early. */
-  if (awaits_stopped_run (shard, worker))
+     hold return early, and only lists clear suspects. */
+  if (awaits_stopped_run (shard, worker) || worker->unproven[SUSPICION_STRONG])
     return MIN (shard->config.poll_busy, shard->config.stop_limit);
   return worker->serving_runs && worker->best_effort_runs
              ? shard->config.poll_shared
--- a/src/shard/shard_choose.c
+++ b/src/shard/shard_choose.c
@@ -53,7 +53,8 @@
     handle = choose_best_worker (shard, now, c, index, true, &kept_apart);
   /* A suspect may be kept off workers that suit other tasks. */
   if (handle == HANDLE_NONE
-      && !(kept_apart && c->occurrence->tasks[c->step][index].crashes))
+      && !(kept_apart
+           && crashes_suspicion (&c->occurrence->tasks[c->step][index])))
     note_unplaceable (shard, c);
   return handle;
 }
@@ -117,12 +118,12 @@
 
       if (worker_fits (shard, now, worker, c) != FIT_OK)
         continue;
-      if (crashes_keep_apart (now, worker, task))
+      if (crashes_keep_apart (worker, task))
         {
           *kept_apart = true;
           continue;
         }
-      s = score (shard, worker, c) + crashes_score (now, worker, task);
+      s = score (shard, worker, c) + crashes_score (worker, task);
       /* Last resort: the worker where the task failed or stalled. */
       if (h == task->avoid)
         s += SCORE_OF_AVOIDED_WORKER;
--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -116,41 +116,59 @@
 {
   if (!run->first_listed_ms)
     run->first_listed_ms = clock_ms;
-  if (!task->crashes
-      || clock_ms - run->first_listed_ms < usec_to_msec (CRASH_WINDOW))
+  if (clock_ms - run->first_listed_ms < usec_to_msec (CRASH_WINDOW))
+    return;
+  run->lived = true;
+  crashes_run_settled (worker_get (shard, run->worker), run);
+  if (!task->crashes)
     return;
   task->crashes = 0;
   shard_mark_dirty (shard, shard_entry (shard, run->run_id.job));
 }
 
-void
-crashes_task_placed (usec_t now, worker_t *worker, const task_t *task)
+suspicion_t
+crashes_suspicion (const task_t *task)
 {
-  worker->young_until = now + CRASH_WINDOW;
-  if (task->crashes)
-    worker->suspect_until = now + CRASH_WINDOW;
   if (task->crashes >= CRASHES_OF_STRONG_SUSPECT)
-    worker->strong_suspect_until = now + CRASH_WINDOW;
+    return SUSPICION_STRONG;
+  return task->crashes ? SUSPICION_WEAK : SUSPICION_NONE;
+}
+
+void
+crashes_run_placed (worker_t *worker, run_t *run, const task_t *task)
+{
+  run->suspicion = crashes_suspicion (task);
+  run->unproven = true;
+  for (uint32_t i = 0; i <= (uint32_t)run->suspicion; i++)
+    worker->unproven[i]++;
+}
+
+void
+crashes_run_settled (worker_t *worker, run_t *run)
+{
+  for (uint32_t i = 0; run->unproven && i <= (uint32_t)run->suspicion; i++)
+    worker->unproven[i]--;
+  run->unproven = false;
 }
 
 /* Nothing is started beside a strong suspect, so that a crash is not blamed on
-   the wrong task.  Waits for at most CRASH_WINDOW for each strong suspect:
-   until then its run has crashed the worker or lived on. */
+   the wrong task, until its run is known to have lived on. */
 bool
-crashes_keep_apart (usec_t now, const worker_t *worker, const task_t *task)
+crashes_keep_apart (const worker_t *worker, const task_t *task)
 {
-  return now < (task->crashes >= CRASHES_OF_STRONG_SUSPECT
-                    ? worker->suspect_until
-                    : worker->strong_suspect_until);
+  return worker->unproven[crashes_suspicion (task) == SUSPICION_STRONG
+                              ? SUSPICION_WEAK
+                              : SUSPICION_STRONG]
+         != 0;
 }
 
 int64_t
-crashes_score (usec_t now, const worker_t *worker, const task_t *task)
+crashes_score (const worker_t *worker, const task_t *task)
 {
-  if (!task->crashes)
+  if (crashes_suspicion (task) == SUSPICION_NONE)
     return 0;
-  return (now < worker->suspect_until ? SCORE_OF_OTHER_SUSPECT : 0)
-         + (now < worker->young_until ? SCORE_OF_YOUNG_RUN : 0)
+  return (worker->unproven[SUSPICION_WEAK] ? SCORE_OF_OTHER_SUSPECT : 0)
+         + (worker->unproven[SUSPICION_NONE] ? SCORE_OF_YOUNG_RUN : 0)
          + (int64_t)worker->runs->len * SCORE_PER_RUN_AT_RISK;
 }
 
@@ -237,6 +255,8 @@
 static bool
 is_suspect (const shard_t *shard, const worker_t *worker, const run_t *run)
 {
+  if (run->lived)
+    return false;
   if (run->state == RUN_ACKNOWLEDGED || run->state == RUN_ADOPTED)
     return earliest_crash (shard, worker) - latest_start (run) < CRASH_WINDOW;
   return run->start_sent;
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -7,7 +7,7 @@
 static void place_step (shard_t *shard, usec_t now, const candidate_t *c);
 static bool place_task (shard_t *shard, usec_t now, const candidate_t *c,
                         uint32_t index);
-static void note_placed (const shard_t *shard, usec_t now, const task_t *task);
+static void note_placed (const shard_t *shard, const task_t *task);
 static void place_gang (shard_t *shard, usec_t now, const candidate_t *c);
 static void undo_gang_placement (shard_t *shard, usec_t now,
                                  const candidate_t *c, uint32_t count);
@@ -48,8 +48,8 @@
       if (task->state != TASK_WAITING)
         continue;
       if (place_task (shard, now, c, i))
-        note_placed (shard, now, task);
-      else if (!task->crashes)
+        note_placed (shard, task);
+      else if (crashes_suspicion (task) == SUSPICION_NONE)
         return;
     }
 }
@@ -74,11 +74,11 @@
 }
 
 static void
-note_placed (const shard_t *shard, usec_t now, const task_t *task)
+note_placed (const shard_t *shard, const task_t *task)
 {
-  const run_t *run = run_get (shard, task->run_handle);
+  run_t *run = run_get (shard, task->run_handle);
 
-  crashes_task_placed (now, worker_get (shard, run->worker), task);
+  crashes_run_placed (worker_get (shard, run->worker), run, task);
 }
 
 /* Places all members of a gang or none, with the same run number.  Members
@@ -110,7 +110,7 @@
   for (uint32_t i = 0; i < count; i++)
     {
       task_set_checkpoint (&tasks[i], saved);
-      note_placed (shard, now, &tasks[i]);
+      note_placed (shard, &tasks[i]);
     }
 }
 
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -24,6 +24,15 @@
   RUN_ADOPTED /* started by a former owner, not listed by its worker yet */
 } run_state_t;
 
+/* How likely a task is to crash its worker. */
+typedef enum
+{
+  SUSPICION_NONE,
+  SUSPICION_WEAK,
+  SUSPICION_STRONG,
+  SUSPICION_COUNT
+} suspicion_t;
+
 /* A run of a task; task_t.handle refers to it. */
 typedef struct
 {
@@ -47,6 +56,9 @@
   usec_t started_at;       /* the first start was sent, or the run adopted */
   int64_t first_listed_ms; /* the worker's clock at the first list that has
                               the run */
+  bool lived;              /* long enough not to be the cause of a crash */
+  bool unproven;           /* in worker_t.unproven */
+  suspicion_t suspicion;   /* against its task when it was placed */
   usec_t accepted_at;      /* when it became RUN_ACKNOWLEDGED */
   usec_t acknowledged_at;  /* successful answer to the start, first answer to a
                               stop, or first listing; 0: none */
@@ -127,12 +139,9 @@
   uint32_t failures;        /* consecutive failed runs, each of another job */
   job_id_t failed_job;      /* job of the last counted failure */
   usec_t avoid_until;       /* gets no new runs until then */
-  /* A run may crash the worker soon after its start: the run placed last until
-     YOUNG_UNTIL, a suspected one until SUSPECT_UNTIL, a strongly suspected one
-     until STRONG_SUSPECT_UNTIL. */
-  usec_t young_until;
-  usec_t suspect_until;
-  usec_t strong_suspect_until;
+  /* Runs not known to have lived on after their start, by the least suspicion
+     against their tasks. */
+  uint32_t unproven[SUSPICION_COUNT];
   usec_t crash_noted;       /* IN_DOUBT_SINCE of the latest noted crash */
   bool crash_without_start; /* no run had just started at that crash */
 } worker_t;
@@ -439,14 +448,18 @@
 /** Clears a task whose run has lived long enough. */
 void crashes_run_listed (shard_t *shard, int64_t clock_ms, run_t *run,
                          task_t *task);
-void crashes_task_placed (usec_t now, worker_t *worker, const task_t *task);
+/** @return how likely the task is to crash its worker */
+suspicion_t crashes_suspicion (const task_t *task);
+/** A run of the task was placed on the worker. */
+void crashes_run_placed (worker_t *worker, run_t *run, const task_t *task);
+/** The run cannot crash the worker any more. */
+void crashes_run_settled (worker_t *worker, run_t *run);
 /** @return whether the task must not be placed on the worker yet, since
-    a suspect there has just started */
-bool crashes_keep_apart (usec_t now, const worker_t *worker,
-                         const task_t *task);
+    a suspect there is about to start or has just started */
+bool crashes_keep_apart (const worker_t *worker, const task_t *task);
 /** @return penalty for a task on the worker: tasks under suspicion and tasks
     that have just started are kept apart where possible */
-int64_t crashes_score (usec_t now, const worker_t *worker, const task_t *task);
+int64_t crashes_score (const worker_t *worker, const task_t *task);
 
 /* shard_unsettled.c */
 /** Counts the unsettled runs, and logs those that have been so for long. */
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -94,6 +94,7 @@
   worker_t *worker = worker_get (shard, run->worker);
 
   worker_release (worker, run);
+  crashes_run_settled (worker, run);
   if (run->best_effort && run->state == RUN_ACKNOWLEDGED)
     sharing_run_ended (worker, now, run);
   for (guint i = 0; i < worker->runs->len; i++)
@@ -341,6 +342,7 @@
   task_t *task = &occurrence->tasks[step][index];
   handle_t worker_handle = worker_find (shard, task->place.worker);
   worker_t *worker;
+  run_t *run;
 
   if (worker_handle == HANDLE_NONE)
     worker_handle = worker_add (shard, task->place.worker);
@@ -357,10 +359,10 @@
   /* If the list is read later, that looks for workers that were leaving. */
   if (shard->worker_list_complete && !worker->listed)
     worker->leaving |= task->worker_leaves;
-  run_get (shard, run_add (shard, job, occurrence, step, index, worker_handle,
-                           RUN_ADOPTED))
-      ->started_at
-      = shard->owned_since;
+  run = run_get (shard, run_add (shard, job, occurrence, step, index,
+                                 worker_handle, RUN_ADOPTED));
+  run->started_at = shard->owned_since;
+  crashes_run_placed (worker, run, task);
 }
 
 void
--- a/src/shard/shard_waits.c
+++ b/src/shard/shard_waits.c
@@ -55,7 +55,8 @@
   for (uint32_t i = 0; i < c->entry->job->submission->steps[c->step].count;
        i++)
     count += c->occurrence->tasks[c->step][i].state == TASK_WAITING
-             && c->occurrence->tasks[c->step][i].crashes;
+             && crashes_suspicion (&c->occurrence->tasks[c->step][i])
+                    != SUSPICION_NONE;
   return count;
 }
 
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -61,6 +61,13 @@
 static bool
     lists_before_records; /* successors read the list of workers first */
 
+static usec_t crash_delay; /* after the start */
+static sim_worker_t *crashing;
+static usec_t crash_at;
+static usec_t append_delay; /* of every other append */
+static usec_t append_due;
+static uint32_t appends_done;
+
 static sim_worker_t *
 find_worker (const char *id)
 {
@@ -95,6 +102,11 @@
   one_leaves_with_crash = false;
   lists_before_crash = false;
   lists_before_records = false;
+  crash_delay = 0;
+  crashing = NULL;
+  append_delay = 0;
+  append_due = 0;
+  appends_done = 0;
   for (uint32_t i = 0; i < WORKERS; i++)
     {
       sim_worker_t *w = &workers[i];
@@ -228,6 +240,15 @@
     }
 }
 
+static void
+crash_when_due (void)
+{
+  if (!crashing || fixture.now < crash_at)
+    return;
+  stop_worker (crashing, WORKER_REFUSES);
+  crashing = NULL;
+}
+
 static void
 answer_start (sim_worker_t *w, const shard_call_t *call)
 {
@@ -252,8 +273,9 @@
   if (fatal && one_leaves_with_crash)
     stop_worker (&workers[WORKERS - 1 - starts % LEAVING_WORKERS],
                  WORKER_REFUSES);
-  if (fatal)
-    stop_worker (w, WORKER_REFUSES);
+  crashing = fatal ? w : crashing;
+  crash_at = fatal ? fixture.now + crash_delay : crash_at;
+  crash_when_due ();
 }
 
 static void
@@ -323,6 +345,16 @@
     }
 }
 
+static void
+finish_append (void)
+{
+  if (fixture.appends != appends_done)
+    append_due = fixture.now + (fixture.appends % 2 ? append_delay : 0);
+  appends_done = fixture.appends;
+  if (fixture.now >= append_due)
+    shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+}
+
 static void
 run_workers (usec_t span)
 {
@@ -343,7 +375,8 @@
       if (gang)
         end_partial_gang ();
       list_workers ();
-      shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+      crash_when_due ();
+      finish_append ();
       advance (STEP);
     }
 }
@@ -898,6 +931,27 @@
   tear_down_workers ();
 }
 
+/* Guards against strong suspects that start together since the store was slow
+   between their placements.  One worker is left. */
+static void
+test_slow_append_between_suspects (void)
+{
+  set_up_workers ();
+  for (uint32_t w = 1; w < WORKERS; w++)
+    workers[w].leaving = true;
+  append_delay = 1300 * USEC_PER_MSEC;
+  crash_delay = 200 * USEC_PER_MSEC;
+  for (uint32_t i = 0; i < 3; i++)
+    add_job_with_id (OTHER_JOB + i, 1);
+  add_job (1);
+  run_workers (60 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
+  CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
+  for (uint32_t i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (status_of (OTHER_JOB + i), JOB_RUNNING);
+  tear_down_workers ();
+}
+
 int
 main (void)
 {
@@ -926,6 +980,7 @@
     { "fresh task beside a suspect", test_fresh_task_beside_suspect },
     { "successors one after another", test_successors_one_after_another },
     { "list read after a pause", test_list_read_after_pause },
+    { "slow append between suspects", test_slow_append_between_suspects },
     { "successor reads list first", test_successor_reads_list_first },
   };
   int code;
