Do not take refused connections for the end of an unlisted worker

What happened: writes of workers to the store are lost, so that their entries expire after 4.5 s; connections from the owner to them are reset on the way. The owner took a worker that was not listed and refused twice within 0.4 s to have ended with its runs (worker.lost why="connections refused"), while the lease of its last hold was good for seconds.

Only the leases end the runs now. The crash is counted then, on the same signs as before.

test_adopted_run_unlisted demanded the fault itself, a new run 1.2 s after a takeover because of refusals alone. It demands now that none starts before the former owner's leases can have expired, and one soon after; what it guarded (a worker that was leaving) is guarded by "worker left before a takeover". The last step of "refusals of a listed worker" demanded the same and is replaced by "refusals of an unlisted worker". That test failed before (appends 1, expected 0), the other one too.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -20,11 +20,11 @@
 #define HOLD_INTERVAL_UNSTORED (USEC_PER_SEC)
 #define NO_ROOM_PAUSE (200 * USEC_PER_MSEC)
 #define UNHEALTHY_PAUSE (1500 * USEC_PER_MSEC)
-/* A worker that is no longer listed and refuses connections is taken to have
-   ended with all of its runs after this many refusals over at least this time.
-   One that is listed may run on where a device between refuses for it: its
-   tasks wait for its next incarnation, the end of its entry or of its leases.
-   A single refusal may come from a process that is still starting. */
+/* A worker whose leases have expired is taken to have crashed if it is no
+   longer listed and has refused connections so many times over at least this
+   time.  Before that it may run on: a device between may refuse for it, and
+   its entry expires if it does not reach the store.  A single refusal may come
+   from a process that is still starting. */
 #define DEAD_AFTER_REFUSALS 2U
 #define DEAD_AFTER_REFUSED_SPAN (400 * USEC_PER_MSEC)
 /* A run whose reported percentage has not changed for this long is stalled.
@@ -39,6 +39,7 @@
    lists. */
 #define MISSING_AFTER_LISTS 2U
 
+static bool seems_crashed (const worker_t *worker, usec_t now);
 static void mark_ends_stored (usec_t now, worker_t *worker);
 static void send_hold (shard_t *shard, usec_t now, handle_t handle);
 static void send_run_calls (shard_t *shard, usec_t now);
@@ -135,16 +136,28 @@
 static usec_t
 check_lease_expiry (shard_t *shard, usec_t now, handle_t handle)
 {
+  static const char why[] = "lease expired";
   const worker_t *worker = worker_get (shard, handle);
 
   if (!worker->in_doubt || !worker->runs->len)
     return INT64_MAX;
   if (now < worker->leases_expired_at)
     return worker->leases_expired_at;
-  run_requeue_all (shard, now, handle, "lease expired");
+  if (seems_crashed (worker, now))
+    crashes_worker_lost (shard, now, handle, why);
+  else
+    run_requeue_all (shard, now, handle, why);
   return INT64_MAX;
 }
 
+/* @return whether the worker is no longer listed and refuses connections */
+static bool
+seems_crashed (const worker_t *worker, usec_t now)
+{
+  return !worker->listed && worker->refused_holds >= DEAD_AFTER_REFUSALS
+         && now - worker->refused_since >= DEAD_AFTER_REFUSED_SPAN;
+}
+
 static int64_t
 lease_until (const shard_t *shard, const worker_t *worker, usec_t now)
 {
@@ -475,9 +488,6 @@
     }
   if (!worker->refused_holds++)
     worker->refused_since = now;
-  else if (!worker->listed && worker->refused_holds >= DEAD_AFTER_REFUSALS
-           && now - worker->refused_since >= DEAD_AFTER_REFUSED_SPAN)
-    crashes_worker_lost (shard, now, handle, "connections refused");
 }
 
 /* The worker answers in another incarnation: the numbers of its ends start at
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -18,6 +18,11 @@
    is capacity. */
 #define TURN_LIMIT (3 * USEC_PER_SEC)
 
+/* Lease of the fixture, and how much later the owner may take it to have
+   expired: by the ratio of the clocks, the time of a stop and a margin. */
+#define LEASE (6 * USEC_PER_SEC)
+#define LEASE_SLACK (USEC_PER_SEC)
+
 /* A call that its worker answers at a time. */
 typedef struct
 {
@@ -353,9 +358,29 @@
   reply_to_hold (&first_run, 1, NULL, 0);
   reply_to_holds (12, 300 * USEC_PER_MSEC, &refused);
   CU_ASSERT_EQUAL (fixture.appends, 0);
+  tear_down ();
+}
+
+/* Guards against two runs of a task: a worker runs on that reaches neither the
+   store nor the owner, so that its entry has expired, and its calls are
+   refused in its place.  Only the lease tells that its runs have ended. */
+static void
+test_refusals_of_an_unlisted_worker (void)
+{
+  const shard_reply_t refused = { .kind = SHARD_REPLY_REFUSED };
+  usec_t granted;
+
+  set_up_with_placed_run ();
+  list_worker ();
+  advance (0);
+  reply_to_hold (&first_run, 1, NULL, 0);
+  granted = fixture.now;
   shard_worker_unlisted (fixture.shard, fixture.now, "w1");
-  reply_to_holds (4, 300 * USEC_PER_MSEC, &refused);
-  advance (USEC_PER_MSEC);
+  while (fixture.now < granted + LEASE)
+    reply_to_holds (1, 100 * USEC_PER_MSEC, &refused);
+  CU_ASSERT_EQUAL (fixture.appends, 0);
+  while (fixture.now < granted + LEASE + LEASE_SLACK)
+    reply_to_holds (1, 100 * USEC_PER_MSEC, &refused);
   CU_ASSERT_EQUAL (fixture.appends, 1);
   tear_down ();
 }
@@ -423,6 +448,7 @@
       test_start_answered_by_former_incarnation },
     { "lists after a stop", test_lists_after_stop },
     { "refusals of a listed worker", test_refusals_of_a_listed_worker },
+    { "refusals of an unlisted worker", test_refusals_of_an_unlisted_worker },
     { "gang without a member", test_gang_without_member },
     { "worker left before a takeover", test_worker_left_before_takeover },
   };
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -9,6 +9,11 @@
 #include <errno.h>
 #include <string.h>
 
+/* Time from a takeover until the leases of the former owner may expire last:
+   the fixture's stale_limit and lease, and the same with a margin. */
+#define FORMER_LEASE_MIN (18 * USEC_PER_SEC)
+#define FORMER_LEASE_MAX (19 * USEC_PER_SEC)
+
 /* Guards against a start whose placement is not stored yet: a later owner
    would not know of the run. */
 static void
@@ -517,17 +522,23 @@
   tear_down ();
 }
 
-/* Guards against waiting for runs on a worker that left just before a
-   takeover: the worker is no longer listed, and only refused connections at
-   its address show that it is gone (ruedas-plata mix, seed 659633801864). */
+/* Guards against two runs of a task, and against a task that waits without a
+   bound: its worker was not leaving, is no longer listed, and refuses
+   connections.  It may be behind a device that refuses for it, with a lease of
+   the former owner. */
 static void
 test_adopted_run_unlisted (void)
 {
   const shard_reply_t refused = { .kind = SHARD_REPLY_REFUSED };
+  usec_t taken_over;
 
   set_up_with_placed_run ();
-  reply_to_holds (4, 300 * USEC_PER_MSEC, &refused);
-  advance (USEC_PER_MSEC);
+  taken_over = fixture.now;
+  while (fixture.now < taken_over + FORMER_LEASE_MIN)
+    reply_to_holds (1, 100 * USEC_PER_MSEC, &refused);
+  CU_ASSERT_EQUAL (fixture.appends, 0);
+  while (fixture.now < taken_over + FORMER_LEASE_MAX)
+    reply_to_holds (1, 100 * USEC_PER_MSEC, &refused);
   CU_ASSERT_EQUAL (fixture.appends, 1);
   tear_down ();
 }
