Do not take a rejected hold for the silence of a worker that left

A task may run twice (TWICE): a worker that is leaving has lost its entry (its writes to the store are lost, or the entries expired during an outage) and answers holds with 429 or 503, as overloaded workers do. The owner took it to have left and started its tasks elsewhere at once.

Cause: worker_has_left asked for unanswered_holds, which counts rejected holds as well. A worker that rejects a hold has not left, and its runs keep the leases that they have. Holds without any answer, or refused, are counted by themselves now.

"leaving worker rejects holds" failed before (appends 2, expected 1).

--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -129,6 +129,7 @@
   usec_t hold_due;
   usec_t last_answer;
   uint32_t unanswered_holds; /* consecutive, answers with an error included */
+  uint32_t silent_holds;     /* the same without these */
   uint32_t refused_holds; /* consecutive holds whose connection was refused */
   usec_t refused_since;
   int64_t clock_ms; /* lower bound of its clock at CLOCK_AT */
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -190,7 +190,7 @@
 bool
 worker_has_left (const worker_t *worker)
 {
-  return worker->leaving && !worker->listed && worker->unanswered_holds;
+  return worker->leaving && !worker->listed && worker->silent_holds;
 }
 
 /* @return whether a former owner knew the worker to be leaving */
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -385,6 +385,26 @@
   tear_down ();
 }
 
+/* Guards against two runs of a task: a worker that is leaving and no longer
+   listed, as its entry has expired, rejects holds while its runs go on. */
+static void
+test_leaving_worker_rejects_holds (void)
+{
+  const shard_reply_t unhealthy = { .kind = SHARD_REPLY_UNHEALTHY };
+
+  set_up_with_placed_run ();
+  list_worker_leaving (true);
+  advance (0);
+  reply_to_hold (&first_run, 1, NULL, 0);
+  reply_to_holds (1, 300 * USEC_PER_MSEC, &unhealthy);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  CU_ASSERT_EQUAL_FATAL (fixture.appends, 1); /* that its worker leaves */
+  shard_worker_unlisted (fixture.shard, fixture.now, "w1");
+  reply_to_holds (4, 300 * USEC_PER_MSEC, &unhealthy);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  tear_down ();
+}
+
 /* A run is on a worker that is leaving, and a new owner takes over. */
 static void
 set_up_takeover_of_leaving (void)
@@ -449,6 +469,7 @@
     { "lists after a stop", test_lists_after_stop },
     { "refusals of a listed worker", test_refusals_of_a_listed_worker },
     { "refusals of an unlisted worker", test_refusals_of_an_unlisted_worker },
+    { "leaving worker rejects holds", test_leaving_worker_rejects_holds },
     { "gang without a member", test_gang_without_member },
     { "worker left before a takeover", test_worker_left_before_takeover },
   };
