Accept all peer connections that wait in one round of the loop

Cause: the owner accepted one connection in each round, 7 to 50 a second, while 31 peers opened up to 450 a second, since each query that timed out replaced its connection. A connection waited longer than its queries.

Found with the log of the owner and a profile of its loop (trial on a scratch copy); not the read of the frames: those that had arrived took below 1% of the time.

The test (30 connections, two rounds) failed before. make unit, make lint.

--- a/src/net/peerlink.c
+++ b/src/net/peerlink.c
@@ -23,6 +23,8 @@
 #define RECONNECT_MAX_DELAY (2 * USEC_PER_SEC)
 #define CONNECT_TIMEOUT (500 * USEC_PER_MSEC)
 #define LISTEN_BACKLOG 1024
+/* Most connections accepted in one round of the loop. */
+#define ACCEPTS_MAX 256U
 /* Every other process of the site may connect to a shard owner. */
 #define MAX_INBOUND 4096U
 /* A peer that opens a new connection has usually lost the old one, so the
@@ -90,6 +92,7 @@
 static void set_nonblocking (int fd);
 static void set_keepalive (int fd);
 static void on_accept (EV_P_ ev_io *io, int events);
+static bool accept_one (peerlink_t *link, int listen_fd);
 static void on_inbound_readable (EV_P_ ev_io *io, int events);
 static bool process_frames (inbound_t *in);
 static bool process_message (inbound_t *in, blob_t frame);
@@ -263,19 +266,27 @@
 static void
 on_accept (EV_P_ ev_io *io, int events)
 {
-  peerlink_t *link = io->data;
+  (void)loop;
+  (void)events;
+  for (uint32_t i = 0; i < ACCEPTS_MAX && accept_one (io->data, io->fd); i++)
+    ;
+}
+
+/* @return false if no connection is waiting */
+static bool
+accept_one (peerlink_t *link, int listen_fd)
+{
   struct sockaddr_in from = { 0 };
   socklen_t len = sizeof from;
-  int fd = accept4 (io->fd, (struct sockaddr *)&from, &len, SOCK_CLOEXEC);
+  int fd = accept4 (listen_fd, (struct sockaddr *)&from, &len, SOCK_CLOEXEC);
   inbound_t *in;
 
-  (void)events;
   if (fd < 0)
-    return;
+    return false;
   if (g_hash_table_size (link->inbound) >= MAX_INBOUND)
     {
       close (fd);
-      return;
+      return true;
     }
   set_nonblocking (fd);
   set_keepalive (fd);
@@ -287,8 +298,9 @@
               inet_ntoa (from.sin_addr), ntohs (from.sin_port));
   ev_io_init (&in->io, on_inbound_readable, fd, EV_READ);
   in->io.data = in;
-  ev_io_start (EV_A_ & in->io);
+  ev_io_start (link->loop, &in->io);
   g_hash_table_add (link->inbound, in);
+  return true;
 }
 
 static void
--- a/src/net/test_peerlink.c
+++ b/src/net/test_peerlink.c
@@ -19,6 +19,7 @@
 #define OWN_NODE 1U
 #define PEER_NODE 2U
 #define PEER_COUNT 400
+#define PEERS_AT_ONCE 30
 
 typedef struct
 {
@@ -178,6 +179,25 @@
   tear_down ();
 }
 
+/* Guards against an owner under load that accepts one connection in each round
+   of its loop: with 30 peers whose queries had timed out, connections waited
+   longer than a query (ruedas-plata-grown full-workers-store-in-trouble). */
+static void
+test_connections_at_once (void)
+{
+  int fds[PEERS_AT_ONCE];
+
+  set_up ();
+  for (int i = 0; i < PEERS_AT_ONCE; i++)
+    fds[i] = connect_raw (10 + (node_id_t)i);
+  ev_run (fixture.loop, EVRUN_NOWAIT);
+  ev_run (fixture.loop, EVRUN_NOWAIT);
+  CU_ASSERT_EQUAL (fixture.hellos_received, PEERS_AT_ONCE);
+  for (int i = 0; i < PEERS_AT_ONCE; i++)
+    close (fds[i]);
+  tear_down ();
+}
+
 /* Guards against connections of peers that lost power: they were kept forever
    and exhausted the limit, so that new peers were rejected. */
 static void
@@ -285,6 +305,7 @@
 {
   const suite_test_t tests[] = {
     { "many peers", test_many_peers },
+    { "connections at once", test_connections_at_once },
     { "newer connection", test_newer_connection },
     { "silent connection", test_silent_connection },
     { "dead peer", test_dead_peer },
