Do not close a peer's connection for an older one

Connections are numbered in the order of their accepts, and a HELLO closes only those with lower numbers, or its own. The test failed before.

--- a/src/net/peerlink.c
+++ b/src/net/peerlink.c
@@ -70,7 +70,8 @@
   int fd;
   ev_io io;
   GByteArray *buffer;
-  node_id_t node; /* 0 before HELLO */
+  uint64_t number; /* in the order of their accepts */
+  node_id_t node;  /* 0 before HELLO */
   incarnation_t incarnation;
   char peer_address[64];
 } inbound_t;
@@ -85,6 +86,7 @@
   ev_io listen_io;
   GHashTable *outbound; /* node -> outbound_t */
   GHashTable *inbound;  /* set of inbound_t */
+  uint64_t accepted;    /* connections so far */
   guint8 chunk[READ_CHUNK];
 };
 
@@ -96,7 +98,7 @@
 static void on_inbound_readable (EV_P_ ev_io *io, int events);
 static bool process_frames (inbound_t *in);
 static bool process_message (inbound_t *in, blob_t frame);
-static void close_older_inbound (const inbound_t *in);
+static bool close_older_inbound (const inbound_t *in);
 static void renew_outbound (peerlink_t *link, node_id_t node);
 static void inbound_free (void *data);
 static void outbound_free (void *data);
@@ -293,6 +295,7 @@
   in = g_new0 (inbound_t, 1);
   in->link = link;
   in->fd = fd;
+  in->number = ++link->accepted;
   in->buffer = g_byte_array_new ();
   g_snprintf (in->peer_address, sizeof in->peer_address, "%s:%u",
               inet_ntoa (from.sin_addr), ntohs (from.sin_port));
@@ -374,11 +377,13 @@
                  (unsigned)message.u.hello.protocol);
       in->node = (node_id_t)message.u.hello.node;
       in->incarnation = message.u.hello.incarnation;
-      if (valid)
+      if (valid && !close_older_inbound (in))
         {
-          close_older_inbound (in);
-          renew_outbound (in->link, in->node);
+          message_clear (&message);
+          return false;
         }
+      if (valid)
+        renew_outbound (in->link, in->node);
     }
   else if (valid && !in->node)
     {
@@ -403,21 +408,28 @@
 }
 
 /* A peer has one connection at a time; an older one belongs to a process or VM
-   that no longer exists.  */
-static void
+   that no longer exists, or was replaced before its HELLO was read.
+   @return false if the connection is itself older than another one */
+static bool
 close_older_inbound (const inbound_t *in)
 {
   GHashTableIter iter;
   gpointer key;
+  bool newest = true;
 
   g_hash_table_iter_init (&iter, in->link->inbound);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
       const inbound_t *other = key;
 
-      if (other != in && other->node == in->node)
+      if (other->node != in->node)
+        continue;
+      if (other->number < in->number)
         g_hash_table_iter_remove (&iter);
+      else
+        newest &= other == in;
     }
+  return newest;
 }
 
 static void
--- a/src/net/test_peerlink.c
+++ b/src/net/test_peerlink.c
@@ -198,6 +198,36 @@
   tear_down ();
 }
 
+/* Guards against a connection that is closed for an older one of the same
+   peer, whose HELLO is read later. */
+static void
+test_older_hello_is_last (void)
+{
+  message_t message
+      = { .type = MSG_HELLO,
+          .u.hello = { .protocol = MESSAGE_PROTOCOL_VERSION,
+                       .node = 10,
+                       .incarnation = 10,
+                       .address = blob_of ("127.0.0.3:18171") } };
+  GByteArray *bytes = g_byte_array_new ();
+  int older;
+  int newer;
+
+  set_up ();
+  older = connect_without_hello ();
+  paused_loop_run (fixture.loop, 20 * USEC_PER_MSEC);
+  newer = connect_raw (10);
+  paused_loop_run (fixture.loop, 20 * USEC_PER_MSEC);
+  message_encode (&message, bytes);
+  send_frame (older, bytes);
+  paused_loop_run (fixture.loop, 20 * USEC_PER_MSEC);
+  CU_ASSERT (!is_closed (newer));
+  CU_ASSERT (is_closed (older));
+  close (older);
+  close (newer);
+  tear_down ();
+}
+
 /* Guards against connections of peers that lost power: they were kept forever
    and exhausted the limit, so that new peers were rejected. */
 static void
@@ -307,6 +337,7 @@
     { "many peers", test_many_peers },
     { "connections at once", test_connections_at_once },
     { "newer connection", test_newer_connection },
+    { "older HELLO is last", test_older_hello_is_last },
     { "silent connection", test_silent_connection },
     { "dead peer", test_dead_peer },
     { "later build", test_later_build },
