Keep the connection to an owner that is slow, not silent

Cause: each query without a reply for 0.8 s replaced the connection to the owner, and all other queries and replies on it were lost, which then timed out and replaced it again, up to 450 times a second at 31 fronts. Once an owner was slow for a second, its fronts did not come back to it although it ran 10 to 50 rounds of its loop a second and spent below 1% on their frames.

Now a front replaces the connection only if the owner has replied to nothing since the query was sent and the connection is not younger than the query.

The test (replies to one of two queries; a query lost with a connection) failed before.

--- a/src/net/peerlink.c
+++ b/src/net/peerlink.c
@@ -216,6 +216,18 @@
     }
 }
 
+bool
+peerlink_reset_older (peerlink_t *link, node_id_t node, usec_t before)
+{
+  const outbound_t *out
+      = g_hash_table_lookup (link->outbound, GUINT_TO_POINTER (node));
+
+  if (!out || out->state != OUTBOUND_OPEN || out->opened_at > before)
+    return false;
+  peerlink_reset (link, node);
+  return true;
+}
+
 static int
 listen_on (const char *address, err_t *err)
 {
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -50,4 +50,8 @@
 /** Replaces the connection to a node that no longer responds. */
 void peerlink_reset (peerlink_t *link, node_id_t node);
 
+/** The same, unless the connection was opened after BEFORE.
+    @return whether the connection is being replaced */
+bool peerlink_reset_older (peerlink_t *link, node_id_t node, usec_t before);
+
 #endif
--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -214,6 +214,9 @@
     }
   if (reply.code == REPLY_KNOWN)
     s->owner_last_reply = now;
+  for (uint32_t i = 0; i < s->shard_count; i++)
+    if (s->owners[i].node == node)
+      s->owners[i].replied_at = now;
   succession_told (s, now, (uint32_t)(m->pending >> TELL_RANK_SHIFT));
   callers_on_reply (s, now, m->id, &reply);
 }
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -24,7 +24,8 @@
 #define APPEND_RETRY_DELAY (60 * USEC_PER_MSEC)
 /* A submission is refused after the store has refused this many appends. */
 #define APPEND_ATTEMPTS_MAX 2U
-/* Without a reply for this long, the query is sent again on a new connection.
+/* Without a reply for this long, the query is sent again, on a new connection
+   unless the owner has replied to others.
    Over twice as long as an owner waits for its store. */
 #define QUERY_TIMEOUT (800 * USEC_PER_MSEC)
 #define QUERY_RETRY_DELAY (60 * USEC_PER_MSEC)
@@ -63,6 +64,8 @@
 static usec_t forward_end (const caller_request_t *request, usec_t now);
 static void try_forward (scheduler_t *s, usec_t now,
                          caller_request_t *request);
+static void on_owner_silent (scheduler_t *s, usec_t now,
+                             const caller_request_t *request);
 static void on_forward_reply (scheduler_t *s, usec_t now,
                               caller_request_t *request, reply_code_t code);
 static void finish_accepted (scheduler_t *s, usec_t now,
@@ -255,16 +258,11 @@
 
   if (request->forward_busy)
     {
-      log_line (LOG_LEVEL_INFO, "job.offer", NULL,
-                "job=%016" PRIx64 " shard=%u owner silent for ms=%" PRId64,
-                request->job, request->shard,
-                usec_to_msec (now - request->query_sent));
+      on_owner_silent (s, now, request);
       request->forward_busy = false;
       request->may_be_stored = true;
       request->forward_until = now;
       s->owners[request->shard].backoff_until = now + OWNER_BACKOFF;
-      peerlink_reset (s->link, request->peer);
-      group_refresh_owners (s, now);
     }
   if (request->append_count || now >= request->forward_until
       || now < s->owners[request->shard].backoff_until)
@@ -290,6 +288,24 @@
     fail_request (s, request);
 }
 
+/* Replaces the connection on which the request was sent to the owner, if the
+   owner has not replied to any request since.  Otherwise the owner is slow,
+   and the requests of all callers would be lost with the connection. */
+static void
+on_owner_silent (scheduler_t *s, usec_t now, const caller_request_t *request)
+{
+  bool replaced
+      = s->owners[request->shard].replied_at < request->query_sent
+        && peerlink_reset_older (s->link, request->peer, request->query_sent);
+
+  log_line (LOG_LEVEL_INFO, "owner.silent", NULL,
+            "job=%016" PRIx64 " kind=%d shard=%u for_ms=%" PRId64
+            " reconnect=%d",
+            request->job, (int)request->kind, request->shard,
+            usec_to_msec (now - request->query_sent), replaced);
+  group_refresh_owners (s, now);
+}
+
 static void
 on_forward_reply (scheduler_t *s, usec_t now, caller_request_t *request,
                   reply_code_t code)
@@ -400,14 +416,7 @@
   int code;
 
   if (request->query_sent && now - request->query_sent >= QUERY_TIMEOUT)
-    {
-      log_line (LOG_LEVEL_INFO, "job.ask", NULL,
-                "job=%016" PRIx64 " shard=%u owner silent for ms=%" PRId64,
-                request->job, request->shard,
-                usec_to_msec (now - request->query_sent));
-      peerlink_reset (s->link, request->peer);
-      group_refresh_owners (s, now);
-    }
+    on_owner_silent (s, now, request);
   request->query_sent = now;
   request->due = now + QUERY_TIMEOUT;
   code = query_owner (s, now, request);
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -137,6 +137,7 @@
   char member[96];
   bool self;
   usec_t backoff_until; /* no submissions are forwarded before then */
+  usec_t replied_at;    /* last reply to this process, 0 for none */
   usec_t refused_since; /* its VM refuses connections since then, 0: no */
 } shard_owner_t;
 
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -957,7 +957,7 @@
   err_t err = { 0 };
 
   s->backend = &backend;
-  s->loop = ev_loop_new (EVFLAG_AUTO);
+  s->loop = paused_loop_new ();
   s->link = peerlink_new (s->loop, addresses.peers, &hello,
                           &sched_peerlink_ops, s, &err);
   CU_ASSERT_PTR_NOT_NULL_FATAL (s->link);
@@ -975,7 +975,7 @@
 free_bare_scheduler (scheduler_t *s)
 {
   peerlink_free (s->link);
-  ev_loop_destroy (s->loop);
+  paused_loop_free (s->loop);
   g_hash_table_destroy (s->requests);
   g_hash_table_destroy (s->requests_by_http);
   g_hash_table_destroy (s->worker_shards);
@@ -1014,6 +1014,75 @@
   free_bare_scheduler (s);
 }
 
+#define OWNER_NODE 9U
+
+/* Adds a query for the state of a job whose owner is OWNER_NODE. */
+static caller_request_t *
+add_query (scheduler_t *s, uint64_t id)
+{
+  caller_request_t *request = g_new0 (caller_request_t, 1);
+
+  request->id = id;
+  request->job = id;
+  request->kind = QUERY_STATUS;
+  request->queue = g_strdup ("queue");
+  request->deadline = INT64_MAX;
+  g_hash_table_insert (s->requests, &request->id, request);
+  callers_tick (s, clock_now ());
+  return request;
+}
+
+/* Runs the loop for 100 ms and sends the queries that are due.  */
+static void
+run_queries (scheduler_t *s, int times)
+{
+  for (int i = 0; i < times; i++)
+    {
+      paused_loop_run (s->loop, 100 * USEC_PER_MSEC);
+      callers_tick (s, clock_now ());
+    }
+}
+
+/* Guards against a connection to a slow owner that each query without a reply
+   replaces, with all other queries on it (ruedas-plata-grown
+   full-workers-store-in-trouble, seed 31: 450 replacements a second). */
+static void
+test_connection_to_slow_owner (void)
+{
+  int owner_socket = listen_as_peer ();
+  scheduler_t *s = new_bare_scheduler ();
+  message_t tell = { .type = MSG_JOB_TELL,
+                     .u.job_tell = { .id = 1, .code = REPLY_TRY_LATER } };
+  uint64_t before;
+
+  s->shard_count = 1;
+  s->shards = g_new0 (shard_state_t, 1);
+  s->owners = g_new0 (shard_owner_t, 1);
+  s->owners[0].node = OWNER_NODE;
+  peerlink_add (s->link, OWNER_NODE, addresses.live_peer);
+  paused_loop_run (s->loop, 100 * USEC_PER_MSEC);
+  before = counter_get (COUNTER_PEER_CONNECTS);
+  add_query (s, 1);
+  add_query (s, 2);
+  run_queries (s, 6);
+  sched_peerlink_ops.message (s, OWNER_NODE, 1, &tell);
+  run_queries (s, 6);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_PEER_CONNECTS), before);
+  /* The owner falls silent: the first query replaces the connection, a later
+     one was lost with it and is sent again.  */
+  add_query (s, 3);
+  run_queries (s, 7);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_PEER_CONNECTS), before + 1);
+  run_queries (s, 4);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_PEER_CONNECTS), before + 1);
+  run_queries (s, 8);
+  CU_ASSERT (counter_get (COUNTER_PEER_CONNECTS) > before + 1);
+  g_free (s->shards);
+  g_free (s->owners);
+  free_bare_scheduler (s);
+  close (owner_socket);
+}
+
 /* A site has several shards only if one owner is not sufficient, since tasks
    of a full shard are not moved to another one, and never more shards than
    partitions.  Processes with a small cpu_share leave the decision and large
@@ -1123,6 +1192,7 @@
     { "cancel of an unknown job", test_cancel_of_unknown_job },
     { "cancel of an unread job", test_cancel_of_unread_job },
     { "malformed frames", test_malformed_frames },
+    { "connection to a slow owner", test_connection_to_slow_owner },
     { "layout", test_layout },
     { "layout with changing workers", test_layout_with_changing_workers },
     { "settings", test_settings },
