Impose a best-effort task that no worker admits on the least disturbed one

Cause: a best-effort task is admitted only where every task with a target is expected to stay within it. Where such tasks are on all workers and images disturb each other, no worker admits it, and nothing ends that wait.

Change: a best-effort job that has had no run for 2 s has a task imposed on the worker where it disturbs the fewest tasks, while less than half of the service's capacity is reserved.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -40,6 +40,13 @@
 START_ON_LEAVING|src/shard/shard_choose.c|shard/test_shard_steps|s/worker->leaving ||//
 PARTIAL_GANG|src/shard/shard_place.c|shard/test_shard_steps|s/undo_gang_placement (shard, now, c, i);//
 HARM_GOES_ON|src/shard/shard_sharing.c|shard/test_shard_sharing|s/run->measure > run->target_ms \&\& worker->best_effort_runs/false/
+DISTURBING_TASK_WAITS|src/shard/shard_waits.c|shard/test_shard_sharing|s/now - entry->idle_since >= STARVED_AFTER/false/
+IMPOSED_STOPPED_AT_ONCE|src/shard/shard_sharing.c|shard/test_shard_sharing|s/if (worker->imposed_since)$/if (0)/
+IMPOSED_TIME_BEGINS_ANEW|src/shard/shard_sharing.c|shard/test_shard_sharing|s/if (!over \&\& !worker->imposed_since)/if (!over)/
+IMPOSED_WITHOUT_PAUSE|src/shard/shard_sharing.c|shard/test_shard_sharing|s/now >= worker->impose_due/true/
+IMPOSED_OVER_TARGET|src/shard/shard_sharing.c|shard/test_shard_sharing|s/^    worker->impose_due = now + IMPOSE_PAUSE;/;/
+PLACED_BESIDE_IMPOSED|src/shard/shard_sharing.c|shard/test_shard_sharing|s/if (worker->over_target_since || worker->imposed_since)/if (worker->over_target_since)/
+IMPOSED_WITHOUT_ROOM|src/shard/shard_choose.c|shard/test_shard_sharing|s/return 2 \* reserved < capacity/return true/
 CANCEL_NOT_STORED|src/shard/shard.c|shard/test_shard_steps|s/if (entry->stored_end == JOB_QUEUED)/if (0)/
 ACCEPTED_NOT_STORED|src/shard/shard.c|shard/test_shard_steps|s/entry->unstored_submission ? -EINPROGRESS : 0/0/
 SECOND_SUBMISSION_COUNTS|src/shard/shard.c|shard/test_shard_steps|s/^  if (entry->job)$/  if (0)/
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -79,6 +79,8 @@
      "runs that were stopped since they did not advance")                     \
   X (RUNS_UNSETTLED, "runs_unsettled", "runs", "gauge",                       \
      "runs whose start or stop is not settled yet, counted once a second")    \
+  X (RUNS_IMPOSED, "runs_imposed_total", "runs", "counter",                   \
+     "best-effort runs that were placed although they disturb others")        \
   X (CRASH_SUSPECTS, "crash_suspects_total", "runs", "counter",               \
      "runs that had just started when their worker crashed")                  \
   X (TASKS_GIVEN_UP, "tasks_given_up_total", "tasks", "counter",              \
--- a/src/shard/shard_choose.c
+++ b/src/shard/shard_choose.c
@@ -18,14 +18,26 @@
 /* Larger than any sum of scores for load and images: with its data on another
    rack a task takes several times as long. */
 #define SCORE_OF_OTHER_RACK (1LL << 30)
+/* Larger than any sum of scores for load and sharing. */
+#define SCORE_PER_DISTURBED_TASK (1LL << 20)
 #define SCORE_OF_AVOIDED_WORKER (1LL << 40)
 
+/* Which workers suit a task. */
+typedef enum
+{
+  ADMIT_UNDISTURBED, /* those where no tail latency exceeds its target */
+  ADMIT_IMPOSED,     /* those that may be disturbed for a while */
+  ADMIT_ALL
+} admission_t;
+
 static bool is_unplaceable (const shard_t *shard, const candidate_t *c);
 static void note_unplaceable (shard_t *shard, const candidate_t *c);
 static handle_t choose_best_worker (const shard_t *shard, usec_t now,
                                     const candidate_t *c, uint32_t index,
-                                    bool ignore_interference,
-                                    bool *kept_apart);
+                                    admission_t admission, bool *kept_apart);
+static bool has_room_to_impose (const shard_t *shard, const candidate_t *c);
+static bool admits (const shard_t *shard, usec_t now, const worker_t *worker,
+                    const candidate_t *c, admission_t admission);
 static uint32_t step_runs (const shard_t *shard, const worker_t *worker,
                            const candidate_t *c);
 static int64_t score (const shard_t *shard, const worker_t *worker,
@@ -37,7 +49,8 @@
 
 /* A task with a target does not wait for a worker without interference:
    best-effort runs beside it are stopped when its tail latency exceeds the
-   target. */
+   target.  A best-effort task does, but not for ever: it may disturb the tasks
+   on every worker. */
 handle_t
 choose_worker (shard_t *shard, usec_t now, const candidate_t *c,
                uint32_t index)
@@ -48,9 +61,13 @@
 
   if (is_unplaceable (shard, c))
     return HANDLE_NONE;
-  handle = choose_best_worker (shard, now, c, index, false, &kept_apart);
+  handle = choose_best_worker (shard, now, c, index, ADMIT_UNDISTURBED,
+                               &kept_apart);
   if (handle == HANDLE_NONE && step->target_latency_ms)
-    handle = choose_best_worker (shard, now, c, index, true, &kept_apart);
+    handle = choose_best_worker (shard, now, c, index, ADMIT_ALL, &kept_apart);
+  if (handle == HANDLE_NONE && c->starved && has_room_to_impose (shard, c))
+    handle = choose_best_worker (shard, now, c, index, ADMIT_IMPOSED,
+                                 &kept_apart);
   /* A suspect may be kept off workers that suit other tasks. */
   if (handle == HANDLE_NONE
       && !(kept_apart
@@ -73,7 +90,8 @@
       const unplaceable_t *other
           = &g_array_index (shard->unplaceable, unplaceable_t, i);
 
-      if (step->best_effort == other->step->best_effort
+      if ((other->starved || !c->starved)
+          && step->best_effort == other->step->best_effort
           && step->millicores >= other->step->millicores
           && step->memory_mb >= other->step->memory_mb
           && step->accelerators >= other->step->accelerators
@@ -93,7 +111,8 @@
 note_unplaceable (shard_t *shard, const candidate_t *c)
 {
   const submission_t *order = c->entry->job->submission;
-  unplaceable_t unplaceable = { &order->steps[c->step], order->service };
+  unplaceable_t unplaceable
+      = { &order->steps[c->step], order->service, c->starved };
 
   if (!unplaceable.step->max_per_worker)
     g_array_append_val (shard->unplaceable, unplaceable);
@@ -103,9 +122,8 @@
    suspects on it or of the suspicion against the task */
 static handle_t
 choose_best_worker (const shard_t *shard, usec_t now, const candidate_t *c,
-                    uint32_t index, bool ignore_interference, bool *kept_apart)
+                    uint32_t index, admission_t admission, bool *kept_apart)
 {
-  const step_t *step = &c->entry->job->submission->steps[c->step];
   const task_t *task = &c->occurrence->tasks[c->step][index];
   handle_t best = HANDLE_NONE;
   int64_t best_score = INT64_MAX;
@@ -132,9 +150,12 @@
       if (s >= best_score)
         continue;
       s += score_of_sharing (shard, worker, c);
-      if (s >= best_score
-          || (!ignore_interference
-              && !sharing_allows (shard, now, worker, step, c->image)))
+      if (admission == ADMIT_IMPOSED)
+        s += SCORE_PER_DISTURBED_TASK
+             * (int64_t)sharing_count_disturbed (
+                 shard, worker, &c->entry->job->submission->steps[c->step],
+                 c->image);
+      if (s >= best_score || !admits (shard, now, worker, c, admission))
         continue;
       best_score = s;
       best = h;
@@ -142,6 +163,46 @@
   return best;
 }
 
+/* Tasks with a target are worth more than best-effort tasks that are late
+   already: these are imposed only while less than half of the service's
+   capacity is reserved, so that callers expect no wait. */
+static bool
+has_room_to_impose (const shard_t *shard, const candidate_t *c)
+{
+  const char *service = c->entry->job->submission->service;
+  uint64_t reserved = 0;
+  uint64_t capacity = 0;
+
+  for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
+       h = table_next (shard->workers, h))
+    {
+      const worker_t *worker = worker_get (shard, h);
+
+      if (!worker->listed || strcmp (worker->service, service) != 0)
+        continue;
+      reserved += worker->used_millicores;
+      capacity += worker->millicores;
+    }
+  return 2 * reserved < capacity;
+}
+
+static bool
+admits (const shard_t *shard, usec_t now, const worker_t *worker,
+        const candidate_t *c, admission_t admission)
+{
+  switch (admission)
+    {
+    case ADMIT_UNDISTURBED:
+      return sharing_allows (shard, now, worker,
+                             &c->entry->job->submission->steps[c->step],
+                             c->image);
+    case ADMIT_IMPOSED:
+      return sharing_may_impose (now, worker);
+    default:
+      return true;
+    }
+}
+
 fit_t
 worker_fits (const shard_t *shard, usec_t now, const worker_t *worker,
              const candidate_t *c)
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -4,10 +4,13 @@
  */
 #include "shard/shard_private.h"
 
-static void place_step (shard_t *shard, usec_t now, const candidate_t *c);
+static void place_step (shard_t *shard, usec_t now, candidate_t *c);
 static bool place_task (shard_t *shard, usec_t now, const candidate_t *c,
                         uint32_t index);
-static void note_placed (const shard_t *shard, const task_t *task);
+static void impose (const shard_t *shard, usec_t now, const candidate_t *c,
+                    run_t *run);
+static void note_placed (const shard_t *shard, const candidate_t *c,
+                         uint32_t index);
 static void place_gang (shard_t *shard, usec_t now, const candidate_t *c);
 static void undo_gang_placement (shard_t *shard, usec_t now,
                                  const candidate_t *c, uint32_t count);
@@ -21,8 +24,9 @@
   shard->waiting_tasks = 0;
   for (guint i = 0; i < candidates->len; i++)
     {
-      const candidate_t *c = &g_array_index (candidates, candidate_t, i);
+      candidate_t *c = &g_array_index (candidates, candidate_t, i);
 
+      c->starved = waits_is_starved (now, c);
       place_step (shard, now, c);
       waits_note (shard, now, c);
       shard->waiting_tasks += c->occurrence->unfinished[c->step]
@@ -32,7 +36,7 @@
 }
 
 static void
-place_step (shard_t *shard, usec_t now, const candidate_t *c)
+place_step (shard_t *shard, usec_t now, candidate_t *c)
 {
   const step_t *step = &c->entry->job->submission->steps[c->step];
 
@@ -48,7 +52,10 @@
       if (task->state != TASK_WAITING)
         continue;
       if (place_task (shard, now, c, i))
-        note_placed (shard, task);
+        {
+          note_placed (shard, c, i);
+          c->starved = false;
+        }
       else if (crashes_suspicion (task) == SUSPICION_NONE)
         return;
     }
@@ -57,27 +64,51 @@
 static bool
 place_task (shard_t *shard, usec_t now, const candidate_t *c, uint32_t index)
 {
+  const step_t *step = &c->entry->job->submission->steps[c->step];
   handle_t handle = choose_worker (shard, now, c, index);
   worker_t *worker = worker_get (shard, handle);
+  bool imposed;
   place_t place;
+  run_t *run;
 
   if (!worker)
     return false;
+  imposed = c->starved && !sharing_allows (shard, now, worker, step, c->image);
   place = (place_t){ worker->id, worker->started_ms, worker->address };
   task_place (c->entry->job, c->occurrence, c->step, index, &place);
-  run_add (shard, c->entry->job, c->occurrence, c->step, index, handle,
-           RUN_UNSTORED);
-  sharing_task_placed (shard, now, worker,
-                       &c->entry->job->submission->steps[c->step]);
+  run = run_get (shard, run_add (shard, c->entry->job, c->occurrence, c->step,
+                                 index, handle, RUN_UNSTORED));
+  sharing_task_placed (shard, now, worker, step);
+  if (imposed)
+    impose (shard, now, c, run);
   shard_mark_dirty (shard, c->entry);
   return true;
 }
 
+/* The task runs although it is expected to raise a tail latency over its
+   target. */
+static void
+impose (const shard_t *shard, usec_t now, const candidate_t *c, run_t *run)
+{
+  worker_t *worker = worker_get (shard, run->worker);
+  char text[64];
+
+  sharing_impose (now, worker, run);
+  counter_add (COUNTER_RUNS_IMPOSED, 1);
+  log_item (LOG_LEVEL_INFO, run->run_id.job, "run.imposed", worker->address,
+            "task=%s run=%u worker=%s idle_ms=%" PRId64
+            " beside=%u disturbs all workers with room",
+            run_format_id (&run->run_id, text), run->run_id.run, worker->id,
+            usec_to_msec (now - c->entry->idle_since), worker->serving_runs);
+}
+
 static void
-note_placed (const shard_t *shard, const task_t *task)
+note_placed (const shard_t *shard, const candidate_t *c, uint32_t index)
 {
+  const task_t *task = &c->occurrence->tasks[c->step][index];
   run_t *run = run_get (shard, task->run_handle);
 
+  c->entry->idle_since = 0;
   crashes_run_placed (worker_get (shard, run->worker), run, task);
 }
 
@@ -110,7 +141,7 @@
   for (uint32_t i = 0; i < count; i++)
     {
       task_set_checkpoint (&tasks[i], saved);
-      note_placed (shard, &tasks[i]);
+      note_placed (shard, c, i);
     }
 }
 
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -71,6 +71,7 @@
   uint32_t memory_mb;
   uint32_t accelerators;
   bool best_effort; /* uses only capacity left over by others */
+  bool imposed;     /* placed although it disturbs the tasks beside it */
   image_id_t image;
   uint32_t target_ms;  /* target of its tail latency, 0: none */
   uint32_t measure;    /* run_report_t.measure of the latest list */
@@ -120,6 +121,10 @@
   GArray *recent_runs;      /* recent_run_t */
   usec_t over_target_since; /* a run has exceeded its target beside best-effort
                                runs since then, 0: none does */
+  uint32_t imposed_runs;
+  usec_t imposed_since; /* the first of them; kept until all targets are met
+                           again after the last, 0: no run was imposed */
+  usec_t impose_due;    /* no run is imposed before */
 
   bool fenced;   /* has answered a hold with this owner's token */
   bool in_doubt; /* a call was not answered: nothing is started there until a
@@ -183,6 +188,8 @@
   usec_t waits_since; /* a ready step has had tasks without a worker since
                          then, 0: none has */
   usec_t waits_log_due;
+  usec_t idle_since;   /* a ready step has had tasks without a worker, and the
+                          job no run, since then, 0: not so */
   int64_t end_time_ms; /* wall clock of the end, 0 if the job has not ended or
                           its records are to be dropped */
 } job_entry_t;
@@ -195,6 +202,7 @@
   uint32_t step;
   bool late;        /* cannot meet the objective any more */
   bool job_started; /* false for long-running steps */
+  bool starved;     /* a task is placed even if it disturbs others */
   uint32_t priority;
   int64_t start_by_ms; /* latest time to start */
   image_id_t image;
@@ -205,6 +213,7 @@
 {
   const step_t *step;
   const char *service;
+  bool starved;
 } unplaceable_t;
 
 struct shard
@@ -381,6 +390,17 @@
 /** @return whether a task of the step may share the worker with its runs */
 bool sharing_allows (const shard_t *shard, usec_t now, const worker_t *worker,
                      const step_t *step, image_id_t image);
+/** @return whether a best-effort task that has waited for too long may share
+    the worker with its runs although it disturbs them */
+bool sharing_may_impose (usec_t now, const worker_t *worker);
+/** @return number of tasks with a target on the worker that a task of the step
+    is expected to raise over it, 0 beside an imposed run */
+uint32_t sharing_count_disturbed (const shard_t *shard, const worker_t *worker,
+                                  const step_t *step, image_id_t image);
+/** Marks a run that was placed although it disturbs those beside it. */
+void sharing_impose (usec_t now, worker_t *worker, run_t *run);
+/** Records the end of an imposed run. */
+void sharing_imposed_ended (worker_t *worker, usec_t now);
 /** Records that a task of the step was placed on the worker. */
 void sharing_task_placed (shard_t *shard, usec_t now, const worker_t *worker,
                           const step_t *step);
@@ -425,6 +445,10 @@
                         uint32_t index);
 
 /* shard_waits.c */
+/** Looks at a step before a pass.
+    @return whether its job has waited without any run for as long as a
+    best-effort task may be kept waiting for the sake of others */
+bool waits_is_starved (usec_t now, const candidate_t *c);
 /** Notes after a pass whether the step has tasks without a worker, and logs
     from time to time what excludes the workers. */
 void waits_note (shard_t *shard, usec_t now, const candidate_t *c);
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -97,6 +97,8 @@
   crashes_run_settled (worker, run);
   if (run->best_effort && run->state == RUN_ACKNOWLEDGED)
     sharing_run_ended (worker, now, run);
+  if (run->imposed)
+    sharing_imposed_ended (worker, now);
   for (guint i = 0; i < worker->runs->len; i++)
     if (g_array_index (worker->runs, handle_t, i) == handle)
       {
--- a/src/shard/shard_sharing.c
+++ b/src/shard/shard_sharing.c
@@ -27,6 +27,12 @@
 /* Interval between placements for a pair of images without measurements: the
    first one has been reported on by then. */
 #define TRIAL_INTERVAL (900 * USEC_PER_MSEC)
+/* Further runs are imposed on a worker within this time of the first one: they
+   work in the time in which its targets are exceeded anyway. */
+#define IMPOSE_WINDOW (400 * USEC_PER_MSEC)
+/* No run is imposed until the tasks on the worker have met their targets for
+   this long, so that one after the other does not keep them over it. */
+#define IMPOSE_PAUSE USEC_PER_SEC
 #define MAX_IMAGES 64U
 
 typedef struct
@@ -142,12 +148,14 @@
 sharing_apply_list (shard_t *shard, usec_t now, handle_t handle)
 {
   worker_t *worker = worker_get (shard, handle);
+  bool exceeded = false;
   bool over = false;
   disturbances_t disturbances;
 
   if (!worker->serving_runs)
     {
       worker->over_target_since = 0;
+      worker->imposed_since = 0;
       return;
     }
   disturbances_between (shard, worker, now - REPORT_WINDOW, now,
@@ -160,20 +168,29 @@
           || run->percent < 100 || !run->measure)
         continue;
       learn_from_report (shard, now, run, &disturbances);
+      exceeded |= run->measure > run->target_ms && disturbances.count;
       if (run->measure > run->target_ms && worker->best_effort_runs)
         over |= stop_disturbing_runs (shard, now, handle, run);
     }
   sharing_update_use (shard, worker);
-  if (!over)
+  if (exceeded)
+    worker->impose_due = now + IMPOSE_PAUSE;
+  else if (!worker->imposed_runs)
+    worker->imposed_since = 0;
+  /* Beside an imposed run the tail may stay close to the target, so that one
+     report below it does not begin the time anew. */
+  if (!over && !worker->imposed_since)
     worker->over_target_since = 0;
-  else if (!worker->over_target_since)
+  else if (over && !worker->over_target_since)
     worker->over_target_since = now;
-  else if (now - worker->over_target_since > OVER_TARGET_LIMIT)
+  if (worker->over_target_since
+      && now - worker->over_target_since > OVER_TARGET_LIMIT)
     stop_best_effort_runs (shard, now, handle);
 }
 
 /* Stops best-effort runs beside a task that exceeds its target, those first
-   that add most to its utilization.
+   that add most to its utilization.  Beside an imposed run the target is
+   exceeded for OVER_TARGET_LIMIT, so that its task gets on.
    @return whether best-effort runs are left */
 static bool
 stop_disturbing_runs (shard_t *shard, usec_t now, handle_t handle,
@@ -184,6 +201,8 @@
       shard->interference, served->image, served->target_ms);
   disturbances_t disturbances;
 
+  if (worker->imposed_since)
+    return true;
   for (;;)
     {
       handle_t worst = HANDLE_NONE;
@@ -352,7 +371,7 @@
            < NEGLIGIBLE_UTILIZATION;
   if (!worker->serving_runs)
     return true;
-  if (worker->over_target_since)
+  if (worker->over_target_since || worker->imposed_since)
     return false;
   disturbances_add (&disturbances, image, step->millicores / 1e3);
   for (guint i = 0; i < worker->runs->len; i++)
@@ -374,6 +393,51 @@
   return true;
 }
 
+bool
+sharing_may_impose (usec_t now, const worker_t *worker)
+{
+  if (worker->imposed_since)
+    return now - worker->imposed_since < IMPOSE_WINDOW;
+  return !worker->over_target_since && now >= worker->impose_due;
+}
+
+uint32_t
+sharing_count_disturbed (const shard_t *shard, const worker_t *worker,
+                         const step_t *step, image_id_t image)
+{
+  disturbances_t disturbances;
+  uint32_t count = 0;
+
+  if (worker->imposed_runs)
+    return 0;
+  disturbances_now (shard, worker, &disturbances);
+  disturbances_add (&disturbances, image, step->millicores / 1e3);
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const run_t *run
+          = run_get (shard, g_array_index (worker->runs, handle_t, i));
+
+      count += run->target_ms && !tolerates (shard, run, &disturbances);
+    }
+  return count;
+}
+
+void
+sharing_impose (usec_t now, worker_t *worker, run_t *run)
+{
+  run->imposed = true;
+  worker->imposed_runs++;
+  if (!worker->imposed_since)
+    worker->imposed_since = now;
+}
+
+void
+sharing_imposed_ended (worker_t *worker, usec_t now)
+{
+  worker->imposed_runs--;
+  worker->impose_due = now + IMPOSE_PAUSE;
+}
+
 void
 sharing_task_placed (shard_t *shard, usec_t now, const worker_t *worker,
                      const step_t *step)
--- a/src/shard/shard_waits.c
+++ b/src/shard/shard_waits.c
@@ -3,6 +3,9 @@
  */
 #include "shard/shard_private.h"
 
+/* Users take a job for lost that has no run for 3 s while there is room.  The
+   next pass and the start take some time more. */
+#define STARVED_AFTER (2 * USEC_PER_SEC)
 #define LOG_AFTER (500 * USEC_PER_MSEC)
 /* Shortest interval between two lines on a job.  A line looks at all
    workers. */
@@ -12,6 +15,19 @@
 static void count_workers (const shard_t *shard, usec_t now,
                            const candidate_t *c, uint32_t counts[FIT_COUNT]);
 
+bool
+waits_is_starved (usec_t now, const candidate_t *c)
+{
+  job_entry_t *entry = c->entry;
+
+  if (entry->job->placed)
+    entry->idle_since = 0;
+  else if (!entry->idle_since)
+    entry->idle_since = now;
+  return entry->idle_since && now - entry->idle_since >= STARVED_AFTER
+         && entry->job->submission->steps[c->step].best_effort;
+}
+
 void
 waits_note (shard_t *shard, usec_t now, const candidate_t *c)
 {
