Worlds: lasting jobs are canceled, and their runs have to end

The worlds checked starts after a confirmed cancellation, but no run in them lasted longer than the 3.2 s in which the runs of a canceled job have to end. In the new ones all tasks are long-running; once there are no faults, no run goes on for longer than that. Three kinds: no faults; lost and late calls; owners changing with workers cut off and crashing.

--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -60,6 +60,29 @@
       SEED_COUNT);
 }
 
+/* Guards against runs of long-running tasks that go on after the cancellation
+   of their job was confirmed. */
+static void
+test_lasting_cancellations (void)
+{
+  run_seeds ((world_config_t){ .lasting = true }, SEED_COUNT);
+  run_seeds ((world_config_t){ .lasting = true,
+                               .failed_run_share = 0.2,
+                               .lost_reply_share = 0.1,
+                               .delayed_call_share = 0.05,
+                               .lost_start_share = 0.1 },
+             SEED_COUNT);
+  run_seeds ((world_config_t){ .lasting = true,
+                               .takeover_interval = 2900 * USEC_PER_MSEC,
+                               .keep_former_owner = true,
+                               .worker_cut_interval = 3 * USEC_PER_SEC,
+                               .worker_crash_interval = 5 * USEC_PER_SEC,
+                               .lost_append_reply_share = 0.04,
+                               .lost_reply_share = 0.05,
+                               .delayed_call_share = 0.05 },
+             SEED_COUNT);
+}
+
 /* Guards against a second run of a task after the reply to its start was
    lost. */
 static void
@@ -242,6 +265,7 @@
     { "no faults", test_no_faults },
     { "failures", test_failed_runs },
     { "cancellations", test_cancellations },
+    { "cancellations of lasting jobs", test_lasting_cancellations },
     { "lost replies", test_lost_replies },
     { "delayed calls", test_delayed_calls },
     { "lost starts", test_lost_starts },
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -52,6 +52,8 @@
   bool best_effort;             /**< every other step is best effort */
   bool check_capacity; /**< workers reject starts beyond their capacity */
   bool gangs;          /**< a third of the steps are gangs */
+  bool lasting;        /**< the tasks of all jobs are long-running, and each
+                          job is canceled */
 } world_config_t;
 
 shard_world_t *world_new (const world_config_t *config);
