Ask for lists soon while a worker has runs without a record

Cause: such a run is stopped once for each list that has it. If that stop was lost, the next one waited for the hold that was sent meanwhile: up to 2 s at a worker without other runs, up to 1 s otherwise. Two lost stops took longer than the 3 s that the platform allows.

Holds wait for stop_limit at most while a worker has such runs, as they do for stopped runs.

Test "lost stops of a run without record" (test_shard_steps) failed before (fewer than 6 stops in 3 s). A mutant is in scripts/mutants-sched.sh.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -31,6 +31,7 @@
 REFUSAL_ENDS_RUNS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now < worker->leases_expired_at)/if (now < worker->leases_expired_at \&\& !seems_crashed (worker, now))/
 STALE_OWNER_EXTENDS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now - shard->confirmed_at > .*)/if (0)/
 NOT_SUPERSEDED|src/shard/shard_calls.c|shard/test_shard_steps|s/shard_supersede (shard, worker->id);//
+STRAY_LISTED_LATE|src/shard/shard_calls.c|shard/test_shard_steps|s/if (worker->stray_runs)$/if (0)/
 CANCELED_RUNS_ON|src/shard/shard.c|shard/test_shard|s/^  run_stop_job (shard, now, job, job_status_name (end));//
 STRAY_RUNS_ON|src/shard/shard_calls.c|shard/test_shard_steps|s/send_stop (shard, now, handle, &report->run_id, HANDLE_NONE);//
 START_SENT_TWICE|src/shard/shard_runs.c|shard/test_shard|s/run->state == RUN_STARTING && !run->start_sent/run->state == RUN_STARTING/
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -183,10 +183,12 @@
 }
 
 /* @return whether lists of the worker have to tell what became of a stopped
-   run */
+   run, or of one that it has without a record */
 static bool
 awaits_stopped_run (const shard_t *shard, const worker_t *worker)
 {
+  if (worker->stray_runs)
+    return true;
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const run_t *run
@@ -201,12 +203,13 @@
 static usec_t
 hold_wait (const shard_t *shard, const worker_t *worker)
 {
-  if (!worker->runs->len)
-    return shard->config.poll_idle;
   /* A run that the worker never had ends without an end, which would have the
-     hold return early, and only lists clear suspects. */
+     hold return early, and only lists clear suspects.  A run without a record
+     is stopped again if the next list still has it. */
   if (awaits_stopped_run (shard, worker) || worker->unproven[SUSPICION_STRONG])
     return MIN (shard->config.poll_busy, shard->config.stop_limit);
+  if (!worker->runs->len)
+    return shard->config.poll_idle;
   return worker->serving_runs && worker->best_effort_runs
              ? shard->config.poll_shared
              : shard->config.poll_busy;
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -600,6 +600,51 @@
   tear_down ();
 }
 
+/* Guards against runs without a record that go on because stops are lost: the
+   job may have been canceled, and the platform allows 3 s. */
+static void
+test_lost_stops_without_record (void)
+{
+  const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+  shard_reply_t lists = { .kind = SHARD_REPLY_OK,
+                          .started_ms = START_WALL_MS,
+                          .has_lists = true,
+                          .runs = &first_run,
+                          .run_count = 1 };
+  shard_call_t hold = { 0 };
+  shard_call_t stop = { 0 };
+  usec_t hold_sent = 0;
+  usec_t stop_sent = 0;
+  size_t stops = 0;
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  list_worker ();
+  for (usec_t end = fixture.now + 3 * USEC_PER_SEC; fixture.now < end;)
+    {
+      fixture.call_count = 0;
+      advance (10 * USEC_PER_MSEC);
+      if (last_call (SHARD_HOLD))
+        {
+          hold = *last_call (SHARD_HOLD);
+          hold_sent = fixture.now;
+        }
+      lists.clock_ms = usec_to_msec (fixture.now);
+      if (fixture.now - hold_sent >= hold.wait)
+        shard_reply (fixture.shard, fixture.now, hold.id, &lists);
+      if (last_call (SHARD_STOP))
+        {
+          stop = *last_call (SHARD_STOP);
+          stop_sent = fixture.now;
+          stops++;
+        }
+      if (fixture.now - stop_sent >= stop.timeout)
+        shard_reply (fixture.shard, fixture.now, stop.id, &none);
+    }
+  CU_ASSERT (stops >= 6);
+  tear_down ();
+}
+
 /* Guards against starts on a worker that is listed as leaving. */
 static void
 test_no_start_on_leaving (void)
@@ -771,6 +816,7 @@
     { "adopted run, unlisted worker", test_adopted_run_unlisted },
     { "superseded by a worker", test_superseded_by_worker },
     { "run without record", test_run_without_record },
+    { "lost stops of a run without record", test_lost_stops_without_record },
     { "no start on a leaving worker", test_no_start_on_leaving },
     { "gang placed as a whole", test_gang_placed_as_whole },
     { "repeated submission", test_repeated_submission },
