Soak: tasks that serve, jobs that disturb them, silent outages

The soak did not see a best-effort job that waits though most workers are free of what it would disturb, nor a task that lasts and is not started again: none of its jobs had either kind of task. Store outages were answered with 503 and had nothing to do with the owner.

A job now serves on a third of the workers until the end and reports its tail latency; a sixth of the jobs fill, with images that disturb it hardly or strongly. At the end all tasks that serve must run at the same time. Half of the outages of the store get no answer, and in seeds with outages the owner is killed as one begins.

--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -63,6 +63,7 @@
   GArray *waiting; /* waiting_t */
   usec_t outage_due;
   usec_t outage_end;
+  bool silent; /* calls get no answer during the outage */
   usec_t deal_due;
   usec_t forget_due;
 };
@@ -485,6 +486,34 @@
                 json_pack ("{s:o}", "parts", parts));
 }
 
+/* Outages that the driver starts are no more frequent than others.
+   @return whether one has begun */
+static bool
+begin_outage (store_t *store, usec_t now, usec_t due)
+{
+  usec_t interval = store->fleet->config.outage_every * USEC_PER_MSEC;
+
+  if (!interval || store->fleet->calm || now < due)
+    return false;
+  store->outage_end = now + OUTAGE;
+  store->outage_due = store->outage_end + interval;
+  store->silent = g_rand_boolean (store->fleet->random);
+  return true;
+}
+
+/* Starts an outage, and tells the member that owns the first partition. */
+static void
+outage (store_t *store, const httpd_request_t *request)
+{
+  const char *owner = store->shares[0].holder;
+  usec_t interval = store->fleet->config.outage_every * USEC_PER_MSEC;
+  bool begun
+      = begin_outage (store, clock_now (), store->outage_end + interval / 2);
+
+  fleet_answer (store->fleet->httpd, request->handle, 200,
+                json_pack ("{s:s}", "owner", begun && owner ? owner : ""));
+}
+
 static void
 on_request (void *ctx, const httpd_request_t *request)
 {
@@ -505,9 +534,15 @@
                     fleet_workers_audit (fleet->workers));
       return;
     }
+  if (strcmp (request->path, "/outage") == 0)
+    {
+      outage (fleet->store, request);
+      return;
+    }
   if (clock_now () < fleet->store->outage_end)
     {
-      fleet_answer (fleet->httpd, request->handle, 503, json_object ());
+      if (!fleet->store->silent)
+        fleet_answer (fleet->httpd, request->handle, 503, json_object ());
       return;
     }
   for (size_t i = 0; i < G_N_ELEMENTS (calls); i++)
@@ -569,12 +604,7 @@
   const fleet_config_t *config = &store->fleet->config;
   bool calm = store->fleet->calm;
 
-  if (config->outage_every && !calm && now >= store->outage_due)
-    {
-      store->outage_end = now + OUTAGE;
-      store->outage_due
-          = store->outage_end + config->outage_every * USEC_PER_MSEC;
-    }
+  (void)begin_outage (store, now, store->outage_due);
   if (config->deal_every && !calm && now >= store->deal_due)
     {
       store->deal_due = now + config->deal_every * USEC_PER_MSEC;
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -28,11 +28,38 @@
 #define DEADLY_CRASHES 3U
 #define DEADLY_STARTS 3U
 
+/* Tail of the response times of a task that serves: that of an idle one,
+   divided by the share of its time that is left.  Each task that fills takes a
+   share, each task has one core. */
+#define IDLE_TAIL_MS 30.0
+#define OWN_LOAD_LEAST 0.2
+#define OWN_LOAD_MOST 0.5
+#define LOAD_MOST 0.97
+
+/* What the tasks of a job do; its spec has the word. */
+typedef enum
+{
+  KIND_PLAIN,
+  KIND_SERVES, /* until it is stopped */
+  KIND_FILLS_MILD,
+  KIND_FILLS_HARSH /* a task beside it is over its target */
+} kind_t;
+
+static const struct
+{
+  const char *word;
+  double added_load; /* to each task that serves beside it */
+} kinds[] = { [KIND_PLAIN] = { NULL, 0 },
+              [KIND_SERVES] = { " serves", 0 },
+              [KIND_FILLS_MILD] = { " mild", 0.01 },
+              [KIND_FILLS_HARSH] = { " harsh", 0.5 } };
+
 typedef struct
 {
   char *task;
   uint32_t run;
   usec_t ends;
+  kind_t kind;
   bool deadly;
 } run_t;
 
@@ -86,6 +113,7 @@
   uint32_t running;
   bool done;
   bool confirmed;
+  bool serves;           /* has to run until the end */
   uint32_t crashes;      /* of workers, under a deadly task */
   uint32_t starts_after; /* starts after DEADLY_CRASHES */
 } task_t;
@@ -103,6 +131,7 @@
   uint32_t crashes;
   uint32_t dropped;
   uint32_t unhealthy;
+  uint32_t fills;
   uint32_t deadly_starts; /* most starts of a task after DEADLY_CRASHES */
   uint32_t broken;
   json_t *reports;
@@ -262,15 +291,62 @@
   g_strfreev (counts);
 }
 
+static kind_t
+kind_of (const char *spec)
+{
+  kind_t kind = KIND_PLAIN;
+
+  for (size_t i = KIND_SERVES; i < G_N_ELEMENTS (kinds); i++)
+    if (strstr (spec, kinds[i].word))
+      kind = (kind_t)i;
+  return kind;
+}
+
+/* Notes all tasks of a job that serves as soon as the first has started. */
+static void
+note_serving (workers_t *all, const char *name, const char *spec)
+{
+  char *job = g_strndup (name, strcspn (name, "."));
+  guint64 count = g_ascii_strtoull (spec, NULL, 10);
+
+  for (guint64 i = 0; i < count; i++)
+    {
+      char *task = g_strdup_printf ("%s.0.0.%" G_GUINT64_FORMAT, job, i);
+
+      task_of (all, task)->serves = true;
+      g_free (task);
+    }
+  g_free (job);
+}
+
+/* @return how many tasks that serve do not run */
+static int
+idle_count (const workers_t *all)
+{
+  GHashTableIter iter;
+  gpointer value;
+  int count = 0;
+
+  g_hash_table_iter_init (&iter, all->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const task_t *task = value;
+
+      count += task->serves && !task->running;
+    }
+  return count;
+}
+
 json_t *
 fleet_workers_audit (const workers_t *all)
 {
-  return json_pack ("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:O}", "broken",
-                    (int)all->broken, "starts", (int)all->starts, "done",
-                    (int)all->done, "lapsed", (int)all->lapsed, "crashes",
-                    (int)all->crashes, "dropped", (int)all->dropped,
+  return json_pack ("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:O}",
+                    "broken", (int)all->broken, "starts", (int)all->starts,
+                    "done", (int)all->done, "lapsed", (int)all->lapsed,
+                    "crashes", (int)all->crashes, "dropped", (int)all->dropped,
                     "unhealthy", (int)all->unhealthy, "deadly_starts",
-                    (int)all->deadly_starts, "reports", all->reports);
+                    (int)all->deadly_starts, "fills", (int)all->fills, "idle",
+                    idle_count (all), "reports", all->reports);
 }
 
 /* --- Runs --- */
@@ -360,7 +436,7 @@
                     + g_rand_int_range (all->fleet->random, RUN_LEAST_MS,
                                         RUN_MOST_MS)
                           * USEC_PER_MSEC,
-                is_deadly (name, spec) };
+                kind_of (spec ? spec : ""), is_deadly (name, spec) };
 
   for (guint i = 0; i < w->runs->len; i++)
     if (strcmp (g_array_index (w->runs, run_t, i).task, name) == 0
@@ -377,9 +453,15 @@
   if (!late
       && fleet_zone_is_closed (all->fleet->zones, w->index % FLEET_ZONES, now))
     broken (all, name, number, "started in an evacuated zone");
-  if (!late)
+  if (!late && !kinds[run.kind].added_load)
     check_capacity (w, name, number, now);
   check_order (all, name, number, spec ? spec : "");
+  all->fills += kinds[run.kind].added_load > 0;
+  if (run.kind == KIND_SERVES)
+    {
+      run.ends = INT64_MAX;
+      note_serving (all, name, spec);
+    }
   if (run.deadly)
     {
       run.ends = INT64_MAX; /* its worker crashes first */
@@ -392,17 +474,20 @@
   return NULL;
 }
 
-/* A smaller capacity counts SHRUNK_MS after the report that follows. */
+/* A smaller capacity counts SHRUNK_MS after the report that follows.  Tasks
+   that fill use what is left. */
 static void
 check_capacity (const worker_t *w, const char *name, uint32_t run, usec_t now)
 {
+  uint32_t used = 0;
   const fleet_t *fleet = w->all->fleet;
   usec_t since = now - REGISTER_INTERVAL
                  - (usec_t)fleet->config.shrunk_ms * USEC_PER_MSEC;
 
+  for (guint i = 0; i < w->runs->len; i++)
+    used += !kinds[g_array_index (w->runs, run_t, i).kind].added_load;
   if (fleet->config.resize_every
-      && w->runs->len
-             >= fleet_capacity_limit (fleet->capacity, w->index, since))
+      && used >= fleet_capacity_limit (fleet->capacity, w->index, since))
     broken (w->all, name, run, "started beyond the capacity");
 }
 
@@ -436,18 +521,34 @@
     }
 }
 
+/* @return the tail of a task that serves on the worker, in milliseconds */
+static int
+tail_ms (const worker_t *w)
+{
+  double load = g_rand_double_range (w->all->fleet->random, OWN_LOAD_LEAST,
+                                     OWN_LOAD_MOST);
+
+  for (guint i = 0; i < w->runs->len; i++)
+    load += kinds[g_array_index (w->runs, run_t, i).kind].added_load;
+  return (int)(IDLE_TAIL_MS / (1 - MIN (load, LOAD_MOST)));
+}
+
 static json_t *
 lists (const worker_t *w, usec_t now)
 {
   json_t *running = json_array ();
   json_t *ended = json_array ();
+  int tail = tail_ms (w);
 
   for (guint i = 0; i < w->runs->len; i++)
     {
       const run_t *run = &g_array_index (w->runs, run_t, i);
 
-      json_array_append_new (running, json_pack ("[s, i, s, i, i]", run->task,
-                                                 (int)run->run, "", 50, 1000));
+      bool serves = run->kind == KIND_SERVES;
+
+      json_array_append_new (
+          running, json_pack ("[s, i, s, i, i]", run->task, (int)run->run, "",
+                              serves ? 100 : 50, serves ? tail : 1000));
     }
   for (guint i = 0; i < w->ends->len; i++)
     {
--- a/standin/main_soak.c
+++ b/standin/main_soak.c
@@ -163,6 +163,7 @@
   int seed = 1;
   int jobs = 4000;
   int connections = 3;
+  int serving = 0;
   double deadly = 0;
   char **nodes = NULL;
   GOptionEntry entries[]
@@ -172,6 +173,8 @@
             "Connections to each process", "N" },
           { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the jobs", "N" },
           { "jobs", 0, 0, G_OPTION_ARG_INT, &jobs, "Most jobs", "N" },
+          { "serving", 0, 0, G_OPTION_ARG_INT, &serving,
+            "Tasks of a job that serves until the end", "N" },
           { "deadly", 0, 0, G_OPTION_ARG_DOUBLE, &deadly,
             "Share of jobs with a task that crashes its worker", "SHARE" },
           { "interval", 0, 0, G_OPTION_ARG_INT, &soak.interval_ms,
@@ -190,6 +193,8 @@
       soak.loop = ev_default_loop (EVFLAG_AUTO);
       soak.random = g_rand_new_with_seed ((guint32)seed);
       soak.jobs = soak_jobs_new ((uint32_t)seed, (uint32_t)jobs, deadly);
+      if (serving)
+        soak_jobs_add_serving (soak.jobs, (uint32_t)serving);
       soak.users = g_ptr_array_new ();
       add_users (&soak, nodes, connections);
       code = run (&soak);
--- a/standin/soak.h
+++ b/standin/soak.h
@@ -62,6 +62,9 @@
 jobs_t *soak_jobs_new (uint32_t seed, uint32_t most, double deadly);
 void soak_jobs_free (jobs_t *jobs);
 
+/** Adds a job whose tasks serve until the end. */
+void soak_jobs_add_serving (jobs_t *jobs, uint32_t tasks);
+
 /** Draws the next request of the load.
     @return NULL if there is none */
 job_t *soak_jobs_draw (jobs_t *jobs, ask_t *ask);
--- a/standin/soak_jobs.c
+++ b/standin/soak_jobs.c
@@ -12,6 +12,13 @@
 /* One job in so many is cancelled. */
 #define CANCEL_ONE_IN 12
 #define BEST_EFFORT_ONE_IN 3
+/* Words of specs that the stand-in knows, and images of the same names. */
+#define SERVES "serves"
+#define MILD "mild"
+#define HARSH "harsh"
+#define SERVING_FIELDS                                                        \
+  ",\"long_running\":true,\"target_ms\":120,\"anti_affinity\":1"
+#define FILLING_FIELDS ",\"fills\":true"
 
 struct job
 {
@@ -19,6 +26,7 @@
   uint32_t counts[STEPS_MAX];
   uint32_t steps;
   bool best_effort;
+  const char *image; /* NULL for none */
   bool deadly;
   bool to_cancel;
   uint32_t attempts;
@@ -82,11 +90,26 @@
     job->counts[i]
         = (uint32_t)g_rand_int_range (jobs->random, 1, TASKS_MAX + 1);
   job->best_effort = !g_rand_int_range (jobs->random, 0, BEST_EFFORT_ONE_IN);
+  if (job->best_effort && job->id % 2)
+    job->image = job->id % 4 == 1 ? MILD : HARSH;
   job->to_cancel = !g_rand_int_range (jobs->random, 0, CANCEL_ONE_IN);
   job->deadly = g_rand_double (jobs->random) < jobs->deadly;
   return job;
 }
 
+void
+soak_jobs_add_serving (jobs_t *jobs, uint32_t tasks)
+{
+  job_t *job = g_new0 (job_t, 1);
+
+  g_ptr_array_add (jobs->all, job);
+  job->id = ((uint64_t)jobs->seed << 32) + jobs->all->len;
+  job->steps = 1;
+  job->counts[0] = tasks;
+  job->image = SERVES;
+  g_queue_push_tail (jobs->to_submit, job);
+}
+
 job_t *
 soak_jobs_draw (jobs_t *jobs, ask_t *ask)
 {
@@ -141,10 +164,12 @@
 soak_job_body (const job_t *job)
 {
   GString *body = g_string_new ("{\"spec\":\"");
+  bool serves = g_strcmp0 (job->image, SERVES) == 0;
 
   for (uint32_t i = 0; i < job->steps; i++)
     g_string_append_printf (body, "%s%u", i ? "," : "", job->counts[i]);
-  g_string_append_printf (body, "%s\",\"steps\":[",
+  g_string_append_printf (body, "%s%s%s\",\"steps\":[", job->image ? " " : "",
+                          job->image ? job->image : "",
                           job->deadly ? " deadly" : "");
   for (uint32_t i = 0; i < job->steps; i++)
     {
@@ -154,6 +179,9 @@
                               i ? "," : "", job->counts[i]);
       if (i)
         g_string_append_printf (body, ",\"depends_on\":[%u]", i - 1);
+      if (job->image)
+        g_string_append_printf (body, ",\"image\":\"%s\"%s", job->image,
+                                serves ? SERVING_FIELDS : FILLING_FIELDS);
       g_string_append (body, "}");
     }
   g_string_append (body, "]}");
@@ -217,6 +245,8 @@
   if (job->deadly)
     return strcmp (job->state, "failed") == 0
            || (canceled && job->cancel_asked);
+  if (job->image && strcmp (job->image, SERVES) == 0)
+    return strcmp (job->state, "running") == 0;
   if (job->cancelled)
     return canceled;
   return completed || (canceled && job->cancel_asked);
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -5,9 +5,11 @@
 # sequences while callers submit, query and cancel jobs over connections that
 # they keep open, workers shrink and grow, and the operator evacuates zones and changes the
 # configuration; the store and the workers inject faults drawn from the same
-# seed.  At the end each accepted job must be known and ended, each request that
-# a stopping process has read must have been answered, and the stand-in must
-# have recorded no violation.  Ends only processes that it started.
+# seed.  Tasks that serve run throughout, on a third of the workers, and some
+# jobs disturb them strongly.  At the end each accepted job must be known and
+# ended, those that serve must run, each request that a stopping process has
+# read must have been answered, and the stand-in must have recorded no
+# violation.  Ends only processes that it started.
 #
 # Spells of workers and calls lost on the way end with the signals; in half of
 # the runs all faults do, and then jobs have to end sooner.
@@ -27,6 +29,7 @@
 SETTLE_SECONDS=60
 CALM_SETTLE_SECONDS=20
 GRACE_SECONDS=6
+SERVING_SECONDS=30
 EVACUATE_MS=1500
 EVACUATE_EVERY=${FORMER_BUILD:+0}
 EVACUATE_EVERY=${EVACUATE_EVERY:-700}
@@ -177,10 +180,20 @@
 	done
 }
 
+# Begins an outage of the store where the seed has outages, and restarts the
+# process that owns the first partition.
+# @return whether it did
+kill_owner() {
+	local owner
+	owner=$(curl -s -m 1 -X POST "http://$STORE/outage" | jq -r .owner)
+	owner=${owner%%:*}
+	[ -n "$owner" ] && restart_node $((${owner##*.} - 10))
+}
+
 disturb() {
 	local i=$((RANDOM % NODE_COUNT + 1)) levels=(info notice debug)
 	case $((RANDOM % 8)) in
-	0) restart_node $i ;;
+	0) kill_owner || restart_node $i ;;
 	1) signal_node $i STOP ;;
 	2) signal_node $i CONT ;;
 	3) signal_node $i TERM ;;
@@ -195,6 +208,19 @@
 	esac
 }
 
+# Waits until all tasks that serve run at the same time.
+await_serving() {
+	local idle=
+	for _ in $(seq $((SERVING_SECONDS * 5))); do
+		curl -s -m 4 "http://$STORE/audit" >"$WORK/audit"
+		idle=$(jq .idle "$WORK/audit")
+		[ "$idle" = 0 ] && return
+		sleep 0.2
+	done
+	echo "soak: seed $SEED: $idle tasks that serve do not run"
+	wrong=1
+}
+
 # Prints the requests that ended without a complete answer though their process
 # was neither killed nor paused.
 broken_promises() {
@@ -250,7 +276,7 @@
 done
 sleep 3
 "$BUILD/bin/standin-soak" "${nodes[@]}" --seed "$SEED" --deadly "$deadly_share" \
-    --interval $((NODE_COUNT * 25)) \
+    --interval $((NODE_COUNT * 25)) --serving $((WORKER_COUNT / 3)) \
     --settle $((calm ? CALM_SETTLE_SECONDS : SETTLE_SECONDS)) \
     >"$WORK/callers" 2>&1 &
 LOAD_PID=$!
@@ -294,7 +320,7 @@
 		wrong=1
 	fi
 done
-curl -s -m 4 "http://$STORE/audit" >"$WORK/audit"
+await_serving
 violations=$(jq .broken "$WORK/audit")
 [ "$violations" = 0 ] || jq -r '.reports[]' "$WORK/audit"
 echo "soak: seed $SEED: $(jq -c 'del(.reports)' "$WORK/audit")"
