Look at each worker once for a step, not for each of its tasks

A task that is placed changes its worker only. The workers that fit a step are found once, with their scores, and after each task only its worker is checked again. The choice is the same.

The test (looks for a step of 49 tasks at 12 workers) failed before.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -94,6 +94,8 @@
 UNCOUNTED_CRASHES|src/jobs/job_record.c|scheduler/test_records|s/return ended > task->failures ? 1 : 0;/return 0;/
 LATER_SETTINGS_REFUSED|src/scheduler/settings.c|scheduler/test_scheduler|s/if (!g_array_index (problems, problem_t, i).unknown)/if (true)/
 LATER_FRAMES_REFUSED|src/net/peerlink.c|net/test_peerlink|s/if (code == -ENOMSG \&\& in->node)/if (false)/
+PLACED_WORKER_KEPT|src/shard/shard_place.c|shard/test_shard_capacity|s/^  choose_placed (shard, now, c, handle);//
+STALE_FITTING|src/shard/shard_place.c|shard/test_shard_steps|s/^  choose_reset (shard);//
 SUSPECTS_TOGETHER|src/shard/shard_choose.c|shard/test_shard_crashes|s/if (crashes_keep_apart (worker, task))/if (0)/
 FRESH_BESIDE_SUSPECT|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^                              : SUSPICION_STRONG\]/: SUSPICION_STRONG] * (task->crashes != 0)/
 SUSPECT_NOT_CLEARED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^  task->crashes = 0;/  ;/
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -47,6 +47,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   shard->interference = interference_new ();
   shard->unplaceable = g_array_new (FALSE, FALSE, sizeof (unplaceable_t));
+  shard->fitting = g_array_new (FALSE, FALSE, sizeof (fitting_t));
   shard->batch_blobs
       = g_ptr_array_new_with_free_func ((GDestroyNotify)g_byte_array_unref);
   shard->batch_records = g_array_new (FALSE, FALSE, sizeof (shard_record_t));
@@ -68,6 +69,7 @@
   g_hash_table_destroy (shard->jobs);
   interference_free (shard->interference);
   g_array_free (shard->unplaceable, TRUE);
+  g_array_free (shard->fitting, TRUE);
   g_queue_free (shard->open_jobs);
   g_ptr_array_free (shard->dirty_entries, TRUE);
   g_hash_table_destroy (shard->workers_by_id);
--- a/src/shard/shard_choose.c
+++ b/src/shard/shard_choose.c
@@ -32,6 +32,10 @@
 
 static bool is_unplaceable (const shard_t *shard, const candidate_t *c);
 static void note_unplaceable (shard_t *shard, const candidate_t *c);
+static void find_fitting (shard_t *shard, usec_t now, const candidate_t *c);
+static void update_fitting (const shard_t *shard, usec_t now,
+                            const candidate_t *c, handle_t handle,
+                            fitting_t *fitting);
 static handle_t choose_best_worker (const shard_t *shard, usec_t now,
                                     const candidate_t *c, uint32_t index,
                                     admission_t admission, bool *kept_apart);
@@ -61,6 +65,8 @@
 
   if (is_unplaceable (shard, c))
     return HANDLE_NONE;
+  if (!shard->fitting_known)
+    find_fitting (shard, now, c);
   handle = choose_best_worker (shard, now, c, index, ADMIT_UNDISTURBED,
                                &kept_apart);
   if (handle == HANDLE_NONE && step->target_latency_ms)
@@ -76,6 +82,56 @@
   return handle;
 }
 
+void
+choose_reset (shard_t *shard)
+{
+  shard->fitting_known = false;
+}
+
+void
+choose_placed (shard_t *shard, usec_t now, const candidate_t *c,
+               handle_t worker)
+{
+  for (guint i = 0; i < shard->fitting->len; i++)
+    {
+      fitting_t *fitting = &g_array_index (shard->fitting, fitting_t, i);
+
+      if (fitting->worker == worker)
+        update_fitting (shard, now, c, worker, fitting);
+    }
+}
+
+/* A task that is placed changes its worker only, so that the others need not
+   be looked at again for each task of the step. */
+static void
+find_fitting (shard_t *shard, usec_t now, const candidate_t *c)
+{
+  g_array_set_size (shard->fitting, 0);
+  for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
+       h = table_next (shard->workers, h))
+    {
+      fitting_t fitting;
+
+      update_fitting (shard, now, c, h, &fitting);
+      if (fitting.worker != HANDLE_NONE)
+        g_array_append_val (shard->fitting, fitting);
+    }
+  shard->fitting_known = true;
+}
+
+static void
+update_fitting (const shard_t *shard, usec_t now, const candidate_t *c,
+                handle_t handle, fitting_t *fitting)
+{
+  const worker_t *worker = worker_get (shard, handle);
+
+  fitting->worker = HANDLE_NONE;
+  if (worker_fits (shard, now, worker, c) != FIT_OK)
+    return;
+  fitting->worker = handle;
+  fitting->score = score (shard, worker, c);
+}
+
 /* Free capacity only shrinks during a pass: if a step found no worker, then a
    step that needs at least as much finds none either.  This saves passes with
    hundreds of waiting steps from checking every worker for each of them. */
@@ -128,20 +184,21 @@
   handle_t best = HANDLE_NONE;
   int64_t best_score = INT64_MAX;
 
-  for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
-       h = table_next (shard->workers, h))
+  for (guint i = 0; i < shard->fitting->len; i++)
     {
+      const fitting_t *fitting = &g_array_index (shard->fitting, fitting_t, i);
+      handle_t h = fitting->worker;
       const worker_t *worker = worker_get (shard, h);
       int64_t s;
 
-      if (worker_fits (shard, now, worker, c) != FIT_OK)
+      if (!worker)
         continue;
       if (crashes_keep_apart (worker, task))
         {
           *kept_apart = true;
           continue;
         }
-      s = score (shard, worker, c) + crashes_score (worker, task);
+      s = fitting->score + crashes_score (worker, task);
       /* Last resort: the worker where the task failed or stalled. */
       if (h == task->avoid)
         s += SCORE_OF_AVOIDED_WORKER;
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -40,6 +40,7 @@
 {
   const step_t *step = &c->entry->job->submission->steps[c->step];
 
+  choose_reset (shard);
   if (step->gang)
     {
       place_gang (shard, now, c);
@@ -82,6 +83,7 @@
   if (imposed)
     impose (shard, now, c, run);
   shard_mark_dirty (shard, c->entry);
+  choose_placed (shard, now, c, handle);
   return true;
 }
 
@@ -158,4 +160,5 @@
     }
   /* The freed capacity may be sufficient for steps that did not fit before. */
   g_array_set_size (shard->unplaceable, 0);
+  choose_reset (shard);
 }
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -216,6 +216,13 @@
   bool starved;
 } unplaceable_t;
 
+/* A worker that fits the step whose tasks are being placed. */
+typedef struct
+{
+  handle_t worker; /* HANDLE_NONE: does not fit any more */
+  int64_t score;   /* without the parts that differ between tasks */
+} fitting_t;
+
 struct shard
 {
   shard_config_t config;
@@ -261,6 +268,8 @@
   bool placement_needed;     /* a waiting task may fit now */
   usec_t last_placement;     /* time of the last pass */
   GArray *unplaceable;       /* unplaceable_t, of the current pass */
+  GArray *fitting;           /* fitting_t, of the current step */
+  bool fitting_known;        /* FITTING is filled */
   usec_t run_calls_due;      /* when the next start or stop is due */
   uint32_t waiting_tasks;    /* tasks without a worker after the last pass */
   usec_t load_log_due;
@@ -443,6 +452,11 @@
     none */
 handle_t choose_worker (shard_t *shard, usec_t now, const candidate_t *c,
                         uint32_t index);
+/** The next task is of another step, or capacity was freed. */
+void choose_reset (shard_t *shard);
+/** A task of the step was placed on the worker. */
+void choose_placed (shard_t *shard, usec_t now, const candidate_t *c,
+                    handle_t worker);
 
 /* shard_waits.c */
 /** Looks at a step before a pass.
--- a/src/shard/test_shard_capacity.c
+++ b/src/shard/test_shard_capacity.c
@@ -7,6 +7,7 @@
 #include <CUnit/CUnit.h>
 #include <string.h>
 
+#define MANY_WORKERS 12U
 #define CORE 1000U
 #define AMPLE 16000U
 #define SECOND_JOB (JOB_ID + 1)
@@ -424,6 +425,43 @@
   tear_down ();
 }
 
+/* Guards against passes that take all of the owner's processor: they looked at
+   every worker for each task of a step.  While the list is old, each look asks
+   whether the worker rejects overload. */
+static void
+test_looks_at_workers (void)
+{
+  char id[16];
+  char address[32];
+
+  set_up ();
+  fixture.workers_reject_overload = true;
+  shard_loaded (fixture.shard, fixture.now);
+  for (uint32_t i = 0; i < MANY_WORKERS; i++)
+    {
+      g_snprintf (id, sizeof id, "w%u", i);
+      g_snprintf (address, sizeof address, "10.0.0.%u:1", i);
+      list_worker_with (id, address, false);
+    }
+  advance (0);
+  for (uint32_t i = 0; i < MANY_WORKERS; i++)
+    {
+      g_snprintf (id, sizeof id, "w%u", i);
+      reply_as_ready (id);
+    }
+  fixture.now += WORKERS_MAX_AGE + USEC_PER_MSEC;
+  fixture.call_count = 0;
+  add_job (4 * MANY_WORKERS + 1);
+  advance_without_list (0);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  CU_ASSERT (fixture.overload_queries < 8 * MANY_WORKERS);
+  fixture.call_count = 0;
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance_without_list (0);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 4 * MANY_WORKERS);
+  tear_down ();
+}
+
 /* Guards against starts at a restarted worker by what is known of its former
    incarnation, which may have been larger or of another kind. */
 static void
@@ -470,6 +508,7 @@
     { "restarted worker", test_restarted_worker },
     { "old list", test_old_list },
     { "old list of guarded workers", test_old_list_of_guarded_workers },
+    { "looks at workers", test_looks_at_workers },
   };
 
   int code;
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -71,6 +71,7 @@
 {
   (void)ctx;
   CU_ASSERT_STRING_EQUAL (service, "service");
+  fixture.overload_queries++;
   return fixture.workers_reject_overload;
 }
 
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -27,7 +27,8 @@
   uint32_t settled;
   uint32_t superseded;
   bool workers_reject_overload; /**< false unless the test sets it */
-  GByteArray *progress; /**< value of the last appended progress record */
+  uint32_t overload_queries; /**< whether workers reject overload was asked */
+  GByteArray *progress;      /**< value of the last appended progress record */
   usec_t now;
 } fixture_t;
 
