Count runs lost with their worker, and isolate their tasks

Those did not count that came after a second of silence, within 0.3 s of a crash with another cause, while the owner was paused for one to two seconds, or with the power of the worker.

Cause: a single count that both blames and bounds. It has to be strict, since it fails jobs, and so misses crashes without a limit.

A second count has no such gaps: the consecutive runs lost with their worker before a list has shown them to live for a second, for any cause but a planned stop. It is stored in the task's record before the next start, and a run that lives clears it. By itself it fails no job. From two losses on the task is placed where little else has just started, and a crash under it that is its only possible cause counts however it was noticed; from three losses on nothing is started beside it, and its starts are delayed by 0.5 to 4 s, so that they do not fall into the same series of crashes. A task with four losses is given up at two crashes that count. A whole rack or an idle worker that goes down at the same time still clears it, also where they fall silent.

The tests "crash after silence", "silent crash", "crash beside another", "dark crashes", "successor knows losses", "starts are delayed" and "briefly paused owner" failed before. The last needs the interval of idle polls that the program uses; the fixture had half of it. "list read after a pause" and "paused owner" are stricter.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -89,9 +89,16 @@
 STOP_MOVES_EVIDENCE|src/shard/shard_calls.c|shard/test_shard_settle|s/if (!run->stops_answered)/if (1)/
 RESTART_KEEPS_STOP|src/shard/shard_runs.c|shard/test_shard_settle|s/  run->state = RUN_STARTING;//
 FORMER_STOP_COUNTS|src/shard/shard_calls.c|shard/test_shard_settle|s/return pending->kind != SHARD_HOLD;/return false;/
+LOSSES_NOT_COUNTED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/->losses++;/->losses += 0;/
+LOSSES_NOT_STORED|src/jobs/job_record.c|shard/test_shard_crashes|s/task->losses = read_losses (task, state, fields);//
+LOSSES_ALONE_FAIL_JOBS|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^  return task->crashes >= CRASHES_OF_REPEATED_LOSS$/  return true/
+NO_DELAY_AFTER_LOSSES|src/shard/shard_place.c|shard/test_shard_crashes|s/ || crashes_delay (now, task)//
+SUSPECT_ALONE_NOT_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (is_alone (worker, run))/if (0)/
+SILENT_RACK_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (worker->crash_was_silent)/if (0)/
+LAPSE_NOT_COUNTED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^  if (!has_stopped (worker))$/  if (0)/
 CRASH_NOT_COUNTED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/->crashes++;/->crashes += 0;/
 CRASHES_NOT_STORED|src/jobs/job_record.c|shard/test_shard_crashes|s/task->crashes = read_crashes (task, state, fields);//
-UNCOUNTED_CRASHES|src/jobs/job_record.c|scheduler/test_records|s/return ended > task->failures ? 1 : 0;/return 0;/
+UNCOUNTED_CRASHES|src/jobs/job_record.c|scheduler/test_records|s/return MIN (uncounted_runs (task, state), 1U);/return 0;/
 LATER_SETTINGS_REFUSED|src/scheduler/settings.c|scheduler/test_scheduler|s/if (!g_array_index (problems, problem_t, i).unknown)/if (true)/
 LATER_FRAMES_REFUSED|src/net/peerlink.c|net/test_peerlink|s/if (code == -ENOMSG \&\& in->node)/if (false)/
 PLACED_WORKER_KEPT|src/shard/shard_place.c|shard/test_shard_capacity|s/^  choose_placed (shard, now, c, handle);//
@@ -101,19 +108,19 @@
 SUSPECT_NOT_CLEARED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^  task->crashes = 0;/  ;/
 CLEARING_NOT_STORED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/shard_mark_dirty (shard, shard_entry (shard, run->run_id.job));//
 RACK_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return in_rack \&\& !rack_works;/return false;/
-COMMON_CAUSE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (together \&\& other->fenced \&\& crashed_without_start (shard, other))/if (0)/
+COMMON_CAUSE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/\&\& crashed_without_start (shard, now, other))/\&\& false)/
 DOWN_AT_TAKEOVER_IS_COMMON|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (together \&\& other->fenced/if (together/
 SILENCE_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/first_refusal - worker->in_doubt_since > REFUSAL_DELAY/false/
 SUCCESSOR_BLIND|src/shard/shard_crashes.c|shard/test_shard_crashes|s/worker->last_answer != shard->owned_since/true/
-LEAVING_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return !has_stopped (worker)/return true/
-LEAVING_IS_COMMON|src/shard/shard_crashes.c|shard/test_shard_crashes|s/ \&\& !has_stopped (other)//
+LEAVING_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (has_stopped (worker) ||/if (/
+LEAVING_IS_COMMON|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (has_stopped (other) || /if (/
 LATE_NOTICE_CLEARS|src/shard/shard_crashes.c|shard/test_shard_crashes|s/worker->leaving_known_at <= worker->in_doubt_since/true/
-LATE_CRASH_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return earliest_crash (shard, worker) - latest_start (run) < CRASH_WINDOW;/return true;/
+LATE_CRASH_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/|| earliest_crash (shard, worker) - latest_start (run) < CRASH_WINDOW;/|| true;/
 REPEATED_START_FORGOTTEN|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return run->start_unanswered ? MAX/return false ? MAX/
 LATE_LIST_TAKEN_FOR_RECENT|src/shard/shard_workers.c|shard/test_shard_crashes|s/return MAX (worker_clock (worker, now) - worker_ms, 0)/return 0/
 LATE_LIST_CLEARS|src/shard/shard_crashes.c|shard/test_shard_crashes|s/run->first_listed_ms = clock_ms;/run->first_listed_ms = clock_ms - 1500;/
 PAUSED_OWNER_BLIND|src/shard/shard_crashes.c|shard/test_shard_crashes|s/in_doubt_since - worker->last_answer > shard->config.poll_idle/in_doubt_since < 0/
-UNANSWERED_NOT_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/return run->start_sent;/return run->start_unanswered;/
+UNANSWERED_NOT_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^         || run->start_sent;/|| run->start_unanswered;/
 UNBOUNDED_OCCURRENCES|src/jobs/jobs.c|jobs/test_jobs|s/JOB_MAX_TASKS;$/JOB_MAX_TASKS * 4;/
 TABLE
 }
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -25,7 +25,8 @@
 #define SUBMISSION_FIELDS 13
 #define STEP_FIELDS 13
 #define PROGRESS_FIELDS 6
-#define TASK_FIELDS 9
+#define TASK_FIELDS 10
+#define MAX_ASSUMED_LOSSES 2U
 
 static void pack_step (msgpack_packer *packer, const step_t *step);
 static void pack_string (msgpack_packer *packer, const char *text);
@@ -33,6 +34,9 @@
                              const submission_t *submission,
                              const occurrence_t *occurrence);
 static void pack_task (msgpack_packer *packer, const task_t *task);
+static uint32_t uncounted_runs (const task_t *task, uint64_t state);
+static uint32_t read_losses (const task_t *task, uint64_t state,
+                             const msgpack_object *fields);
 static uint32_t read_crashes (const task_t *task, uint64_t state,
                               const msgpack_object *fields);
 static const msgpack_object *element_at (const msgpack_object *array,
@@ -270,6 +274,7 @@
   pack_string (packer, task->place.address);
   msgpack_pack_uint32 (packer, task->crashes);
   msgpack_pack_uint32 (packer, task->worker_leaves);
+  msgpack_pack_uint32 (packer, task->losses);
 }
 
 int
@@ -399,6 +404,7 @@
   task->failures = (uint32_t)uint_at (fields, 2);
   task->checkpoint = string_at (fields, 5);
   task->crashes = read_crashes (task, state, fields);
+  task->losses = read_losses (task, state, fields);
   if (state == TASK_PLACED)
     {
       place_t place = { string_at (fields, 3), int_at (fields, 4),
@@ -421,11 +427,30 @@
 static uint32_t
 read_crashes (const task_t *task, uint64_t state, const msgpack_object *fields)
 {
-  uint32_t ended = task->run - (state == TASK_PLACED && task->run);
-
   if (element_at (fields, 7))
     return (uint32_t)uint_at (fields, 7);
-  return ended > task->failures ? 1 : 0;
+  return MIN (uncounted_runs (task, state), 1U);
+}
+
+/* Where losses are not counted, former runs that have not failed may have been
+   lost.  The number assumed has the task start apart from others, no more. */
+static uint32_t
+read_losses (const task_t *task, uint64_t state, const msgpack_object *fields)
+{
+  if (element_at (fields, 9))
+    return (uint32_t)uint_at (fields, 9);
+  if (element_at (fields, 7))
+    return task->crashes;
+  return MIN (uncounted_runs (task, state), MAX_ASSUMED_LOSSES);
+}
+
+/* @return former runs that have not failed */
+static uint32_t
+uncounted_runs (const task_t *task, uint64_t state)
+{
+  uint32_t ended = task->run - (state == TASK_PLACED && task->run);
+
+  return ended > task->failures ? ended - task->failures : 0;
 }
 
 static const msgpack_object *
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -100,10 +100,13 @@
   char *checkpoint;   /**< newest checkpoint, NULL for none */
   uint32_t crashes;   /**< workers that crashed as they had just started it,
                            since a run of it lived on */
+  uint32_t losses;    /**< runs lost with their worker for any cause, since
+                           a run of it lived on; at least CRASHES */
   uint32_t
       run_handle;  /**< newest run in the owner's table, HANDLE_NONE: none */
   uint32_t stalls; /**< runs stopped because they made no progress */
   uint32_t avoid;  /**< worker where it last failed or stalled, a handle */
+  usec_t start_after; /**< is not placed before */
 } task_t;
 
 /** One execution of all steps; a job without a schedule has exactly one. */
--- a/src/scheduler/test_records.c
+++ b/src/scheduler/test_records.c
@@ -85,6 +85,8 @@
   CU_ASSERT_EQUAL (job_task (job, 0, 0, 2)->run, 2);
   CU_ASSERT_EQUAL (job_task (job, 0, 0, 2)->crashes, 1);
   CU_ASSERT_EQUAL (job_task (job, 0, 0, 3)->crashes, 0);
+  CU_ASSERT_EQUAL (job_task (job, 0, 0, 1)->losses, 0);
+  CU_ASSERT_EQUAL (job_task (job, 0, 0, 2)->losses, 1);
   g_byte_array_unref (submission);
   g_byte_array_unref (progress);
   job_free (job);
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -146,7 +146,7 @@
   if (seems_crashed (worker, now))
     crashes_worker_lost (shard, now, handle, why);
   else
-    run_requeue_all (shard, now, handle, why);
+    crashes_leases_expired (shard, now, handle);
   return INT64_MAX;
 }
 
--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -7,6 +7,13 @@
  * kept apart, so that the next crash tells which of them is the cause, and are
  * cleared once a run lives on.  The job of a task that is the only cause left
  * is failed.
+ *
+ * Whether a crash is counted depends on how and when it was noticed.  A second
+ * count does not: that of the consecutive runs that were lost with their
+ * worker before a list had shown them to live on.  By itself it proves nothing
+ * and fails no job, but from some losses on the task is kept apart as well and
+ * started at growing intervals, so that the next runs show whether it is the
+ * cause.
  */
 #include "shard/shard_private.h"
 
@@ -20,14 +27,25 @@
    one that it refuses.  One that is silent for longer has lost its power or
    its link. */
 #define REFUSAL_DELAY (USEC_PER_SEC)
-/* Crashes from which on a task is the likely cause of the next one. */
+/* Losses from which on a task is suspected without a crash that counts. */
+#define LOSSES_OF_SUSPECT 2U
+/* Crashes or losses from which on a task is the likely cause of the next
+   one. */
 #define CRASHES_OF_STRONG_SUSPECT 2U
+#define LOSSES_OF_STRONG_SUSPECT 3U
 /* Crashes after which a task is given up, if no task of another job that had
    just started as well has been in as many. */
 #define CRASHES_BEFORE_GIVING_UP 3U
-/* The same in any case: callers may rely on fewer than three starts after
-   three crashes. */
-#define MAX_CRASHES 5U
+/* The same for a task that has lost more runs than that. */
+#define CRASHES_OF_REPEATED_LOSS 2U
+#define LOSSES_BEFORE_GIVING_UP 4U
+/* The same even if there was such a task: callers may rely on fewer than three
+   starts after three crashes. */
+#define MAX_LOSSES 5U
+/* Delay of the next start of a strong suspect, so that it does not fall into
+   the same series of crashes.  Each further loss doubles it. */
+#define FIRST_DELAY (500 * USEC_PER_MSEC)
+#define MAX_DOUBLINGS 3U
 /* Larger than the preference for a rack, smaller than the avoidance of a
    worker on which the task failed. */
 #define SCORE_OF_OTHER_SUSPECT (1LL << 35)
@@ -35,53 +53,62 @@
 /* Larger than any score for load: the runs that a crash would take along. */
 #define SCORE_PER_RUN_AT_RISK 10000
 
-static bool is_crash (const shard_t *shard, const worker_t *worker,
-                      usec_t now);
+static bool was_silent (const shard_t *shard, const worker_t *worker,
+                        usec_t now);
 static bool has_stopped (const worker_t *worker);
-static bool has_common_cause (const shard_t *shard, const worker_t *worker);
+static bool has_common_cause (const shard_t *shard, usec_t now,
+                              const worker_t *worker);
 static bool crashed_with (const worker_t *worker, const worker_t *other);
-static bool crashed_without_start (const shard_t *shard,
+static bool crashed_without_start (const shard_t *shard, usec_t now,
                                    const worker_t *worker);
-static bool is_suspect (const shard_t *shard, const worker_t *worker,
-                        const run_t *run);
+static bool is_suspect (const shard_t *shard, usec_t now,
+                        const worker_t *worker, const run_t *run);
+static bool has_started (const run_t *run);
+static bool is_alone (const worker_t *worker, const run_t *run);
 static usec_t latest_start (const run_t *run);
 static usec_t earliest_crash (const shard_t *shard, const worker_t *worker);
 static task_t *task_of_run (const shard_t *shard, const run_t *run);
-static void count_crash (shard_t *shard, const worker_t *worker);
-static bool has_equal_suspect (const shard_t *shard, const worker_t *worker,
+static GArray *find_suspects (const shard_t *shard, usec_t now,
+                              const worker_t *worker);
+static void count_crash (const shard_t *shard, const GArray *suspects);
+static void count_losses (shard_t *shard, usec_t now, const worker_t *worker);
+static bool has_equal_suspect (const shard_t *shard, const GArray *suspects,
                                const run_t *run);
-static void note_suspect (shard_t *shard, const worker_t *worker,
-                          const run_t *run, GArray *given_up);
+static bool is_to_be_given_up (const task_t *task, bool equal);
+static void note_suspect (const shard_t *shard, const worker_t *worker,
+                          const run_t *run, bool equal, GArray *given_up);
 
 GArray *
 crashes_note (shard_t *shard, usec_t now, handle_t handle)
 {
   worker_t *worker = worker_get (shard, handle);
   GArray *given_up = g_array_new (FALSE, FALSE, sizeof (job_id_t));
+  GArray *suspects;
 
-  if (!is_crash (shard, worker, now)
-      || worker->crash_noted == worker->in_doubt_since)
+  if (has_stopped (worker) || worker->crash_noted == worker->in_doubt_since)
     return given_up;
-  worker->crash_without_start = crashed_without_start (shard, worker);
+  worker->crash_was_silent = was_silent (shard, worker, now);
+  worker->crashed_after = worker->last_answer;
+  suspects = find_suspects (shard, now, worker);
+  worker->crash_without_start = !suspects->len;
   worker->crash_noted = worker->in_doubt_since;
-  if (worker->crash_without_start)
-    return given_up;
-  if (has_common_cause (shard, worker))
+  if (suspects->len && has_common_cause (shard, now, worker))
     {
       log_line (LOG_LEVEL_NOTICE, "crash.common", worker->address,
                 "worker=%s rack=%s runs=%u other workers crashed with it",
                 worker->id, worker->rack, worker->runs->len);
-      return given_up;
+      g_array_set_size (suspects, 0);
     }
-  count_crash (shard, worker);
-  for (guint i = 0; i < worker->runs->len; i++)
+  count_crash (shard, suspects);
+  count_losses (shard, now, worker);
+  for (guint i = 0; i < suspects->len; i++)
     {
-      const run_t *run
-          = run_get (shard, g_array_index (worker->runs, handle_t, i));
+      const run_t *run = g_array_index (suspects, run_t *, i);
 
-      if (is_suspect (shard, worker, run))
-        note_suspect (shard, worker, run, given_up);
+      note_suspect (shard, worker, run,
+                    has_equal_suspect (shard, suspects, run), given_up);
     }
+  g_array_free (suspects, TRUE);
   return given_up;
 }
 
@@ -109,6 +136,18 @@
   crashes_give_up (shard, now, given_up);
 }
 
+/* A worker without power or link is not known to have crashed, only its runs
+   to be lost. */
+void
+crashes_leases_expired (shard_t *shard, usec_t now, handle_t handle)
+{
+  const worker_t *worker = worker_get (shard, handle);
+
+  if (!has_stopped (worker))
+    count_losses (shard, now, worker);
+  run_requeue_all (shard, now, handle, "lease expired");
+}
+
 /* The life of a run is measured on the worker's clock: the owner may read a
    list long after the worker has sent it. */
 void
@@ -120,18 +159,21 @@
     return;
   run->lived = true;
   crashes_run_settled (worker_get (shard, run->worker), run);
-  if (!task->crashes)
+  if (!task->crashes && !task->losses)
     return;
   task->crashes = 0;
+  task->losses = 0;
   shard_mark_dirty (shard, shard_entry (shard, run->run_id.job));
 }
 
 suspicion_t
 crashes_suspicion (const task_t *task)
 {
-  if (task->crashes >= CRASHES_OF_STRONG_SUSPECT)
+  if (task->crashes >= CRASHES_OF_STRONG_SUSPECT
+      || task->losses >= LOSSES_OF_STRONG_SUSPECT)
     return SUSPICION_STRONG;
-  return task->crashes ? SUSPICION_WEAK : SUSPICION_NONE;
+  return task->crashes || task->losses >= LOSSES_OF_SUSPECT ? SUSPICION_WEAK
+                                                            : SUSPICION_NONE;
 }
 
 void
@@ -151,6 +193,12 @@
   run->unproven = false;
 }
 
+bool
+crashes_delay (usec_t now, const task_t *task)
+{
+  return now < task->start_after;
+}
+
 /* Nothing is started beside a strong suspect, so that a crash is not blamed on
    the wrong task, until its run is known to have lived on. */
 bool
@@ -176,13 +224,12 @@
    lost, calls are not answered.  A new owner does not know how a worker ended
    that has never answered it. */
 static bool
-is_crash (const shard_t *shard, const worker_t *worker, usec_t now)
+was_silent (const shard_t *shard, const worker_t *worker, usec_t now)
 {
   usec_t first_refusal = worker->refused_holds ? worker->refused_since : now;
-  bool was_silent = worker->last_answer != shard->owned_since
-                    && first_refusal - worker->in_doubt_since > REFUSAL_DELAY;
 
-  return !has_stopped (worker) && !was_silent;
+  return worker->last_answer != shard->owned_since
+         && first_refusal - worker->in_doubt_since > REFUSAL_DELAY;
 }
 
 /* @return whether the worker has ended as planned.  A notice to leave that was
@@ -196,7 +243,7 @@
 /* @return whether the whole rack crashed at the same moment, or a worker on
    which nothing had just started */
 static bool
-has_common_cause (const shard_t *shard, const worker_t *worker)
+has_common_cause (const shard_t *shard, usec_t now, const worker_t *worker)
 {
   bool in_rack = false;
   bool rack_works = false;
@@ -211,7 +258,8 @@
         continue;
       /* It is not known when a worker went down that has not answered this
          owner. */
-      if (together && other->fenced && crashed_without_start (shard, other))
+      if (together && other->fenced
+          && crashed_without_start (shard, now, other))
         return true;
       if (strcmp (other->rack, worker->rack) == 0)
         {
@@ -222,28 +270,37 @@
   return in_rack && !rack_works;
 }
 
+/* The moment of a crash is known if calls were refused.  Where they were not
+   answered, it lies between the last answer and the first call that failed. */
 static bool
 crashed_with (const worker_t *worker, const worker_t *other)
 {
+  bool noted
+      = other->crash_noted && other->crash_noted == other->in_doubt_since;
+  usec_t after = noted ? other->crashed_after : other->last_answer;
   usec_t apart = other->in_doubt_since - worker->in_doubt_since;
-  bool crashed
-      = (other->in_doubt && other->refused_holds)
-        || (other->crash_noted && other->crash_noted == other->in_doubt_since);
 
-  return crashed && !has_stopped (other) && apart <= SAME_MOMENT
-         && apart >= -SAME_MOMENT;
+  if (has_stopped (other) || !(noted || other->in_doubt))
+    return false;
+  if (worker->crash_was_silent)
+    return MAX (after, worker->crashed_after)
+           <= MIN (other->in_doubt_since, worker->in_doubt_since)
+                  + SAME_MOMENT;
+  return (noted ? !other->crash_was_silent : other->refused_holds != 0)
+         && apart <= SAME_MOMENT && apart >= -SAME_MOMENT;
 }
 
 /* @return whether a crash of the worker has another cause than a task.  Its
    runs are gone once the crash is noted. */
 static bool
-crashed_without_start (const shard_t *shard, const worker_t *worker)
+crashed_without_start (const shard_t *shard, usec_t now,
+                       const worker_t *worker)
 {
   if (worker->crash_noted && worker->crash_noted == worker->in_doubt_since)
     return worker->crash_without_start;
   for (guint i = 0; i < worker->runs->len; i++)
     if (is_suspect (
-            shard, worker,
+            shard, now, worker,
             run_get (shard, g_array_index (worker->runs, handle_t, i))))
       return false;
   return true;
@@ -251,15 +308,39 @@
 
 /* @return whether the worker may have been executing the start of the run when
    it crashed.  A start without an answer may be executed late, and one that is
-   refused may repeat one that was executed. */
+   refused may repeat one that was executed.  A suspect that was alone in
+   having just started needs no further evidence than that its run is not known
+   to have lived on. */
 static bool
-is_suspect (const shard_t *shard, const worker_t *worker, const run_t *run)
+is_suspect (const shard_t *shard, usec_t now, const worker_t *worker,
+            const run_t *run)
 {
-  if (run->lived)
+  if (run->lived || !has_started (run))
+    return false;
+  if (is_alone (worker, run))
+    return true;
+  if (was_silent (shard, worker, now))
     return false;
-  if (run->state == RUN_ACKNOWLEDGED || run->state == RUN_ADOPTED)
-    return earliest_crash (shard, worker) - latest_start (run) < CRASH_WINDOW;
-  return run->start_sent;
+  return (run->state != RUN_ACKNOWLEDGED && run->state != RUN_ADOPTED)
+         || earliest_crash (shard, worker) - latest_start (run) < CRASH_WINDOW;
+}
+
+/* @return whether the worker may have got a start of the run */
+static bool
+has_started (const run_t *run)
+{
+  return run->state == RUN_ACKNOWLEDGED || run->state == RUN_ADOPTED
+         || run->start_sent;
+}
+
+/* @return whether the run is of a suspect and the only one that may have
+   caused a crash */
+static bool
+is_alone (const worker_t *worker, const run_t *run)
+{
+  return run->suspicion == SUSPICION_STRONG
+         || (run->suspicion == SUSPICION_WEAK
+             && worker->unproven[SUSPICION_NONE] == 1);
 }
 
 /* A start that was not answered at first may have been executed at any time
@@ -289,67 +370,105 @@
                    run->run_id.index);
 }
 
-/* Counts the crash against all suspects, or only against strong ones. */
-static void
-count_crash (shard_t *shard, const worker_t *worker)
+/* @return rows of run_t *, the suspects of a crash of the worker */
+static GArray *
+find_suspects (const shard_t *shard, usec_t now, const worker_t *worker)
 {
-  uint32_t at_least = 0;
+  GArray *suspects = g_array_new (FALSE, FALSE, sizeof (run_t *));
 
   for (guint i = 0; i < worker->runs->len; i++)
     {
-      const run_t *run
-          = run_get (shard, g_array_index (worker->runs, handle_t, i));
+      run_t *run = run_get (shard, g_array_index (worker->runs, handle_t, i));
 
-      if (is_suspect (shard, worker, run)
-          && task_of_run (shard, run)->crashes >= CRASHES_OF_STRONG_SUSPECT)
-        at_least = CRASHES_OF_STRONG_SUSPECT;
+      if (is_suspect (shard, now, worker, run))
+        g_array_append_val (suspects, run);
     }
+  return suspects;
+}
+
+/* Counts the crash against all suspects, or only against strong ones. */
+static void
+count_crash (const shard_t *shard, const GArray *suspects)
+{
+  suspicion_t at_least = SUSPICION_NONE;
+
+  for (guint i = 0; i < suspects->len; i++)
+    if (crashes_suspicion (
+            task_of_run (shard, g_array_index (suspects, run_t *, i)))
+        == SUSPICION_STRONG)
+      at_least = SUSPICION_STRONG;
+  for (guint i = 0; i < suspects->len; i++)
+    {
+      task_t *task = task_of_run (shard, g_array_index (suspects, run_t *, i));
+
+      if (crashes_suspicion (task) >= at_least)
+        task->crashes++;
+    }
+}
+
+static void
+count_losses (shard_t *shard, usec_t now, const worker_t *worker)
+{
   for (guint i = 0; i < worker->runs->len; i++)
     {
-      const run_t *run
-          = run_get (shard, g_array_index (worker->runs, handle_t, i));
+      run_t *run = run_get (shard, g_array_index (worker->runs, handle_t, i));
+      task_t *task = task_of_run (shard, run);
 
-      if (is_suspect (shard, worker, run)
-          && task_of_run (shard, run)->crashes >= at_least)
-        task_of_run (shard, run)->crashes++;
+      if (run->lived || run->loss_counted || !has_started (run))
+        continue;
+      run->loss_counted = true;
+      task->losses++;
+      if (task->losses >= LOSSES_OF_STRONG_SUSPECT)
+        task->start_after
+            = now
+              + (FIRST_DELAY << MIN (task->losses - LOSSES_OF_STRONG_SUSPECT,
+                                     MAX_DOUBLINGS));
+      shard_mark_dirty (shard, shard_entry (shard, run->run_id.job));
     }
 }
 
 static bool
-has_equal_suspect (const shard_t *shard, const worker_t *worker,
+has_equal_suspect (const shard_t *shard, const GArray *suspects,
                    const run_t *run)
 {
   uint32_t crashes = task_of_run (shard, run)->crashes;
 
-  for (guint i = 0; i < worker->runs->len; i++)
+  for (guint i = 0; i < suspects->len; i++)
     {
-      const run_t *other
-          = run_get (shard, g_array_index (worker->runs, handle_t, i));
+      const run_t *other = g_array_index (suspects, run_t *, i);
 
       if (other->run_id.job != run->run_id.job
-          && is_suspect (shard, worker, other)
           && task_of_run (shard, other)->crashes >= crashes)
         return true;
     }
   return false;
 }
 
+/* @param equal a task of another job has been in as many crashes */
+static bool
+is_to_be_given_up (const task_t *task, bool equal)
+{
+  if (task->crashes >= CRASHES_BEFORE_GIVING_UP)
+    return !equal || task->losses >= MAX_LOSSES;
+  return task->crashes >= CRASHES_OF_REPEATED_LOSS
+         && task->losses >= LOSSES_BEFORE_GIVING_UP && !equal;
+}
+
 static void
-note_suspect (shard_t *shard, const worker_t *worker, const run_t *run,
-              GArray *given_up)
+note_suspect (const shard_t *shard, const worker_t *worker, const run_t *run,
+              bool equal, GArray *given_up)
 {
-  uint32_t crashes = task_of_run (shard, run)->crashes;
-  bool equal = has_equal_suspect (shard, worker, run);
-  bool gives_up = crashes >= (equal ? MAX_CRASHES : CRASHES_BEFORE_GIVING_UP);
+  const task_t *task = task_of_run (shard, run);
+  bool gives_up = is_to_be_given_up (task, equal);
   char text[64];
 
   counter_add (COUNTER_CRASH_SUSPECTS, 1);
   log_item (gives_up ? LOG_LEVEL_NOTICE : LOG_LEVEL_INFO, run->run_id.job,
             gives_up ? "task.given_up" : "task.suspected", worker->address,
-            "task=%s run=%u worker=%s crashes=%u other_suspects=%d"
-            " started_ms_before=%" PRId64,
+            "task=%s run=%u worker=%s crashes=%u losses=%u other_suspects=%d"
+            " silent=%d started_ms_before=%" PRId64,
             run_format_id (&run->run_id, text), run->run_id.run, worker->id,
-            crashes, equal,
+            task->crashes, task->losses, equal, worker->crash_was_silent,
             usec_to_msec (worker->in_doubt_since - run->started_at));
   if (!gives_up)
     return;
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -50,7 +50,7 @@
     {
       const task_t *task = &c->occurrence->tasks[c->step][i];
 
-      if (task->state != TASK_WAITING)
+      if (task->state != TASK_WAITING || crashes_delay (now, task))
         continue;
       if (place_task (shard, now, c, i))
         {
@@ -128,6 +128,8 @@
     return;
   for (uint32_t i = 0; i < count; i++)
     {
+      if (crashes_delay (now, &tasks[i]))
+        return;
       highest = MAX (highest, tasks[i].run);
       saved = tasks[i].checkpoint ? tasks[i].checkpoint : saved;
     }
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -57,6 +57,7 @@
   int64_t first_listed_ms; /* the worker's clock at the first list that has
                               the run */
   bool lived;              /* long enough not to be the cause of a crash */
+  bool loss_counted;       /* in task_t.losses */
   bool unproven;           /* in worker_t.unproven */
   suspicion_t suspicion;   /* against its task when it was placed */
   usec_t accepted_at;      /* when it became RUN_ACKNOWLEDGED */
@@ -149,6 +150,8 @@
      against their tasks. */
   uint32_t unproven[SUSPICION_COUNT];
   usec_t crash_noted;       /* IN_DOUBT_SINCE of the latest noted crash */
+  usec_t crashed_after;     /* the last answer before it */
+  bool crash_was_silent;    /* calls were not answered at first */
   bool crash_without_start; /* no run had just started at that crash */
 } worker_t;
 
@@ -487,12 +490,16 @@
 /** Clears a task whose run has lived long enough. */
 void crashes_run_listed (shard_t *shard, int64_t clock_ms, run_t *run,
                          task_t *task);
+/** Counts the runs on a silent worker as lost, and requeues their tasks. */
+void crashes_leases_expired (shard_t *shard, usec_t now, handle_t worker);
 /** @return how likely the task is to crash its worker */
 suspicion_t crashes_suspicion (const task_t *task);
 /** A run of the task was placed on the worker. */
 void crashes_run_placed (worker_t *worker, run_t *run, const task_t *task);
 /** The run cannot crash the worker any more. */
 void crashes_run_settled (worker_t *worker, run_t *run);
+/** @return whether the task must not be placed anywhere yet */
+bool crashes_delay (usec_t now, const task_t *task);
 /** @return whether the task must not be placed on the worker yet, since
     a suspect there is about to start or has just started */
 bool crashes_keep_apart (const worker_t *worker, const task_t *task);
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -13,12 +13,15 @@
 #define GANG_MEMBERS 3U
 #define STEP (10 * USEC_PER_MSEC)
 #define DOWN_TIME (3 * USEC_PER_SEC)
+#define DARK_TIME (10 * USEC_PER_SEC)
 #define LEAVING_WORKERS 3U
 #define NOTICE_DELAY (100 * USEC_PER_MSEC)
 #define GANG_TIMEOUT (3 * USEC_PER_SEC)
 #define OTHER_JOB 0x77ULL
 /* The users' limit: three starts after three workers have crashed. */
 #define MAX_STARTS 5U
+/* Starts of a task all of whose crashes are noticed for what they are. */
+#define STARTS_IF_CLEAR 3U
 
 typedef enum
 {
@@ -56,17 +59,20 @@
 static uint32_t lost_starts;           /* of each run of that task */
 static bool notice_after_crash;    /* crashed workers are listed as leaving */
 static bool one_leaves_with_crash; /* a leaving worker ends with each crash */
-static bool lists_before_crash;    /* the owner is paused after each start, and
-                                      then reads a list from before the crash */
-static bool
-    lists_before_records; /* successors read the list of workers first */
-
-static usec_t crash_delay; /* after the start */
+static usec_t silent_for;          /* before connections are refused */
+static uint32_t coincidences; /* crashes at which an idle one crashes too */
+static uint32_t dark_crashes; /* crashes that are silent until after the
+                                 lease */
+static usec_t crash_delay;    /* after the start */
 static sim_worker_t *crashing;
 static usec_t crash_at;
 static usec_t append_delay; /* of every other append */
 static usec_t append_due;
 static uint32_t appends_done;
+static bool
+    lists_before_records;      /* successors read the list of workers first */
+static usec_t late_list_pause; /* of the owner after each start, which then
+                                  reads a list from before the crash */
 
 static sim_worker_t *
 find_worker (const char *id)
@@ -100,11 +106,14 @@
   lost_starts = 0;
   notice_after_crash = false;
   one_leaves_with_crash = false;
-  lists_before_crash = false;
-  lists_before_records = false;
+  late_list_pause = 0;
+  silent_for = 0;
+  coincidences = 0;
   crash_delay = 0;
+  dark_crashes = 0;
   crashing = NULL;
   append_delay = 0;
+  lists_before_records = false;
   append_due = 0;
   appends_done = 0;
   for (uint32_t i = 0; i < WORKERS; i++)
@@ -188,6 +197,10 @@
 static void
 revive_workers (void)
 {
+  for (uint32_t i = 0; i < WORKERS; i++)
+    if (workers[i].state == WORKER_SILENT && silent_for
+        && fixture.now >= workers[i].back_at - DOWN_TIME + silent_for)
+      workers[i].state = WORKER_REFUSES;
   for (uint32_t i = 0; i < WORKERS; i++)
     if (workers[i].state != WORKER_UP && fixture.now >= workers[i].back_at)
       {
@@ -227,7 +240,7 @@
 {
   usec_t now = fixture.now;
 
-  fixture.now += 1500 * USEC_PER_MSEC;
+  fixture.now += late_list_pause;
   for (guint i = 0; i < waiting->len; i++)
     {
       shard_call_t call = g_array_index (waiting, waiting_call_t, i).call;
@@ -240,12 +253,29 @@
     }
 }
 
+static sim_worker_t *
+idle_worker (void)
+{
+  uint32_t i = 0;
+
+  while (i < WORKERS - 1
+         && (workers[i].runs->len || workers[i].state != WORKER_UP))
+    i++;
+  return &workers[i];
+}
+
 static void
 crash_when_due (void)
 {
   if (!crashing || fixture.now < crash_at)
     return;
-  stop_worker (crashing, WORKER_REFUSES);
+  stop_worker (crashing,
+               silent_for || dark_crashes ? WORKER_SILENT : WORKER_REFUSES);
+  if (dark_crashes)
+    {
+      dark_crashes--;
+      crashing->back_at = fixture.now + DARK_TIME;
+    }
   crashing = NULL;
 }
 
@@ -268,11 +298,16 @@
   starts += call->run_id.job == JOB_ID && !call->run_id.index;
   g_array_append_val (w->runs, call->run_id);
   shard_reply (fixture.shard, fixture.now, call->id, fatal ? &last : &ok);
-  if (fatal && lists_before_crash)
+  if (fatal && late_list_pause)
     read_late_list (w);
   if (fatal && one_leaves_with_crash)
     stop_worker (&workers[WORKERS - 1 - starts % LEAVING_WORKERS],
                  WORKER_REFUSES);
+  if (fatal && coincidences)
+    {
+      coincidences--;
+      stop_worker (idle_worker (), WORKER_REFUSES);
+    }
   crashing = fatal ? w : crashing;
   crash_at = fatal ? fixture.now + crash_delay : crash_at;
   crash_when_due ();
@@ -553,7 +588,7 @@
         fixture.now += 4 * USEC_PER_SEC;
     }
   CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
-  CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
+  CU_ASSERT (starts >= 2 && starts <= STARTS_IF_CLEAR);
   tear_down_workers ();
 }
 
@@ -725,6 +760,30 @@
   tear_down_workers ();
 }
 
+/* Guards against crashes that are blamed on a task which had run for longer
+   than it takes, though no list has shown it yet. */
+static void
+test_crashes_before_second_list (void)
+{
+  static const usec_t after[]
+      = { 1300 * USEC_PER_MSEC, 1300 * USEC_PER_MSEC, 100 * USEC_PER_MSEC };
+
+  set_up_workers ();
+  crashes = false;
+  add_job (1);
+  for (uint32_t i = 0; i < G_N_ELEMENTS (after); i++)
+    {
+      for (int k = 0; k < 3000 && starts == i; k++)
+        run_workers (STEP);
+      run_workers (after[i]);
+      stop_worker_of_job ();
+    }
+  run_workers (12 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (starts, G_N_ELEMENTS (after) + 1);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_RUNNING);
+  tear_down_workers ();
+}
+
 /* Guards against planned stops of workers that are blamed on their tasks. */
 static void
 test_leaving_workers (void)
@@ -893,44 +952,144 @@
   tear_down_workers ();
 }
 
+static void
+check_late_list (usec_t pause, uint32_t most_starts)
+{
+  set_up_workers ();
+  add_job (1);
+  late_list_pause = pause;
+  for (int i = 0; i < 3000 && status_of (JOB_ID) != JOB_FAILED; i++)
+    run_workers (STEP);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
+  CU_ASSERT (starts >= 2 && starts <= most_starts);
+  tear_down_workers ();
+}
+
 /* Guards against a task that is cleared by a list from before the crash, which
    a paused owner reads late. */
 static void
 test_list_read_after_pause (void)
+{
+  check_late_list (1500 * USEC_PER_MSEC, MAX_STARTS);
+  check_late_list (2500 * USEC_PER_MSEC, STARTS_IF_CLEAR);
+}
+
+static void
+check_silent_crash (usec_t silence)
 {
   set_up_workers ();
+  silent_for = silence;
   add_job (1);
-  lists_before_crash = true;
-  for (int i = 0; i < 3000 && status_of (JOB_ID) != JOB_FAILED; i++)
-    run_workers (STEP);
+  run_workers (40 * USEC_PER_SEC);
   CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
   CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
   tear_down_workers ();
 }
 
-/* Guards against a crash that a successor does not count: the list of workers
-   is read before the records, and already has the next incarnation. */
+/* Guards against crashes that are not counted since the worker did not answer
+   for a while before it refused connections. */
 static void
-test_successor_reads_list_first (void)
+test_crash_after_silence (void)
+{
+  for (usec_t silence = 1500; silence <= 2900; silence += 100)
+    check_silent_crash (silence * USEC_PER_MSEC);
+}
+
+/* The same for a worker that answers in another incarnation without having
+   refused connections. */
+static void
+test_silent_crash (void)
+{
+  check_silent_crash (DOWN_TIME);
+}
+
+/* Guards against a task that is started again and again since its first
+   crashes fell together with others. */
+static void
+test_crash_beside_another (void)
 {
   set_up_workers ();
+  coincidences = 3;
   add_job (1);
-  for (uint64_t token = 2; token < 12 && status_of (JOB_ID) != JOB_FAILED;
-       token++)
+  check_given_up ();
+  tear_down_workers ();
+}
+
+/* The same for workers that lose their power with the first crashes, so that
+   only the leases of their runs end. */
+static void
+test_dark_crashes (void)
+{
+  set_up_workers ();
+  dark_crashes = 3;
+  add_job (1);
+  run_workers (60 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
+  CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
+  tear_down_workers ();
+}
+
+/* Guards against losses that a successor does not know. */
+static void
+test_successor_knows_losses (void)
+{
+  set_up_workers ();
+  coincidences = 3;
+  add_job (1);
+  for (int k = 0; k < 3000 && starts < 3; k++)
+    run_workers (STEP);
+  run_workers (DOWN_TIME + 300 * USEC_PER_MSEC);
+  take_over (2, 0);
+  check_given_up ();
+  tear_down_workers ();
+}
+
+/* Guards against a series of starts whose crashes cannot be told from those
+   with another cause. */
+static void
+test_starts_are_delayed (void)
+{
+  uint32_t before;
+
+  set_up_workers ();
+  coincidences = UINT32_MAX;
+  add_job (1);
+  for (int k = 0; k < 3000 && starts < 6; k++)
+    run_workers (STEP);
+  before = starts;
+  run_workers (28 * USEC_PER_SEC);
+  CU_ASSERT (starts > before && starts <= before + 4);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_RUNNING);
+  tear_down_workers ();
+}
+
+/* Guards against crashes during a pause of the owner that is too short to be
+   told from an idle time of the worker. */
+static void
+check_paused_owner (usec_t pause)
+{
+  set_up_workers ();
+  add_job (1);
+  for (int i = 0; i < 3000 && status_of (JOB_ID) != JOB_FAILED; i++)
     {
       uint32_t before = starts;
 
-      for (int k = 0; k < 1500 && starts == before; k++)
-        run_workers (STEP);
-      fixture.now += DOWN_TIME;
-      revive_workers ();
-      lists_before_records = true;
-      take_over (token, 300 * USEC_PER_MSEC);
+      run_workers (STEP);
+      if (starts != before)
+        fixture.now += pause;
     }
-  check_given_up ();
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
+  CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
   tear_down_workers ();
 }
 
+static void
+test_briefly_paused_owner (void)
+{
+  for (usec_t pause = 900; pause <= 2100; pause += 100)
+    check_paused_owner (pause * USEC_PER_MSEC);
+}
+
 /* Guards against strong suspects that start together since the store was slow
    between their placements.  One worker is left. */
 static void
@@ -952,6 +1111,63 @@
   tear_down_workers ();
 }
 
+/* Guards against a crash that a successor does not count: the list of workers
+   is read before the records, and already has the next incarnation. */
+static void
+test_successor_reads_list_first (void)
+{
+  set_up_workers ();
+  add_job (1);
+  for (uint64_t token = 2; token < 12 && status_of (JOB_ID) != JOB_FAILED;
+       token++)
+    {
+      uint32_t before = starts;
+
+      for (int k = 0; k < 1500 && starts == before; k++)
+        run_workers (STEP);
+      fixture.now += DOWN_TIME;
+      revive_workers ();
+      lists_before_records = true;
+      take_over (token, 300 * USEC_PER_MSEC);
+    }
+  check_given_up ();
+  tear_down_workers ();
+}
+
+/* Guards against jobs that fail because their workers are cut off until their
+   leases have expired. */
+static void
+test_workers_are_cut_off (void)
+{
+  set_up_workers ();
+  crashes = false;
+  add_job (1);
+  for (int i = 0; i < 6; i++)
+    {
+      uint32_t before = starts;
+      sim_worker_t *w;
+
+      for (int k = 0; k < 3000 && starts == before; k++)
+        run_workers (STEP);
+      w = worker_of_job ();
+      CU_ASSERT_PTR_NOT_NULL (w);
+      if (!w)
+        break;
+      w->state = WORKER_SILENT;
+      w->back_at = INT64_MAX;
+      for (int k = 0; k < 3000 && status_of (JOB_ID) == JOB_RUNNING
+                      && worker_of_job () == w && starts == before + 1;
+           k++)
+        run_workers (STEP);
+      g_array_set_size (w->runs, 0);
+      w->state = WORKER_UP;
+    }
+  run_workers (12 * USEC_PER_SEC);
+  CU_ASSERT (starts >= 6);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_RUNNING);
+  tear_down_workers ();
+}
+
 int
 main (void)
 {
@@ -971,6 +1187,7 @@
     { "workers crash together", test_workers_crash_together },
     { "racks are silent", test_racks_are_silent },
     { "late crashes", test_late_crashes },
+    { "crashes before the second list", test_crashes_before_second_list },
     { "leaving workers", test_leaving_workers },
     { "gang of suspects", test_gang_of_suspects },
     { "successor of a cleared task", test_successor_of_cleared_task },
@@ -980,8 +1197,16 @@
     { "fresh task beside a suspect", test_fresh_task_beside_suspect },
     { "successors one after another", test_successors_one_after_another },
     { "list read after a pause", test_list_read_after_pause },
+    { "crash after silence", test_crash_after_silence },
+    { "silent crash", test_silent_crash },
+    { "crash beside another", test_crash_beside_another },
+    { "dark crashes", test_dark_crashes },
+    { "successor knows losses", test_successor_knows_losses },
+    { "starts are delayed", test_starts_are_delayed },
+    { "briefly paused owner", test_briefly_paused_owner },
     { "slow append between suspects", test_slow_append_between_suspects },
     { "successor reads list first", test_successor_reads_list_first },
+    { "workers are cut off", test_workers_are_cut_off },
   };
   int code;
 
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -137,7 +137,7 @@
                                   .stop_limit = 200 * USEC_PER_MSEC,
                                   .poll_busy = USEC_PER_SEC,
                                   .poll_shared = USEC_PER_SEC,
-                                  .poll_idle = USEC_PER_SEC,
+                                  .poll_idle = 2 * USEC_PER_SEC,
                                   .call_timeout = USEC_PER_SEC,
                                   .stale_limit = 12 * USEC_PER_SEC,
                                   .keep_ended = 60 * USEC_PER_SEC,
