--- a/tests/test-signals.sh
+++ b/tests/test-signals.sh
@@ -1,4 +1,4 @@
-#!/bin/bash
+#!/bin/sh
 # Guards against a process that is ended by a signal which it handles but that
 # arrives while it starts, and by a log that nobody reads any more.  The process
 # reads its settings from a FIFO, which holds its start up until they are written.
