Let the largest VMs of a site own its shards, however small

Timeline (trial on that site, all logs): layout.decide shards=12 workers=3000 cores=0.100 at -0.8 s; no shard has an owner until 5.8 s, when one process says group.help after 6018 ms; 12 owners load; they leave between 25 and 26 s, and the next owners come 6.0 s later (30.9 s).

Cause: twelve partitions allow for twelve shards, of 250 workers each, while a process of 0.1 cores counts as able to own 100. So no process of the site was taken to be able to own a shard: all waited the six seconds that are meant for larger ones to recover, and left after the twenty that are meant for help.

Now the layout record says how many millicores the process had that decided, which is of the largest, since those decide first; processes of that size own shards. Earlier builds read the record as before, and layouts of theirs mean what they meant.

--- a/src/scheduler/sched_layout.c
+++ b/src/scheduler/sched_layout.c
@@ -28,6 +28,7 @@
 #define WORKER_COUNT_TIME_MAX (5 * USEC_PER_SEC)
 #define LAYOUT_TIMEOUT (1000 * USEC_PER_MSEC)
 #define LAYOUT_KEY "layout"
+#define MILLICORES_PER_CORE 1000
 
 static void on_layout (void *ctx, const store_records_t *records);
 static void count_workers (scheduler_t *s);
@@ -62,23 +63,30 @@
 }
 
 void
-layout_format (uint32_t shards, uint32_t workers, char text[LAYOUT_TEXT_MAX])
+layout_format (const layout_t *layout, char text[LAYOUT_TEXT_MAX])
 {
-  g_snprintf (text, LAYOUT_TEXT_MAX, "%u %u", shards, workers);
+  g_snprintf (text, LAYOUT_TEXT_MAX, "%u %u %u", layout->shards,
+              layout->workers, layout->millicores);
 }
 
 bool
-layout_parse (const char *text, uint32_t partitions, uint32_t *shards,
-              uint32_t *workers)
+layout_parse (const char *text, uint32_t partitions, layout_t *layout)
 {
-  return sscanf (text, "%u %u", shards, workers) == 2 && *shards
-         && *shards <= partitions;
+  layout->millicores = 0;
+  return sscanf (text, "%u %u %u", &layout->shards, &layout->workers,
+                 &layout->millicores)
+             >= 2
+         && layout->shards && layout->shards <= partitions;
 }
 
+/* The process that decided is of the largest, since larger ones decide first.
+   The number of partitions may have kept it from shards of its size. */
 bool
-layout_may_own (double cores, uint32_t workers, uint32_t shards)
+layout_may_own (double cores, const layout_t *layout)
 {
-  return layout_capacity (cores) >= workers / MAX (shards, 1);
+  return layout_capacity (cores) >= layout->workers / MAX (layout->shards, 1)
+         || (layout->millicores
+             && cores * MILLICORES_PER_CORE >= layout->millicores);
 }
 
 usec_t
@@ -99,8 +107,7 @@
 on_layout (void *ctx, const store_records_t *records)
 {
   scheduler_t *s = ctx;
-  uint32_t shards;
-  uint32_t workers;
+  layout_t layout;
 
   s->layout_busy = false;
   sched_wake (s);
@@ -113,11 +120,10 @@
       char *text = blob_dup (records->records[i].value);
 
       if (blob_equals (records->records[i].key, LAYOUT_KEY)
-          && layout_parse (text, s->settings->partitions, &shards, &workers))
+          && layout_parse (text, s->settings->partitions, &layout))
         {
-          s->may_own
-              = layout_may_own (s->settings->cpu_share, workers, shards);
-          sched_set_shards (s, shards);
+          s->may_own = layout_may_own (s->settings->cpu_share, &layout);
+          sched_set_shards (s, layout.shards);
         }
       g_free (text);
     }
@@ -183,7 +189,10 @@
                             .count = 1,
                             .timeout = LAYOUT_TIMEOUT };
 
-  layout_format (shards, s->worker_count, value);
+  layout_format (
+      &(layout_t){ shards, s->worker_count,
+                   (uint32_t)(s->settings->cpu_share * MILLICORES_PER_CORE) },
+      value);
   record.value.len = (uint32_t)strlen (value);
   log_line (LOG_LEVEL_NOTICE, "layout.decide", NULL,
             "shards=%u workers=%u cores=%.3f", shards, s->worker_count,
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -281,15 +281,22 @@
 uint32_t layout_shards (uint32_t workers, uint32_t partitions, double cores);
 /** @return how long a process waits before it proposes SHARDS shards */
 usec_t layout_deferral (uint32_t shards);
-#define LAYOUT_TEXT_MAX 32U
+#define LAYOUT_TEXT_MAX 48U
+/** What the layout record holds.  */
+typedef struct
+{
+  uint32_t shards;
+  uint32_t workers;    /**< when it was decided */
+  uint32_t millicores; /**< of the process that decided; 0: by an earlier build
+                        */
+} layout_t;
 /** Encodes the layout record. */
-void layout_format (uint32_t shards, uint32_t workers,
-                    char text[LAYOUT_TEXT_MAX]);
+void layout_format (const layout_t *layout, char text[LAYOUT_TEXT_MAX]);
 /** @return false if TEXT is no valid layout for PARTITIONS partitions */
-bool layout_parse (const char *text, uint32_t partitions, uint32_t *shards,
-                   uint32_t *workers);
-/** @return whether a process with CORES cores can own a shard */
-bool layout_may_own (double cores, uint32_t workers, uint32_t shards);
+bool layout_parse (const char *text, uint32_t partitions, layout_t *layout);
+/** @return whether a process with CORES cores can own a shard: one is as large
+    as the layout allows for, or none of the site is larger */
+bool layout_may_own (double cores, const layout_t *layout);
 usec_t layout_tick (scheduler_t *s, usec_t now);
 
 /* sched_group.c */
