Tell a rejected repetition of a call from a rejected call

A task may run twice (TWICE), and a job that was refused may run (REFUSED): a worker has executed a start, or the store an append, and the connection breaks before the answer. libcurl sends a repeatable request again on a new connection, and the answer to that, 429 or 503 from an overloaded worker or store, counted as the outcome: a start that has not been executed, an append that nobody has stored.

The client counts how often libcurl begins to send a request and marks the answer to a repetition.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -52,7 +52,8 @@
   char *body;
   size_t body_len;
   size_t body_sent;
-  bool body_ended; /* the whole body was handed to libcurl */
+  bool body_ended;  /* the whole body was handed to libcurl */
+  uint32_t sending; /* how often libcurl has begun to send the request */
   GByteArray *answer;
   bool leaving;
   char etag[ETAG_BYTES];
@@ -82,6 +83,8 @@
                              CURLcode code);
 static size_t on_body_read (char *buffer, size_t size, size_t count,
                             void *ctx);
+static int on_sending (void *ctx, char *peer, char *local, int peer_port,
+                       int local_port);
 static size_t on_answer (char *data, size_t size, size_t count, void *ctx);
 static size_t on_header (char *data, size_t size, size_t count, void *ctx);
 static void count_bytes (const http_client_t *client,
@@ -239,6 +242,8 @@
                     (long)(request->timeout / USEC_PER_MSEC));
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, IDLE_CONNECTION_MAX_AGE_S);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_sending);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_answer);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
@@ -381,6 +386,7 @@
     record_timeout (client, transfer->peer);
   answer.connection_refused = code == CURLE_COULDNT_CONNECT
                               && os_error == ECONNREFUSED && !request_bytes;
+  answer.resent = transfer->sending > 1;
   answer.status = answer.transfer_result == HTTP_ANSWERED ? (int)status : 0;
   answer.body
       = (blob_t){ (char *)transfer->answer->data, transfer->answer->len };
@@ -446,6 +452,19 @@
   return len;
 }
 
+static int
+on_sending (void *ctx, char *peer, char *local, int peer_port, int local_port)
+{
+  transfer_t *transfer = ctx;
+
+  (void)peer;
+  (void)local;
+  (void)peer_port;
+  (void)local_port;
+  transfer->sending++;
+  return CURL_PREREQFUNC_OK;
+}
+
 static size_t
 on_answer (char *data, size_t size, size_t count, void *ctx)
 {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -28,6 +28,8 @@
   http_result_t transfer_result;
   bool connection_refused; /**< nothing listens at the address, and no request
                                 was sent on a former connection */
+  bool resent;             /**< sent again after its connection broke: the
+                                server may have acted before */
   int status;              /**< HTTP status, 0 unless answered */
   blob_t body;             /**< valid during the callback */
   bool leaving;            /**< header Limpethinge-Leaving was set */
--- a/src/net/test_http_client.c
+++ b/src/net/test_http_client.c
@@ -34,8 +34,10 @@
   uint32_t answered;
   uint32_t timed_out;
   uint32_t refused;
+  uint32_t resent;
   bool new_connections; /* each request asks for one */
   bool ends;            /* the server ends as it has read the next request */
+  bool breaks; /* the server closes the connection instead of an answer */
 } fixture_t;
 
 static fixture_t f;
@@ -68,6 +70,14 @@
       end_server (EV_A_ io);
       return;
     }
+  if (f.breaks)
+    {
+      f.breaks = false;
+      ev_io_stop (EV_A_ io);
+      close (io->fd);
+      io->fd = -1;
+      return;
+    }
   if (io - f.connections >= f.silent_count)
     CU_ASSERT_EQUAL (send (io->fd, response, sizeof response - 1, 0),
                      (ssize_t)(sizeof response - 1));
@@ -129,6 +139,7 @@
   f.answered += answer->transfer_result == HTTP_ANSWERED;
   f.timed_out += answer->transfer_result != HTTP_ANSWERED;
   f.refused += answer->connection_refused;
+  f.resent += answer->resent;
   if (!--*open)
     ev_break (f.loop, EVBREAK_ALL);
 }
@@ -258,6 +269,24 @@
   tear_down ();
 }
 
+/* Guards against an answer that is taken for the only one: the server has read
+   the request before, on a connection that broke. */
+static void
+test_answer_to_repetition (void)
+{
+  set_up ();
+  request (1);
+  f.breaks = true;
+  request (1);
+  CU_ASSERT_EQUAL (f.answered, 2);
+  CU_ASSERT_EQUAL (f.connection_count, 2);
+  CU_ASSERT_EQUAL (f.resent, 1);
+  request (1);
+  CU_ASSERT_EQUAL (f.answered, 3);
+  CU_ASSERT_EQUAL (f.resent, 1);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -267,6 +296,7 @@
     { "age in whole seconds", test_age_in_whole_seconds },
     { "connection reused", test_connection_reused },
     { "refused after sent", test_refused_after_sent },
+    { "answer to a repetition", test_answer_to_repetition },
   };
 
   return suite_main ("http client", tests, sizeof tests / sizeof *tests);
