--- a/src/shard/test_shard_capacity.c
+++ b/src/shard/test_shard_capacity.c
@@ -458,7 +458,7 @@
   fixture.call_count = 0;
   shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
   advance_without_list (0);
-  CU_ASSERT_EQUAL (count_calls (SHARD_START), 4 * MANY_WORKERS);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), (size_t)4 * MANY_WORKERS);
   tear_down ();
 }
 
