Limit the workers that an order of `serve` may take down

An order that takes its worker down as soon as it is started was requeued each time its lease had lapsed, without a limit: conclude_interrupted asked only whether the class may be repeated.

An attempt that is lost within a renewal interval of its start is now requeued for a reason of its own, and the order counts those that follow each other. The fifth ends the order with an unknown outcome.

The test "order crashes workers" fails without the limit: too many attempts.

--- a/src/attempts/attempt.c
+++ b/src/attempts/attempt.c
@@ -66,7 +66,9 @@
 static void handle_stopped (attempts_t *attempts, usec_t now,
                             attempt_t *attempt);
 static void conclude_interrupted (attempts_t *attempts, usec_t now,
-                                  attempt_t *attempt);
+                                  attempt_t *attempt, requeue_reason_t reason);
+static requeue_reason_t reason_of_loss (const attempts_t *attempts,
+                                        const attempt_t *attempt);
 static void requeue (usec_t now, attempt_t *attempt, requeue_reason_t reason);
 static message_t start_entry (const attempt_t *attempt, uint64_t epoch);
 static message_t decision_entry (const attempt_t *attempt, uint64_t epoch);
@@ -74,6 +76,8 @@
                             attempt_t *attempt, const message_t *entry);
 static bool is_cancelled (const attempts_t *attempts,
                           const attempt_t *attempt);
+static bool is_last_loss (const attempts_t *attempts, const attempt_t *attempt,
+                          requeue_reason_t reason);
 static bool may_repeat (const attempts_t *attempts, const attempt_t *attempt);
 static void store_checkpoint (attempt_t *attempt, blob_t checkpoint);
 
@@ -301,7 +305,8 @@
   if (now < lapse)
     return lapse;
   attempt_unreserve (attempts, now, attempt, false, 0);
-  conclude_interrupted (attempts, now, attempt);
+  conclude_interrupted (attempts, now, attempt,
+                        reason_of_loss (attempts, attempt));
   return now;
 }
 
@@ -538,22 +543,45 @@
       requeue (now, attempt, REQUEUE_EVICTED);
     }
   else
-    conclude_interrupted (attempts, now, attempt);
+    conclude_interrupted (attempts, now, attempt, REQUEUE_LEASE_LAPSED);
 }
 
 /* The attempt has certainly stopped, but its progress is unknown. */
 static void
-conclude_interrupted (attempts_t *attempts, usec_t now, attempt_t *attempt)
+conclude_interrupted (attempts_t *attempts, usec_t now, attempt_t *attempt,
+                      requeue_reason_t reason)
 {
   if (is_cancelled (attempts, attempt))
     attempt_end (now, attempt, OUTCOME_UNKNOWN, ATTEMPTS_STATUS_CANCELLED,
                  blob_of (""));
-  else if (may_repeat (attempts, attempt))
-    requeue (now, attempt, REQUEUE_LEASE_LAPSED);
+  else if (may_repeat (attempts, attempt)
+           && !is_last_loss (attempts, attempt, reason))
+    requeue (now, attempt, reason);
   else
     attempt_end (now, attempt, OUTCOME_UNKNOWN, 0, blob_of (""));
 }
 
+/* An order may take its worker down as soon as it is started. */
+static requeue_reason_t
+reason_of_loss (const attempts_t *attempts, const attempt_t *attempt)
+{
+  return !attempt->started_at
+                 || attempt->last_seen_at - attempt->started_at
+                        < attempts->config.renew_interval
+             ? REQUEUE_LOST_EARLY
+             : REQUEUE_LEASE_LAPSED;
+}
+
+static bool
+is_last_loss (const attempts_t *attempts, const attempt_t *attempt,
+              requeue_reason_t reason)
+{
+  const order_t *order = orders_get (attempts->orders, attempt->order);
+
+  return reason == REQUEUE_LOST_EARLY && order
+         && order->early_losses + 1 >= attempts->config.max_early_losses;
+}
+
 static void
 requeue (usec_t now, attempt_t *attempt, requeue_reason_t reason)
 {
--- a/src/attempts/attempts.h
+++ b/src/attempts/attempts.h
@@ -32,7 +32,9 @@
   usec_t placement_interval;  /**< minimum time between two passes over the
                                waiting orders */
   usec_t turn_check_interval; /**< time between two rounds of is_turn checks */
-  uint32_t max_failures; /**< failed attempts after which the order ends */
+  uint32_t max_failures;     /**< failed attempts after which the order ends */
+  uint32_t max_early_losses; /**< the same for consecutive attempts whose
+                               worker was lost soon after their start */
 } attempts_config_t;
 
 typedef enum
--- a/src/attempts/test_attempts_matrix.c
+++ b/src/attempts/test_attempts_matrix.c
@@ -48,7 +48,8 @@
                                           .retry_interval = 200 * MS,
                                           .placement_interval = 10 * MS,
                                           .turn_check_interval = 1000 * MS,
-                                          .max_failures = 3 };
+                                          .max_failures = 3,
+                                          .max_early_losses = 5 };
 
 /* Steps at which a fault can be injected. */
 typedef enum
@@ -225,6 +226,7 @@
   bool overlap_allowed; /* two runs at once may occur for a short time */
   bool cancelled;
   bool evicted;
+  bool faults_recur;
   struct
   {
     const fault_t *fault;
@@ -237,6 +239,7 @@
 
 static void inject_faults_at (world_t *world, point_t point, order_id_t order,
                               node_t *node, worker_t *worker);
+static worker_t *worker_of_node (node_t *node);
 static void node_tick (node_t *node);
 static void schedule_run_check (world_t *world, worker_t *worker);
 
@@ -324,7 +327,7 @@
     /* All three entries begin with the field order. */
     if (points[i].type == entry->type)
       inject_faults_at (world, points[i].point, entry->u.order_end.order, node,
-                        NULL);
+                        worker_of_node (node));
   if (node->dead)
     {
       g_byte_array_free (bytes, TRUE);
@@ -492,7 +495,7 @@
   message_decode ((blob_t){ data, (uint32_t)len }, &message, NULL);
   if (own && message.type == MSG_ORDER_START)
     inject_faults_at (world, AT_START_READ, message.u.order_start.order, node,
-                      NULL);
+                      worker_of_node (node));
   if (node->dead || is_frozen (node))
     return;
   verdict = orders_apply (node->orders, world->now,
@@ -1115,16 +1118,22 @@
         "run end",     "end append",   "checkpoint send", "checkpoint reply",
         "stop send",   "stop reply",   "requeue append",  "restart send" };
 
+/* @return a worker of a shard that the node owns */
+static worker_t *
+worker_of_node (node_t *node)
+{
+  return &node->world->workers[node->owns[0] ? 0 : 2];
+}
+
 static void
 inject_faults_at (world_t *world, point_t point, order_id_t order,
                   node_t *node, worker_t *worker)
 {
   if (order != TARGET_ORDER)
     return;
-  if (!worker)
-    worker = &world->workers[node->owns[0] ? 0 : 2];
   for (size_t i = 0; i < G_N_ELEMENTS (world->planned_faults); i++)
-    if (world->planned_faults[i].fault && !world->planned_faults[i].injected
+    if (world->planned_faults[i].fault
+        && (!world->planned_faults[i].injected || world->faults_recur)
         && world->planned_faults[i].point == point)
       {
         world->planned_faults[i].injected = true;
@@ -1343,7 +1352,8 @@
   for (unsigned i = 0; i < TARGET_ORDER + OTHER_ORDERS; i++)
     order_add (world, world->class_, 0);
   inject_faults_at (world, AT_ACCEPT, TARGET_ORDER,
-                    &world->nodes[TARGET_ORDER % NODES], NULL);
+                    &world->nodes[TARGET_ORDER % NODES],
+                    worker_of_node (&world->nodes[TARGET_ORDER % NODES]));
 }
 
 static void
@@ -1539,8 +1549,29 @@
   check_tally ("pairs", &tally);
 }
 
+/* Guards against an order that takes down one worker after another. */
+static void
+test_order_crashes_workers (void)
+{
+  static const fault_t crash = { "worker crashes", worker_crashes };
+
+  for (int class_ = CLASS_IDEMPOTENT; class_ < CLASS_COUNT; class_++)
+    {
+      world_t *world = g_new0 (world_t, 1);
+
+      world->class_ = (class_t)class_;
+      world->faults_recur = true;
+      world->planned_faults[0].fault = &crash;
+      world->planned_faults[0].point = AT_START_REPLY;
+      CU_ASSERT_EQUAL (run_case (world), CASE_PASSED);
+      CU_ASSERT_EQUAL (world->runs[TARGET_ORDER].starts, 5);
+      g_free (world);
+    }
+}
+
 static const suite_test_t tests[] = {
   { "single faults", test_single_faults },
+  { "order crashes workers", test_order_crashes_workers },
   { "pairs", test_pairs },
 };
 
--- a/src/node/node_batch.c
+++ b/src/node/node_batch.c
@@ -23,6 +23,8 @@
    the next node by rank. */
 #define TURN_INTERVAL (500 * USEC_PER_MSEC)
 #define MAX_FAILED_ATTEMPTS 3U
+/* Callers may rely on fewer than three starts after three crashes. */
+#define MAX_EARLY_LOSSES 5U
 #define URL_BYTES 256
 #define HEADER_BYTES 64
 
@@ -76,7 +78,8 @@
           .retry_interval = CALL_RETRY_DELAY,
           .placement_interval = PLACEMENT_INTERVAL,
           .turn_check_interval = TURN_INTERVAL,
-          .max_failures = MAX_FAILED_ATTEMPTS };
+          .max_failures = MAX_FAILED_ATTEMPTS,
+          .max_early_losses = MAX_EARLY_LOSSES };
 
   node->placement = placement_new (node->random, &placement_ops, node);
   node->attempts = attempts_new (&config, &attempts_ops, node, node->orders,
--- a/src/orders/orders.c
+++ b/src/orders/orders.c
@@ -292,7 +292,8 @@
     .cancelled = order->cancelled,
     .result = blob_of_bytes (order->result),
     .checkpoint = blob_of_bytes (order->checkpoint),
-    .may_have_run = order->may_have_run,
+    /* Builds that do not count the losses take any number for true. */
+    .may_have_run = order->may_have_run ? 1 + order->early_losses : 0,
     .as_of = order->last_entry_offset,
     .failures = order->failures,
     .body_digest = order->body_digest,
@@ -455,6 +456,10 @@
     order->may_have_run = true;
   if (requeue->reason == REQUEUE_FAILED)
     order->failures++;
+  if (requeue->reason == REQUEUE_LOST_EARLY)
+    order->early_losses++;
+  else if (requeue->reason != REQUEUE_NOT_STARTED)
+    order->early_losses = 0;
   if (requeue->checkpoint.len)
     {
       drop_bytes (&order->checkpoint);
@@ -585,6 +590,7 @@
   row->order.epoch = snapshot->epoch;
   row->order.cancelled = snapshot->cancelled != 0;
   row->order.may_have_run = snapshot->may_have_run != 0;
+  row->order.early_losses = MAX (snapshot->may_have_run, 1) - 1;
   row->order.failures = snapshot->failures;
   if (snapshot->checkpoint.len)
     row->order.checkpoint = bytes_of (snapshot->checkpoint);
--- a/src/orders/orders.h
+++ b/src/orders/orders.h
@@ -28,7 +28,9 @@
   REQUEUE_EVICTED = 1,      /**< checkpointed and stopped, confirmed */
   REQUEUE_NOT_STARTED = 2,  /**< known not to have started */
   REQUEUE_LEASE_LAPSED = 3, /**< idempotent or resumable, lease expired */
-  REQUEUE_FAILED = 4        /**< ended in failure, to be retried */
+  REQUEUE_FAILED = 4,       /**< ended in failure, to be retried */
+  REQUEUE_LOST_EARLY = 5    /**< as REQUEUE_LEASE_LAPSED, and not known to
+                                 have run for a while */
 } requeue_reason_t;
 
 typedef struct
@@ -48,11 +50,13 @@
                           than REQUEUE_NOT_STARTED, so the order cannot end
                           as not-run */
   order_state_t state;
-  uint64_t failures; /**< attempts requeued as failed */
-  uint64_t attempt;  /**< number of the newest attempt, 0 before the first */
-  char *worker;      /**< of the newest attempt */
-  uint32_t shard;    /**< of the newest attempt's worker */
-  uint64_t epoch;    /**< of the newest attempt */
+  uint64_t failures;     /**< attempts requeued as failed */
+  uint64_t early_losses; /**< consecutive attempts requeued as
+                              REQUEUE_LOST_EARLY */
+  uint64_t attempt; /**< number of the newest attempt, 0 before the first */
+  char *worker;     /**< of the newest attempt */
+  uint32_t shard;   /**< of the newest attempt's worker */
+  uint64_t epoch;   /**< of the newest attempt */
   outcome_t outcome;
   uint64_t status; /**< status of the response if OUTCOME_RAN */
   GBytes *body;    /**< freed when the order ends */
--- a/src/orders/test_orders.c
+++ b/src/orders/test_orders.c
@@ -297,6 +297,43 @@
       }
 }
 
+/* Guards against losses of workers that a new reader does not count, and
+   against losses that count although an attempt ended otherwise. */
+static void
+test_early_losses (void)
+{
+  static const log_step_t steps[]
+      = { { 'A', 0, 0, 0, 0, 0 },
+          { 'S', 1, EPOCH, 0, 0, 0 },
+          { 'R', 1, EPOCH, REQUEUE_LOST_EARLY, 0, 0 },
+          { 'S', 2, EPOCH, 0, 0, 0 },
+          { 'R', 2, EPOCH, REQUEUE_LOST_EARLY, 0, 0 },
+          { 'S', 3, EPOCH, 0, 0, 0 },
+          { 'R', 3, EPOCH, REQUEUE_NOT_STARTED, 0, 0 },
+          { 'S', 4, EPOCH, 0, 0, 0 },
+          { 'R', 4, EPOCH, REQUEUE_LEASE_LAPSED, 0, 0 } };
+  static const uint64_t losses[] = { 0, 0, 1, 1, 2, 2, 2, 2, 0 };
+  fixture_t fixture = { EPOCH, 0 };
+  orders_t *orders = orders_new (&ops, &fixture);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      orders_t *reader = orders_new (&ops, &fixture);
+      message_t snapshot = { .type = MSG_ORDER_SNAPSHOT };
+      message_t message = message_of (&steps[i]);
+
+      orders_apply (orders, 0, i, &message, NULL);
+      orders_snapshot (orders_get (orders, 1), &snapshot.u.order_snapshot);
+      orders_apply (reader, 0, 99, &snapshot, NULL);
+      CU_ASSERT_EQUAL (orders_get (orders, 1)->early_losses, losses[i]);
+      CU_ASSERT_EQUAL (orders_get (reader, 1)->early_losses, losses[i]);
+      CU_ASSERT_EQUAL (orders_get (reader, 1)->may_have_run,
+                       orders_get (orders, 1)->may_have_run);
+      orders_free (reader);
+    }
+  orders_free (orders);
+}
+
 /* Guards against orders that take too much memory: 400,000 of them must fit
    into the memory limit of the process. */
 static void
@@ -328,6 +365,7 @@
 static const suite_test_t tests[] = {
   { "results of entries", test_apply_results },
   { "member isolation", test_member_isolation },
+  { "early losses", test_early_losses },
   { "iteration over orders", test_iteration },
   { "snapshots", test_snapshots },
   { "memory", test_memory },
