Soak: end the silence of the store's connections

The HTTP server keeps connections whose requests have no answer open for good, also when the client has closed them.

--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -63,7 +63,8 @@
   GArray *waiting; /* waiting_t */
   usec_t outage_due;
   usec_t outage_end;
-  bool silent; /* calls get no answer during the outage */
+  bool silent;      /* calls get no answer during the outage */
+  GArray *silenced; /* handle_t of the HTTP server */
   usec_t deal_due;
   usec_t forget_due;
 };
@@ -113,6 +114,7 @@
   store->members = g_ptr_array_new_with_free_func (member_free);
   store->shares = g_new0 (share_t, fleet->config.partitions);
   store->waiting = g_array_new (FALSE, FALSE, sizeof (waiting_t));
+  store->silenced = g_array_new (FALSE, FALSE, sizeof (handle_t));
   store->outage_due = now + fleet->config.outage_every * USEC_PER_MSEC;
   store->deal_due = now + fleet->config.deal_every * USEC_PER_MSEC;
   store->forget_due = now + fleet->config.forget_every * USEC_PER_MSEC;
@@ -129,6 +131,7 @@
   g_hash_table_destroy (store->topics);
   g_ptr_array_free (store->members, TRUE);
   g_free (store->shares);
+  g_array_free (store->silenced, TRUE);
   g_array_free (store->waiting, TRUE);
   g_free (store);
 }
@@ -541,7 +544,9 @@
     }
   if (clock_now () < fleet->store->outage_end)
     {
-      if (!fleet->store->silent)
+      if (fleet->store->silent)
+        g_array_append_val (fleet->store->silenced, request->handle);
+      else
         fleet_answer (fleet->httpd, request->handle, 503, json_object ());
       return;
     }
@@ -598,12 +603,26 @@
     }
 }
 
+/* Connections whose requests have no answer are kept open for good, also when
+   the client has closed them.  */
+static void
+end_silence (store_t *store)
+{
+  for (guint i = 0; i < store->silenced->len; i++)
+    fleet_answer (store->fleet->httpd,
+                  g_array_index (store->silenced, handle_t, i), 503,
+                  json_object ());
+  g_array_set_size (store->silenced, 0);
+}
+
 void
 fleet_store_tick (store_t *store, usec_t now)
 {
   const fleet_config_t *config = &store->fleet->config;
   bool calm = store->fleet->calm;
 
+  if (now >= store->outage_end)
+    end_silence (store);
   (void)begin_outage (store, now, store->outage_due);
   if (config->deal_every && !calm && now >= store->deal_due)
     {
--- a/standin/main_fleet.c
+++ b/standin/main_fleet.c
@@ -86,7 +86,7 @@
 {
   char address[64];
   httpd_config_t config = { .address = address,
-                            .max_connections = 512,
+                            .max_connections = 4096,
                             .max_body = 4U << 20,
                             .timeout = 60 * USEC_PER_SEC };
   ev_timer tick;
