Do not take an expired entry for the end of a worker that was leaving

What happened: a worker that is leaving cannot reach the store, so that its entry expires after three intervals, and is cut off from the owner. It runs on; the owner took it to have left at the first hold without an answer.

Cause: the end of an entry has two meanings, that the worker has left and that it was silent to the store for 4.5 s. An entry expires no earlier than two intervals after the last answer of its worker: the last update is at most one interval older. Only one that goes within that time after the last answer, and not before it, shows that the worker has left; else the leases decide. Of a worker that has not answered this owner nothing more is known than before, so that (workers that left before a takeover) stays as it was.

"leaving worker cut off" failed before (appends 2, expected 1).

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -487,7 +487,7 @@
   else
     worker->silent_holds = 0;
   worker->hold_due = now + HOLD_RETRY;
-  if (worker_has_left (worker))
+  if (worker_has_left (shard, worker))
     run_requeue_all (shard, now, handle, "left");
   if (kind != SHARD_REPLY_REFUSED)
     {
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -103,6 +103,7 @@
   usec_t started_known_at;  /* when an answer last changed STARTED_MS */
   int64_t entry_started_ms; /* incarnation that the list describes */
   bool listed;              /* by the platform */
+  usec_t unlisted_at;       /* when it was last found not to be, 0: never */
   bool leaving;
   usec_t leaving_known_at; /* since when LEAVING is set */
   uint32_t millicores;
@@ -307,9 +308,9 @@
 handle_t worker_find (const shard_t *shard, const char *id);
 handle_t worker_add (shard_t *shard, const char *id);
 void worker_free (worker_t *worker);
-/** @return whether the worker was leaving, is no longer listed and does not
-    answer: its runs have ended with it */
-bool worker_has_left (const worker_t *worker);
+/** @return whether the worker was leaving, does not answer, and its entry was
+    removed and has not expired: its runs have ended with it */
+bool worker_has_left (const shard_t *shard, const worker_t *worker);
 /** Removes unlisted workers that do not answer and have no runs. */
 void worker_remove_unlisted (shard_t *shard);
 /** @return a lower bound of the worker's clock, in ms */
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -405,6 +405,47 @@
   tear_down ();
 }
 
+static void
+check_leaving_worker_cut_off (bool answers_unlisted)
+{
+  const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+  usec_t granted;
+
+  set_up_with_placed_run ();
+  list_worker_leaving (true);
+  advance (0);
+  reply_to_hold (&first_run, 1, NULL, 0);
+  if (answers_unlisted)
+    {
+      shard_worker_unlisted (fixture.shard, fixture.now, "w1");
+      advance (USEC_PER_SEC);
+      reply_to_hold (&first_run, 1, NULL, 0);
+    }
+  reply_to_holds (1, ENTRY_LIFETIME_MIN, &none);
+  granted = fixture.now;
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  CU_ASSERT_EQUAL_FATAL (fixture.appends, 1); /* that its worker leaves */
+  if (!answers_unlisted)
+    shard_worker_unlisted (fixture.shard, fixture.now, "w1");
+  while (fixture.now < granted + LEASE)
+    reply_to_holds (1, 100 * USEC_PER_MSEC, &none);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  while (fixture.now < granted + LEASE + LEASE_SLACK)
+    reply_to_holds (1, 100 * USEC_PER_MSEC, &none);
+  CU_ASSERT_EQUAL (fixture.appends, 2);
+  tear_down ();
+}
+
+/* Guards against two runs of a task: a worker that is leaving is cut off from
+   the store, so that its entry expires, and then or later from the owner, and
+   runs on. */
+static void
+test_leaving_worker_cut_off (void)
+{
+  check_leaving_worker_cut_off (false);
+  check_leaving_worker_cut_off (true);
+}
+
 /* A run is on a worker that is leaving, and a new owner takes over. */
 static void
 set_up_takeover_of_leaving (void)
@@ -470,6 +511,7 @@
     { "refusals of a listed worker", test_refusals_of_a_listed_worker },
     { "refusals of an unlisted worker", test_refusals_of_an_unlisted_worker },
     { "leaving worker rejects holds", test_leaving_worker_rejects_holds },
+    { "leaving worker cut off", test_leaving_worker_cut_off },
     { "gang without a member", test_gang_without_member },
     { "worker left before a takeover", test_worker_left_before_takeover },
   };
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -144,6 +144,7 @@
                                   .append_bytes = 1 << 20,
                                   .zones = zones,
                                   .zones_max_age = ZONES_MAX_AGE,
+                                  .entry_lifetime_min = ENTRY_LIFETIME_MIN,
                                   .workers_max_age = WORKERS_MAX_AGE };
   GByteArray *progress = fixture.progress;
 
