--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -55,6 +55,8 @@
 SECOND_SUBMISSION_COUNTS|src/shard/shard.c|shard/test_shard_steps|s/^  if (entry->job)$/  if (0)/
 LOAD_WITHOUT_FENCE|src/scheduler/sched_store.c|scheduler/test_scheduler|s/if (state->fenced)/if (1)/
 CONFIG_GOES_BACK|src/scheduler/sched_operator.c|scheduler/test_scheduler|s/queues_version (queues) <= queues_version (s->queues)/false/
+OLD_CONNECTION_USED|src/net/http_client.c|net/test_http_client|s/CURLOPT_MAXLIFETIME_CONN, age_s - 1/CURLOPT_MAXLIFETIME_CONN, age_s/;s/age_s > 1/age_s > 0/
+NEW_CONNECTION_KEPT|src/net/http_client.c|net/test_http_client|s/CURLOPT_FORBID_REUSE, 1L/CURLOPT_FORBID_REUSE, 0L/
 UNKNOWN_IS_REFUSED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/bool unknown = submits/bool unknown = false/
 PAUSE_IS_STALL|src/shard/shard_calls.c|shard/test_shard_steps|s/bool silent = now - worker->last_answer > MAX_LIST_GAP/bool silent = false/
 FORMER_LIFE_COUNTS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (is_from_former_incarnation (worker, &pending, reply))/if (false)/
