Do not give up a task for a crash that a new task may have caused

Cause: a suspect of two crashes was given up at the third unless a suspect of as many crashes was there as well. A task that has not been in a crash before and was placed in the same pass, or started shortly before, may be the cause too, but did not count.

The tests "fresh task before a suspect" and "fresh task placed with a suspect" failed before.

--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -33,10 +33,10 @@
    one. */
 #define CRASHES_OF_STRONG_SUSPECT 2U
 #define LOSSES_OF_STRONG_SUSPECT 3U
-/* Crashes after which a task is given up, if no task of another job that had
-   just started as well has been in as many. */
+/* Crashes after which a task is given up, if no task of another job had just
+   started as well at the last one. */
 #define CRASHES_BEFORE_GIVING_UP 3U
-/* The same for a task that has lost more runs than that. */
+/* The same for a task that has lost more runs. */
 #define CRASHES_OF_REPEATED_LOSS 2U
 #define LOSSES_BEFORE_GIVING_UP 4U
 /* The same even if there was such a task: callers may rely on fewer than three
@@ -73,11 +73,10 @@
                               const worker_t *worker);
 static void count_crash (const shard_t *shard, const GArray *suspects);
 static void count_losses (shard_t *shard, usec_t now, const worker_t *worker);
-static bool has_equal_suspect (const shard_t *shard, const GArray *suspects,
-                               const run_t *run);
-static bool is_to_be_given_up (const task_t *task, bool equal);
+static bool has_other_suspect (const GArray *suspects, const run_t *run);
+static bool is_to_be_given_up (const task_t *task, bool others);
 static void note_suspect (const shard_t *shard, const worker_t *worker,
-                          const run_t *run, bool equal, GArray *given_up);
+                          const run_t *run, bool others, GArray *given_up);
 
 GArray *
 crashes_note (shard_t *shard, usec_t now, handle_t handle)
@@ -106,8 +105,8 @@
     {
       const run_t *run = g_array_index (suspects, run_t *, i);
 
-      note_suspect (shard, worker, run,
-                    has_equal_suspect (shard, suspects, run), given_up);
+      note_suspect (shard, worker, run, has_other_suspect (suspects, run),
+                    given_up);
     }
   g_array_free (suspects, TRUE);
   return given_up;
@@ -428,39 +427,37 @@
     }
 }
 
+/* @return whether a task of another job may have caused the crash.  One that
+   has not been in a crash before may do so now. */
 static bool
-has_equal_suspect (const shard_t *shard, const GArray *suspects,
-                   const run_t *run)
+has_other_suspect (const GArray *suspects, const run_t *run)
 {
-  uint32_t crashes = task_of_run (shard, run)->crashes;
-
   for (guint i = 0; i < suspects->len; i++)
     {
       const run_t *other = g_array_index (suspects, run_t *, i);
 
-      if (other->run_id.job != run->run_id.job
-          && task_of_run (shard, other)->crashes >= crashes)
+      if (other->run_id.job != run->run_id.job)
         return true;
     }
   return false;
 }
 
-/* @param equal a task of another job has been in as many crashes */
+/* @param others tasks of other jobs may have caused the last crash */
 static bool
-is_to_be_given_up (const task_t *task, bool equal)
+is_to_be_given_up (const task_t *task, bool others)
 {
   if (task->crashes >= CRASHES_BEFORE_GIVING_UP)
-    return !equal || task->losses >= MAX_LOSSES;
+    return !others || task->losses >= MAX_LOSSES;
   return task->crashes >= CRASHES_OF_REPEATED_LOSS
-         && task->losses >= LOSSES_BEFORE_GIVING_UP && !equal;
+         && task->losses >= LOSSES_BEFORE_GIVING_UP && !others;
 }
 
 static void
 note_suspect (const shard_t *shard, const worker_t *worker, const run_t *run,
-              bool equal, GArray *given_up)
+              bool others, GArray *given_up)
 {
   const task_t *task = task_of_run (shard, run);
-  bool gives_up = is_to_be_given_up (task, equal);
+  bool gives_up = is_to_be_given_up (task, others);
   char text[64];
 
   counter_add (COUNTER_CRASH_SUSPECTS, 1);
@@ -469,7 +466,7 @@
             "task=%s run=%u worker=%s crashes=%u losses=%u other_suspects=%d"
             " silent=%d started_ms_before=%" PRId64,
             run_format_id (&run->run_id, text), run->run_id.run, worker->id,
-            task->crashes, task->losses, equal, worker->crash_was_silent,
+            task->crashes, task->losses, others, worker->crash_was_silent,
             usec_to_msec (worker->in_doubt_since - run->started_at));
   if (!gives_up)
     return;
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -66,7 +66,7 @@
 static usec_t crash_delay;    /* after the start */
 static sim_worker_t *crashing;
 static usec_t crash_at;
-static usec_t append_delay; /* of every other append */
+static usec_t append_delay;       /* of every other append */
 static usec_t append_due;
 static uint32_t appends_done;
 static bool
@@ -925,6 +925,69 @@
   tear_down_workers ();
 }
 
+static void
+add_small_job_of_rack (job_id_t id)
+{
+  submission_t *submission = new_submission_with_id (id, 1);
+
+  submission->steps[0].required_label = g_strdup ("r0");
+  apply_submission (submission);
+}
+
+/* Guards against a suspect that is given up for a crash which a task has
+   caused that had started shortly before it.  One worker of the rack is left.
+ */
+static void
+test_fresh_task_before_suspect (void)
+{
+  set_up_workers ();
+  workers[RACKS].leaving = true;
+  crash_delay = 700 * USEC_PER_MSEC;
+  add_small_job_of_rack (OTHER_JOB);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      for (int k = 0; k < 3000 && !workers[0].runs->len; k++)
+        run_workers (STEP);
+      run_workers (100 * USEC_PER_MSEC);
+      stop_worker (&workers[0], WORKER_REFUSES);
+      if (!i)
+        stop_worker (&workers[1], WORKER_REFUSES);
+    }
+  add_small_job_of_rack (JOB_ID);
+  run_workers (60 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
+  CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
+  CU_ASSERT_EQUAL (status_of (OTHER_JOB), JOB_RUNNING);
+  tear_down_workers ();
+}
+
+/* Guards against a suspect that is given up for a crash which a task has
+   caused that was placed in the same pass, before it. */
+static void
+test_fresh_task_placed_with_suspect (void)
+{
+  submission_t *submission = new_submission_with_id (OTHER_JOB, 1);
+
+  submission->priority = 1;
+  set_up_workers ();
+  for (uint32_t w = 1; w < WORKERS; w++)
+    workers[w].leaving = true;
+  apply_submission (submission);
+  for (uint32_t i = 1; i <= 2; i++)
+    {
+      for (int k = 0; k < 3000 && !workers[0].runs->len; k++)
+        run_workers (STEP);
+      run_workers (100 * USEC_PER_MSEC);
+      stop_worker (&workers[0], WORKER_REFUSES);
+    }
+  add_job (1);
+  run_workers (40 * USEC_PER_SEC);
+  CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
+  CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
+  CU_ASSERT_EQUAL (status_of (OTHER_JOB), JOB_RUNNING);
+  tear_down_workers ();
+}
+
 /* Guards against crashes that a successor finds at its takeover and takes for
    ones with a common cause, since an idle worker is down as well. */
 static void
@@ -1205,6 +1268,9 @@
     { "notice after a crash", test_notice_after_crash },
     { "workers leave meanwhile", test_workers_leave_meanwhile },
     { "fresh task beside a suspect", test_fresh_task_beside_suspect },
+    { "fresh task before a suspect", test_fresh_task_before_suspect },
+    { "fresh task placed with a suspect",
+      test_fresh_task_placed_with_suspect },
     { "successors one after another", test_successors_one_after_another },
     { "list read after a pause", test_list_read_after_pause },
     { "crash after silence", test_crash_after_silence },
