Pause failing workers for no longer than a task may wait

Callers see tasks without a run for 12 s although all workers are well and have room (LOST is 7 s after the end of an impairment): every run fails on every worker for some seconds (srv_grey errors all), and the workers are paused, up to 48 of 48 at once (step.waits ... fits=0 away=48).

Cause: a pause grows with the failures of other jobs up to 12 s, whether other workers are left or not, and nothing but its end or a success ends it. It is bounded by 6 s now.

Ruled out: pausing only while others are left; it would look for them in each pass, and workers that are full are no choice either.

--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -12,7 +12,9 @@
 /* Consecutive failures after which a worker gets no new runs for a while. */
 #define FAILURES_BEFORE_AVOID 2U
 #define AVOID_FIRST (1500 * USEC_PER_MSEC)
-#define AVOID_MAX (12 * USEC_PER_SEC)
+/* All workers may be paused at once: shorter than the 7 s after which the
+   platform asks for a run of a task if there is capacity. */
+#define AVOID_MAX (6 * USEC_PER_SEC)
 
 static void update_text (char **target, const char *text);
 static void set_leaving (shard_t *shard, worker_t *worker, bool leaving);
--- a/src/shard/test_shard_settle.c
+++ b/src/shard/test_shard_settle.c
@@ -10,6 +10,10 @@
 #define STEP (10 * USEC_PER_MSEC)
 /* Longest time until the task of a run that has ended is started again. */
 #define SETTLE_LIMIT (3 * USEC_PER_SEC)
+/* Longest time that the platform allows a task to be without a run after the
+   end of an impairment, while there is capacity. */
+#define TURN_LIMIT (7 * USEC_PER_SEC)
+#define FAILING_JOBS 6U
 
 /* A hold that waits at its worker. */
 typedef struct
@@ -204,6 +208,62 @@
   tear_down_workers ();
 }
 
+/* Has the first FAILING_JOBS tasks fail on the only worker, at once. */
+static void
+fail_runs (void)
+{
+  static const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  end_report_t ends[FAILING_JOBS];
+
+  for (uint32_t i = 0; i < FAILING_JOBS; i++)
+    {
+      submission_t *submission = new_submission_with_id (JOB_ID + i, 1);
+
+      submission->max_attempts = 1;
+      submission->steps[0].millicores = 500;
+      apply_submission (submission);
+      ends[i] = (end_report_t){
+        i + 1, { JOB_ID + i, 0, 0, 0, 1 }, RUN_FAILED, ""
+      };
+    }
+  advance (STEP);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (STEP);
+  CU_ASSERT_EQUAL_FATAL (count_calls (SHARD_START), FAILING_JOBS);
+  for (size_t i = 0; i < fixture.call_count; i++)
+    if (fixture.calls[i].kind == SHARD_START)
+      shard_reply (fixture.shard, fixture.now, fixture.calls[i].id, &ok);
+  reply_with_lists ("w1", NULL, 0, ends, FAILING_JOBS);
+}
+
+/* Guards against a pause of failing workers that lasts longer than a task may
+   be without a run: all workers may have failed at once, for a reason that has
+   gone (srv_grey errors all: 48 of 48 workers paused). */
+static void
+test_pause_of_failing_workers (void)
+{
+  const shard_reply_t lists = { .kind = SHARD_REPLY_OK,
+                                .started_ms = START_WALL_MS,
+                                .has_lists = true };
+  usec_t failed_at;
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  fail_runs ();
+  failed_at = fixture.now;
+  add_job_with_id (JOB_ID + FAILING_JOBS, 1);
+  do
+    {
+      if (fixture.appends)
+        shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+      reply_to_holds (1, STEP, &lists);
+    }
+  while (!last_call (SHARD_START) && fixture.now < failed_at + 2 * TURN_LIMIT);
+  CU_ASSERT (fixture.now - failed_at < TURN_LIMIT);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -211,6 +271,7 @@
     { "stops outpace lists", test_stops_outpace_lists },
     { "restart after stop", test_restart_after_stop },
     { "late answer to stop", test_late_answer_to_stop },
+    { "pause of failing workers", test_pause_of_failing_workers },
   };
   int code;
 
