Count a crash once for each run

Cause: a run whose start was not answered stays placed when its worker restarts, until the new incarnation has answered a stop. Its record still named the former incarnation, so that each owner that took over meanwhile found a restart and counted the same crash again; a second crash of the worker counted again as well.

The record now names the incarnation in which the run is looked for, and a run counts once.

--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -315,7 +315,7 @@
 is_suspect (const shard_t *shard, usec_t now, const worker_t *worker,
             const run_t *run)
 {
-  if (run->lived || !has_started (run))
+  if (run->lived || run->loss_counted || !has_started (run))
     return false;
   if (is_alone (worker, run))
     return true;
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -277,6 +277,7 @@
 run_worker_restarted (shard_t *shard, usec_t now, handle_t handle)
 {
   run_t *run = run_get (shard, handle);
+  job_entry_t *entry = shard_entry (shard, run->run_id.job);
 
   if (!run->start_unanswered && !run->start_in_flight)
     {
@@ -284,7 +285,13 @@
       return;
     }
   /* The new incarnation may still execute the start, until it has answered a
-     stop itself. */
+     stop itself.  To a successor the run is one of that incarnation, whose
+     predecessor's crash is counted. */
+  job_task (entry->job, run->run_id.occurrence, run->run_id.step,
+            run->run_id.index)
+      ->place.life_ms
+      = worker_get (shard, run->worker)->started_ms;
+  shard_mark_dirty (shard, entry);
   run->state = RUN_STARTING;
   run->stops_answered = 0;
   run->start_expires_ms = INT64_MAX; /* its clock starts anew */
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -66,6 +66,7 @@
 static usec_t crash_delay;    /* after the start */
 static sim_worker_t *crashing;
 static usec_t crash_at;
+static sim_worker_t *unanswering; /* the last start there had no answer */
 static usec_t append_delay;       /* of every other append */
 static usec_t append_due;
 static uint32_t appends_done;
@@ -112,6 +113,7 @@
   crash_delay = 0;
   dark_crashes = 0;
   crashing = NULL;
+  unanswering = NULL;
   append_delay = 0;
   lists_before_records = false;
   append_due = 0;
@@ -291,6 +293,7 @@
   if (fatal && lost < lost_starts)
     {
       lost++;
+      unanswering = w;
       shard_reply (fixture.shard, fixture.now, call->id, &none);
       return;
     }
@@ -1184,6 +1187,45 @@
   tear_down_workers ();
 }
 
+/* @return crashes of the first task of JOB_ID in its record */
+static uint32_t
+stored_crashes (void)
+{
+  job_t *job = job_new (new_submission (1));
+  uint32_t count = UINT32_MAX;
+
+  if (!job_decode (job, (blob_t){ (char *)fixture.progress->data,
+                                  fixture.progress->len }))
+    count = job_task (job, 0, 0, 0)->crashes;
+  job_free (job);
+  return count;
+}
+
+/* Guards against a crash that each owner counts anew, since the run whose
+   start was not answered is not settled yet. */
+static void
+test_crash_counts_once (void)
+{
+  set_up_workers ();
+  lost_starts = 1;
+  add_job (1);
+  for (int k = 0; k < 3000 && !unanswering; k++)
+    run_workers (STEP);
+  CU_ASSERT_PTR_NOT_NULL (unanswering);
+  if (!unanswering)
+    return;
+  crashes = false;
+  stop_worker (unanswering, WORKER_REFUSES);
+  for (int k = 0; k < 1000 && unanswering->state != WORKER_UP; k++)
+    run_workers (STEP);
+  run_workers (STEP);
+  CU_ASSERT_EQUAL (stored_crashes (), 1);
+  take_over (2, 0);
+  run_workers (10 * STEP);
+  CU_ASSERT_EQUAL (stored_crashes (), 1);
+  tear_down_workers ();
+}
+
 /* Guards against a crash that a successor does not count: the list of workers
    is read before the records, and already has the next incarnation. */
 static void
@@ -1281,6 +1323,7 @@
     { "starts are delayed", test_starts_are_delayed },
     { "briefly paused owner", test_briefly_paused_owner },
     { "slow append between suspects", test_slow_append_between_suspects },
+    { "crash counts once", test_crash_counts_once },
     { "successor reads list first", test_successor_reads_list_first },
     { "workers are cut off", test_workers_are_cut_off },
   };
