--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -71,7 +71,7 @@
 LARGEST_OWNS_NOTHING|src/scheduler/sched_layout.c|scheduler/test_scheduler|s/(layout->millicores$/(0/
 PEER_NUMBERS_UNCHECKED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/m->code < REPLY_KNOWN || m->code > REPLY_WITHDRAWN/false/
 CARRIED_IS_WITHDRAWN|src/shard/shard.c|shard/test_shard_steps|s/ || shard_append_has_submission (shard, id)//
-STORED_IS_WITHDRAWN|src/shard/shard.c|shard/test_shard_steps|/^      g_bytes_unref (entry->unstored_submission);/,+1d
+STORED_IS_WITHDRAWN|src/shard/shard.c|shard/test_shard_steps|s/^      if (entry->unstored_submission)$/      if (0)/
 UNREAD_IS_UNKNOWN|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/if (state->read_as_of >= query->arrived_at)/if (timed_out)/
 PARTIAL_READ_IS_COMPLETE|src/scheduler/sched_store.c|scheduler/test_scheduler|s/^  if (records->has_more)$/  if (0)/
 WITHDRAWN_STAYS|src/shard/shard.c|shard/test_shard_steps|s/  g_hash_table_remove (shard->jobs, &id);//
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -321,8 +321,11 @@
       /* A caller's process has stored the same submission, or it was stored
          again, since a call was repeated or its answer was lost.  If the job
          has ended, the record is deleted. */
-      g_bytes_unref (entry->unstored_submission);
-      entry->unstored_submission = NULL;
+      if (entry->unstored_submission)
+        {
+          g_bytes_unref (entry->unstored_submission);
+          entry->unstored_submission = NULL;
+        }
       if (shard->active && !entry->job->submission)
         {
           entry->drop_submission = true;
