--- a/src/shard/shard_choose.c
+++ b/src/shard/shard_choose.c
@@ -220,9 +220,9 @@
   return best;
 }
 
-/* Tasks with a target are worth more than best-effort tasks that are late
-   already: these are imposed only while less than half of the service's
-   capacity is reserved, so that callers expect no wait. */
+/* While a service is busy, best-effort tasks wait for workers where they
+   disturb nothing.  While less than half of its capacity is reserved, users
+   expect them to run. */
 static bool
 has_room_to_impose (const shard_t *shard, const candidate_t *c)
 {
