--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -111,6 +111,7 @@
 STALE_FITTING|src/shard/shard_place.c|shard/test_shard_steps|s/^  choose_reset (shard);//
 SUSPECTS_TOGETHER|src/shard/shard_choose.c|shard/test_shard_crashes|s/if (crashes_keep_apart (worker, task))/if (0)/
 FRESH_TASK_IS_NO_CAUSE|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (other->run_id.job != run->run_id.job)/if (0)/
+CRASH_COUNTS_FOR_EACH_OWNER|src/shard/shard_runs.c|shard/test_shard_crashes|s/^      = worker_get (shard, run->worker)->started_ms;/      = job_task (entry->job, run->run_id.occurrence, run->run_id.step, run->run_id.index)->place.life_ms;/
 FRESH_BESIDE_SUSPECT|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^                              : SUSPICION_STRONG\]/: SUSPICION_STRONG] * (task->crashes != 0)/
 SUSPECT_NOT_CLEARED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^  task->crashes = 0;/  ;/
 CLEARING_NOT_STORED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/shard_mark_dirty (shard, shard_entry (shard, run->run_id.job));//
--- a/src/shard/test_shard_crashes.c
+++ b/src/shard/test_shard_crashes.c
@@ -921,6 +921,10 @@
       stop_worker (&workers[0], WORKER_REFUSES);
     }
   add_job (1);
+  for (int k = 0; k < 3000 && !workers[0].runs->len; k++)
+    run_workers (STEP);
+  run_workers (500 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (starts, 0);
   run_workers (30 * USEC_PER_SEC);
   CU_ASSERT_EQUAL (status_of (JOB_ID), JOB_FAILED);
   CU_ASSERT (starts >= 2 && starts <= MAX_STARTS);
