test-standin.sh: let the requests that have to meet last longer

Two requests with the same body, 200 ms long, are sent by two curls one after the other; beside load the second began after the first had ended (lc_runs 322, lc_distinct 321: both ran).

Requests that have to overlap last 2 s now, and the audit is read once they have ended instead of 0.4 s later. What is checked is the same.

--- a/tests/test-standin.sh
+++ b/tests/test-standin.sh
@@ -25,23 +25,28 @@
 direct over --rate 300 --lc proof:9:k --body-bytes 300 --time 2>/dev/null &&
     fail "an unknown option was accepted"
 
-# 20 simultaneous requests of 200 ms exceed the 8 slots of an instance; 3 do not.
+# 20 simultaneous requests exceed the 8 slots of an instance; 3 do not.  They
+# take long enough to meet however late each is sent.
+requests=
 for i in $(seq 20); do
-	curl -s -d "run-ms=200;$i" "http://127.0.0.1:$((BASE + 10))/work" \
+	curl -s -d "run-ms=2000;$i" "http://127.0.0.1:$((BASE + 10))/work" \
 	    >/dev/null &
-	PIDS="$PIDS $!"
+	requests="$requests $!"
 done
-sleep 0.4
+PIDS="$PIDS $requests"
+wait $requests
 audit
 check slots "$WORK/audit" '.capacity_violations > 0'
 
 # The same request body running twice at the same time.
+requests=
 for i in 10 11; do
-	curl -s -d "run-ms=200;same" "http://127.0.0.1:$((BASE + i))/work" \
+	curl -s -d "run-ms=2000;same" "http://127.0.0.1:$((BASE + i))/work" \
 	    >/dev/null &
-	PIDS="$PIDS $!"
+	requests="$requests $!"
 done
-sleep 0.4
+PIDS="$PIDS $requests"
+wait $requests
 audit
 check double "$WORK/audit" '.double_lc == 1'
 
