--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -63,6 +63,9 @@
 LEAVE_BEFORE_JOIN|src/scheduler/sched_group.c|scheduler/test_scheduler|s/      s->leave_due = now;$/      ;/
 DEAD_MEMBER_STAYS|src/scheduler/sched_member.c|scheduler/test_scheduler|s/return sched_owns_any_shard (s)$/return true/
 LOST_APPEND_WAITS|src/scheduler/sched_store.c|scheduler/test_scheduler|s/define APPEND_TIMEOUT_MIN (300/define APPEND_TIMEOUT_MIN (1200/
+READ_REPEATED_AS_IS|src/scheduler/sched_store.c|scheduler/test_scheduler|s/^    state->unanswered_reads++;/    ;/
+EACH_QUERY_RECONNECTS|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/.replied_at < request->query_sent/.replied_at >= 0/
+LARGEST_OWNS_NOTHING|src/scheduler/sched_layout.c|scheduler/test_scheduler|s/(layout->millicores$/(0/
 PEER_NUMBERS_UNCHECKED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/m->code < REPLY_KNOWN || m->code > REPLY_WITHDRAWN/false/
 CARRIED_IS_WITHDRAWN|src/shard/shard.c|shard/test_shard_steps|s/ || shard_append_has_submission (shard, id)//
 STORED_IS_WITHDRAWN|src/shard/shard.c|shard/test_shard_steps|/^      g_bytes_unref (entry->unstored_submission);/,+1d
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -62,6 +62,7 @@
   uint64_t from;
   usec_t wait; /**< maximum time to wait for a record */
   usec_t timeout;
+  uint32_t max_bytes; /**< of records, 0: as many as the store returns */
 } store_read_t;
 
 /** Result of a read; valid during the callback. */
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -125,6 +125,8 @@
   bool read_busy;
   usec_t read_due;
   usec_t read_as_of;           /* all records stored before are read */
+  uint32_t unanswered_reads;   /* in succession, or before the last read that
+                                  did not reach the end */
   uint32_t unanswered_appends; /* in succession */
   uint64_t ownership_id;       /* incremented when an ownership begins or ends;
                                   answers to calls of a former one are
--- a/src/scheduler/sched_store.c
+++ b/src/scheduler/sched_store.c
@@ -4,6 +4,12 @@
 #include "scheduler/sched_private.h"
 
 #define READ_WAIT (400 * USEC_PER_MSEC)
+/* A busy process receives one window of a connection in each round of its
+   loop.  Reads that are not answered in time are repeated with less data and
+   more time, but with more data than the largest record has. */
+#define READ_BYTES_LARGE (1U << 20)
+#define READ_BYTES_MIN (288U << 10)
+#define READ_TIMEOUT_SHIFT_MAX 2U
 /* An owner's append times out after APPEND_TIMEOUT_FACTOR times its usual
    latency and is repeated.  The store recognizes repetitions by their
    sequence number; the shard stores and starts nothing else meanwhile. */
@@ -30,6 +36,9 @@
 static void on_fenced (void *ctx, store_result_t result, const char *error);
 static void load_page (shard_state_t *state);
 static void on_page (void *ctx, const store_records_t *records);
+static usec_t read_timeout (const shard_state_t *state, usec_t timeout);
+static void record_read_result (shard_state_t *state, store_result_t result,
+                                bool has_more);
 static void read_next (shard_state_t *state);
 static void on_read (void *ctx, const store_records_t *records);
 static bool parse_key (blob_t key, record_kind_t *kind, job_id_t *job);
@@ -128,6 +137,7 @@
   state->last_key[0] = '\0';
   state->next_offset_known = false;
   state->read_busy = false;
+  state->unanswered_reads = 0;
   state->read_due = now;
   workers_reload (s, now);
   sched_wake (s);
@@ -236,7 +246,8 @@
   state->load_busy = true;
   s->backend->ops->read_latest (
       s->backend->ctx, TOPIC_WORK, sched_partition_of (s, state->number),
-      state->last_key, PAGE_TIMEOUT, on_page, new_ownership_call (state));
+      state->last_key, read_timeout (state, PAGE_TIMEOUT), on_page,
+      new_ownership_call (state));
 }
 
 static void
@@ -250,6 +261,8 @@
   if (!state)
     return;
   state->load_busy = false;
+  state->unanswered_reads
+      = records->result == STORE_UNKNOWN ? state->unanswered_reads + 1 : 0;
   if (records->result != STORE_OK)
     {
       state->read_due = now + READ_RETRY;
@@ -295,16 +308,36 @@
     queries_job_changed (state->scheduler, now, job);
 }
 
+static usec_t
+read_timeout (const shard_state_t *state, usec_t timeout)
+{
+  return timeout << MIN (state->unanswered_reads, READ_TIMEOUT_SHIFT_MAX);
+}
+
+/* Once a read needed more time, so do the next ones until all is read.  */
+static void
+record_read_result (shard_state_t *state, store_result_t result, bool has_more)
+{
+  if (result == STORE_UNKNOWN)
+    state->unanswered_reads++;
+  else if (result == STORE_OK && !has_more)
+    state->unanswered_reads = 0;
+}
+
 static void
 read_next (shard_state_t *state)
 {
   const scheduler_t *s = state->scheduler;
+  uint32_t halvings = MIN (state->unanswered_reads, 8U);
   store_read_t read
       = { .topic = TOPIC_WORK,
           .part = sched_partition_of (s, state->number),
           .from = state->next_offset,
           .wait = queries_await_read (s, state->number) ? 0 : READ_WAIT,
-          .timeout = READ_WAIT + READ_TIMEOUT };
+          .timeout = READ_WAIT + read_timeout (state, READ_TIMEOUT),
+          .max_bytes = halvings
+                           ? MAX (READ_BYTES_LARGE >> halvings, READ_BYTES_MIN)
+                           : 0 };
 
   state->read_busy = true;
   s->backend->ops->read (s->backend->ctx, &read, on_read,
@@ -322,6 +355,7 @@
   if (!state)
     return;
   state->read_busy = false;
+  record_read_result (state, records->result, records->has_more);
   if (records->result == STORE_EXPIRED)
     {
       log_line (LOG_LEVEL_NOTICE, "shard.reload", NULL,
