Log how long leases may still run when runs are given up

The logs could not tell the hypotheses apart: that a run was given up on an expired lease, or earlier on other evidence, and whether a run without a record is the older one of two.

worker.lost tells what is left of the leases, and what the owner knew of the worker; run.stray tells the number of the task's newer run, and runs_doubled_total counts these.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -79,6 +79,8 @@
      "runs that were stopped since they did not advance")                     \
   X (RUNS_UNSETTLED, "runs_unsettled", "runs", "gauge",                       \
      "runs whose start or stop is not settled yet, counted once a second")    \
+  X (RUNS_DOUBLED, "runs_doubled_total", "runs", "counter",                   \
+     "listed runs of tasks that have a newer run elsewhere")                  \
   X (RUNS_IMPOSED, "runs_imposed_total", "runs", "counter",                   \
      "best-effort runs that were placed although they disturb others")        \
   X (CRASH_SUSPECTS, "crash_suspects_total", "runs", "counter",               \
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -71,6 +71,7 @@
                                   const worker_t *worker);
 static void apply_ends (shard_t *shard, usec_t now, handle_t handle,
                         const shard_reply_t *reply);
+static uint32_t newer_run (const shard_t *shard, const run_id_t *run_id);
 static void apply_runs (shard_t *shard, usec_t now, handle_t handle,
                         const shard_reply_t *reply);
 static void check_stalled (shard_t *shard, usec_t now, handle_t handle);
@@ -583,6 +584,22 @@
   worker_get (shard, handle)->ends_applied = last;
 }
 
+/* @return the number of a newer run of the task, 0 if none is placed: with
+   one, the task has two */
+static uint32_t
+newer_run (const shard_t *shard, const run_id_t *run_id)
+{
+  const job_entry_t *entry = shard_entry (shard, run_id->job);
+  const task_t *task = NULL;
+
+  if (entry && entry->job && entry->job->submission)
+    task = job_task (entry->job, run_id->occurrence, run_id->step,
+                     run_id->index);
+  return task && task->state == TASK_PLACED && task->run > run_id->run
+             ? task->run
+             : 0;
+}
+
 static void
 apply_runs (shard_t *shard, usec_t now, handle_t handle,
             const shard_reply_t *reply)
@@ -601,10 +618,14 @@
 
       if (!run)
         {
-          log_line (LOG_LEVEL_NOTICE, "run.stray",
-                    worker_get (shard, handle)->address,
-                    "task=%s run=%u not known to this owner, stopping it",
-                    run_format_id (&report->run_id, text), report->run_id.run);
+          uint32_t newer = newer_run (shard, &report->run_id);
+
+          counter_add (COUNTER_RUNS_DOUBLED, newer != 0);
+          log_line (LOG_LEVEL_NOTICE, "run.stray", worker->address,
+                    "task=%s run=%u worker=%s newer=%u not known to this"
+                    " owner, stopping it",
+                    run_format_id (&report->run_id, text), report->run_id.run,
+                    worker->id, newer);
           worker->stray_runs++;
           send_stop (shard, now, handle, &report->run_id, HANDLE_NONE);
           continue;
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -266,8 +266,12 @@
 
   if (runs->len)
     log_line (LOG_LEVEL_NOTICE, "worker.lost", worker->address,
-              "worker=%s runs=%u why=\"%s\" silent_ms=%" PRId64, worker->id,
-              runs->len, why, usec_to_msec (now - worker->last_answer));
+              "worker=%s runs=%u why=\"%s\" silent_ms=%" PRId64
+              " leases_left_ms=%" PRId64 " listed=%d answered=%d leaving=%d",
+              worker->id, runs->len, why,
+              usec_to_msec (now - worker->last_answer),
+              usec_to_msec (MAX (worker->leases_expired_at - now, 0)),
+              worker->listed, worker->fenced, worker->leaving);
   for (guint i = 0; i < runs->len; i++)
     run_requeue (shard, now, g_array_index (runs, handle_t, i), why);
   g_array_free (runs, TRUE);
