Do not take the removal of an entry for the end of a worker

What happened: the store is down for 4.7 s, in which the entries of workers lapse. A new owner reads the list without a worker that was leaving, and its first hold there is reset: worker.lost why="left", 7 runs. The worker answers the next hold, 0.25 s later, with four of the runs and three ends.

Cause: an entry is removed when its worker has left, and also when it expires, since the worker does not reach the store or the store is down. A silent worker that was leaving was taken to have left once its entry had gone: at once by a new owner, and by one that it had answered if the entry went soon after, which an outage of the store produces as well. It is the class of: loss of a path taken for the end of what is behind it.

Fix: leases decide, whatever becomes of the entry. [workers] update_ms, which only served to tell removal from expiry, goes; settings that have it are accepted with a warning, as any unknown key.

test_worker_left and test_worker_left_before_takeover asserted the fault, that tasks are started again before leases are over. "leaving worker cut off" and "leaving worker not reached after a takeover" replace them with bounds on both sides; they fail on the code before (four assertions).

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -29,7 +29,7 @@
 CONFIRM_BEFORE_STORED|src/shard/shard_calls.c|shard/test_shard_steps|s/worker->in_doubt ? 0 : worker->ends_stored/worker->ends_applied/
 NO_LEASE_WAIT|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now < worker->leases_expired_at)/if (0)/
 REFUSAL_ENDS_RUNS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now < worker->leases_expired_at)/if (now < worker->leases_expired_at \&\& !seems_crashed (worker, now))/
-EXPIRED_IS_LEFT|src/shard/shard_workers.c|shard/test_shard_evidence|s/silent >= 0 \&\& silent < shard->config.entry_lifetime_min/true/
+EXPIRED_IS_LEFT|src/shard/shard_calls.c|shard/test_shard_evidence|s/if (now < worker->leases_expired_at)/if (now < worker->leases_expired_at \&\& (worker->listed || !worker->leaving))/
 STALE_OWNER_EXTENDS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now - shard->confirmed_at > .*)/if (0)/
 NOT_SUPERSEDED|src/shard/shard_calls.c|shard/test_shard_steps|s/shard_supersede (shard, worker->id);//
 STRAY_LISTED_LATE|src/shard/shard_calls.c|shard/test_shard_steps|s/if (worker->stray_runs)$/if (0)/
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -24,9 +24,6 @@
    platform's 4 s. */
 #define POLL_SHARED (400 * USEC_PER_MSEC)
 #define POLL_IDLE (2000 * USEC_PER_MSEC)
-/* An entry expires after three intervals without an update of its worker, and
-   the last update may be an interval older than the worker's last answer. */
-#define ENTRY_LIFETIME_MIN_UPDATES 2
 /* Over ten times the duration of a worker call on the slowest link. */
 #define WORKER_CALL_TIMEOUT (700 * USEC_PER_MSEC)
 /* An owner that does not reach the store extends leases for this long, so that
@@ -140,7 +137,6 @@
           .append_bytes = settings->append_bytes / 2,
           .zones = s->zones,
           .zones_max_age = settings->evacuate - WORKER_CALL_TIMEOUT,
-          .entry_lifetime_min = ENTRY_LIFETIME_MIN_UPDATES * settings->update,
           .workers_max_age = settings->shrunk - WORKER_CALL_TIMEOUT };
 
   s->shard_count = count;
--- a/src/scheduler/settings.c
+++ b/src/scheduler/settings.c
@@ -52,8 +52,6 @@
     .default_text = "5000", .unit = "ms" },
   { ROW ("shrunk_ms", INI_MSEC, shrunk), RANGE (1000, 600000),
     .default_text = "3000", .unit = "ms" },
-  { ROW ("update_ms", INI_MSEC, update), RANGE (100, 600000),
-    .default_text = "1000", .unit = "ms" },
 };
 static const ini_key_t scheduler_keys[] = {
   { ROW ("shards", INI_U32, shards), RANGE (0, 4096), .default_text = "0" },
--- a/src/scheduler/settings.h
+++ b/src/scheduler/settings.h
@@ -26,8 +26,6 @@
                                      task starts in an evacuated zone */
   usec_t shrunk;              /**< [workers] shrunk_ms, after which no start
                                      exceeds a capacity that was reported */
-  usec_t update;              /**< [workers] update_ms, interval at which a
-                                     worker updates its entry in the list */
   uint32_t shards;            /**< [scheduler] shards, 0: derived
                                      from the number of workers when the
                                      site first starts */
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -35,13 +35,11 @@
   usec_t stale_limit;  /**< no calls are sent to workers once the store has not
                           confirmed the ownership for this long */
   usec_t keep_ended;   /**< how long an ended job stays known */
-  uint32_t append_bytes; /**< size at which an append is full */
-  const zones_t *zones;  /**< evacuated availability zones, NULL: no zone is
-                            ever evacuated */
-  usec_t zones_max_age;  /**< nothing is started while the state of the zones
-                            is older than this */
-  usec_t entry_lifetime_min; /**< least time from a worker's last answer until
-                                its entry expires */
+  uint32_t append_bytes;  /**< size at which an append is full */
+  const zones_t *zones;   /**< evacuated availability zones, NULL: no zone is
+                             ever evacuated */
+  usec_t zones_max_age;   /**< nothing is started while the state of the zones
+                             is older than this */
   usec_t workers_max_age; /**< nothing is started on workers that accept more
                              than they have room for while the list of workers
                              is older than this */
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -458,7 +458,6 @@
   restart_stall_timers (shard, now, worker);
   worker->in_doubt = false;
   worker->unanswered_holds = 0;
-  worker->silent_holds = 0;
   worker->refused_holds = 0;
   worker->last_answer = now - worker_answer_age (worker, now, reply->clock_ms);
   apply_ends (shard, now, handle, reply);
@@ -483,13 +482,7 @@
 
   on_no_answer (shard, now, handle, kind);
   worker->unanswered_holds++;
-  if (kind == SHARD_REPLY_NONE || kind == SHARD_REPLY_REFUSED)
-    worker->silent_holds++;
-  else
-    worker->silent_holds = 0;
   worker->hold_due = now + HOLD_RETRY;
-  if (worker_has_left (shard, worker))
-    run_requeue_all (shard, now, handle, "left");
   if (kind != SHARD_REPLY_REFUSED)
     {
       worker->refused_holds = 0;
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -103,7 +103,6 @@
   usec_t started_known_at;  /* when an answer last changed STARTED_MS */
   int64_t entry_started_ms; /* incarnation that the list describes */
   bool listed;              /* by the platform */
-  usec_t unlisted_at;       /* when it was last found not to be, 0: never */
   bool leaving;
   usec_t leaving_known_at; /* since when LEAVING is set */
   uint32_t millicores;
@@ -136,7 +135,6 @@
   usec_t hold_due;
   usec_t last_answer;
   uint32_t unanswered_holds; /* consecutive, answers with an error included */
-  uint32_t silent_holds;     /* the same without these */
   uint32_t refused_holds; /* consecutive holds whose connection was refused */
   usec_t refused_since;
   int64_t clock_ms; /* lower bound of its clock at CLOCK_AT */
@@ -308,9 +306,6 @@
 handle_t worker_find (const shard_t *shard, const char *id);
 handle_t worker_add (shard_t *shard, const char *id);
 void worker_free (worker_t *worker);
-/** @return whether the worker was leaving, does not answer, and its entry was
-    removed and has not expired: its runs have ended with it */
-bool worker_has_left (const shard_t *shard, const worker_t *worker);
 /** Removes unlisted workers that do not answer and have no runs. */
 void worker_remove_unlisted (shard_t *shard);
 /** @return a lower bound of the worker's clock, in ms */
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -173,6 +173,8 @@
   worker->accelerators = info->accelerators;
 }
 
+/* The runs of the worker may go on: its entry is also removed when it expires,
+   as the worker does not reach the store or the store is down. */
 void
 shard_worker_unlisted (shard_t *shard, usec_t now, const char *id)
 {
@@ -183,24 +185,9 @@
     return;
   worker = worker_get (shard, handle);
   worker->listed = false;
-  worker->unlisted_at = now;
   log_line (LOG_LEVEL_INFO, "worker.unlisted", worker->address,
-            "worker=%s runs=%u", id, worker->runs->len);
-  if (worker_has_left (shard, worker))
-    run_requeue_all (shard, now, handle, "left");
-}
-
-/* A worker that is cut off from the store and from this owner may run on until
-   its leases expire.  Of one that has not answered this owner it is only known
-   that a former owner knew it to be leaving. */
-bool
-worker_has_left (const shard_t *shard, const worker_t *worker)
-{
-  usec_t silent = worker->unlisted_at - worker->last_answer;
-
-  return worker->leaving && !worker->listed && worker->silent_holds
-         && (!worker->fenced
-             || (silent >= 0 && silent < shard->config.entry_lifetime_min));
+            "worker=%s runs=%u silent_ms=%" PRId64, id, worker->runs->len,
+            usec_to_msec (now - worker->last_answer));
 }
 
 /* @return whether a former owner knew the worker to be leaving */
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -405,8 +405,10 @@
   tear_down ();
 }
 
+/* A worker that is leaving is silent from its last answer on; its entry goes
+   SPAN later, or earlier. */
 static void
-check_leaving_worker_cut_off (bool answers_unlisted)
+check_leaving_worker_cut_off (usec_t span)
 {
   const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
   usec_t granted;
@@ -415,17 +417,19 @@
   list_worker_leaving (true);
   advance (0);
   reply_to_hold (&first_run, 1, NULL, 0);
-  if (answers_unlisted)
+  if (span < 0)
     {
       shard_worker_unlisted (fixture.shard, fixture.now, "w1");
-      advance (USEC_PER_SEC);
+      advance (-span);
       reply_to_hold (&first_run, 1, NULL, 0);
     }
-  reply_to_holds (1, ENTRY_LIFETIME_MIN, &none);
+  reply_to_holds (1, USEC_PER_MSEC, &none);
   granted = fixture.now;
   shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
   CU_ASSERT_EQUAL_FATAL (fixture.appends, 1); /* that its worker leaves */
-  if (!answers_unlisted)
+  if (span > 0)
+    reply_to_holds (1, span, &none);
+  if (span >= 0)
     shard_worker_unlisted (fixture.shard, fixture.now, "w1");
   while (fixture.now < granted + LEASE)
     reply_to_holds (1, 100 * USEC_PER_MSEC, &none);
@@ -436,14 +440,16 @@
   tear_down ();
 }
 
-/* Guards against two runs of a task: a worker that is leaving is cut off from
-   the store, so that its entry expires, and then or later from the owner, and
-   runs on. */
+/* Guards against two runs of a task: a worker that is leaving runs on, cut off
+   from the owner, and its entry goes with the store or as it is cut off from
+   the store as well. */
 static void
 test_leaving_worker_cut_off (void)
 {
-  check_leaving_worker_cut_off (false);
-  check_leaving_worker_cut_off (true);
+  check_leaving_worker_cut_off (-USEC_PER_SEC);
+  check_leaving_worker_cut_off (0);
+  check_leaving_worker_cut_off (USEC_PER_SEC);
+  check_leaving_worker_cut_off (4 * USEC_PER_SEC);
 }
 
 /* A run is on a worker that is leaving, and a new owner takes over. */
@@ -465,35 +471,43 @@
       (blob_t){ (char *)fixture.progress->data, fixture.progress->len });
 }
 
-/* Guards against a task that waits anew for a lease with each takeover: its
-   worker was leaving with a former owner and has left.  The list of workers
-   may be read before the records or after them. */
+/* Guards against two runs of a task: a new owner does not reach a worker that
+   was leaving with a former one and is not listed, but runs on.  The list of
+   workers may be read before the records or after them. */
 static void
-test_worker_left_before_takeover (void)
+check_takeover_of_leaving (bool list_first)
 {
   const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
   GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
+  usec_t taken_over;
   uint32_t appends;
 
   set_up_takeover_of_leaving ();
-  shard_loaded (fixture.shard, fixture.now);
+  taken_over = fixture.now;
   appends = fixture.appends;
+  if (list_first)
+    shard_worker_list_read (fixture.shard, fixture.now, listed);
+  shard_loaded (fixture.shard, fixture.now);
   reply_to_holds (2, 500 * USEC_PER_MSEC, &none);
+  if (!list_first)
+    shard_worker_list_read (fixture.shard, fixture.now, listed);
+  while (fixture.now < taken_over + STALE_LIMIT + LEASE)
+    reply_to_holds (1, 100 * USEC_PER_MSEC, &none);
   CU_ASSERT_EQUAL (fixture.appends, appends);
-  shard_worker_list_read (fixture.shard, fixture.now, listed);
-  reply_to_holds (4, 500 * USEC_PER_MSEC, &none);
-  CU_ASSERT_EQUAL (fixture.appends, appends + 1);
-  tear_down ();
-  set_up_takeover_of_leaving ();
-  shard_worker_list_read (fixture.shard, fixture.now, listed);
-  shard_loaded (fixture.shard, fixture.now);
-  appends = fixture.appends;
-  reply_to_holds (4, 500 * USEC_PER_MSEC, &none);
+  while (fixture.now < taken_over + STALE_LIMIT + LEASE + LEASE_SLACK)
+    reply_to_holds (1, 100 * USEC_PER_MSEC, &none);
   CU_ASSERT_EQUAL (fixture.appends, appends + 1);
   g_hash_table_destroy (listed);
   tear_down ();
 }
 
+static void
+test_takeover_of_leaving_worker (void)
+{
+  check_takeover_of_leaving (false);
+  check_takeover_of_leaving (true);
+}
+
 int
 main (void)
 {
@@ -513,7 +527,8 @@
     { "leaving worker rejects holds", test_leaving_worker_rejects_holds },
     { "leaving worker cut off", test_leaving_worker_cut_off },
     { "gang without a member", test_gang_without_member },
-    { "worker left before a takeover", test_worker_left_before_takeover },
+    { "leaving worker not reached after a takeover",
+      test_takeover_of_leaving_worker },
   };
   int code;
 
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -543,30 +543,6 @@
   tear_down ();
 }
 
-/* Guards against tasks that wait until the lease expires at a worker that was
-   leaving and has left (ruedas-plata mix, seed 659633801864: 13 s without a
-   run). */
-static void
-test_worker_left (void)
-{
-  const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
-
-  set_up_with_placed_run ();
-  list_worker_leaving (true);
-  advance (0);
-  reply_to_hold (&first_run, 1, NULL, 0);
-  advance (USEC_PER_MSEC);
-  shard_worker_unlisted (fixture.shard, fixture.now, "w1");
-  CU_ASSERT_EQUAL (fixture.appends, 1); /* that its worker leaves */
-  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
-  advance (USEC_PER_MSEC);
-  CU_ASSERT_EQUAL (fixture.appends, 1);
-  shard_reply (fixture.shard, fixture.now, last_call (SHARD_HOLD)->id, &none);
-  advance (USEC_PER_MSEC);
-  CU_ASSERT_EQUAL (fixture.appends, 2);
-  tear_down ();
-}
-
 /* Guards against an owner that stays active after a worker has rejected its
    token because of a later owner. */
 static void
@@ -812,7 +788,6 @@
     { "reply from a former incarnation", test_reply_from_former_incarnation },
     { "large job first", test_large_job_first },
     { "started job first", test_started_job_first },
-    { "worker left", test_worker_left },
     { "adopted run, unlisted worker", test_adopted_run_unlisted },
     { "superseded by a worker", test_superseded_by_worker },
     { "run without record", test_run_without_record },
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -139,12 +139,11 @@
                                   .poll_shared = USEC_PER_SEC,
                                   .poll_idle = 2 * USEC_PER_SEC,
                                   .call_timeout = USEC_PER_SEC,
-                                  .stale_limit = 12 * USEC_PER_SEC,
+                                  .stale_limit = STALE_LIMIT,
                                   .keep_ended = 60 * USEC_PER_SEC,
                                   .append_bytes = 1 << 20,
                                   .zones = zones,
                                   .zones_max_age = ZONES_MAX_AGE,
-                                  .entry_lifetime_min = ENTRY_LIFETIME_MIN,
                                   .workers_max_age = WORKERS_MAX_AGE };
   GByteArray *progress = fixture.progress;
 
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -10,8 +10,8 @@
 #define MAX_CALLS 64U
 /** Age from which on a list of workers is too old for starts. */
 #define WORKERS_MAX_AGE (2 * USEC_PER_SEC)
-/** Least time from a worker's last answer until its entry expires. */
-#define ENTRY_LIFETIME_MIN (3 * USEC_PER_SEC)
+/** How long an owner without a confirmation extends leases. */
+#define STALE_LIMIT (12 * USEC_PER_SEC)
 #define START_WALL_MS 1700000000000LL
 #define JOB_ID 0x5c0e7a21d94b36f8ULL
 
