Count another worker's answer only from an address that was reached

That a call does not arrive was taken for the end of the worker that it was meant for.

Fix: such an answer shows that the worker has ended only at the address where it has answered this owner or the one that placed a run there, and only if the address has not changed since the call was sent. Else it counts as no answer: leases decide. Nothing is started at a changed address before the worker has answered there, so that the address in a run's record is one that was reached.

"other worker at another address" and "no start at an unknown address" failed before (four assertions); "other worker at the address" holds before and after. Unit tests pass.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -31,6 +31,7 @@
 REFUSAL_ENDS_RUNS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now < worker->leases_expired_at)/if (now < worker->leases_expired_at \&\& !seems_crashed (worker, now))/
 LEAVING_IS_LEFT_ALONE|src/shard/shard_leaving.c|shard/test_shard_leaving|s/run_stop (shard, now, h, .*);/;/
 LEAVING_STOPPED_AT_ONCE|src/shard/shard_leaving.c|shard/test_shard_leaving|s/now >= move_at ||/true ||/
+OTHER_ADDRESS_COUNTS|src/shard/shard_calls.c|shard/test_shard_evidence|s/&& !is_from_its_address (worker, &pending))/&& 0)/
 EXPIRED_IS_LEFT|src/shard/shard_calls.c|shard/test_shard_evidence|s/if (now < worker->leases_expired_at)/if (now < worker->leases_expired_at \&\& (worker->listed || !worker->leaving))/
 STALE_OWNER_EXTENDS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now - shard->confirmed_at > .*)/if (0)/
 NOT_SUPERSEDED|src/shard/shard_calls.c|shard/test_shard_steps|s/shard_supersede (shard, worker->id);//
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -52,8 +52,8 @@
 static uint64_t add_pending_call (shard_t *shard, usec_t now,
                                   shard_call_kind_t kind, handle_t worker,
                                   handle_t run);
-static void on_hold (shard_t *shard, usec_t now, handle_t handle,
-                     const shard_reply_t *reply, usec_t sent, bool restarted);
+static void on_hold (shard_t *shard, usec_t now, const pending_call_t *pending,
+                     const shard_reply_t *reply, bool restarted);
 static void on_failed_hold (shard_t *shard, usec_t now, handle_t handle,
                             shard_reply_kind_t kind);
 static void repeat_start (shard_t *shard, usec_t now, handle_t handle);
@@ -61,6 +61,8 @@
                       const shard_reply_t *reply);
 static void on_stop (shard_t *shard, usec_t now, handle_t handle,
                      const shard_reply_t *reply);
+static bool is_from_its_address (const worker_t *worker,
+                                 const pending_call_t *pending);
 static void on_no_answer (shard_t *shard, usec_t now, handle_t handle,
                           shard_reply_kind_t kind);
 static void on_restart (worker_t *worker, usec_t now, int64_t started_ms);
@@ -178,6 +180,7 @@
 
   pending->kind = kind;
   pending->worker = worker;
+  pending->address_changes = worker_get (shard, worker)->address_changes;
   pending->run = run;
   pending->sent = now;
   g_hash_table_insert (shard->pending_calls, g_memdup2 (&id, sizeof id),
@@ -380,6 +383,9 @@
       shard_supersede (shard, worker->id);
       return;
     }
+  if (reply->kind == SHARD_REPLY_OTHER_WORKER
+      && !is_from_its_address (worker, &pending))
+    reply = &no_answer;
   if (reply->kind == SHARD_REPLY_OTHER_WORKER)
     {
       worker->hold_due = now + HOLD_RETRY;
@@ -400,7 +406,7 @@
   if (reply->clock_ms)
     worker_set_clock (worker, now, reply->clock_ms);
   if (pending.kind == SHARD_HOLD)
-    on_hold (shard, now, pending.worker, reply, pending.sent, restarted);
+    on_hold (shard, now, &pending, reply, restarted);
   else if (pending.kind == SHARD_START)
     {
       histogram_add (HISTOGRAM_START_CALL, now - pending.sent);
@@ -410,6 +416,17 @@
     on_stop (shard, now, pending.run, reply);
 }
 
+/* An answer of another worker at an address where this one was reached shows
+   that it has ended.  At any other, such as a former one or one that another
+   writer has put into its entry, it shows only that the call did not arrive.
+ */
+static bool
+is_from_its_address (const worker_t *worker, const pending_call_t *pending)
+{
+  return worker->reached
+         && pending->address_changes == worker->address_changes;
+}
+
 static void
 on_no_answer (shard_t *shard, usec_t now, handle_t handle,
               shard_reply_kind_t kind)
@@ -428,9 +445,10 @@
 }
 
 static void
-on_hold (shard_t *shard, usec_t now, handle_t handle,
-         const shard_reply_t *reply, usec_t sent, bool restarted)
+on_hold (shard_t *shard, usec_t now, const pending_call_t *pending,
+         const shard_reply_t *reply, bool restarted)
 {
+  handle_t handle = pending->worker;
   worker_t *worker = worker_get (shard, handle);
   GArray *given_up = NULL;
 
@@ -458,13 +476,14 @@
       given_up = crashes_note (shard, now, handle);
     }
   restart_stall_timers (shard, now, worker);
-  worker->in_doubt = false;
+  worker->reached |= pending->address_changes == worker->address_changes;
+  worker->in_doubt = !worker->reached;
   worker->unanswered_holds = 0;
   worker->refused_holds = 0;
   worker->last_answer = now - worker_answer_age (worker, now, reply->clock_ms);
   apply_ends (shard, now, handle, reply);
   apply_runs (shard, now, handle, reply);
-  requeue_missing_runs (shard, now, handle, reply, sent, restarted);
+  requeue_missing_runs (shard, now, handle, reply, pending->sent, restarted);
   if (given_up)
     crashes_give_up (shard, now, given_up);
   sharing_apply_list (shard, now, handle);
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -94,6 +94,9 @@
 {
   char *id;
   char *address;
+  uint32_t address_changes; /* how often ADDRESS has changed */
+  bool reached;             /* has answered at ADDRESS, this owner or the one
+                               that placed a run there */
   char *service;
   char *label;
   char *rack;
@@ -160,6 +163,7 @@
 {
   shard_call_kind_t kind;
   handle_t worker;
+  uint32_t address_changes; /* of the worker when the call was sent */
   handle_t run;
   usec_t sent;
   bool stray; /* stop of a run unknown to this owner */
@@ -307,6 +311,8 @@
 handle_t worker_find (const shard_t *shard, const char *id);
 handle_t worker_add (shard_t *shard, const char *id);
 void worker_free (worker_t *worker);
+/** Changes the address of a worker, which has not answered there yet. */
+void worker_set_address (worker_t *worker, const char *address);
 /** Removes unlisted workers that do not answer and have no runs. */
 void worker_remove_unlisted (shard_t *shard);
 /** @return a lower bound of the worker's clock, in ms */
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -365,10 +365,8 @@
   if (!worker->runs->len || worker->started_ms < task->place.life_ms)
     worker->started_ms = task->place.life_ms;
   if (!worker->address[0])
-    {
-      g_free (worker->address);
-      worker->address = g_strdup (task->place.address);
-    }
+    worker_set_address (worker, task->place.address);
+  worker->reached |= strcmp (worker->address, task->place.address) == 0;
   /* If the list is read later, that looks for workers that were leaving. */
   if (shard->worker_list_complete && !worker->listed)
     worker->leaving |= task->worker_leaves;
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -70,6 +70,16 @@
   g_array_free (worker->recent_runs, TRUE);
 }
 
+void
+worker_set_address (worker_t *worker, const char *address)
+{
+  if (strcmp (worker->address, address) == 0)
+    return;
+  update_text (&worker->address, address);
+  worker->address_changes++;
+  worker->reached = false;
+}
+
 static void
 update_text (char **target, const char *text)
 {
@@ -126,8 +136,14 @@
                 shard->number, info->millicores, info->leaving);
     }
   worker = worker_get (shard, handle);
-  if (!worker->listed || strcmp (worker->address, info->address) != 0)
+  if (!worker->listed)
     worker->hold_due = now;
+  if (strcmp (worker->address, info->address) != 0)
+    {
+      /* Nothing is started at an address where it has not answered. */
+      worker_doubt (worker, now);
+      worker->hold_due = now;
+    }
   if (worker->started_ms && info->started_ms > worker->started_ms)
     {
       /* Nothing is known of the runs of the new incarnation until its next
@@ -138,7 +154,7 @@
   if (!worker->started_ms)
     worker->started_ms = info->started_ms;
   worker->entry_started_ms = info->started_ms;
-  update_text (&worker->address, info->address);
+  worker_set_address (worker, info->address);
   update_text (&worker->service, info->service);
   update_text (&worker->label, info->label);
   update_text (&worker->rack, info->rack);
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -508,6 +508,87 @@
   check_takeover_of_leaving (true);
 }
 
+/* Guards against a task that waits for leases although another worker has the
+   address of its own one, which has ended. */
+static void
+test_other_worker_at_the_address (void)
+{
+  const shard_reply_t other = { .kind = SHARD_REPLY_OTHER_WORKER };
+
+  set_up_with_placed_run ();
+  list_worker ();
+  advance (0);
+  reply_to_hold (&first_run, 1, NULL, 0);
+  reply_to_holds (1, USEC_PER_MSEC, &other);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  tear_down ();
+}
+
+/* The hold, which was sent before the entry names another address or after
+   that, is answered by another worker there; the run goes on. */
+static void
+check_other_worker_elsewhere (bool sent_before)
+{
+  const shard_reply_t other = { .kind = SHARD_REPLY_OTHER_WORKER };
+  usec_t granted;
+
+  set_up_with_placed_run ();
+  list_worker ();
+  advance (0);
+  reply_to_hold (&first_run, 1, NULL, 0);
+  if (sent_before)
+    advance (USEC_PER_MSEC);
+  granted = fixture.now;
+  list_worker_with ("w1", "10.0.0.2:1", false);
+  if (!sent_before)
+    advance (USEC_PER_MSEC);
+  shard_reply (fixture.shard, fixture.now, last_call (SHARD_HOLD)->id, &other);
+  while (fixture.now < granted + LEASE)
+    reply_to_holds (1, 100 * USEC_PER_MSEC, &other);
+  CU_ASSERT_EQUAL (fixture.appends, 0);
+  while (fixture.now < granted + LEASE + LEASE_SLACK)
+    reply_to_holds (1, 100 * USEC_PER_MSEC, &other);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  tear_down ();
+}
+
+/* Guards against two runs of a task: another worker answers at a former
+   address of its worker, or at one that another writer has put into the entry.
+ */
+static void
+test_other_worker_at_another_address (void)
+{
+  check_other_worker_elsewhere (true);
+  check_other_worker_elsewhere (false);
+}
+
+/* Guards against starts at an address where the worker has not answered, and
+   against a worker that is not used again once its entry is right. */
+static void
+test_no_start_at_unknown_address (void)
+{
+  const shard_reply_t other = { .kind = SHARD_REPLY_OTHER_WORKER };
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  list_worker_with ("w1", "10.0.0.2:1", false);
+  add_job (1);
+  reply_to_holds (4, 100 * USEC_PER_MSEC, &other);
+  CU_ASSERT_EQUAL (fixture.appends, 0);
+  list_worker ();
+  fixture.call_count = 0;
+  advance (USEC_PER_SEC);
+  reply_to_hold (NULL, 0, NULL, 0);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 1);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -526,6 +607,10 @@
     { "refusals of an unlisted worker", test_refusals_of_an_unlisted_worker },
     { "leaving worker rejects holds", test_leaving_worker_rejects_holds },
     { "leaving worker cut off", test_leaving_worker_cut_off },
+    { "other worker at the address", test_other_worker_at_the_address },
+    { "other worker at another address",
+      test_other_worker_at_another_address },
+    { "no start at an unknown address", test_no_start_at_unknown_address },
     { "gang without a member", test_gang_without_member },
     { "leaving worker not reached after a takeover",
       test_takeover_of_leaving_worker },
