Keep a run that a new incarnation may have accepted

A worker restarts unnoticed, as its owner has no turn for a while; the owner then sends a hold and a start, both arrive at the new incarnation, and the answer to the start is processed first. The list in the hold's reply is older than the start: it lacks the run and tells of the restart, so that the run was taken for one of the former incarnation and given up.

Cause: the rule that a list counts only if it was requested after the run was acknowledged did not hold for lists that tell of a restart.

Fix: it holds for them too, unless a start without an answer may still be carried out, which a stop has to close as before. Later lists decide, two of them as for any run. "start accepted by a new incarnation" failed before (the live run is stopped as one without a record); "start accepted by a former incarnation" bounds the wait.

"reply from a former incarnation" replied with the list of the restart to a hold that was sent before the start of the run was answered, and expected the run to be given up by it. It now has the run listed first, so that the list of the restart counts; its assertions are the same.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -77,6 +77,7 @@
 static void apply_runs (shard_t *shard, usec_t now, handle_t handle,
                         const shard_reply_t *reply);
 static void check_stalled (shard_t *shard, usec_t now, handle_t handle);
+static bool may_be_accepted_since (const run_t *run, usec_t sent);
 static void requeue_missing_runs (shard_t *shard, usec_t now, handle_t handle,
                                   const shard_reply_t *reply, usec_t sent,
                                   bool restarted);
@@ -694,6 +695,15 @@
   g_array_free (runs, TRUE);
 }
 
+/* @return whether the incarnation that answers may have accepted the run after
+   it was asked for its list */
+static bool
+may_be_accepted_since (const run_t *run, usec_t sent)
+{
+  return run->state == RUN_ACKNOWLEDGED && run->acknowledged_at >= sent
+         && !run->stop_requested && !run->start_unanswered;
+}
+
 /* Handles runs that are missing from the list.  Apart from restarts and
    takeovers, a list counts only if requested after the worker acknowledged
    the run. */
@@ -715,7 +725,8 @@
           run->in_list = false;
           continue;
         }
-      if (restarted && run->state != RUN_UNSTORED)
+      if (restarted && run->state != RUN_UNSTORED
+          && !may_be_accepted_since (run, sent))
         {
           run_worker_restarted (shard, now, h);
           continue;
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -589,6 +589,59 @@
   tear_down ();
 }
 
+/* A start is answered while a hold is open; the list in the reply is of
+   another incarnation and older than the start. */
+static void
+set_up_start_during_restart (void)
+{
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  advance (USEC_PER_MSEC); /* sends the hold */
+  add_job (1);
+  advance (USEC_PER_MSEC);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_MSEC);
+  reply_to_last (SHARD_START, SHARD_REPLY_OK);
+  answer_hold_of (START_WALL_MS + 5, NULL, 0, NULL, 0);
+  list_worker_on ("w1", "10.0.0.1:1", "r", START_WALL_MS + 5);
+  advance (USEC_PER_MSEC);
+}
+
+static void
+list_runs_of (int64_t started_ms, const run_report_t *runs, size_t run_count)
+{
+  for (int i = 0; i < 4; i++)
+    {
+      answer_hold_of (started_ms, runs, run_count, NULL, 0);
+      shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+      advance (100 * USEC_PER_MSEC);
+    }
+}
+
+/* Guards against two runs of a task: an incarnation that the owner does not
+   know yet has accepted its start, and the first list of it is older. */
+static void
+test_start_accepted_by_new_incarnation (void)
+{
+  set_up_start_during_restart ();
+  list_runs_of (START_WALL_MS + 5, &first_run, 1);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 1);
+  CU_ASSERT_EQUAL (count_calls (SHARD_STOP), 0);
+  tear_down ();
+}
+
+/* Guards against a task that waits for a run which the former incarnation had
+   accepted. */
+static void
+test_start_accepted_by_former_incarnation (void)
+{
+  set_up_start_during_restart ();
+  list_runs_of (START_WALL_MS + 5, NULL, 0);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 2);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -602,6 +655,10 @@
       test_end_numbers_of_two_incarnations },
     { "start answered by a former incarnation",
       test_start_answered_by_former_incarnation },
+    { "start accepted by a new incarnation",
+      test_start_accepted_by_new_incarnation },
+    { "start accepted by a former incarnation",
+      test_start_accepted_by_former_incarnation },
     { "lists after a stop", test_lists_after_stop },
     { "refusals of a listed worker", test_refusals_of_a_listed_worker },
     { "refusals of an unlisted worker", test_refusals_of_an_unlisted_worker },
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -440,6 +440,8 @@
         && fixture.calls[i].id != late_call_id)
       shard_reply (fixture.shard, fixture.now, fixture.calls[i].id, &ok);
   advance (USEC_PER_MSEC);
+  reply_to_hold (&first_run, 1, NULL, 0);
+  advance (USEC_PER_MSEC);
   shard_reply (fixture.shard, fixture.now, last_call (SHARD_HOLD)->id,
                &restarted);
   list_worker_on ("w1", "10.0.0.1:1", "r", START_WALL_MS + 5);
