--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -29,8 +29,6 @@
 CONFIRM_BEFORE_STORED|src/shard/shard_calls.c|shard/test_shard_steps|s/worker->in_doubt ? 0 : worker->ends_stored/worker->ends_applied/
 NO_LEASE_WAIT|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now < worker->leases_expired_at)/if (0)/
 REFUSAL_ENDS_RUNS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now < worker->leases_expired_at)/if (now < worker->leases_expired_at \&\& !seems_crashed (worker, now))/
-LEAVING_IS_LEFT_ALONE|src/shard/shard_leaving.c|shard/test_shard_leaving|s/run_stop (shard, now, h, .*);/;/
-LEAVING_STOPPED_AT_ONCE|src/shard/shard_leaving.c|shard/test_shard_leaving|s/now >= move_at ||/true ||/
 OTHER_ADDRESS_COUNTS|src/shard/shard_calls.c|shard/test_shard_evidence|s/&& !is_from_its_address (worker, &pending))/&& 0)/
 ACCEPTED_SINCE_IS_GONE|src/shard/shard_calls.c|shard/test_shard_evidence|s/return run->state == RUN_ACKNOWLEDGED && run->acknowledged_at >= sent/return false/
 EXPIRED_IS_LEFT|src/shard/shard_calls.c|shard/test_shard_evidence|s/if (now < worker->leases_expired_at)/if (now < worker->leases_expired_at \&\& (worker->listed || !worker->leaving))/
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -59,7 +59,6 @@
   uint32_t memory_mb;
   uint32_t accelerators;
   bool leaving;
-  usec_t remaining; /**< least time until a leaving worker ends, 0: unknown */
 } shard_worker_t;
 
 typedef enum
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -122,8 +122,6 @@
       worker_t *worker = worker_get (shard, h);
       usec_t due = check_lease_expiry (shard, now, h);
 
-      next = MIN (next, due);
-      due = leaving_tick (shard, now, h);
       next = MIN (next, due);
       if (!unstored)
         mark_ends_stored (now, worker);
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -107,7 +107,6 @@
   int64_t entry_started_ms; /* incarnation that the list describes */
   bool listed;              /* by the platform */
   bool leaving;
-  usec_t leaves_at;        /* not before, while LEAVING is set */
   usec_t leaving_known_at; /* since when LEAVING is set */
   uint32_t millicores;
   uint32_t memory_mb;
@@ -353,11 +352,6 @@
  */
 bool zones_are_current (const shard_t *shard, usec_t now);
 
-/* shard_leaving.c */
-/** Stops the runs of a worker that is leaving before it leaves.
-    @return when to call again */
-usec_t leaving_tick (shard_t *shard, usec_t now, handle_t worker);
-
 /* shard_withdraw.c */
 /** Withdraws the start of a run if its worker must not get it any more.
     @return whether it was withdrawn */
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -164,9 +164,6 @@
    */
   if (!worker->leaving)
     worker->leaving_known_at = worker->listed ? now : worker->in_doubt_since;
-  worker->leaves_at = worker->leaving
-                          ? MIN (worker->leaves_at, now + info->remaining)
-                          : now + info->remaining;
   set_leaving (shard, worker, info->leaving);
   update_capacity (worker, info);
   worker->listed = true;
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -182,18 +182,6 @@
   shard_worker_listed (fixture.shard, fixture.now, &info);
 }
 
-void
-list_worker_remaining (const char *id, const char *address, usec_t remaining)
-{
-  shard_worker_t info = listed_worker;
-
-  info.id = id;
-  info.address = address;
-  info.leaving = true;
-  info.remaining = remaining;
-  shard_worker_listed (fixture.shard, fixture.now, &info);
-}
-
 void
 list_worker_in (const char *id, const char *address, const char *zone)
 {
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -55,9 +55,6 @@
 void list_worker (void);
 void list_worker_leaving (bool leaving);
 void list_worker_with (const char *id, const char *address, bool leaving);
-/** Lists a worker that is leaving, and says how long it stays at least. */
-void list_worker_remaining (const char *id, const char *address,
-                            usec_t remaining);
 /** Lists a worker in an availability zone. */
 void list_worker_in (const char *id, const char *address, const char *zone);
 /** Lists an incarnation of a worker in a rack. */
