Withdraw a start once its worker is leaving

Fix: a start is withdrawn once its worker is leaving, as in an evacuated zone; a stop closes one that was not answered.

--- a/src/shard/shard_withdraw.c
+++ b/src/shard/shard_withdraw.c
@@ -29,6 +29,8 @@
 {
   if (worker->evacuated)
     return "zone is evacuated";
+  if (worker->leaving)
+    return "worker is leaving";
   if (worker_is_over_capacity (worker))
     return "worker is over its capacity";
   return NULL;
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -623,6 +623,34 @@
   tear_down ();
 }
 
+/* Guards against a start that is repeated after its worker has been listed as
+   leaving, or whose task is started elsewhere before a stop has closed it. */
+static void
+test_no_repeated_start_on_leaving (void)
+{
+  const shard_reply_t none = { .kind = SHARD_REPLY_NONE };
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  add_job (1);
+  advance (USEC_PER_MSEC);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (count_calls (SHARD_START), 1);
+  shard_reply (fixture.shard, fixture.now, last_call (SHARD_START)->id, &none);
+  list_worker_leaving (true);
+  list_worker_with ("w2", "10.0.0.2:1", false);
+  advance (USEC_PER_MSEC);
+  reply_as_ready ("w1");
+  reply_as_ready ("w2");
+  advance (400 * USEC_PER_MSEC);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 1);
+  CU_ASSERT_EQUAL (count_calls (SHARD_STOP), 1);
+  tear_down ();
+}
+
 /* Guards against starts on a worker that is listed as leaving. */
 static void
 test_no_start_on_leaving (void)
@@ -795,6 +823,8 @@
     { "run without record", test_run_without_record },
     { "lost stops of a run without record", test_lost_stops_without_record },
     { "no start on a leaving worker", test_no_start_on_leaving },
+    { "no repeated start on a leaving worker",
+      test_no_repeated_start_on_leaving },
     { "gang placed as a whole", test_gang_placed_as_whole },
     { "repeated submission", test_repeated_submission },
     { "withdrawn submission", test_withdrawn_submission },
