Read what has arrived before a stopping process ends

The loop ran its ticks before it polled its sockets again, and stop_tick closed the listener and ended the loop in one round. At the stop deadline, answers were made and the loop ended before they were sent.

stop_tick now receives and sends all that the kernel has before it decides that no request is open, and keeps connections accepted last for 20 ms, since their requests may follow. The stop deadline still ends the process, after what could be sent without waiting.

--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -9,11 +9,14 @@
 #include <errno.h>
 #include <glib.h>
 #include <microhttpd.h>
+#include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
 #define CONNECTION_MEMORY_BYTES (16U << 10)
 #define MAX_RUN_PASSES 3
+/* A pass accepts or receives from all connections that are ready. */
+#define MAX_CATCH_UP_PASSES 100
 
 typedef struct
 {
@@ -62,6 +65,7 @@
 static void on_readable (EV_P_ ev_io *io, int events);
 static void on_prepare (EV_P_ ev_prepare *prepare, int events);
 static void on_timer (EV_P_ ev_timer *timer, int events);
+static bool has_work (const httpd_t *httpd);
 static request_tag_t *add_request (httpd_t *httpd,
                                    struct MHD_Connection *connection,
                                    const char *url, const char *method);
@@ -140,6 +144,28 @@
   close (listener);
 }
 
+void
+httpd_catch_up (httpd_t *httpd)
+{
+  for (int pass = 0; pass < MAX_CATCH_UP_PASSES && has_work (httpd); pass++)
+    {
+      httpd->resumed = false;
+      MHD_run (httpd->daemon);
+    }
+}
+
+static bool
+has_work (const httpd_t *httpd)
+{
+  struct pollfd ready = { .fd = httpd->io.fd, .events = POLLIN };
+  MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
+
+  if (httpd->resumed || poll (&ready, 1, 0) > 0)
+    return true;
+  return MHD_get_timeout (httpd->daemon, &timeout_ms) == MHD_YES
+         && !timeout_ms;
+}
+
 void
 httpd_free (httpd_t *httpd)
 {
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -57,6 +57,11 @@
 /** Closes the listening socket; existing connections stay open, those not yet
     accepted included. */
 void httpd_quiesce (httpd_t *httpd);
+
+/** Receives and sends all that can be without waiting, for a process that may
+    have had no turn: requests that have arrived are dispatched and answers
+    that are ready are sent. */
+void httpd_catch_up (httpd_t *httpd);
 void httpd_free (httpd_t *httpd);
 
 /** @return a header of a request during its request callback, or NULL */
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -252,7 +252,7 @@
   usec_t last_eviction; /* this process last evicted a member then, 0: never */
   usec_t stop_started_at;
   usec_t stop_deadline;
-  bool callers_quiesced;
+  usec_t callers_quiesced_at; /* 0 before */
 
   clock_timer_t timer;
   ev_prepare prepare;
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -42,6 +42,8 @@
    opens new ones until two readiness checks, one a second, have failed, and
    requests may arrive on them shortly after. */
 #define STOP_ACCEPT_TIME (2600 * USEC_PER_MSEC)
+/* A connection is open for this long before its first request arrives. */
+#define STOP_READ_TIME (20 * USEC_PER_MSEC)
 /* The process exits this long before the platform would kill it. */
 #define STOP_MARGIN (800 * USEC_PER_MSEC)
 /* Requests that are open this long before the stop deadline are answered with
@@ -412,14 +414,21 @@
       && now < s->stop_deadline - STOP_ANSWER_TIME)
     return MIN (s->stop_started_at + STOP_ACCEPT_TIME,
                 s->stop_deadline - STOP_ANSWER_TIME);
-  if (!s->callers_quiesced)
+  if (!s->callers_quiesced_at)
     {
-      s->callers_quiesced = true;
+      s->callers_quiesced_at = now;
       httpd_quiesce (s->callers);
     }
+  /* The process may have had no turn since well before. */
+  httpd_catch_up (s->callers);
   if (now >= s->stop_deadline - STOP_ANSWER_TIME)
-    callers_fail_all (s);
-  if (!httpd_open_requests (s->callers) || now >= s->stop_deadline)
+    {
+      callers_fail_all (s);
+      httpd_catch_up (s->callers);
+    }
+  if (now >= s->stop_deadline
+      || (now >= s->callers_quiesced_at + STOP_READ_TIME
+          && !httpd_open_requests (s->callers)))
     ev_break (s->loop, EVBREAK_ALL);
   return now + 10 * USEC_PER_MSEC;
 }
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -18,6 +18,14 @@
 
 #define SHORT_RUN (350 * USEC_PER_MSEC)
 #define LONG_RUN (3000 * USEC_PER_MSEC)
+/* Longest time from the signal to the end, and the longest pause after it. */
+#define SHORT_GRACE (1500 * USEC_PER_MSEC)
+#define GRACE (6 * USEC_PER_SEC)
+#define ACCEPT_PAUSE (3 * USEC_PER_SEC)
+#define STOP_PAUSE (GRACE - 700 * USEC_PER_MSEC)
+#define LATE_REQUESTS 40U
+/* From the end of the pause to the last requests. */
+#define REQUEST_DELAY (5 * USEC_PER_MSEC)
 #define SUBMIT_AT (300 * USEC_PER_MSEC)
 #define CHECK_AT (2700 * USEC_PER_MSEC)
 /* The second join is sent 250 to 410 ms after the start, by the random delay
@@ -89,9 +97,14 @@
   char left_member[96];  /* member named in the last leave */
   uint32_t config_count; /* decoded configurations */
   bool submitted;
-  int answer_status;    /* of the caller's last request */
-  int first_status;     /* of its first request */
-  int other_job_status; /* of its request for another job */
+  int answer_status;               /* of the caller's last request */
+  int first_status;                /* of its first request */
+  int other_job_status;            /* of its request for another job */
+  int late_sockets[LATE_REQUESTS]; /* the first half is connected early */
+  usec_t stopped_at;               /* time of the signal */
+  usec_t ended_at;                 /* of the process */
+  bool pause_is_long;              /* until the stop deadline */
+  bool paused;
   http_client_t *client;
   struct ev_loop *loop;
   GPtrArray *pending; /* store_answer_t */
@@ -500,6 +513,113 @@
   http_client_send (fake.client, &request, on_answer, NULL);
 }
 
+static int
+connect_as_caller (void)
+{
+  struct sockaddr_in address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  CU_ASSERT_EQUAL (address_parse (addresses.callers, &address), 0);
+  CU_ASSERT_EQUAL (connect (fd, (struct sockaddr *)&address, sizeof address),
+                   0);
+  return fd;
+}
+
+static void
+on_turn (void *ctx)
+{
+  (void)ctx;
+}
+
+static void
+send_late_request (uint32_t i)
+{
+  char text[256];
+
+  g_snprintf (text, sizeof text,
+              "POST /q/5c0e7a21d94b%04x HTTP/1.1\r\nHost: %s\r\n"
+              "Content-Length: 2\r\n\r\n{}",
+              i, addresses.callers);
+  CU_ASSERT (write (fake.late_sockets[i], text, strlen (text)) > 0);
+}
+
+/* Sends requests on open connections and on new ones, then moves the clock
+   without a round of the loop. */
+static void
+have_no_turn (void)
+{
+  clock_timer_t turn;
+  usec_t until
+      = fake.stopped_at + (fake.pause_is_long ? STOP_PAUSE : ACCEPT_PAUSE);
+
+  for (uint32_t i = LATE_REQUESTS / 2; i < LATE_REQUESTS; i++)
+    fake.late_sockets[i] = connect_as_caller ();
+  for (uint32_t i = 0; i < LATE_REQUESTS; i += fake.pause_is_long ? 1 : 2)
+    send_late_request (i);
+  clock_timer_init (&turn, fake.loop, on_turn, NULL);
+  clock_timer_start (&turn, until - clock_now ());
+  while (clock_now () < until)
+    clock_step ();
+}
+
+/* Connects, then stops the process, then has it pause, then sends the rest of
+   the requests. */
+static void
+on_stop_without_turn (void *ctx)
+{
+  clock_timer_t *timer = ctx;
+
+  if (!fake.late_sockets[0])
+    {
+      for (uint32_t i = 0; i < LATE_REQUESTS / 2; i++)
+        fake.late_sockets[i] = connect_as_caller ();
+      clock_timer_start (timer, SUBMIT_AT / 2);
+    }
+  else if (!fake.stopped_at)
+    {
+      fake.stopped_at = clock_now ();
+      ev_feed_signal_event (fake.loop, SIGTERM);
+      clock_timer_start (timer, SUBMIT_AT / 2);
+    }
+  else if (!fake.paused)
+    {
+      fake.paused = true;
+      have_no_turn ();
+      if (!fake.pause_is_long)
+        clock_timer_start (timer, REQUEST_DELAY);
+    }
+  else
+    for (uint32_t i = 1; i < LATE_REQUESTS; i += 2)
+      send_late_request (i);
+}
+
+/* @return the number of late requests that got a complete answer */
+static uint32_t
+read_late_answers (void)
+{
+  static const char body[] = "\r\n\r\n";
+  uint32_t answered = 0;
+
+  for (uint32_t i = 0; i < LATE_REQUESTS; i++)
+    {
+      char text[1024] = "";
+      size_t len = 0;
+      ssize_t got;
+      const char *end;
+
+      while ((got
+              = read (fake.late_sockets[i], text + len, sizeof text - 1 - len))
+             > 0)
+        len += (size_t)got;
+      close (fake.late_sockets[i]);
+      end = strstr (text, body);
+      if (!got && g_str_has_prefix (text, "HTTP/1.1 ") && end
+          && end[strlen (body)])
+        answered++;
+    }
+  return answered;
+}
+
 /* Sends a readiness check.  */
 static void
 on_check (void *ctx)
@@ -553,7 +673,10 @@
                               and not read yet */
   SCENARIO_LOST_READS,     /* the answers to three reads of records are lost */
   SCENARIO_LAPSING_LAST,   /* the record of lapsing workers is the last one */
-  SCENARIO_LAPSING_OUTDATED /* it is older than the record of a job */
+  SCENARIO_LAPSING_OUTDATED, /* it is older than the record of a job */
+  SCENARIO_NO_TURN,          /* stopped; has no turn until no more connections
+                                are accepted, and requests arrive meanwhile */
+  SCENARIO_NO_TURN_LONG      /* the same until the stop deadline */
 } scenario_t;
 
 /* Opens the socket of a peer that accepts connections and sends nothing.  */
@@ -589,15 +712,22 @@
               "%s" MEMBER_SUFFIX, addresses.live_peer);
 }
 
+static bool
+has_no_turn (scenario_t scenario)
+{
+  return scenario == SCENARIO_NO_TURN || scenario == SCENARIO_NO_TURN_LONG;
+}
+
 static char *
 settings_text (scenario_t scenario)
 {
   return g_strdup_printf (
       "[node]\nname = n1\nzone = z1\n[listen]\ncallers = %s\nready = %s\n"
       "peers = %s\noperators = %s\n[store]\naddress = %s\n"
-      "[scheduler]\ngrace_ms = 1500\n%s",
+      "[scheduler]\ngrace_ms = %" PRId64 "\n%s",
       addresses.callers, addresses.ready, addresses.peers, addresses.operators,
       addresses.store,
+      usec_to_msec (has_no_turn (scenario) ? GRACE : SHORT_GRACE),
       scenario == SCENARIO_SMALL_VM || scenario == SCENARIO_LARGEST_VM
           ? "[limits]\ncpu_share = 0.03\n"
       : scenario == SCENARIO_NO_LAYOUT ? "[limits]\ncpu_share = 0.5\n"
@@ -673,6 +803,7 @@
       fake.late_record = new_record ();
       fake.late_record_at = INT64_MAX;
     }
+  fake.pause_is_long = scenario == SCENARIO_NO_TURN_LONG;
   fake.client = http_client_new (fake.loop, COUNTER_UPSTREAM_BYTES);
 }
 
@@ -702,9 +833,10 @@
   g_free (text);
   set_up_fake (fence_result, scenario);
   clock_timer_init (&action, fake.loop,
-                    outage                  ? on_submit_again
-                    : has_cancel (scenario) ? on_cancel
-                                            : on_submit_then_stop,
+                    outage                   ? on_submit_again
+                    : has_cancel (scenario)  ? on_cancel
+                    : has_no_turn (scenario) ? on_stop_without_turn
+                                             : on_submit_then_stop,
                     &action);
   clock_timer_init (&check, fake.loop, outage ? on_submit_again : on_check,
                     NULL);
@@ -713,10 +845,11 @@
     clock_timer_start (&action, SUBMIT_AT);
   if (scenario == SCENARIO_SMALL_VM || outage)
     clock_timer_start (&check, CHECK_AT);
-  clock_timer_start (&end, is_long      ? LAYOUT_RUN
-                           : has_caller ? LONG_RUN
-                                        : SHORT_RUN);
+  clock_timer_start (&end, is_long || has_no_turn (scenario) ? LAYOUT_RUN
+                           : has_caller                      ? LONG_RUN
+                                                             : SHORT_RUN);
   code = scheduler_main (fake.loop, &settings, &backend);
+  fake.ended_at = clock_now ();
   free_pending_answers ();
   /* The client reads the answer of the stopped process.  */
   if (fake.appends_hang)
@@ -804,6 +937,19 @@
   CU_ASSERT_EQUAL (fake.answer_status, 504);
 }
 
+/* Guards against requests that are cut since the process had no turn until the
+   time for it to accept them was over (soak, seed 46004). */
+static void
+test_requests_without_turn (void)
+{
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_NO_TURN), 0);
+  CU_ASSERT_EQUAL (read_late_answers (), LATE_REQUESTS);
+  CU_ASSERT (fake.ended_at < fake.stopped_at + GRACE);
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_NO_TURN_LONG), 0);
+  CU_ASSERT_EQUAL (read_late_answers (), LATE_REQUESTS);
+  CU_ASSERT (fake.ended_at < fake.stopped_at + GRACE);
+}
+
 /* A stopping process is not assigned a shard again if its last join was still
    in flight when it left, or if the leave was lost.  The shard would have no
    owner until the member's lifetime ends. */
@@ -1286,6 +1432,7 @@
     { "no load without a fence", test_no_load_without_fence },
     { "configuration version rises", test_config_version_rises },
     { "answer before the stop", test_answer_before_stop },
+    { "requests without a turn", test_requests_without_turn },
     { "leave follows join", test_leave_follows_join },
     { "evict dead member", test_evict_dead_member },
     { "no join with an owner", test_no_join_with_owner },
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -187,6 +187,22 @@
 	printf 'resumable = %s\nmillicores = %s\nmemory_mb = %s\n' "$3" "$4" "$5"
 }
 
+# Prints the settings of a scheduling process on its own.
+schedule_settings() {
+	cat <<-END
+	[node]
+	name = node-1
+	zone = z
+	[listen]
+	callers = 127.0.0.1:$((BASE + 61))
+	ready = 127.0.0.1:$((BASE + 62))
+	peers = 127.0.0.1:$((BASE + 63))
+	operators = 127.0.0.1:$((BASE + 64))
+	[store]
+	address = 127.0.0.1:$BASE
+	END
+}
+
 # Generates the keys of the signer; write_settings needs the public one.
 make_keys() {
 	"$LIMPETHINGE" bundle keygen rosa "$WORK/rosa.key" \
--- a/tests/test-signals.sh
+++ b/tests/test-signals.sh
@@ -4,21 +4,6 @@
 # reads its settings from a FIFO, which holds its start up until they are written.
 . "$(dirname "$0")/lib.sh"
 
-schedule_settings() {
-	cat <<-END
-	[node]
-	name = node-1
-	zone = z
-	[listen]
-	callers = 127.0.0.1:$((BASE + 61))
-	ready = 127.0.0.1:$((BASE + 62))
-	peers = 127.0.0.1:$((BASE + 63))
-	operators = 127.0.0.1:$((BASE + 64))
-	[store]
-	address = 127.0.0.1:$BASE
-	END
-}
-
 # started_with NAME SETTINGS SIGNAL: starts the subcommand NAME, sends it the
 # signal before it has read its settings, later SIGTERM; it must exit with 0.
 started_with() {
