Bound records and appends to what the store accepts

A job whose record is larger than 256 KiB could be sent by a caller (a body of 256 KiB with long labels), or become so large if workers reported long checkpoints; many small records (60,000 jobs forgotten together) made an append larger than 2 MiB, since keys, lengths and deletions were not counted. The store refuses such an append each time, and with it the records of all other jobs of the shard, which then stores and starts nothing more.

Such a submission is now answered with 413 before it is stored, and refused by the owner if another build forwards it. A progress record that is too large leaves out the checkpoints, which a new owner still gets from the lists of the workers. Each record counts with its key and length.

--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -32,8 +32,11 @@
 static void pack_string (msgpack_packer *packer, const char *text);
 static void pack_occurrence (msgpack_packer *packer,
                              const submission_t *submission,
-                             const occurrence_t *occurrence);
-static void pack_task (msgpack_packer *packer, const task_t *task);
+                             const occurrence_t *occurrence, bool checkpoints);
+static void pack_task (msgpack_packer *packer, const task_t *task,
+                       bool checkpoints);
+static void encode_progress (const job_t *job, bool checkpoints,
+                             GByteArray *out);
 static uint32_t uncounted_runs (const task_t *task, uint64_t state);
 static uint32_t read_losses (const task_t *task, uint64_t state,
                              const msgpack_object *fields);
@@ -206,8 +209,8 @@
 
 /* A progress record: job identifier, final status, time of the end, started,
    next occurrence, then the occurrences that are not done. */
-void
-job_encode (const job_t *job, GByteArray *out)
+static void
+encode_progress (const job_t *job, bool checkpoints, GByteArray *out)
 {
   msgpack_packer packer;
 
@@ -220,12 +223,25 @@
   msgpack_pack_uint32 (&packer, job->next_occurrence);
   msgpack_pack_array (&packer, job->occurrences->len);
   for (guint i = 0; i < job->occurrences->len; i++)
-    pack_occurrence (&packer, job->submission, job->occurrences->pdata[i]);
+    pack_occurrence (&packer, job->submission, job->occurrences->pdata[i],
+                     checkpoints);
+}
+
+void
+job_encode (const job_t *job, GByteArray *out)
+{
+  encode_progress (job, true, out);
+}
+
+void
+job_encode_without_checkpoints (const job_t *job, GByteArray *out)
+{
+  encode_progress (job, false, out);
 }
 
 static void
 pack_occurrence (msgpack_packer *packer, const submission_t *submission,
-                 const occurrence_t *occurrence)
+                 const occurrence_t *occurrence, bool checkpoints)
 {
   msgpack_pack_array (packer, submission->step_count + 1);
   msgpack_pack_uint32 (packer, occurrence->number);
@@ -247,12 +263,12 @@
         }
       msgpack_pack_array (packer, submission->steps[s].count);
       for (uint32_t i = 0; i < submission->steps[s].count; i++)
-        pack_task (packer, &occurrence->tasks[s][i]);
+        pack_task (packer, &occurrence->tasks[s][i], checkpoints);
     }
 }
 
 static void
-pack_task (msgpack_packer *packer, const task_t *task)
+pack_task (msgpack_packer *packer, const task_t *task, bool checkpoints)
 {
   if (task->state != TASK_PLACED && !task->run)
     {
@@ -270,7 +286,7 @@
   msgpack_pack_uint32 (packer, task->failures);
   pack_string (packer, task->place.worker);
   msgpack_pack_int64 (packer, task->place.life_ms);
-  pack_string (packer, task->checkpoint);
+  pack_string (packer, checkpoints ? task->checkpoint : NULL);
   pack_string (packer, task->place.address);
   msgpack_pack_uint32 (packer, task->crashes);
   msgpack_pack_uint32 (packer, task->worker_leaves);
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -165,6 +165,7 @@
 
 /** Encodes the progress record of a job. */
 void job_encode (const job_t *job, GByteArray *out);
+void job_encode_without_checkpoints (const job_t *job, GByteArray *out);
 
 /** Applies a stored progress record to a job made by job_new.
     @return 0, or -EBADMSG if the record is invalid: the job may then hold a
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -188,6 +188,7 @@
   submission_t *parsed
       = s->backend->ops->decode_submission (s->backend->ctx, http->body, &err);
   caller_request_t *request;
+  GByteArray *record;
 
   if (!parsed)
     {
@@ -213,12 +214,20 @@
   parsed->stretch_percent = rules->stretch;
   parsed->target_ms = rules->target_ms;
   parsed->accepted_ms = usec_to_msec (g_get_real_time ());
+  record = g_byte_array_new ();
+  submission_encode (parsed, record);
+  submission_free (parsed);
+  if (record->len > SHARD_VALUE_MAX_BYTES)
+    {
+      counter_add (COUNTER_HTTP_REFUSED, 1);
+      reject_now (s, http->handle, 413, 0, "the job is too large");
+      g_byte_array_unref (record);
+      return;
+    }
   request = open_request (s, now, http, rules, job);
   request->kind = QUERY_SUBMIT;
   request->forward_until = forward_end (request, now);
-  request->record = g_byte_array_new ();
-  submission_encode (parsed, request->record);
-  submission_free (parsed);
+  request->record = record;
   process_request (s, now, request);
 }
 
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -97,6 +97,7 @@
   char left_member[96];  /* member named in the last leave */
   uint32_t config_count; /* decoded configurations */
   bool submitted;
+  const char *body;                /* of the submission */
   int answer_status;               /* of the caller's last request */
   int first_status;                /* of its first request */
   int other_job_status;            /* of its request for another job */
@@ -374,12 +375,12 @@
   submission_t *submission = g_new0 (submission_t, 1);
 
   (void)ctx;
-  (void)body;
   (void)err;
   submission->spec = g_strdup ("spec");
   submission->step_count = 1;
   submission->steps = g_new0 (step_t, 1);
   submission->steps[0].count = 1;
+  submission->steps[0].image = g_strndup (body.data, body.len);
   return submission;
 }
 
@@ -444,7 +445,7 @@
   clock_timer_t *timer = ctx;
   const http_request_t request = { .method = "POST",
                                    .url = url_of (addresses.callers, JOB_PATH),
-                                   .body = blob_of ("{}"),
+                                   .body = blob_of (fake.body),
                                    .timeout = 5 * USEC_PER_SEC };
 
   if (!fake.submitted)
@@ -674,9 +675,11 @@
   SCENARIO_LOST_READS,     /* the answers to three reads of records are lost */
   SCENARIO_LAPSING_LAST,   /* the record of lapsing workers is the last one */
   SCENARIO_LAPSING_OUTDATED, /* it is older than the record of a job */
-  SCENARIO_NO_TURN,          /* stopped; has no turn until no more connections
-                                are accepted, and requests arrive meanwhile */
-  SCENARIO_NO_TURN_LONG      /* the same until the stop deadline */
+  SCENARIO_LARGE_JOB,   /* a job is submitted that takes more bytes than the
+                           store accepts in a record */
+  SCENARIO_NO_TURN,     /* stopped; has no turn until no more connections are
+                           accepted, and requests arrive meanwhile */
+  SCENARIO_NO_TURN_LONG /* the same until the stop deadline */
 } scenario_t;
 
 /* Opens the socket of a peer that accepts connections and sends nothing.  */
@@ -773,6 +776,16 @@
   return record;
 }
 
+/* @return a body of the largest size that is read */
+static const char *
+large_body (void)
+{
+  static char text[MAX_RECORD_BYTES + 1];
+
+  memset (text, 'x', MAX_RECORD_BYTES);
+  return text;
+}
+
 /* Prepares the fake store and the client. */
 static void
 set_up_fake (store_result_t fence_result, scenario_t scenario)
@@ -804,6 +817,7 @@
       fake.late_record_at = INT64_MAX;
     }
   fake.pause_is_long = scenario == SCENARIO_NO_TURN_LONG;
+  fake.body = scenario == SCENARIO_LARGE_JOB ? large_body () : "{}";
   fake.client = http_client_new (fake.loop, COUNTER_UPSTREAM_BYTES);
 }
 
@@ -967,6 +981,16 @@
   CU_ASSERT_EQUAL (fake.lost_leaves, 0);
 }
 
+/* Guards against a job that is answered late, with an error that has it sent
+   again, since the store refuses its record for its size. */
+static void
+test_large_job (void)
+{
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_LARGE_JOB), 0);
+  CU_ASSERT_EQUAL (fake.answer_status, 413);
+  CU_ASSERT_EQUAL (fake.appended_at, 0);
+}
+
 /* If the answer to an append is lost, the owner repeats the append within a
    second: until it is answered, nothing else is stored or started. */
 static void
@@ -1439,6 +1463,7 @@
     { "forward before append", test_forward_before_append },
     { "membership", test_membership },
     { "succession", test_succession },
+    { "large job", test_large_job },
     { "lost append", test_lost_append },
     { "lost reads", test_lost_reads },
     { "ready after a store refusal", test_ready_after_store_refusal },
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -275,6 +275,8 @@
   known = shard_submission_state (shard, job);
   if (known != -ENOENT)
     return known;
+  if (record.len > SHARD_VALUE_MAX_BYTES)
+    return -EBADMSG;
   order = submission_decode (record);
   if (!order || order->id != job)
     {
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -175,6 +175,10 @@
            them, and when theirs have expired; job is 0 */
 } record_kind_t;
 
+/** Largest value of a record: with its key and length it takes less than the
+    256 KiB that the store accepts. */
+#define SHARD_VALUE_MAX_BYTES 262000U
+
 /** A record to be appended; an empty value deletes the record. */
 typedef struct
 {
@@ -223,8 +227,8 @@
 /** Accepts a submission, which is stored with a later append.
     @return 0 if it is stored already, -EINPROGRESS if it will be
     (shard_ops_t.settled follows), -EAGAIN if the shard is not active or
-    quiesced, -EBADMSG if RECORD is no submission of JOB; with the last two
-    the submission is not accepted */
+    quiesced, -EBADMSG if RECORD is no submission of JOB or too large; with the
+    last two the submission is not accepted */
 int shard_submit (shard_t *shard, usec_t now, job_id_t job, blob_t record);
 
 /** @return 0 if the submission is stored, -EINPROGRESS if it is not stored
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -260,6 +260,7 @@
   usec_t append_due;
   usec_t append_sent;
   uint64_t sequence;
+  size_t batch_bytes;     /* of its records */
   GPtrArray *batch_blobs; /* GByteArray, values of BATCH_RECORDS */
   GArray *batch_records;  /* shard_record_t */
   GArray *batch_runs;     /* handle_t that become RUN_STARTING */
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -6,6 +6,9 @@
 
 #define APPEND_RETRY (100 * USEC_PER_MSEC)
 
+/* Of the length and the key that the store has for each record. */
+#define RECORD_OVERHEAD_BYTES 22U
+
 /* Shortest interval between appends of the interference model.  A new owner
    lacks the measurements made after the last of them. */
 #define INTERFERENCE_STORE_INTERVAL (USEC_PER_SEC)
@@ -17,8 +20,9 @@
 static void add_lapsing (shard_t *shard, usec_t now);
 static void add_record (shard_t *shard, record_kind_t kind, job_id_t job,
                         GByteArray *value);
-static size_t add_entry (shard_t *shard, job_entry_t *entry);
-static size_t add_submission (shard_t *shard, job_entry_t *entry);
+static void add_entry (shard_t *shard, job_entry_t *entry);
+static GByteArray *encode_progress (const job_t *job);
+static void add_submission (shard_t *shard, job_entry_t *entry);
 static void send_append (shard_t *shard, usec_t now);
 static void apply_stored (shard_t *shard, usec_t now);
 static void submission_stored (shard_t *shard, job_id_t job);
@@ -27,6 +31,7 @@
 void
 shard_reset_batch (shard_t *shard)
 {
+  shard->batch_bytes = 0;
   g_array_set_size (shard->batch_records, 0);
   g_ptr_array_set_size (shard->batch_blobs, 0);
   g_array_set_size (shard->batch_runs, 0);
@@ -56,7 +61,6 @@
 void
 shard_flush (shard_t *shard, usec_t now)
 {
-  size_t bytes = 0;
   guint taken = 0;
 
   if (shard->append_retry)
@@ -69,8 +73,8 @@
     return;
   shard_reset_batch (shard);
   while (taken < shard->dirty_entries->len
-         && bytes < shard->config.append_bytes)
-    bytes += add_entry (shard, shard->dirty_entries->pdata[taken++]);
+         && shard->batch_bytes < shard->config.append_bytes)
+    add_entry (shard, shard->dirty_entries->pdata[taken++]);
   g_ptr_array_remove_range (shard->dirty_entries, 0, taken);
   for (handle_t h = table_next (shard->runs, HANDLE_NONE); h != HANDLE_NONE;
        h = table_next (shard->runs, h))
@@ -134,39 +138,51 @@
   add_record (shard, RECORD_LAPSING, 0, value);
 }
 
-/* @return bytes added to the batch */
-static size_t
+static void
 add_entry (shard_t *shard, job_entry_t *entry)
 {
   const job_t *job = entry->job;
-  GByteArray *value = g_byte_array_new ();
   stored_end_t end = { job->id, job->end_status };
-  size_t bytes = 0;
 
   entry->dirty = false;
   if (job->end_status != JOB_QUEUED && !job->submission && !entry->end_time_ms)
     {
       g_ptr_array_add (shard->batch_drops, entry);
       add_record (shard, RECORD_SUBMISSION, job->id, g_byte_array_new ());
-      add_record (shard, RECORD_PROGRESS, job->id, value);
-      return 0;
+      add_record (shard, RECORD_PROGRESS, job->id, g_byte_array_new ());
+      return;
     }
   if (entry->unstored_submission)
-    bytes = add_submission (shard, entry);
-  job_encode (job, value);
+    add_submission (shard, entry);
   /* The progress comes before the deletion of the submission: without either
      record the job would be unknown. */
-  add_record (shard, RECORD_PROGRESS, job->id, value);
+  add_record (shard, RECORD_PROGRESS, job->id, encode_progress (job));
   if (entry->drop_submission)
     add_record (shard, RECORD_SUBMISSION, job->id, g_byte_array_new ());
   entry->drop_submission = false;
   if (job->end_status != entry->stored_end)
     g_array_append_val (shard->batch_ends, end);
-  return bytes + value->len;
 }
 
-/* @return bytes added to the batch */
-static size_t
+/* Leaves out all checkpoints if the record were too large with them: a new
+   owner then has them only from the lists of the workers. */
+static GByteArray *
+encode_progress (const job_t *job)
+{
+  GByteArray *value = g_byte_array_new ();
+
+  job_encode (job, value);
+  if (value->len <= SHARD_VALUE_MAX_BYTES)
+    return value;
+  log_item (LOG_LEVEL_WARNING, job->id, "job.large", NULL,
+            "job=%016" PRIx64 " bytes=%u stored without checkpoints", job->id,
+            value->len);
+  g_byte_array_set_size (value, 0);
+  job_encode_without_checkpoints (job, value);
+  return value;
+}
+
+static void
 add_submission (shard_t *shard, job_entry_t *entry)
 {
   GByteArray *value = g_byte_array_new ();
@@ -176,7 +192,6 @@
   g_byte_array_append (value, data, (guint)len);
   add_record (shard, RECORD_SUBMISSION, entry->job->id, value);
   g_array_append_val (shard->batch_submits, entry->job->id);
-  return len;
 }
 
 /* Takes over the reference to VALUE. */
@@ -187,6 +202,7 @@
   shard_record_t record
       = { kind, job, { (const char *)value->data, value->len } };
 
+  shard->batch_bytes += RECORD_OVERHEAD_BYTES + value->len;
   g_ptr_array_add (shard->batch_blobs, value);
   g_array_append_val (shard->batch_records, record);
 }
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -6,6 +6,8 @@
 #include <CUnit/CUnit.h>
 #include <string.h>
 
+/* Length and key of a record as they are appended. */
+#define RECORD_OVERHEAD_BYTES 22U
 /* Age from which on the state of the zones is too old for starts.  */
 #define ZONES_MAX_AGE (4 * USEC_PER_SEC)
 
@@ -31,6 +33,8 @@
 on_append (void *ctx, uint64_t sequence, const shard_record_t *records,
            size_t count)
 {
+  uint32_t bytes = 0;
+
   (void)ctx;
   (void)sequence;
   fixture.lapsing_unstored = count == 1 && records[0].kind == RECORD_LAPSING;
@@ -39,8 +43,12 @@
   else
     fixture.appends++;
   for (size_t i = 0; i < count; i++)
-    fixture.largest_record
-        = MAX (fixture.largest_record, records[i].value.len);
+    {
+      bytes += RECORD_OVERHEAD_BYTES + records[i].value.len;
+      fixture.largest_record
+          = MAX (fixture.largest_record, records[i].value.len);
+    }
+  fixture.largest_append = MAX (fixture.largest_append, bytes);
   for (size_t i = 0; i < count; i++)
     if (records[i].kind == RECORD_SUBMISSION)
       {
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -30,6 +30,7 @@
   uint32_t submissions;     /**< non-empty submission records appended */
   bool submission_deleted;  /**< by the last submission record */
   uint32_t largest_record;  /**< bytes of the largest value appended */
+  uint32_t largest_append;  /**< bytes of the largest append */
   uint32_t settled;
   uint32_t superseded;
   bool workers_reject_overload; /**< false unless the test sets it */
