Remember a restart that a rejected hold tells

A hold that a new incarnation of a worker rejected (unhealthy) told of the restart, but had no list to apply it to, and the next hold with lists came from an incarnation that was known by then. The tasks of the former incarnation waited for two more lists, its crash was not counted, and a start without an answer was judged by the clock of the former incarnation.

The restart is now remembered in the worker until a list is applied.

"restart in a rejected hold" (test_shard_settle) failed before: the task had no second start within 0.5 s.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -367,7 +367,6 @@
   pending_call_t *found = g_hash_table_lookup (shard->pending_calls, &id);
   pending_call_t pending;
   worker_t *worker;
-  bool restarted;
 
   if (!found)
     return;
@@ -399,14 +398,14 @@
     on_no_answer (shard, now, pending.worker, reply->kind);
   if (is_from_former_incarnation (worker, &pending, reply))
     reply = &no_answer;
-  restarted = reply->started_ms && worker->started_ms
-              && reply->started_ms != worker->started_ms;
+  worker->restarted |= reply->started_ms && worker->started_ms
+                       && reply->started_ms != worker->started_ms;
   if (reply->started_ms && reply->started_ms != worker->started_ms)
     on_restart (worker, now, reply->started_ms);
   if (reply->clock_ms)
     worker_set_clock (worker, now, reply->clock_ms);
   if (pending.kind == SHARD_HOLD)
-    on_hold (shard, now, &pending, reply, restarted);
+    on_hold (shard, now, &pending, reply, worker->restarted);
   else if (pending.kind == SHARD_START)
     {
       histogram_add (HISTOGRAM_START_CALL, now - pending.sent);
@@ -489,6 +488,7 @@
   sharing_apply_list (shard, now, handle);
   check_stalled (shard, now, handle);
   worker = worker_get (shard, handle);
+  worker->restarted = false;
   worker->hold_due = now;
   if (worker->lapsing)
     worker->hold_due += HOLD_RETRY;
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -104,6 +104,7 @@
   bool evacuated;           /* its zone is */
   int64_t started_ms;       /* identifies its incarnation, 0: unknown */
   usec_t started_known_at;  /* when an answer last changed STARTED_MS */
+  bool restarted;           /* since the last list */
   int64_t entry_started_ms; /* incarnation that the list describes */
   bool listed;              /* by the platform */
   bool leaving;
--- a/src/shard/test_shard_settle.c
+++ b/src/shard/test_shard_settle.c
@@ -208,6 +208,34 @@
   tear_down_workers ();
 }
 
+/* Guards against a restart that is forgotten since the hold that tells it is
+   rejected: the task would wait for more lists, and a start without an answer
+   would be compared with the clock of another incarnation. */
+static void
+test_restart_in_rejected_hold (void)
+{
+  shard_reply_t rejected = { .kind = SHARD_REPLY_UNHEALTHY };
+
+  set_up_two_workers ();
+  add_job (1);
+  run_workers (100 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (starts, 1);
+  reply_to_start (SHARD_REPLY_OK);
+  run_workers (100 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (holds->len, 1);
+  started_ms += 1000;
+  rejected.started_ms = started_ms;
+  rejected.clock_ms = usec_to_msec (fixture.now);
+  shard_reply (fixture.shard, fixture.now,
+               g_array_index (holds, waiting_hold_t, 0).call.id, &rejected);
+  g_array_set_size (holds, 0);
+  list_workers (true);
+  run_workers (500 * USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (starts, 2);
+  CU_ASSERT_EQUAL (last_start.run_id.run, 2);
+  tear_down_workers ();
+}
+
 /* Has the first FAILING_JOBS tasks fail on the only worker, at once. */
 static void
 fail_runs (void)
@@ -271,6 +299,7 @@
     { "stops outpace lists", test_stops_outpace_lists },
     { "restart after stop", test_restart_after_stop },
     { "late answer to stop", test_late_answer_to_stop },
+    { "restart in a rejected hold", test_restart_in_rejected_hold },
     { "pause of failing workers", test_pause_of_failing_workers },
   };
   int code;
