Wait longer for the answers to repeated stops

A run whose start had no answer before its worker restarted is given up once a stop is answered. Each stop waited 250 ms for its answer, so that a worker that takes longer, and whose holds are answered, kept the task from being started again for good.

After six stops without an answer, the next ones wait as long as other calls. The first six are sent as before ("lost stops").

"slow answers to stops" (test_shard_settle, answers after 600 ms) failed before: no third start within 6 s.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -8,9 +8,12 @@
    started elsewhere. */
 #define START_LIMIT (2 * USEC_PER_SEC)
 /* A stop is idempotent and its task may not run on: unlike a start it is soon
-   taken for lost, and repeated at once for the first STOPS_IN_A_ROW times. */
+   taken for lost, and repeated at once for the first STOPS_IN_A_ROW times.
+   After STOPS_WITHOUT_ANSWER its worker may be slow, and it waits as long as
+   other calls. */
 #define STOP_TIMEOUT (250 * USEC_PER_MSEC)
 #define STOPS_IN_A_ROW 3U
+#define STOPS_WITHOUT_ANSWER 6U
 #define STOP_RETRY (500 * USEC_PER_MSEC)
 /* After an answered stop, in addition to the time that stopping takes. */
 #define STOP_MARGIN (100 * USEC_PER_MSEC)
@@ -348,13 +351,16 @@
            const run_id_t *run_id, handle_t run)
 {
   const worker_t *worker = worker_get (shard, worker_handle);
+  const run_t *stopped = run_get (shard, run);
   shard_call_t call = { .kind = SHARD_STOP };
 
   call.id = add_pending_call (shard, now, SHARD_STOP, worker_handle, run);
   call.address = worker->address;
   call.worker = worker->id;
   call.token = shard->token;
-  call.timeout = MIN (shard->config.call_timeout, STOP_TIMEOUT);
+  call.timeout = shard->config.call_timeout;
+  if (!stopped || stopped->stops_unanswered < STOPS_WITHOUT_ANSWER)
+    call.timeout = MIN (call.timeout, STOP_TIMEOUT);
   call.run_id = *run_id;
   shard->ops->call (shard->ctx, &call);
 }
--- a/src/shard/test_shard_settle.c
+++ b/src/shard/test_shard_settle.c
@@ -13,21 +13,25 @@
 /* Longest time that the platform allows a task to be without a run after the
    end of an impairment, while there is capacity. */
 #define TURN_LIMIT (7 * USEC_PER_SEC)
+/* Less than the timeout of other calls. */
+#define SLOW_ANSWER (600 * USEC_PER_MSEC)
 #define FAILING_JOBS 6U
 
-/* A hold that waits at its worker. */
+/* A call that is answered later. */
 typedef struct
 {
   shard_call_t call;
   usec_t sent;
-} waiting_hold_t;
+} waiting_call_t;
 
 static int64_t started_ms; /* start of the incarnation of all workers */
 static bool stops_answered;
 static shard_call_t last_stop;
 static shard_call_t last_start;
 static uint32_t starts;
-static GArray *holds; /* waiting_hold_t */
+static GArray *holds;       /* waiting_call_t */
+static GArray *stops;       /* the same */
+static usec_t stop_latency; /* of answers to stops */
 
 /* Lists the present incarnation of w1 and, if BOTH, of w2. */
 static void
@@ -46,7 +50,9 @@
   started_ms = START_WALL_MS;
   stops_answered = true;
   starts = 0;
-  holds = g_array_new (FALSE, FALSE, sizeof (waiting_hold_t));
+  holds = g_array_new (FALSE, FALSE, sizeof (waiting_call_t));
+  stops = g_array_new (FALSE, FALSE, sizeof (waiting_call_t));
+  stop_latency = 0;
   list_workers (false);
   advance (0);
   reply_as_ready ("w1");
@@ -57,6 +63,7 @@
 tear_down_workers (void)
 {
   g_array_free (holds, TRUE);
+  g_array_free (stops, TRUE);
   tear_down ();
 }
 
@@ -76,17 +83,19 @@
 take_call (const shard_call_t *call)
 {
   static const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
-  const waiting_hold_t hold = { *call, fixture.now };
+  const waiting_call_t waiting = { *call, fixture.now };
 
   switch (call->kind)
     {
     case SHARD_STOP:
       last_stop = *call;
-      if (stops_answered)
+      if (stop_latency)
+        g_array_append_val (stops, waiting);
+      else if (stops_answered)
         shard_reply (fixture.shard, fixture.now, call->id, &ok);
       break;
     case SHARD_HOLD:
-      g_array_append_val (holds, hold);
+      g_array_append_val (holds, waiting);
       break;
     case SHARD_START:
       last_start = *call;
@@ -95,6 +104,25 @@
     }
 }
 
+/* Answers stops after their latency, if that is no longer than their timeout.
+ */
+static void
+answer_stops (void)
+{
+  for (guint i = stops->len; i > 0; i--)
+    {
+      waiting_call_t stop = g_array_index (stops, waiting_call_t, i - 1);
+      shard_reply_t reply
+          = { .kind = stop_latency <= stop.call.timeout ? SHARD_REPLY_OK
+                                                        : SHARD_REPLY_NONE };
+
+      if (fixture.now - stop.sent < MIN (stop_latency, stop.call.timeout))
+        continue;
+      g_array_remove_index_fast (stops, i - 1);
+      shard_reply (fixture.shard, fixture.now, stop.call.id, &reply);
+    }
+}
+
 /* Workers list no run, answer stops at once, and holds when their wait is
    over. */
 static void
@@ -111,13 +139,14 @@
         take_call (&calls[i]);
       for (guint i = holds->len; i > 0; i--)
         {
-          waiting_hold_t hold = g_array_index (holds, waiting_hold_t, i - 1);
+          waiting_call_t hold = g_array_index (holds, waiting_call_t, i - 1);
 
           if (fixture.now - hold.sent < hold.call.wait)
             continue;
           g_array_remove_index_fast (holds, i - 1);
           answer_hold (&hold.call);
         }
+      answer_stops ();
       if (fixture.appends)
         shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
       advance (STEP);
@@ -183,6 +212,20 @@
   tear_down_workers ();
 }
 
+/* Guards against a task that waits for good since its worker answers each stop
+   later than its timeout. */
+static void
+test_slow_answers_to_stops (void)
+{
+  reject_unanswered_start ();
+  stop_latency = SLOW_ANSWER;
+  started_ms += 1000;
+  list_workers (true);
+  run_workers (2 * SETTLE_LIMIT);
+  CU_ASSERT_EQUAL (starts, 3);
+  tear_down_workers ();
+}
+
 /* Guards against two runs of a task: an answer to a stop that the former
    incarnation of the worker sent arrives after the first list of the new
    one. */
@@ -227,7 +270,7 @@
   rejected.started_ms = started_ms;
   rejected.clock_ms = usec_to_msec (fixture.now);
   shard_reply (fixture.shard, fixture.now,
-               g_array_index (holds, waiting_hold_t, 0).call.id, &rejected);
+               g_array_index (holds, waiting_call_t, 0).call.id, &rejected);
   g_array_set_size (holds, 0);
   list_workers (true);
   run_workers (500 * USEC_PER_MSEC);
@@ -298,6 +341,7 @@
   const suite_test_t tests[] = {
     { "stops outpace lists", test_stops_outpace_lists },
     { "restart after stop", test_restart_after_stop },
+    { "slow answers to stops", test_slow_answers_to_stops },
     { "late answer to stop", test_late_answer_to_stop },
     { "restart in a rejected hold", test_restart_in_rejected_hold },
     { "pause of failing workers", test_pause_of_failing_workers },
