Append nothing for a gang that does not fit

A pass that placed some members of a gang and then found no room for the rest undid the placement, but left the job to be stored. Each pass, ten a second, appended its unchanged record as long as the gang waited.

The job is no longer marked as changed after the placement is undone, unless it was before.

"gang without room" (test_shard_store) failed before: appends within one second, none now.

--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -220,6 +220,15 @@
   g_ptr_array_add (shard->dirty_entries, entry);
 }
 
+void
+shard_unmark_dirty (shard_t *shard, job_entry_t *entry)
+{
+  if (!entry->dirty)
+    return;
+  entry->dirty = false;
+  g_ptr_array_remove (shard->dirty_entries, entry);
+}
+
 void
 shard_apply_record (shard_t *shard, usec_t now, record_kind_t kind,
                     job_id_t job, blob_t value)
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -123,6 +123,7 @@
   task_t *tasks = c->occurrence->tasks[c->step];
   uint32_t highest = 0;
   const char *saved = NULL;
+  bool was_dirty = c->entry->dirty;
 
   if (c->occurrence->placed[c->step])
     return;
@@ -140,6 +141,8 @@
         continue;
       tasks[i].run = highest;
       undo_gang_placement (shard, now, c, i);
+      if (!was_dirty)
+        shard_unmark_dirty (shard, c->entry);
       return;
     }
   for (uint32_t i = 0; i < count; i++)
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -297,6 +297,8 @@
 /* shard.c */
 job_entry_t *shard_entry (const shard_t *shard, job_id_t job);
 void shard_mark_dirty (shard_t *shard, job_entry_t *entry);
+/** Takes back shard_mark_dirty after the change has been undone. */
+void shard_unmark_dirty (shard_t *shard, job_entry_t *entry);
 void shard_end_job (shard_t *shard, usec_t now, job_entry_t *entry,
                     job_status_t end);
 /** Frees the submission and tasks of an ended job that has no runs left and
--- a/src/shard/test_shard_store.c
+++ b/src/shard/test_shard_store.c
@@ -12,6 +12,8 @@
 #define CALL_BYTES (2U << 20)
 /* Jobs that are forgotten together after an outage. */
 #define FORGOTTEN_JOBS 60000U
+/* Of a gang: one more than a worker has room for. */
+#define MEMBERS 5U
 #define KEEP_ENDED (60 * USEC_PER_SEC)
 
 /* @return what shard_submit returns for a job with a label of some bytes */
@@ -111,6 +113,39 @@
   tear_down ();
 }
 
+static void
+store_appends (usec_t span)
+{
+  const usec_t step = 50 * USEC_PER_MSEC;
+
+  for (usec_t end = fixture.now + span; fixture.now < end;)
+    {
+      advance (step);
+      shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+    }
+}
+
+/* Guards against appends of a job in which nothing has changed: a gang that
+   does not fit is tried in each pass. */
+static void
+test_gang_without_room (void)
+{
+  submission_t *submission = new_submission (MEMBERS);
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  submission->steps[0].gang = true;
+  apply_submission (submission);
+  store_appends (USEC_PER_SEC);
+  CU_ASSERT_EQUAL (fixture.appends, 0);
+  CU_ASSERT_EQUAL (shard_cancel (fixture.shard, fixture.now, JOB_ID), -EAGAIN);
+  store_appends (USEC_PER_SEC);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  CU_ASSERT_EQUAL (shard_cancel (fixture.shard, fixture.now, JOB_ID), 0);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -118,6 +153,7 @@
     { "large submission", test_large_submission },
     { "long checkpoints", test_long_checkpoints },
     { "many small records", test_many_small_records },
+    { "gang without room", test_gang_without_room },
   };
 
   log_open ("test", LOG_LEVEL_ERR);
