Mutants of the last requests, large records and late stops

One survived at first: nothing tested that a connection which is accepted last is kept for its request. "requests without a turn" has that case now.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -137,6 +137,13 @@
 LATE_LIST_CLEARS|src/shard/shard_crashes.c|shard/test_shard_crashes|s/run->first_listed_ms = clock_ms;/run->first_listed_ms = clock_ms - 1500;/
 PAUSED_OWNER_BLIND|src/shard/shard_crashes.c|shard/test_shard_crashes|s/in_doubt_since - worker->last_answer > shard->config.poll_idle/in_doubt_since < 0/
 UNANSWERED_NOT_BLAMED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^         || run->start_sent;/|| run->start_unanswered;/
+LATE_REQUESTS_CUT|src/scheduler/scheduler.c|scheduler/test_scheduler|s/^  httpd_catch_up (s->callers);//
+LAST_ANSWERS_CUT|src/scheduler/scheduler.c|scheduler/test_scheduler|s/^      httpd_catch_up (s->callers);//
+LAST_CONNECTIONS_CUT|src/scheduler/scheduler.c|scheduler/test_scheduler|s/define STOP_READ_TIME (20/define STOP_READ_TIME (0/
+LARGE_RECORD_STORED|src/shard/shard_store.c|shard/test_shard_store|s/if (value->len <= SHARD_VALUE_MAX_BYTES)/if (true)/
+UNCHANGED_GANG_STORED|src/shard/shard_place.c|shard/test_shard_store|s/if (!was_dirty)/if (false)/
+RESTART_FORGOTTEN|src/shard/shard_calls.c|shard/test_shard_settle|s/worker->restarted |= /worker->restarted = /
+SHORT_STOPS_ONLY|src/shard/shard_calls.c|shard/test_shard_settle|s/define STOPS_WITHOUT_ANSWER 6U/define STOPS_WITHOUT_ANSWER 600U/
 UNBOUNDED_OCCURRENCES|src/jobs/jobs.c|jobs/test_jobs|s/JOB_MAX_TASKS;$/JOB_MAX_TASKS * 4;/
 TABLE
 }
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -105,6 +105,7 @@
   usec_t stopped_at;               /* time of the signal */
   usec_t ended_at;                 /* of the process */
   bool pause_is_long;              /* until the stop deadline */
+  bool all_sent_last;              /* no request arrives in the pause */
   bool paused;
   http_client_t *client;
   struct ev_loop *loop;
@@ -544,6 +545,13 @@
   CU_ASSERT (write (fake.late_sockets[i], text, strlen (text)) > 0);
 }
 
+/* @return whether the request is sent after the pause */
+static bool
+is_sent_last (uint32_t i)
+{
+  return fake.all_sent_last || (!fake.pause_is_long && i % 2);
+}
+
 /* Sends requests on open connections and on new ones, then moves the clock
    without a round of the loop. */
 static void
@@ -555,8 +563,9 @@
 
   for (uint32_t i = LATE_REQUESTS / 2; i < LATE_REQUESTS; i++)
     fake.late_sockets[i] = connect_as_caller ();
-  for (uint32_t i = 0; i < LATE_REQUESTS; i += fake.pause_is_long ? 1 : 2)
-    send_late_request (i);
+  for (uint32_t i = 0; i < LATE_REQUESTS; i++)
+    if (!is_sent_last (i))
+      send_late_request (i);
   clock_timer_init (&turn, fake.loop, on_turn, NULL);
   clock_timer_start (&turn, until - clock_now ());
   while (clock_now () < until)
@@ -590,8 +599,9 @@
         clock_timer_start (timer, REQUEST_DELAY);
     }
   else
-    for (uint32_t i = 1; i < LATE_REQUESTS; i += 2)
-      send_late_request (i);
+    for (uint32_t i = 0; i < LATE_REQUESTS; i++)
+      if (is_sent_last (i))
+        send_late_request (i);
 }
 
 /* @return the number of late requests that got a complete answer */
@@ -675,11 +685,13 @@
   SCENARIO_LOST_READS,     /* the answers to three reads of records are lost */
   SCENARIO_LAPSING_LAST,   /* the record of lapsing workers is the last one */
   SCENARIO_LAPSING_OUTDATED, /* it is older than the record of a job */
-  SCENARIO_LARGE_JOB,   /* a job is submitted that takes more bytes than the
-                           store accepts in a record */
-  SCENARIO_NO_TURN,     /* stopped; has no turn until no more connections are
-                           accepted, and requests arrive meanwhile */
-  SCENARIO_NO_TURN_LONG /* the same until the stop deadline */
+  SCENARIO_LARGE_JOB,    /* a job is submitted that takes more bytes than the
+                            store accepts in a record */
+  SCENARIO_NO_TURN,      /* stopped; has no turn until no more connections are
+                            accepted, and requests arrive meanwhile */
+  SCENARIO_NO_TURN_LONG, /* the same until the stop deadline */
+  SCENARIO_LAST_REQUESTS /* as SCENARIO_NO_TURN; the requests arrive after
+                            their connections have been accepted last */
 } scenario_t;
 
 /* Opens the socket of a peer that accepts connections and sends nothing.  */
@@ -718,7 +730,8 @@
 static bool
 has_no_turn (scenario_t scenario)
 {
-  return scenario == SCENARIO_NO_TURN || scenario == SCENARIO_NO_TURN_LONG;
+  return scenario == SCENARIO_NO_TURN || scenario == SCENARIO_NO_TURN_LONG
+         || scenario == SCENARIO_LAST_REQUESTS;
 }
 
 static char *
@@ -817,6 +830,7 @@
       fake.late_record_at = INT64_MAX;
     }
   fake.pause_is_long = scenario == SCENARIO_NO_TURN_LONG;
+  fake.all_sent_last = scenario == SCENARIO_LAST_REQUESTS;
   fake.body = scenario == SCENARIO_LARGE_JOB ? large_body () : "{}";
   fake.client = http_client_new (fake.loop, COUNTER_UPSTREAM_BYTES);
 }
@@ -959,6 +973,8 @@
   CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_NO_TURN), 0);
   CU_ASSERT_EQUAL (read_late_answers (), LATE_REQUESTS);
   CU_ASSERT (fake.ended_at < fake.stopped_at + GRACE);
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_LAST_REQUESTS), 0);
+  CU_ASSERT_EQUAL (read_late_answers (), LATE_REQUESTS);
   CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_NO_TURN_LONG), 0);
   CU_ASSERT_EQUAL (read_late_answers (), LATE_REQUESTS);
   CU_ASSERT (fake.ended_at < fake.stopped_at + GRACE);
