--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -96,22 +96,27 @@
   const char *owner;     /* member that owns the shard, NULL for none */
   char left_member[96];  /* member named in the last leave */
   uint32_t config_count; /* decoded configurations */
+  const char *body;      /* of the submission */
   bool submitted;
-  const char *body;                /* of the submission */
-  int answer_status;               /* of the caller's last request */
-  int first_status;                /* of its first request */
-  int other_job_status;            /* of its request for another job */
-  int late_sockets[LATE_REQUESTS]; /* the first half is connected early */
-  usec_t stopped_at;               /* time of the signal */
-  usec_t ended_at;                 /* of the process */
-  bool pause_is_long;              /* until the stop deadline */
-  bool all_sent_last;              /* no request arrives in the pause */
-  bool paused;
+  int answer_status;    /* of the caller's last request */
+  int first_status;     /* of its first request */
+  int other_job_status; /* of its request for another job */
   http_client_t *client;
   struct ev_loop *loop;
   GPtrArray *pending; /* store_answer_t */
 } fake_store_t;
 
+/* Requests to a process that is stopped and then has no turn.  */
+typedef struct
+{
+  int sockets[LATE_REQUESTS]; /* the first half is connected early */
+  usec_t stopped_at;          /* time of the signal */
+  usec_t ended_at;            /* of the process */
+  bool pause_is_long;         /* until the stop deadline */
+  bool all_sent_last;         /* no request arrives in the pause */
+  bool paused;
+} late_requests_t;
+
 /* A store call that a timer answers later.  */
 typedef struct
 {
@@ -129,6 +134,7 @@
 } store_answer_t;
 
 static fake_store_t fake;
+static late_requests_t late;
 
 static void
 on_answer_due (void *ctx)
@@ -542,14 +548,14 @@
               "POST /q/5c0e7a21d94b%04x HTTP/1.1\r\nHost: %s\r\n"
               "Content-Length: 2\r\n\r\n{}",
               i, addresses.callers);
-  CU_ASSERT (write (fake.late_sockets[i], text, strlen (text)) > 0);
+  CU_ASSERT (write (late.sockets[i], text, strlen (text)) > 0);
 }
 
 /* @return whether the request is sent after the pause */
 static bool
 is_sent_last (uint32_t i)
 {
-  return fake.all_sent_last || (!fake.pause_is_long && i % 2);
+  return late.all_sent_last || (!late.pause_is_long && i % 2);
 }
 
 /* Sends requests on open connections and on new ones, then moves the clock
@@ -559,10 +565,10 @@
 {
   clock_timer_t turn;
   usec_t until
-      = fake.stopped_at + (fake.pause_is_long ? STOP_PAUSE : ACCEPT_PAUSE);
+      = late.stopped_at + (late.pause_is_long ? STOP_PAUSE : ACCEPT_PAUSE);
 
   for (uint32_t i = LATE_REQUESTS / 2; i < LATE_REQUESTS; i++)
-    fake.late_sockets[i] = connect_as_caller ();
+    late.sockets[i] = connect_as_caller ();
   for (uint32_t i = 0; i < LATE_REQUESTS; i++)
     if (!is_sent_last (i))
       send_late_request (i);
@@ -579,23 +585,23 @@
 {
   clock_timer_t *timer = ctx;
 
-  if (!fake.late_sockets[0])
+  if (!late.sockets[0])
     {
       for (uint32_t i = 0; i < LATE_REQUESTS / 2; i++)
-        fake.late_sockets[i] = connect_as_caller ();
+        late.sockets[i] = connect_as_caller ();
       clock_timer_start (timer, SUBMIT_AT / 2);
     }
-  else if (!fake.stopped_at)
+  else if (!late.stopped_at)
     {
-      fake.stopped_at = clock_now ();
+      late.stopped_at = clock_now ();
       ev_feed_signal_event (fake.loop, SIGTERM);
       clock_timer_start (timer, SUBMIT_AT / 2);
     }
-  else if (!fake.paused)
+  else if (!late.paused)
     {
-      fake.paused = true;
+      late.paused = true;
       have_no_turn ();
-      if (!fake.pause_is_long)
+      if (!late.pause_is_long)
         clock_timer_start (timer, REQUEST_DELAY);
     }
   else
@@ -618,11 +624,10 @@
       ssize_t got;
       const char *end;
 
-      while ((got
-              = read (fake.late_sockets[i], text + len, sizeof text - 1 - len))
+      while ((got = read (late.sockets[i], text + len, sizeof text - 1 - len))
              > 0)
         len += (size_t)got;
-      close (fake.late_sockets[i]);
+      close (late.sockets[i]);
       end = strstr (text, body);
       if (!got && g_str_has_prefix (text, "HTTP/1.1 ") && end
           && end[strlen (body)])
@@ -804,6 +809,7 @@
 set_up_fake (store_result_t fence_result, scenario_t scenario)
 {
   memset (&fake, 0, sizeof fake);
+  memset (&late, 0, sizeof late);
   fake.fence_result = fence_result;
   fake.pending = g_ptr_array_new ();
   fake.loop = paused_loop_new ();
@@ -829,8 +835,8 @@
       fake.late_record = new_record ();
       fake.late_record_at = INT64_MAX;
     }
-  fake.pause_is_long = scenario == SCENARIO_NO_TURN_LONG;
-  fake.all_sent_last = scenario == SCENARIO_LAST_REQUESTS;
+  late.pause_is_long = scenario == SCENARIO_NO_TURN_LONG;
+  late.all_sent_last = scenario == SCENARIO_LAST_REQUESTS;
   fake.body = scenario == SCENARIO_LARGE_JOB ? large_body () : "{}";
   fake.client = http_client_new (fake.loop, COUNTER_UPSTREAM_BYTES);
 }
@@ -877,7 +883,7 @@
                            : has_caller                      ? LONG_RUN
                                                              : SHORT_RUN);
   code = scheduler_main (fake.loop, &settings, &backend);
-  fake.ended_at = clock_now ();
+  late.ended_at = clock_now ();
   free_pending_answers ();
   /* The client reads the answer of the stopped process.  */
   if (fake.appends_hang)
@@ -972,12 +978,12 @@
 {
   CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_NO_TURN), 0);
   CU_ASSERT_EQUAL (read_late_answers (), LATE_REQUESTS);
-  CU_ASSERT (fake.ended_at < fake.stopped_at + GRACE);
+  CU_ASSERT (late.ended_at < late.stopped_at + GRACE);
   CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_LAST_REQUESTS), 0);
   CU_ASSERT_EQUAL (read_late_answers (), LATE_REQUESTS);
   CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_NO_TURN_LONG), 0);
   CU_ASSERT_EQUAL (read_late_answers (), LATE_REQUESTS);
-  CU_ASSERT (fake.ended_at < fake.stopped_at + GRACE);
+  CU_ASSERT (late.ended_at < late.stopped_at + GRACE);
 }
 
 /* A stopping process is not assigned a shard again if its last join was still
