Let no entry with an odd key pass for that of a worker

Callers could see: a worker that is no longer chosen, with its runs taken to be on an unlisted worker, after another writer put or deleted a record whose key begins with the worker's id and a zero byte; calls with a header of the other writer's choice.

Cause: platform_worker copied the key into a string, which ended at the zero byte, and took any bytes for an id. The id is sent in Expected-Instance.

--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -150,7 +150,8 @@
   /** Decodes a record of TOPIC_WORKERS.  Strings are valid until the next
       call.
       @return 0; -ENOENT if the entry was deleted; -EBADMSG if it is
-      unreadable.  info->id is set in each case. */
+      unreadable.  info->id is set in each case, to "" if the key can be no
+      id. */
   int (*decode_worker) (void *ctx, const store_record_t *record,
                         shard_worker_t *info);
   /** Decodes a submitted job: spec, steps and schedule.
--- a/src/scheduler/test_workers.c
+++ b/src/scheduler/test_workers.c
@@ -51,6 +51,11 @@
   (void)ctx;
   blob_copy (record->key, id, sizeof id);
   blob_copy (record->value, text, sizeof text);
+  if (!record->key.len || strlen (id) != record->key.len)
+    {
+      *info = (shard_worker_t){ .id = "" };
+      return -EBADMSG;
+    }
   *info = (shard_worker_t){ .id = id,
                             .address = "10.0.0.1:1",
                             .service = "s",
@@ -138,6 +143,18 @@
   return value;
 }
 
+/* @return whether the first worker of a shard is listed */
+static bool
+is_listed (uint32_t shard)
+{
+  json_t *dump = shard_dump (scheduler->shards[shard].shard, now);
+  const json_t *worker = json_array_get (json_object_get (dump, "workers"), 0);
+  bool listed = json_is_true (json_object_get (worker, "listed"));
+
+  json_decref (dump);
+  return listed;
+}
+
 /* @return age of the list of workers when the last read was sent, in ms */
 static json_int_t
 list_age (void)
@@ -163,6 +180,28 @@
   tear_down ();
 }
 
+/* Guards against an entry with a key that names no worker, or its deletion,
+   that unlists the worker whose id the key begins with. */
+static void
+test_odd_keys (void)
+{
+  const store_record_t list[] = { record ("w1", "4000", 3) };
+  const store_record_t odd[] = { { { "w1\0x", 4 }, blob_of ("x"), 5 },
+                                 { { "w1\0x", 4 }, { NULL, 0 }, 6 },
+                                 { { "", 0 }, blob_of ("1000"), 7 },
+                                 { { "", 0 }, { NULL, 0 }, 8 } };
+
+  set_up ();
+  send_read ();
+  answer (STORE_OK, list, 1, 5, false);
+  send_read ();
+  answer (STORE_OK, odd, 4, 9, false);
+  CU_ASSERT (is_listed (0));
+  CU_ASSERT_EQUAL (dumped ("millicores", true), 4000);
+  CU_ASSERT_EQUAL (g_hash_table_size (scheduler->worker_shards), 1);
+  tear_down ();
+}
+
 /* Guards against a list that counts as known before its last page, or from the
    time of its last page. */
 static void
@@ -223,6 +262,7 @@
 {
   const suite_test_t tests[] = {
     { "capacity", test_capacity },
+    { "odd keys", test_odd_keys },
     { "age of pages", test_age_of_pages },
     { "age of reads", test_age_of_reads },
     { "age after takeover", test_age_after_takeover },
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -712,10 +712,12 @@
 
       json_array_append_new (
           workers,
-          json_pack ("{s:s, s:s, s:b, s:b, s:b, s:b, s:I, s:I, s:I, s:i, s:I}",
-                     "id", w->id, "zone", w->zone, "evacuated", w->evacuated,
-                     "fenced", w->fenced, "in_doubt", w->in_doubt, "leaving",
-                     w->leaving, "millicores", (json_int_t)w->millicores,
+          json_pack ("{s:s, s:s, s:b, s:b, s:b, s:b, s:b, s:I, s:I, s:I, s:i, "
+                     "s:I}",
+                     "id", w->id, "zone", w->zone, "listed", w->listed,
+                     "evacuated", w->evacuated, "fenced", w->fenced,
+                     "in_doubt", w->in_doubt, "leaving", w->leaving,
+                     "millicores", (json_int_t)w->millicores,
                      "used_millicores", (json_int_t)w->used_millicores,
                      "fill_millicores", (json_int_t)w->best_effort_millicores,
                      "runs", (int)w->runs->len, "silent_ms",
