Keep a worker in one shard if an entry names another rack

Callers could see: tasks that are stopped and started again and again, and shards that change their owner, after another writer left an entry of a worker with the rack of another shard. The worker was then in two shards. Both owners held it, with different tokens: the one with the lower token is taken for superseded, the other takes the runs for stray and stops them. The right entry did not end it, as the owner of the wrong shard went on calling the worker. A process that read the odd entry first, of a shard that it does not own, did not decode the right one either: the worker was not used until the list was loaded again.

Cause: apply_worker took for granted that the rack of a worker never changes.

Change: the table of listed workers has the rack of each. An entry of another shard names no worker and has the worker forgotten, so that the next entry counts: a single odd one does nothing, and after an odd one that was the first the second right one, about a second later, mends it. The former shard stops calling the worker once it has no runs of it. Entries of other owners' workers are still not decoded while they contain the known rack.

--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -234,9 +234,9 @@
   uint64_t workers_next_offset;
   bool workers_next_offset_known;
   usec_t workers_due;
-  usec_t workers_sent;       /* when the read in flight was sent */
-  usec_t workers_list_sent;  /* the same of the first page of a list */
-  GHashTable *worker_shards; /* id -> shard + 1, of listed workers */
+  usec_t workers_sent;      /* when the read in flight was sent */
+  usec_t workers_list_sent; /* the same of the first page of a list */
+  GHashTable *worker_racks; /* id -> rack, of listed workers */
 
   GHashTable *requests;         /* id -> caller_request_t */
   GHashTable *requests_by_http; /* handle -> caller_request_t */
--- a/src/scheduler/sched_workers.c
+++ b/src/scheduler/sched_workers.c
@@ -12,6 +12,12 @@
 static void on_workers (void *ctx, const store_records_t *records);
 static void apply_worker (scheduler_t *s, usec_t now,
                           const store_record_t *record);
+static const shard_state_t *shard_of_worker (const scheduler_t *s,
+                                             const char *id, const char *rack);
+static bool contains (blob_t text, const char *part);
+static bool check_shard (scheduler_t *s, usec_t now,
+                         const shard_worker_t *info,
+                         const shard_state_t *known);
 static void drop_unlisted (scheduler_t *s, usec_t now);
 static void confirm_list (scheduler_t *s, usec_t as_of);
 
@@ -33,7 +39,7 @@
   if (!sched_owns_any_shard (s))
     {
       s->workers_loaded = false;
-      g_hash_table_remove_all (s->worker_shards);
+      g_hash_table_remove_all (s->worker_racks);
       return INT64_MAX;
     }
   if (s->workers_busy)
@@ -53,7 +59,7 @@
       s->workers_last_key[0] = '\0';
       s->workers_list_sent = now;
       s->workers_next_offset_known = false;
-      g_hash_table_remove_all (s->worker_shards);
+      g_hash_table_remove_all (s->worker_racks);
     }
   s->backend->ops->read_latest (s->backend->ctx, TOPIC_WORKERS, 0,
                                 s->workers_last_key, PAGE_TIMEOUT, on_workers,
@@ -103,56 +109,77 @@
 }
 
 /* All workers of a rack belong to the same shard.  */
-static uint32_t
-shard_of_worker (const scheduler_t *s, const shard_worker_t *info)
+static const shard_state_t *
+shard_of_worker (const scheduler_t *s, const char *id, const char *rack)
 {
-  const char *unit = *info->rack ? info->rack : info->id;
+  const char *unit = *rack ? rack : id;
 
-  return (uint32_t)(XXH64 (unit, strlen (unit), 0) % s->shard_count);
+  return &s->shards[XXH64 (unit, strlen (unit), 0) % s->shard_count];
 }
 
-/* @return shard + 1 of a listed worker, else 0 */
-static uint32_t
-known_worker_shard (const scheduler_t *s, const store_record_t *record)
+static bool
+contains (blob_t text, const char *part)
 {
-  char id[256];
+  return text.len && memmem (text.data, text.len, part, strlen (part));
+}
 
-  blob_copy (record->key, id, sizeof id);
-  return GPOINTER_TO_UINT (g_hash_table_lookup (s->worker_shards, id));
+/* A worker's rack never changes: an entry with the rack of another shard,
+   which another writer left, names no worker.  So does the first right one if
+   the odd entry was read first; the next one counts.
+   @return whether the entry is to be used */
+static bool
+check_shard (scheduler_t *s, usec_t now, const shard_worker_t *info,
+             const shard_state_t *known)
+{
+  if (!known || known == shard_of_worker (s, info->id, info->rack))
+    return true;
+  log_line (LOG_LEVEL_WARNING, "worker.moved", info->address,
+            "worker=%s shard=%u rack=%s is of another shard", info->id,
+            known->number, info->rack);
+  shard_worker_moved (known->shard, now, info->id);
+  g_hash_table_remove (s->worker_racks, info->id);
+  return false;
 }
 
 static void
 apply_worker (scheduler_t *s, usec_t now, const store_record_t *record)
 {
   shard_worker_t info = { 0 };
-  uint32_t known = known_worker_shard (s, record);
-  uint32_t shard;
+  const shard_state_t *known = NULL;
+  const char *rack;
+  char id[256];
   int code;
 
-  /* A worker's rack never changes, so entries of workers that belong to shards
-     of other owners are not decoded again.  */
-  if (known && record->value.len && !s->shards[known - 1].owned)
+  blob_copy (record->key, id, sizeof id);
+  rack = g_hash_table_lookup (s->worker_racks, id);
+  if (rack)
+    known = shard_of_worker (s, id, rack);
+  /* Entries of workers that belong to shards of other owners are not decoded
+     again while they contain the same rack.  */
+  if (known && !known->owned && *rack && contains (record->value, rack))
     return;
   code = s->backend->ops->decode_worker (s->backend->ctx, record, &info);
 
   if (code == -EBADMSG)
     log_line (LOG_LEVEL_WARNING, "worker.unreadable", NULL,
               "worker=%s offset=%" PRIu64 " bytes=%u known=%d", info.id,
-              record->offset, record->value.len, known != 0);
+              record->offset, record->value.len, known != NULL);
   /* A worker whose entry is dropped or unreadable is not used.  */
   if (code)
     {
       if (known)
-        shard_worker_unlisted (s->shards[known - 1].shard, now, info.id);
-      g_hash_table_remove (s->worker_shards, info.id);
+        shard_worker_unlisted (known->shard, now, info.id);
+      g_hash_table_remove (s->worker_racks, info.id);
       return;
     }
-  shard = shard_of_worker (s, &info);
+  if (!check_shard (s, now, &info, known))
+    return;
   if (!known)
-    g_hash_table_insert (s->worker_shards, g_strdup (info.id),
-                         GUINT_TO_POINTER (shard + 1));
-  if (s->shards[shard].owned)
-    shard_worker_listed (s->shards[shard].shard, now, &info);
+    g_hash_table_insert (s->worker_racks, g_strdup (info.id),
+                         g_strdup (info.rack));
+  known = shard_of_worker (s, info.id, info.rack);
+  if (known->owned)
+    shard_worker_listed (known->shard, now, &info);
 }
 
 /* Removes workers that are missing from the list that was just read.  */
@@ -160,7 +187,7 @@
 drop_unlisted (scheduler_t *s, usec_t now)
 {
   for (uint32_t i = 0; i < s->shard_count; i++)
-    shard_worker_list_read (s->shards[i].shard, now, s->worker_shards);
+    shard_worker_list_read (s->shards[i].shard, now, s->worker_racks);
 }
 
 static void
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -110,8 +110,8 @@
   s->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                        request_free);
   s->requests_by_http = g_hash_table_new (NULL, NULL);
-  s->worker_shards
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  s->worker_racks
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   s->zones = zones_new ();
   s->succession.peers = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   s->deferred_queries = g_array_new (FALSE, FALSE, sizeof (deferred_query_t));
@@ -240,7 +240,7 @@
     {
       g_hash_table_destroy (s->requests);
       g_hash_table_destroy (s->requests_by_http);
-      g_hash_table_destroy (s->worker_shards);
+      g_hash_table_destroy (s->worker_racks);
       g_hash_table_destroy (s->succession.peers);
       g_array_free (s->deferred_queries, TRUE);
     }
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -1258,8 +1258,8 @@
                                        request_free);
   s->requests_by_http = g_hash_table_new (NULL, NULL);
   s->deferred_queries = g_array_new (FALSE, FALSE, sizeof (deferred_query_t));
-  s->worker_shards
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  s->worker_racks
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   s->succession.peers = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   return s;
 }
@@ -1271,7 +1271,7 @@
   paused_loop_free (s->loop);
   g_hash_table_destroy (s->requests);
   g_hash_table_destroy (s->requests_by_http);
-  g_hash_table_destroy (s->worker_shards);
+  g_hash_table_destroy (s->worker_racks);
   g_hash_table_destroy (s->succession.peers);
   g_array_free (s->deferred_queries, TRUE);
   g_free (s);
--- a/src/scheduler/test_workers.c
+++ b/src/scheduler/test_workers.c
@@ -3,6 +3,7 @@
 #include "support/suite.h"
 
 #include <CUnit/CUnit.h>
+#include <xxhash.h>
 
 #define SHRUNK (3 * USEC_PER_SEC)
 
@@ -41,16 +42,20 @@
   fake = (fake_read_t){ .done = done, .ctx = done_ctx, .latest = true };
 }
 
-/* An entry's value is the capacity in millicores, or unreadable. */
+/* An entry's value is the capacity in millicores and the rack, which may be
+   left out, or unreadable. */
 static int
 fake_worker (void *ctx, const store_record_t *record, shard_worker_t *info)
 {
   static char id[16];
-  char text[16];
+  static char rack[16];
+  char text[32];
 
   (void)ctx;
   blob_copy (record->key, id, sizeof id);
   blob_copy (record->value, text, sizeof text);
+  g_strlcpy (rack, strchr (text, ' ') ? strchr (text, ' ') + 1 : "r",
+             sizeof rack);
   if (!record->key.len || strlen (id) != record->key.len)
     {
       *info = (shard_worker_t){ .id = "" };
@@ -60,7 +65,7 @@
                             .address = "10.0.0.1:1",
                             .service = "s",
                             .label = "a",
-                            .rack = "r",
+                            .rack = rack,
                             .zone = "z",
                             .millicores
                             = (uint32_t)g_ascii_strtoull (text, NULL, 10) };
@@ -75,7 +80,7 @@
 static const backend_t backend = { &ops, NULL };
 
 static void
-set_up (void)
+set_up_with_shards (uint32_t count)
 {
   memset (&fake, 0, sizeof fake);
   now = clock_now ();
@@ -83,19 +88,29 @@
   scheduler->backend = &backend;
   scheduler->settings = &settings;
   scheduler->zones = zones_new ();
-  scheduler->worker_shards
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  sched_set_shards (scheduler, 1);
-  scheduler->shards[0].owned = true;
-  shard_acquire (scheduler->shards[0].shard, now, 1);
+  scheduler->worker_racks
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  sched_set_shards (scheduler, count);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      scheduler->shards[i].owned = true;
+      shard_acquire (scheduler->shards[i].shard, now, 1);
+    }
+}
+
+static void
+set_up (void)
+{
+  set_up_with_shards (1);
 }
 
 static void
 tear_down (void)
 {
-  shard_free (scheduler->shards[0].shard);
+  for (uint32_t i = 0; i < scheduler->shard_count; i++)
+    shard_free (scheduler->shards[i].shard);
   zones_free (scheduler->zones);
-  g_hash_table_destroy (scheduler->worker_shards);
+  g_hash_table_destroy (scheduler->worker_racks);
   g_free (scheduler->shards);
   g_free (scheduler->owners);
   g_free (scheduler);
@@ -198,7 +213,94 @@
   answer (STORE_OK, odd, 4, 9, false);
   CU_ASSERT (is_listed (0));
   CU_ASSERT_EQUAL (dumped ("millicores", true), 4000);
-  CU_ASSERT_EQUAL (g_hash_table_size (scheduler->worker_shards), 1);
+  CU_ASSERT_EQUAL (g_hash_table_size (scheduler->worker_racks), 1);
+  tear_down ();
+}
+
+/* @return an entry of w1 in a rack of the shard; the text is valid until the
+   next call for the shard */
+static store_record_t
+record_in (uint32_t shard, uint64_t offset)
+{
+  static char values[2][32];
+  char rack[16];
+  uint32_t n = 0;
+
+  do
+    g_snprintf (rack, sizeof rack, "rack-%u", n++);
+  while (XXH64 (rack, strlen (rack), 0) % 2 != shard);
+  g_snprintf (values[shard], sizeof values[shard], "4000 %s", rack);
+  return record ("w1", values[shard], offset);
+}
+
+static size_t
+worker_count (uint32_t shard)
+{
+  json_t *dump = shard_dump (scheduler->shards[shard].shard, now);
+  size_t count = json_array_size (json_object_get (dump, "workers"));
+
+  json_decref (dump);
+  return count;
+}
+
+/* Guards against a worker that is listed in two shards, whose owners then call
+   it with different tokens and stop each other's runs, after an entry with
+   another rack. */
+static void
+test_odd_rack (void)
+{
+  const store_record_t right = record_in (0, 3);
+  const store_record_t odd = record_in (1, 4);
+
+  set_up_with_shards (2);
+  send_read ();
+  answer (STORE_OK, &right, 1, 4, false);
+  CU_ASSERT (is_listed (0));
+  send_read ();
+  answer (STORE_OK, &odd, 1, 5, false);
+  CU_ASSERT (!is_listed (0));
+  CU_ASSERT_EQUAL (worker_count (1), 0);
+  send_read ();
+  answer (STORE_OK, &right, 1, 6, false);
+  CU_ASSERT (is_listed (0));
+  CU_ASSERT_EQUAL (worker_count (1), 0);
+  tear_down ();
+}
+
+/* Guards against a worker that stays in the wrong shard if an entry with
+   another rack was the first that was read. */
+static void
+test_odd_rack_at_first (void)
+{
+  const store_record_t odd = record_in (1, 3);
+  const store_record_t right[] = { record_in (0, 4), record_in (0, 5) };
+
+  set_up_with_shards (2);
+  send_read ();
+  answer (STORE_OK, &odd, 1, 4, false);
+  send_read ();
+  answer (STORE_OK, right, 2, 6, false);
+  CU_ASSERT (is_listed (0));
+  CU_ASSERT_EQUAL (worker_count (1), 0);
+  tear_down ();
+}
+
+/* Guards against an owner that does not use a worker any more whose first
+   entry named a rack of another owner's shard. */
+static void
+test_odd_rack_of_other_owner (void)
+{
+  const store_record_t odd = record_in (1, 3);
+  const store_record_t right[] = { record_in (0, 4), record_in (0, 5) };
+
+  set_up_with_shards (2);
+  scheduler->shards[1].owned = false;
+  shard_release (scheduler->shards[1].shard);
+  send_read ();
+  answer (STORE_OK, &odd, 1, 4, false);
+  send_read ();
+  answer (STORE_OK, right, 2, 6, false);
+  CU_ASSERT (is_listed (0));
   tear_down ();
 }
 
@@ -263,6 +365,9 @@
   const suite_test_t tests[] = {
     { "capacity", test_capacity },
     { "odd keys", test_odd_keys },
+    { "odd rack", test_odd_rack },
+    { "odd rack at first", test_odd_rack_at_first },
+    { "odd rack of other owner", test_odd_rack_of_other_owner },
     { "age of pages", test_age_of_pages },
     { "age of reads", test_age_of_reads },
     { "age after takeover", test_age_after_takeover },
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -267,6 +267,10 @@
 /** A worker is no longer listed. */
 void shard_worker_unlisted (shard_t *shard, usec_t now, const char *id);
 
+/** A worker is listed in another shard.  It is not called any more once it has
+    no runs of this one. */
+void shard_worker_moved (shard_t *shard, usec_t now, const char *id);
+
 /** The whole list was read: workers that are not keys of LISTED are no longer
     listed. */
 void shard_worker_list_read (shard_t *shard, usec_t now, GHashTable *listed);
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -107,6 +107,7 @@
   bool restarted;           /* since the last list */
   int64_t entry_started_ms; /* incarnation that the list describes */
   bool listed;              /* by the platform */
+  bool moved;               /* listed in another shard since */
   bool leaving;
   usec_t leaving_known_at; /* since when LEAVING is set */
   uint32_t millicores;
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -167,6 +167,7 @@
   set_leaving (shard, worker, info->leaving);
   update_capacity (worker, info);
   worker->listed = true;
+  worker->moved = false;
   shard->placement_needed = true;
 }
 
@@ -206,6 +207,18 @@
             usec_to_msec (now - worker->last_answer));
 }
 
+void
+shard_worker_moved (shard_t *shard, usec_t now, const char *id)
+{
+  handle_t handle = shard->owned ? worker_find (shard, id) : HANDLE_NONE;
+
+  if (handle == HANDLE_NONE)
+    return;
+  shard_worker_unlisted (shard, now, id);
+  worker_get (shard, handle)->moved = true;
+  worker_remove_unlisted (shard);
+}
+
 /* @return whether a former owner knew the worker to be leaving */
 static bool
 was_leaving (const shard_t *shard, const worker_t *worker)
@@ -257,8 +270,9 @@
       worker_t *worker = worker_get (shard, h);
 
       next = table_next (shard->workers, h);
-      if (worker->listed || worker->runs->len || worker->hold_in_flight
-          || !worker->unanswered_holds || worker->lapsing)
+      if (worker->listed || worker->runs->len || worker->lapsing
+          || (!worker->moved
+              && (worker->hold_in_flight || !worker->unanswered_holds)))
         continue;
       g_hash_table_remove (shard->workers_by_id, worker->id);
       worker_free (worker);
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -110,6 +110,46 @@
   tear_down ();
 }
 
+/* Guards against an owner that goes on calling a worker of another shard,
+   whose runs it would stop, and against one that forgets a run there. */
+static void
+test_worker_of_another_shard (void)
+{
+  const end_report_t end = { 1, { JOB_ID, 0, 0, 0, 1 }, RUN_DONE, "" };
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  list_worker ();
+  advance (0);
+  shard_worker_moved (fixture.shard, fixture.now, "w1");
+  reply_to_hold (&first_run, 1, NULL, 0);
+  CU_ASSERT_EQUAL (count_calls (SHARD_STOP), 0);
+  advance (USEC_PER_SEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_HOLD), 1);
+  list_worker ();
+  advance (0);
+  CU_ASSERT_EQUAL (count_calls (SHARD_HOLD), 2);
+  tear_down ();
+  set_up_with_placed_run ();
+  list_worker ();
+  advance (0);
+  reply_to_hold (&first_run, 1, NULL, 0);
+  shard_worker_moved (fixture.shard, fixture.now, "w1");
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_HOLD), 2);
+  reply_to_hold (NULL, 0, &end, 1);
+  CU_ASSERT_EQUAL (fixture.settled, 0);
+  advance (USEC_PER_MSEC);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  CU_ASSERT_EQUAL (fixture.settled, 1);
+  advance (60 * USEC_PER_SEC);
+  advance (USEC_PER_SEC);
+  fixture.call_count = 0;
+  advance (USEC_PER_SEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_HOLD), 0);
+  tear_down ();
+}
+
 /* Guards against a run of a former owner that is treated as never started when
    it has to be stopped: the task would run twice (ruedas-plata trouble-1). */
 static void
@@ -799,6 +839,7 @@
 main (void)
 {
   const suite_test_t tests[] = {
+    { "worker of another shard", test_worker_of_another_shard },
     { "start after placement is stored", test_start_after_stored },
     { "submit with start", test_submit_with_start },
     { "submit and cancel", test_submit_and_cancel },
