--- a/Makefile
+++ b/Makefile
@@ -152,12 +152,15 @@
 # For tests/*.sh and scripts/demo.sh.
 DEPS += curl jq
 
-# Fuzz targets: libFuzzer with AddressSanitizer, clang only.
+# Fuzz targets: libFuzzer with AddressSanitizer and UBSan, clang only.
 SOURCES += $(wildcard fuzz/*.c)
 HEADERS += $(wildcard fuzz/*.h)
-FUZZ = settings bundle message records
+FUZZ = settings bundle message records platform
 FUZZ_CC = clang
-FUZZ_CFLAGS = $(filter-out -Werror,$(CFLAGS)) -fsanitize=fuzzer-no-link,address
+FUZZ_UBSAN = undefined,float-cast-overflow
+FUZZ_CFLAGS = $(filter-out -Werror,$(CFLAGS)) \
+              -fsanitize=fuzzer-no-link,address,$(FUZZ_UBSAN) \
+              -fno-sanitize-recover=$(FUZZ_UBSAN)
 FUZZ_SECONDS = 300
 FUZZ_RUNS = 20000
 FUZZ_SEED = 20261204
@@ -171,7 +174,7 @@
 	$(FUZZ_CC) $(FUZZ_CFLAGS) -MMD -MP -c -o $@ $<
 
 build-fuzz/fuzz_%: build-fuzz/fuzz/fuzz_%.o $(FUZZ_OBJ)
-	$(FUZZ_CC) -fsanitize=fuzzer,address -o $@ $^ $(LDLIBS)
+	$(FUZZ_CC) -fsanitize=fuzzer,address,$(FUZZ_UBSAN) -o $@ $^ $(LDLIBS)
 
 # Runs each target for FUZZ_SECONDS; new inputs go to build-fuzz/corpus.
 fuzz: $(FUZZ:%=build-fuzz/fuzz_%)
