Soak: odd entries among those of the workers

Workers answer calls for another one with 421.

The soak draws 0, 300 or 600 ms between them, none with a former build.

--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -49,8 +49,10 @@
   uint32_t evacuate_ms;    /* nothing may start in a zone from then on */
   uint32_t resize_every;   /* ms between changes of a worker's capacity, 0:
                               none; each task then needs one core */
-  uint32_t shrunk_ms;      /* no start may exceed a smaller capacity from then
-                              on, counted from the report that follows */
+  uint32_t odd_every; /* ms between odd entries among those of the workers,
+                         0: none */
+  uint32_t shrunk_ms; /* no start may exceed a smaller capacity from then
+                         on, counted from the report that follows */
 } fleet_config_t;
 
 typedef struct fleet fleet_t;
@@ -112,6 +114,16 @@
 bool fleet_spell_acts (const spells_t *spells, uint32_t worker, spell_t spell,
                        usec_t now);
 
+/* fleet_odd.c */
+typedef struct odd_writer odd_writer_t;
+
+odd_writer_t *fleet_odd_new (fleet_t *fleet);
+void fleet_odd_free (odd_writer_t *writer);
+/** Puts odd entries among those of the workers. */
+void fleet_odd_tick (odd_writer_t *writer, usec_t now);
+/** @return whether a call is for the worker */
+bool fleet_is_meant (httpd_t *httpd, handle_t http, const char *id);
+
 struct fleet
 {
   fleet_config_t config;
@@ -122,6 +134,7 @@
   zones_plan_t *zones;
   capacity_plan_t *capacity;
   spells_t *spells;
+  odd_writer_t *odd_writer;
   bool spells_over; /* no more spells and lost calls */
   bool calm;        /* no more faults */
   uint32_t version; /* of the configuration */
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -619,6 +619,8 @@
   if (spell_strikes (w, SPELL_LOSS,
                      fleet->spells_over ? 0 : fleet->config.drop, now))
     w->all->dropped++;
+  else if (!fleet_is_meant (w->httpd, request->handle, w->id))
+    answer (w, request->handle, lost, 421, NULL, now);
   else if (strcmp (request->path, "/-/hold") != 0
            && spell_strikes (w, SPELL_LATE, starts ? fleet->config.late : 0,
                              now))
--- a/standin/main_fleet.c
+++ b/standin/main_fleet.c
@@ -28,6 +28,7 @@
   fleet_store_tick (fleet->store, now);
   fleet_zones_tick (fleet->zones, now);
   fleet_capacity_tick (fleet->capacity, now);
+  fleet_odd_tick (fleet->odd_writer, now);
 }
 
 static void
@@ -109,6 +110,7 @@
   fleet->zones = fleet_zones_new (fleet);
   fleet->capacity = fleet_capacity_new (fleet);
   fleet->spells = fleet_spells_new (fleet);
+  fleet->odd_writer = fleet_odd_new (fleet);
   put_config (fleet, clock_now ());
   ev_timer_init (&tick, on_tick, TICK_S, TICK_S);
   tick.data = fleet;
@@ -123,6 +125,7 @@
   usr2.data = fleet;
   ev_signal_start (fleet->loop, &usr2);
   ev_run (fleet->loop, 0);
+  fleet_odd_free (fleet->odd_writer);
   fleet_capacity_free (fleet->capacity);
   fleet_spells_free (fleet->spells);
   fleet_zones_free (fleet->zones);
@@ -177,6 +180,8 @@
     "Time after which nothing starts in an evacuated zone", "MS" },
   { "resize-every", 0, 0, G_OPTION_ARG_INT, &standin.config.resize_every,
     "Time between changes of a worker's capacity", "MS" },
+  { "odd-every", 0, 0, G_OPTION_ARG_INT, &standin.config.odd_every,
+    "Time between odd entries among those of the workers", "MS" },
   { "shrunk-ms", 0, 0, G_OPTION_ARG_INT, &standin.config.shrunk_ms,
     "Time after which no start exceeds a smaller capacity", "MS" },
   G_OPTION_ENTRY_NULL
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -3,8 +3,9 @@
 # processes on loopback against the stand-in of the platform.  Processes are
 # killed, paused, stopped, told of changed settings and restarted in overlapping
 # sequences while callers submit, query and cancel jobs over connections that
-# they keep open, workers shrink and grow, and the operator evacuates zones and changes the
-# configuration; the store and the workers inject faults drawn from the same
+# they keep open, workers shrink and grow, the operator evacuates zones and
+# changes the configuration, and another writer leaves odd entries among those
+# of the workers; the store and the workers inject faults drawn from the same
 # seed.  Tasks that serve run throughout, on a third of the workers, and some
 # jobs disturb them strongly.  At the end each accepted job must be known and
 # ended, those that serve must run, each request that a stopping process has
@@ -36,6 +37,9 @@
 SHRUNK_MS=1500
 RESIZE_EVERY=${FORMER_BUILD:+0}
 RESIZE_EVERY=${RESIZE_EVERY:-150}
+# Earlier builds do not stand odd entries.
+ODD_EVERY=${FORMER_BUILD:+0}
+ODD_EVERY=${ODD_EVERY:-300}
 TABLE_ROWS_MAX=20000
 # What a KILL or STOP within this time before a request excuses.
 SIGNAL_MS=3000
@@ -253,6 +257,7 @@
 	--crash-every $((RANDOM % 3 * 1500))
 	--config-every $((RANDOM % 2 * 600))
 	--resize-every $(((SEED + 2) % 3 * RESIZE_EVERY))
+	--odd-every $(((SEED + 1) % 3 * ODD_EVERY))
 	--shrunk-ms $SHRUNK_MS)
 calm=$((RANDOM % 2))
 deadly_share=0
