--- a/standin/vms.c
+++ b/standin/vms.c
@@ -192,14 +192,10 @@
         "\"address\":\"127.0.0.1:1\",\"slots\":1000},"
         "{\"kind\":\"instance\",\"id\":\"odd 4\",\"zone\":\"a\",\"address\":"
         "\"0.0.0.0:1\",\"slots\":1000},";
-  char *text = malloc (sizeof rows + strlen (list));
+  char *text;
 
-  if (text)
-    {
-      strcpy (text, "[");
-      strcat (text, rows);
-      strcat (text, list + 1);
-    }
+  if (asprintf (&text, "[%s%s", rows, list + 1) < 0)
+    text = NULL;
   free (list);
   return text;
 }
