--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -96,6 +96,10 @@
 STRAY_RUNS_UNCOUNTED|src/shard/shard_calls.c|shard/test_shard_capacity|s/worker->stray_runs++;//
 OLD_LIST_OF_WORKERS|src/shard/shard_workers.c|shard/test_shard|s/return now - shard->workers_known_at <= .*/return true/
 PARTIAL_LIST_CONFIRMS|src/scheduler/sched_workers.c|scheduler/test_workers|s/if (!records->has_more)/if (1)/
+ODD_RACK_USED|src/scheduler/sched_workers.c|scheduler/test_workers|s/if (!check_shard (s, now, .info, known))/if (0)/
+OTHER_OWNERS_NOT_DECODED|src/scheduler/sched_workers.c|scheduler/test_workers|s/contains (record->value, rack)/record->value.len/
+MOVED_WORKER_CALLED|src/shard/shard_workers.c|shard/test_shard_steps|s/->moved = true;/->moved = false;/
+LATER_START_IS_RESTART|src/shard/shard_calls.c|shard/test_shard_steps|s/worker->started_ms = 0;/;/
 OPERATOR_PAGE_LOST|src/scheduler/sched_operator.c|scheduler/test_operator|s/log->more_pages = records->has_more .*/log->more_pages = false;/
 PARTIAL_READ_CONFIRMS|src/scheduler/sched_operator.c|scheduler/test_operator|s/if (!records->has_more)/if (1)/
 ZONE_NOT_TAKEN_BACK|src/zones/zones.c|zones/test_zones|s/changed |= set_evacuated (zones, now, zone, false);//
