Do not answer a frame for a shard out of range as for another one

Callers could see: nothing so far, as peers send the shards of their layout. A query for shard 2^32 was answered by the owner of shard 0.

Cause: the number was cut to 32 bits before it was compared.

Evidence: 'frame for odd shard' fails before.

--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -244,7 +244,6 @@
                              .job = ask->job,
                              .shard = (uint32_t)ask->shard,
                              .arrived_at = now };
-  uint32_t shard = query.shard;
   query_reply_t reply = { .code = REPLY_NOT_OWNER };
 
   if (ask->kind < QUERY_STATUS || ask->kind > QUERY_SUBMIT)
@@ -255,7 +254,7 @@
       return;
     }
   blob_copy (ask->queue, query.queue, sizeof query.queue);
-  if (shard >= s->shard_count || !s->shards[shard].owned
+  if (ask->shard >= s->shard_count || !s->shards[ask->shard].owned
       || answer_query (s, now, &query, false, &reply))
     send_reply (s, now, node, ask->id, &reply);
   else
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -1307,6 +1307,34 @@
   free_bare_scheduler (s);
 }
 
+/* Guards against a frame whose shard is out of range and stands for another
+   one: its job would be said to be unknown by an owner that cannot know it. */
+static void
+test_frame_for_odd_shard (void)
+{
+  static const scheduler_settings_t settings
+      = { .zone = "z", .append_bytes = 65536 };
+  scheduler_t *s = new_bare_scheduler ();
+  message_t message = { .type = MSG_JOB_ASK };
+
+  s->settings = &settings;
+  s->zones = zones_new ();
+  sched_set_shards (s, 1);
+  s->shards[0].owned = true;
+  message.u.job_ask
+      = (msg_job_ask_t){ .id = 6, .kind = QUERY_STATUS, .shard = 1ULL << 32 };
+  sched_peerlink_ops.message (s, 1, 1, &message);
+  CU_ASSERT_EQUAL (s->deferred_queries->len, 0);
+  message.u.job_ask.shard = 0;
+  sched_peerlink_ops.message (s, 1, 1, &message);
+  CU_ASSERT_EQUAL (s->deferred_queries->len, 1);
+  shard_free (s->shards[0].shard);
+  g_free (s->shards);
+  g_free (s->owners);
+  zones_free (s->zones);
+  free_bare_scheduler (s);
+}
+
 #define OWNER_NODE 9U
 
 /* Adds a query for the state of a job whose owner is OWNER_NODE. */
@@ -1494,6 +1522,7 @@
     { "cancel of an unknown job", test_cancel_of_unknown_job },
     { "cancel of an unread job", test_cancel_of_unread_job },
     { "malformed frames", test_malformed_frames },
+    { "frame for odd shard", test_frame_for_odd_shard },
     { "connection to a slow owner", test_connection_to_slow_owner },
     { "layout", test_layout },
     { "layout with changing workers", test_layout_with_changing_workers },
