Follow the fields of a worker's entry in the tests of odd ones

The record of lapsing workers is bounded by its bytes: 4,096 workers with long ids would have made it larger than the store accepts.

--- a/src/shard/shard_lapsing.c
+++ b/src/shard/shard_lapsing.c
@@ -18,8 +18,8 @@
 #define LAPSING_AFTER (USEC_PER_SEC)
 /* Interval at which the time that is left is stored again. */
 #define LAPSING_INTERVAL (USEC_PER_SEC)
-/* Some 40 bytes each; the platform accepts records of up to 256 KiB. */
-#define LAPSING_MAX_ROWS 4096U
+/* The platform accepts records of up to 256 KiB. */
+#define LAPSING_MAX_BYTES 200000U
 
 static bool lapses (const worker_t *worker, usec_t now);
 static void pack_worker (msgpack_packer *packer, usec_t now,
@@ -66,7 +66,7 @@
       worker_t *worker = worker_get (shard, h);
 
       worker->in_lapsing_batch
-          = count < LAPSING_MAX_ROWS && lapses (worker, now);
+          = out->len < LAPSING_MAX_BYTES && lapses (worker, now);
       if (!worker->in_lapsing_batch)
         continue;
       worker->lapsing = true;
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -204,6 +204,32 @@
     }
 }
 
+/* Guards against a run that is taken for lost, and started again while it goes
+   on, because an entry names the address of another worker. */
+static void
+test_address_of_another_worker (void)
+{
+  const shard_reply_t other = { .kind = SHARD_REPLY_OTHER_WORKER };
+
+  set_up_with_placed_run ();
+  list_worker ();
+  advance (0);
+  check_run_goes_on ();
+  list_worker_with ("w1", "10.0.0.2:1", false);
+  reply_to_hold (&first_run, 1, NULL, 0);
+  reply_to_holds (4, USEC_PER_SEC, &other);
+  CU_ASSERT_EQUAL (fixture.appends, 0);
+  list_worker ();
+  advance (USEC_PER_SEC);
+  CU_ASSERT_STRING_EQUAL (last_call (SHARD_HOLD)->address, "10.0.0.1:1");
+  check_run_goes_on ();
+  list_worker_with ("w1", "10.0.0.2:1", false);
+  reply_to_hold (&first_run, 1, NULL, 0);
+  reply_to_holds (20, USEC_PER_SEC, &other);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  tear_down ();
+}
+
 /* Guards against a first answer that is taken for a restart because the entry
    named a later start: a crash that a task causes at the same time then seemed
    to have a common cause.  An earlier start may be that of a former
@@ -930,6 +956,7 @@
 main (void)
 {
   const suite_test_t tests[] = {
+    { "address of another worker", test_address_of_another_worker },
     { "odd start of worker with run", test_odd_start_of_worker_with_run },
     { "odd start hides crash", test_odd_start_hides_crash },
     { "worker of another shard", test_worker_of_another_shard },
