--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -74,6 +74,9 @@
                             workers is empty */
   uint32_t worker_lists; /* number of lists of workers read */
   bool layout_proposed;
+  bool reads_behind; /* each read of records leaves further ones */
+  bool late_record_read;
+  uint32_t work_pages;
   const char *layout;      /* record of the layout */
   uint32_t lost_reads;     /* number of reads of records to leave unanswered */
   uint32_t read_sizes[4];  /* of the first reads of records */
@@ -83,14 +86,11 @@
   uint64_t progress_offset; /* of the record of a job, which follows that of
                                lapsing workers in the latest records, 0: both
                                are missing */
-  uint32_t work_pages;
   usec_t read_delay;
-  bool reads_behind;       /* each read of records leaves further ones */
   GByteArray *late_record; /* submission of JOB_ID that another process has
                               stored, NULL for none */
   usec_t late_record_at;   /* it is in no answer to a read sent before */
-  bool late_record_read;
-  usec_t request_sent; /* by the caller */
+  usec_t request_sent;     /* by the caller */
   usec_t answered_at;
   usec_t appended_at;    /* first append of records */
   const char *owner;     /* member that owns the shard, NULL for none */
