World of shards: entries that go while their workers go on

Entries are now removed for up to 2 s, at random and after outages of the store. The list is read every 350 ms in such worlds, by former owners too, by a new owner before its shard is loaded, right after, or with the next read.

The other worlds draw the same numbers as before.

--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -250,6 +250,20 @@
              2 * SEED_COUNT);
 }
 
+/* Guards against runs that are given up since the entry of their worker has
+   expired, while the worker goes on. */
+static void
+test_unlisted_workers (void)
+{
+  run_seeds ((world_config_t){ .unlist_interval = 150 * USEC_PER_MSEC,
+                               .takeover_interval = 2900 * USEC_PER_MSEC,
+                               .store_outage_interval = 5 * USEC_PER_SEC,
+                               .worker_crash_interval = 4 * USEC_PER_SEC,
+                               .lost_reply_share = 0.05,
+                               .canceled_job_share = 0.1 },
+             SEED_COUNT);
+}
+
 /* All faults in combination. */
 static void
 test_all_faults (void)
@@ -298,6 +312,7 @@
     { "capacity changes", test_capacity_changes },
     { "old lists", test_old_lists },
     { "smaller incarnations", test_smaller_incarnations },
+    { "unlisted workers", test_unlisted_workers },
     { "all faults", test_all_faults },
     { "gangs", test_gangs },
   };
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -49,6 +49,11 @@
 /* Lasting jobs are canceled at most this long after their submission. */
 #define LASTING_MAX (30 * USEC_PER_SEC)
 #define UNHEALTHY_MAX (3 * USEC_PER_SEC)
+#define LIST_INTERVAL (USEC_PER_SEC)
+/* The same where entries come and go. */
+#define CHANGING_LIST_INTERVAL (350 * USEC_PER_MSEC)
+/* A worker whose entry is gone puts it back within this time. */
+#define UNLISTED_MAX (2 * USEC_PER_SEC)
 /* Longest time between two reads of the operator's records by an owner.  */
 #define ZONES_READ_INTERVAL (600 * USEC_PER_MSEC)
 
@@ -103,9 +108,10 @@
   double clock_rate;   /* relative to simulated time */
   GArray *capacities;  /* sim_capacity_t, the last one is in force */
   sim_entry_t entry;
-  usec_t report_due; /* when ENTRY is updated */
-  GArray *runs;      /* sim_run_t */
-  GArray *ends;      /* sim_end_t */
+  usec_t report_due;     /* when ENTRY is updated */
+  usec_t unlisted_until; /* has no entry until then */
+  GArray *runs;          /* sim_run_t */
+  GArray *ends;          /* sim_end_t */
   uint64_t last_end_number;
   GHashTable *highest_run; /* task key -> highest run stopped or ended */
 } sim_worker_t;
@@ -205,7 +211,9 @@
   usec_t resize_due;
   usec_t cut_due;
   usec_t list_outage_due;
+  usec_t unlist_due;
   bool list_down; /* the list of workers cannot be read */
+  usec_t listed_at;
   uint32_t violations;
 };
 
@@ -448,6 +456,7 @@
   world->resize_due = world->now + config->resize_interval;
   world->cut_due = world->now + config->worker_cut_interval;
   world->list_outage_due = world->now + config->list_outage_interval;
+  world->unlist_due = world->now + config->unlist_interval;
   return world;
 }
 
@@ -480,11 +489,27 @@
 
 /* --- The store --- */
 
+/* @return whether entries are removed from the list of workers */
+static bool
+list_changes (const shard_world_t *world)
+{
+  return world->config.unlist_interval != 0;
+}
+
+static bool
+has_entry (const shard_world_t *world, const sim_worker_t *worker)
+{
+  return worker->up && world->now >= worker->unlisted_until;
+}
+
 static void
 pass_worker_list (shard_world_t *world, sim_owner_t *owner)
 {
-  if (world->list_down)
+  GHashTable *listed;
+
+  if (world->list_down || (list_changes (world) && world->store_down))
     return;
+  listed = g_hash_table_new (g_str_hash, g_str_equal);
   for (uint32_t i = 0; i < world->config.workers; i++)
     {
       const sim_worker_t *worker = &world->workers[i];
@@ -498,12 +523,32 @@
                               .millicores = worker->entry.capacity.millicores,
                               .memory_mb = worker->entry.capacity.memory_mb };
 
-      if (worker->up)
-        shard_worker_listed (owner->shard, world->now, &info);
+      if (!has_entry (world, worker))
+        continue;
+      shard_worker_listed (owner->shard, world->now, &info);
+      g_hash_table_add (listed, (gpointer)worker->id);
     }
+  if (list_changes (world))
+    shard_worker_list_read (owner->shard, world->now, listed);
+  g_hash_table_destroy (listed);
   shard_workers_confirmed (owner->shard, world->now);
 }
 
+static void
+pass_worker_lists (shard_world_t *world)
+{
+  usec_t interval
+      = list_changes (world) ? CHANGING_LIST_INTERVAL : LIST_INTERVAL;
+
+  if (world->now - world->listed_at <= interval)
+    return;
+  world->listed_at = world->now;
+  for (uint32_t i = 0; i < OWNER_COUNT; i++)
+    if (world->owners[i].alive
+        && (list_changes (world) || i == world->current_owner))
+      pass_worker_list (world, &world->owners[i]);
+}
+
 static void
 apply_records (shard_world_t *world, sim_owner_t *owner)
 {
@@ -524,6 +569,20 @@
     }
 }
 
+/* The list of workers may be read before the shard is loaded, or later. */
+static void
+load_owner (shard_world_t *world, sim_owner_t *owner)
+{
+  gint32 order
+      = list_changes (world) ? g_rand_int_range (world->rng, 0, 3) : 1;
+
+  if (order == 0)
+    pass_worker_list (world, owner);
+  shard_loaded (owner->shard, world->now);
+  if (order == 1)
+    pass_worker_list (world, owner);
+}
+
 static void
 take_over (shard_world_t *world)
 {
@@ -545,8 +604,7 @@
   world->epoch = next->token;
   world->sequence = 0;
   apply_records (world, next);
-  shard_loaded (next->shard, world->now);
-  pass_worker_list (world, next);
+  load_owner (world, next);
 }
 
 static void
@@ -1322,6 +1380,22 @@
     resize_worker (world, worker);
 }
 
+static void
+unlist_worker (shard_world_t *world, sim_worker_t *worker)
+{
+  worker->unlisted_until
+      = world->now + g_rand_int_range (world->rng, 0, UNLISTED_MAX);
+}
+
+/* Entries expire while the workers cannot update them. */
+static void
+expire_entries (shard_world_t *world)
+{
+  for (uint32_t i = 0; i < world->config.workers; i++)
+    if (g_rand_boolean (world->rng))
+      unlist_worker (world, &world->workers[i]);
+}
+
 /* After the faults each worker is up and has the room that it began with. */
 static void
 restore_worker (shard_world_t *world, sim_worker_t *worker)
@@ -1331,6 +1405,7 @@
 
   worker->up = true;
   worker->cut_until = 0;
+  worker->unlisted_until = 0;
   if (last->at >= world->faults_end)
     return;
   set_capacity (world, worker, WORKER_CAPACITY, WORKER_CAPACITY);
@@ -1397,9 +1472,16 @@
             + (world->list_down ? LIST_OUTAGE_DURATION
                                 : world->config.list_outage_interval);
     }
+  if (world->config.unlist_interval && world->now >= world->unlist_due)
+    {
+      world->unlist_due = world->now + world->config.unlist_interval;
+      unlist_worker (world, draw_worker (world));
+    }
   if (world->config.store_outage_interval && world->now >= world->outage_due)
     {
       world->store_down = !world->store_down;
+      if (!world->store_down && world->config.unlist_interval)
+        expire_entries (world);
       world->outage_due
           = world->now
             + (world->store_down ? OUTAGE_DURATION
@@ -1594,8 +1676,6 @@
 uint32_t
 world_run (shard_world_t *world, usec_t faults_until, usec_t until)
 {
-  usec_t listed = 0;
-
   world->faults_end = faults_until;
   while (world->now < until)
     {
@@ -1604,11 +1684,7 @@
       inject_faults (world);
       report_capacities (world);
       world_zones_tick (&world->zones, world->now, world->faults_enabled);
-      if (world->now - listed > USEC_PER_SEC)
-        {
-          listed = world->now;
-          pass_worker_list (world, &world->owners[world->current_owner]);
-        }
+      pass_worker_lists (world);
       submit_due_jobs (world);
       cancel_due_jobs (world);
       advance_workers (world);
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -49,6 +49,11 @@
                                    RESIZE_INTERVAL it is resized as well */
   usec_t list_outage_interval;  /**< between outages of 7 s of the list of
                                    workers, 0 for none */
+  usec_t unlist_interval;       /**< between removals of the entry of a worker
+                                   that goes on; it is back up to 2 s later.
+                                   Half of the entries are also missing after
+                                   an outage of the store, and former owners
+                                   go on reading the list.  0 for none */
   bool best_effort;             /**< every other step is best effort */
   bool check_capacity; /**< workers reject starts beyond their capacity */
   bool gangs;          /**< a third of the steps are gangs */
