World of shards: workers that leave

They are now announced to leave, with or without the least time left, end with all their runs 1 to 6.5 s later, and another worker or another incarnation takes their place. The entry goes up to 1.5 s before or after the end.

A run that has ended with a worker that does not come back is waited for until its lease has expired, anew by each owner; in worlds with departures the check for idle tasks begins 18.6 s after the faults, and is the same from then on.

--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -264,6 +264,23 @@
              SEED_COUNT);
 }
 
+/* Guards against runs on a leaving worker that are taken to have ended with it
+   while it goes on: its entry has gone, and it does not answer a call. */
+static void
+test_leaving_workers (void)
+{
+  world_config_t config = { .departure_interval = 600 * USEC_PER_MSEC,
+                            .unlist_interval = 150 * USEC_PER_MSEC,
+                            .takeover_interval = 2900 * USEC_PER_MSEC,
+                            .store_outage_interval = 5 * USEC_PER_SEC,
+                            .lost_reply_share = 0.05,
+                            .canceled_job_share = 0.1 };
+
+  run_seeds (config, SEED_COUNT);
+  config.lasting = true;
+  run_seeds (config, SEED_COUNT);
+}
+
 /* All faults in combination. */
 static void
 test_all_faults (void)
@@ -313,6 +330,7 @@
     { "old lists", test_old_lists },
     { "smaller incarnations", test_smaller_incarnations },
     { "unlisted workers", test_unlisted_workers },
+    { "leaving workers", test_leaving_workers },
     { "all faults", test_all_faults },
     { "gangs", test_gangs },
   };
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -54,7 +54,14 @@
                                    Half of the entries are also missing after
                                    an outage of the store, and former owners
                                    go on reading the list.  0 for none */
-  bool best_effort;             /**< every other step is best effort */
+  usec_t departure_interval; /**< between announcements that a worker leaves:
+                                it ends 1 to 6.5 s later, its entry goes up to
+                                1.5 s earlier or later, and another one, or
+                                another incarnation, takes its place.  Tasks
+                                without a run are looked for from 18.6 s after
+                                the faults on, when all leases have expired.
+                                0 for none */
+  bool best_effort;          /**< every other step is best effort */
   bool check_capacity; /**< workers reject starts beyond their capacity */
   bool gangs;          /**< a third of the steps are gangs */
   bool lasting;        /**< the tasks of all jobs are long-running, and each
