World of shards: cuts that outlast leases, refuse or lose only replies

Cuts ended before the leases did and lost calls silently, in both directions and for all owners. They now also last up to 14 s, refuse connections, let calls pass and lose the replies, or cut off one owner only. Single calls are reset, before or after they are executed.

--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -281,6 +281,26 @@
   run_seeds (config, SEED_COUNT);
 }
 
+/* Guards against runs on workers that are cut off and are given up before
+   their leases have expired: connections are refused or reset on the way, or
+   only replies are lost, and the cut outlasts the leases. */
+static void
+test_long_cuts (void)
+{
+  world_config_t config = { .worker_cut_interval = 1500 * USEC_PER_MSEC,
+                            .long_cuts = true,
+                            .reset_call_share = 0.05,
+                            .departure_interval = 2 * USEC_PER_SEC,
+                            .unlist_interval = 300 * USEC_PER_MSEC,
+                            .takeover_interval = 4300 * USEC_PER_MSEC,
+                            .keep_former_owner = true,
+                            .canceled_job_share = 0.1 };
+
+  run_seeds (config, SEED_COUNT);
+  config.lasting = true;
+  run_seeds (config, SEED_COUNT);
+}
+
 /* All faults in combination. */
 static void
 test_all_faults (void)
@@ -331,6 +351,7 @@
     { "smaller incarnations", test_smaller_incarnations },
     { "unlisted workers", test_unlisted_workers },
     { "leaving workers", test_leaving_workers },
+    { "long cuts", test_long_cuts },
     { "all faults", test_all_faults },
     { "gangs", test_gangs },
   };
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -19,9 +19,11 @@
 /* A worker that is cut off is back before its leases have expired. */
 #define CUT_MIN (4 * USEC_PER_SEC)
 #define CUT_MAX (LEASE_DURATION - 300 * USEC_PER_MSEC)
+#define LONG_CUT_MAX (14 * USEC_PER_SEC)
 /* Longer than SHRUNK_AFTER. */
 #define LIST_OUTAGE_DURATION (7 * USEC_PER_SEC)
 #define OWNER_COUNT 2U
+#define ALL_OWNERS ((1U << OWNER_COUNT) - 1)
 #define START_WALL_MS 1700000000000LL
 /* Runs, each of which needs RUN_MILLICORES and RUN_MEMORY_MB. */
 #define WORKER_CAPACITY 8U
@@ -108,6 +110,22 @@
                   started again */
 } sim_end_t;
 
+typedef enum
+{
+  CUT_SILENT,  /* calls are lost */
+  CUT_REFUSED, /* connections are refused on the way */
+  CUT_ONE_WAY, /* calls are executed, replies are lost */
+  CUT_KINDS
+} cut_kind_t;
+
+typedef enum
+{
+  RESET_NONE,
+  RESET_BEFORE, /* the call is not executed */
+  RESET_AFTER,  /* the call is executed */
+  RESET_KINDS
+} reset_t;
+
 /* Of a worker that is to end. */
 typedef struct
 {
@@ -130,6 +148,8 @@
   bool up;
   usec_t unhealthy_until; /* rejects starts until then */
   usec_t cut_until;       /* owners do not reach it until then */
+  cut_kind_t cut_kind;
+  uint32_t cut_owners; /* bit of each owner that does not reach it */
   uint64_t token;
   int64_t lease_until; /* ms on the worker's clock */
   usec_t clock_start;  /* simulated time at which the clock showed 0 */
@@ -200,6 +220,7 @@
   char *spec;
   bool reply_lost;
   bool delayed;              /* arrives seconds later */
+  reset_t reset;             /* of the connection */
   int64_t worker_started_ms; /* incarnation when the call was sent */
   shard_reply_t reply;
   GArray *runs;
@@ -258,6 +279,8 @@
 static void report_violation (shard_world_t *world, const run_id_t *run_id,
                               const char *text);
 static void execute_call (shard_world_t *world, event_t *event);
+static bool is_cut (const shard_world_t *world, const event_t *event,
+                    const sim_worker_t *worker);
 static void complete_gang (const shard_world_t *world, const step_t *step,
                            const run_id_t *run_id);
 static void break_gang (const shard_world_t *world, const run_id_t *run_id);
@@ -773,6 +796,8 @@
       schedule_timeout (world, owner, call);
       return;
     }
+  if (draw_fault (world, world->config.reset_call_share))
+    event->reset = g_rand_int_range (world->rng, RESET_BEFORE, RESET_KINDS);
   event->reply_lost = draw_fault (world, world->config.lost_reply_share);
   if (draw_fault (world, world->config.delayed_call_share))
     {
@@ -1159,28 +1184,59 @@
     }
 }
 
+/* @return whether the call does not arrive at its worker, with the KIND of
+   reply that the owner gets */
+static bool
+is_stopped_on_way (const shard_world_t *world, const event_t *event,
+                   const sim_worker_t *worker, shard_reply_kind_t *kind)
+{
+  bool cut = is_cut (world, event, worker);
+
+  *kind = SHARD_REPLY_NONE;
+  if (cut && worker->cut_kind == CUT_REFUSED)
+    *kind = SHARD_REPLY_REFUSED;
+  /* A delayed call that reaches another incarnation of its worker cannot be
+     detected: the platform numbers incarnations, but calls do not carry the
+     number.  See docs/platform.md.  */
+  return !worker->up || (cut && worker->cut_kind != CUT_ONE_WAY)
+         || event->reset == RESET_BEFORE
+         || (event->delayed && event->worker_started_ms != worker->started_ms)
+         || (event->call.kind == SHARD_HOLD
+             && event->worker_started_ms != worker->started_ms);
+}
+
+static bool
+is_cut (const shard_world_t *world, const event_t *event,
+        const sim_worker_t *worker)
+{
+  return world->now < worker->cut_until
+         && worker->cut_owners & 1U << event->owner->index;
+}
+
+static void
+lose_reply (event_t *answer)
+{
+  if (answer->reply.kind == SHARD_REPLY_REFUSED)
+    return;
+  answer->reply = (shard_reply_t){ .kind = SHARD_REPLY_NONE };
+}
+
 static void
 execute_call (shard_world_t *world, event_t *event)
 {
   sim_worker_t *worker = find_worker (world, event->worker);
   event_t *answer = g_new0 (event_t, 1);
   const shard_call_t *call = &event->call;
+  shard_reply_kind_t kind;
 
   answer->kind = EVENT_REPLY;
   answer->owner = event->owner;
   answer->owner_token = event->owner_token;
   answer->call.id = call->id;
-  /* A delayed call that reaches another incarnation of its worker cannot be
-     detected: the platform numbers incarnations, but calls do not carry the
-     number.  See docs/platform.md.  */
   if (!worker)
     answer->reply.kind = SHARD_REPLY_REFUSED;
-  else if (!worker->up || world->now < worker->cut_until
-           || (event->delayed
-               && event->worker_started_ms != worker->started_ms)
-           || (call->kind == SHARD_HOLD
-               && event->worker_started_ms != worker->started_ms))
-    answer->reply.kind = SHARD_REPLY_NONE;
+  else if (is_stopped_on_way (world, event, worker, &kind))
+    answer->reply.kind = kind;
   else if (call->token < worker->token)
     answer->reply.kind = SHARD_REPLY_FENCED;
   else
@@ -1225,10 +1281,14 @@
       event_free (answer);
       return;
     }
-  schedule_event (world, answer,
-                  world->now
-                      + (answer->reply.kind == SHARD_REPLY_NONE ? CALL_TIMEOUT
-                                                                : LINK_DELAY));
+  if (event->reset == RESET_AFTER || (worker && is_cut (world, event, worker)))
+    lose_reply (answer);
+  schedule_event (
+      world, answer,
+      world->now
+          + (answer->reply.kind == SHARD_REPLY_NONE && !event->reset
+                 ? CALL_TIMEOUT
+                 : LINK_DELAY));
 }
 
 static void
@@ -1509,7 +1569,17 @@
 cut_worker (shard_world_t *world, sim_worker_t *worker)
 {
   worker->cut_until
-      = world->now + g_rand_int_range (world->rng, CUT_MIN, CUT_MAX);
+      = world->now
+        + g_rand_int_range (world->rng, CUT_MIN,
+                            world->config.long_cuts ? LONG_CUT_MAX : CUT_MAX);
+  worker->cut_kind = CUT_SILENT;
+  worker->cut_owners = ALL_OWNERS;
+  if (world->config.long_cuts)
+    {
+      worker->cut_kind = g_rand_int_range (world->rng, 0, CUT_KINDS);
+      worker->cut_owners
+          = (uint32_t)g_rand_int_range (world->rng, 1, ALL_OWNERS + 1);
+    }
   if (world->config.resize_interval)
     resize_worker (world, worker);
 }
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -47,21 +47,26 @@
   usec_t worker_cut_interval;   /**< between cuts of a worker from all owners
                                    for 4 to 5.7 s, 0 for none; with
                                    RESIZE_INTERVAL it is resized as well */
-  usec_t list_outage_interval;  /**< between outages of 7 s of the list of
-                                   workers, 0 for none */
-  usec_t unlist_interval;       /**< between removals of the entry of a worker
-                                   that goes on; it is back up to 2 s later.
-                                   Half of the entries are also missing after
-                                   an outage of the store, and former owners
-                                   go on reading the list.  0 for none */
-  usec_t departure_interval; /**< between announcements that a worker leaves:
-                                it ends 1 to 6.5 s later, its entry goes up to
-                                1.5 s earlier or later, and another one, or
-                                another incarnation, takes its place.  Tasks
-                                without a run are looked for from 18.6 s after
-                                the faults on, when all leases have expired.
-                                0 for none */
-  bool best_effort;          /**< every other step is best effort */
+  bool long_cuts;          /**< cuts last up to 14 s, longer than leases; some
+                              refuse connections, some let calls pass and lose
+                              the replies, some cut off one owner only */
+  double reset_call_share; /**< share of calls whose connection is reset, half
+                              of them after the call was executed */
+  usec_t list_outage_interval; /**< between outages of 7 s of the list of
+                                  workers, 0 for none */
+  usec_t unlist_interval;      /**< between removals of the entry of a worker
+                                  that goes on; it is back up to 2 s later.
+                                  Half of the entries are also missing after
+                                  an outage of the store, and former owners
+                                  go on reading the list.  0 for none */
+  usec_t departure_interval;   /**< between announcements that a worker leaves:
+                                  it ends 1 to 6.5 s later, its entry goes up to
+                                  1.5 s earlier or later, and another one, or
+                                  another incarnation, takes its place.  Tasks
+                                  without a run are looked for from 18.6 s after
+                                  the faults on, when all leases have expired.
+                                  0 for none */
+  bool best_effort;            /**< every other step is best effort */
   bool check_capacity; /**< workers reject starts beyond their capacity */
   bool gangs;          /**< a third of the steps are gangs */
   bool lasting;        /**< the tasks of all jobs are long-running, and each
