World of shards: another worker at the address of a worker

An entry has the address of another worker for up to 4 s, and a new worker may have the address of the one before it. Calls reach whoever has the address: another worker rejects them and does nothing.

"other worker at address" fails on the present code: an answer by another worker is taken for the end of the worker that was asked (shard_reply, crashes_worker_lost "another worker answers at its address"), while its runs go on elsewhere.

--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -301,6 +301,22 @@
   run_seeds (config, SEED_COUNT);
 }
 
+/* Guards against runs that are given up since another worker answers at the
+   address of their own, which goes on elsewhere. */
+static void
+test_other_worker (void)
+{
+  world_config_t config = { .mislead_interval = 400 * USEC_PER_MSEC,
+                            .takeover_interval = 4300 * USEC_PER_MSEC,
+                            .lost_reply_share = 0.02,
+                            .canceled_job_share = 0.1 };
+
+  run_seeds (config, SEED_COUNT);
+  config.lasting = true;
+  config.departure_interval = 2 * USEC_PER_SEC;
+  run_seeds (config, SEED_COUNT);
+}
+
 /* All faults in combination. */
 static void
 test_all_faults (void)
@@ -352,6 +368,7 @@
     { "unlisted workers", test_unlisted_workers },
     { "leaving workers", test_leaving_workers },
     { "long cuts", test_long_cuts },
+    { "other worker at address", test_other_worker },
     { "all faults", test_all_faults },
     { "gangs", test_gangs },
   };
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -65,6 +65,8 @@
 /* Longest time until an owner that never hears of a worker is sure that its
    leases have expired, from its takeover on. */
 #define SILENT_END_LIMIT (STALE_LIMIT + LEASE_DURATION * 11 / 10)
+/* An entry names the address of another worker for at most this long. */
+#define MISLED_MAX (4 * USEC_PER_SEC)
 #define LIST_INTERVAL (USEC_PER_SEC)
 /* The same where entries come and go. */
 #define CHANGING_LIST_INTERVAL (350 * USEC_PER_MSEC)
@@ -158,6 +160,8 @@
   sim_entry_t entry;
   usec_t report_due;     /* when ENTRY is updated */
   usec_t unlisted_until; /* has no entry until then */
+  uint32_t entry_of;     /* worker whose address the entry has */
+  usec_t misled_until;   /* until then */
   GArray *runs;          /* sim_run_t */
   GArray *ends;          /* sim_end_t */
   uint64_t last_end_number;
@@ -217,6 +221,7 @@
   uint64_t owner_token; /* when the call or append was sent */
   shard_call_t call;
   char *worker;
+  char *address;
   char *spec;
   bool reply_lost;
   bool delayed;              /* arrives seconds later */
@@ -262,6 +267,7 @@
   usec_t list_outage_due;
   usec_t unlist_due;
   usec_t departure_due;
+  usec_t mislead_due;
   bool list_down; /* the list of workers cannot be read */
   usec_t listed_at;
   uint32_t violations;
@@ -309,6 +315,7 @@
   event_t *event = data;
 
   g_free (event->worker);
+  g_free (event->address);
   g_free (event->spec);
   if (event->runs)
     g_array_free (event->runs, TRUE);
@@ -365,6 +372,15 @@
   return NULL;
 }
 
+static sim_worker_t *
+find_address (const shard_world_t *world, const char *address)
+{
+  for (uint32_t i = 0; i < world->config.workers; i++)
+    if (strcmp (world->workers[i].address, address) == 0)
+      return &world->workers[i];
+  return NULL;
+}
+
 static sim_worker_t *
 draw_worker (shard_world_t *world)
 {
@@ -511,6 +527,7 @@
   world->list_outage_due = world->now + config->list_outage_interval;
   world->unlist_due = world->now + config->unlist_interval;
   world->departure_due = world->now + config->departure_interval;
+  world->mislead_due = world->now + config->mislead_interval;
   return world;
 }
 
@@ -547,7 +564,8 @@
 static bool
 list_changes (const shard_world_t *world)
 {
-  return world->config.unlist_interval || world->config.departure_interval;
+  return world->config.unlist_interval || world->config.departure_interval
+         || world->config.mislead_interval;
 }
 
 static bool
@@ -560,6 +578,14 @@
              : worker->up;
 }
 
+static const char *
+entry_address (const shard_world_t *world, const sim_worker_t *worker)
+{
+  return world->now < worker->misled_until
+             ? world->workers[worker->entry_of].address
+             : worker->address;
+}
+
 static usec_t
 remaining_time (const shard_world_t *world, const sim_worker_t *worker)
 {
@@ -583,7 +609,7 @@
       const sim_worker_t *worker = &world->workers[i];
       shard_worker_t info = { .id = worker->id,
                               .started_ms = worker->entry.started_ms,
-                              .address = worker->address,
+                              .address = entry_address (world, worker),
                               .service = "service",
                               .label = "a",
                               .rack = "r",
@@ -786,6 +812,7 @@
   event->owner_token = owner->token;
   event->call = *call;
   event->worker = g_strdup (call->worker);
+  event->address = g_strdup (call->address);
   event->spec = g_strdup (call->spec);
   if (worker)
     event->worker_started_ms = worker->started_ms;
@@ -1200,8 +1227,8 @@
      number.  See docs/platform.md.  */
   return !worker->up || (cut && worker->cut_kind != CUT_ONE_WAY)
          || event->reset == RESET_BEFORE
-         || (event->delayed && event->worker_started_ms != worker->started_ms)
-         || (event->call.kind == SHARD_HOLD
+         || (strcmp (worker->id, event->worker) == 0
+             && (event->delayed || event->call.kind == SHARD_HOLD)
              && event->worker_started_ms != worker->started_ms);
 }
 
@@ -1224,7 +1251,7 @@
 static void
 execute_call (shard_world_t *world, event_t *event)
 {
-  sim_worker_t *worker = find_worker (world, event->worker);
+  sim_worker_t *worker = find_address (world, event->address);
   event_t *answer = g_new0 (event_t, 1);
   const shard_call_t *call = &event->call;
   shard_reply_kind_t kind;
@@ -1237,6 +1264,8 @@
     answer->reply.kind = SHARD_REPLY_REFUSED;
   else if (is_stopped_on_way (world, event, worker, &kind))
     answer->reply.kind = kind;
+  else if (strcmp (worker->id, event->worker) != 0)
+    answer->reply.kind = SHARD_REPLY_OTHER_WORKER;
   else if (call->token < worker->token)
     answer->reply.kind = SHARD_REPLY_FENCED;
   else
@@ -1264,7 +1293,7 @@
               event_t *again = g_new0 (event_t, 1);
 
               *again = *event;
-              event->worker = event->spec = NULL;
+              event->worker = event->address = event->spec = NULL;
               if (!again->waiting_since)
                 again->waiting_since = world->now;
               event_free (answer);
@@ -1401,6 +1430,8 @@
     return;
   worker->number++;
   g_snprintf (worker->id, sizeof worker->id, "w%u.%u", i, worker->number);
+  if (world->config.mislead_interval && g_rand_boolean (world->rng))
+    return;
   g_snprintf (worker->address, sizeof worker->address, "10.0.%u.%u:1",
               worker->number, i);
 }
@@ -1591,6 +1622,14 @@
       = world->now + g_rand_int_range (world->rng, 0, UNLISTED_MAX);
 }
 
+static void
+mislead_entry (shard_world_t *world, sim_worker_t *worker)
+{
+  worker->entry_of = (uint32_t)(draw_worker (world) - world->workers);
+  worker->misled_until
+      = world->now + g_rand_int_range (world->rng, 0, MISLED_MAX);
+}
+
 /* Entries expire while the workers cannot update them. */
 static void
 expire_entries (shard_world_t *world)
@@ -1611,7 +1650,7 @@
                          worker->capacities->len - 1);
   worker->up = true;
   worker->cut_until = 0;
-  worker->unlisted_until = 0;
+  worker->unlisted_until = worker->misled_until = 0;
   if (last->at >= world->faults_end)
     return;
   set_capacity (world, worker, WORKER_CAPACITY, WORKER_CAPACITY);
@@ -1688,6 +1727,11 @@
       world->departure_due = world->now + world->config.departure_interval;
       announce_departure (world, draw_worker (world));
     }
+  if (world->config.mislead_interval && world->now >= world->mislead_due)
+    {
+      world->mislead_due = world->now + world->config.mislead_interval;
+      mislead_entry (world, draw_worker (world));
+    }
   if (world->config.store_outage_interval && world->now >= world->outage_due)
     {
       world->store_down = !world->store_down;
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -66,11 +66,16 @@
                                   without a run are looked for from 18.6 s after
                                   the faults on, when all leases have expired.
                                   0 for none */
-  bool best_effort;            /**< every other step is best effort */
-  bool check_capacity; /**< workers reject starts beyond their capacity */
-  bool gangs;          /**< a third of the steps are gangs */
-  bool lasting;        /**< the tasks of all jobs are long-running, and each
-                          job is canceled */
+  usec_t mislead_interval; /**< between times of up to 4 s in which the entry
+                              of a worker has another one's address, where
+                              calls to it are rejected and do nothing; with
+                              DEPARTURE_INTERVAL half of the new workers have
+                              the address of the former one.  0 for none */
+  bool best_effort;        /**< every other step is best effort */
+  bool check_capacity;     /**< workers reject starts beyond their capacity */
+  bool gangs;              /**< a third of the steps are gangs */
+  bool lasting; /**< the tasks of all jobs are long-running, and each
+                   job is canceled */
 } world_config_t;
 
 shard_world_t *world_new (const world_config_t *config);
