World of shards: owners that freeze

The process of an owner does nothing for 1 to 8 s and goes on with what was queued for it, in another order, with calls that time out before their replies are read. It is frozen at random, with a change of owner at the same moment, or right after it has got the shard.

--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -317,6 +317,25 @@
   run_seeds (config, SEED_COUNT);
 }
 
+/* Guards against owners that were frozen and then act by what they knew
+   before: leases that have expired, a successor, replies that are not
+   processed yet. */
+static void
+test_frozen_owners (void)
+{
+  world_config_t config = { .freeze_interval = 3 * USEC_PER_SEC,
+                            .takeover_interval = 4900 * USEC_PER_MSEC,
+                            .keep_former_owner = true,
+                            .worker_crash_interval = 6 * USEC_PER_SEC,
+                            .lost_reply_share = 0.03,
+                            .delayed_call_share = 0.03,
+                            .canceled_job_share = 0.1 };
+
+  run_seeds (config, SEED_COUNT);
+  config.lasting = true;
+  run_seeds (config, SEED_COUNT);
+}
+
 /* All faults in combination. */
 static void
 test_all_faults (void)
@@ -369,6 +388,7 @@
     { "leaving workers", test_leaving_workers },
     { "long cuts", test_long_cuts },
     { "other worker at address", test_other_worker },
+    { "frozen owners", test_frozen_owners },
     { "all faults", test_all_faults },
     { "gangs", test_gangs },
   };
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -65,6 +65,11 @@
 /* Longest time until an owner that never hears of a worker is sure that its
    leases have expired, from its takeover on. */
 #define SILENT_END_LIMIT (STALE_LIMIT + LEASE_DURATION * 11 / 10)
+#define FREEZE_MIN (USEC_PER_SEC)
+#define FREEZE_MAX (8 * USEC_PER_SEC)
+/* An owner that goes on has processed what was queued for it after at most
+   this long; its timers are due at once. */
+#define QUEUE_MAX (20 * USEC_PER_MSEC)
 /* An entry names the address of another worker for at most this long. */
 #define MISLED_MAX (4 * USEC_PER_SEC)
 #define LIST_INTERVAL (USEC_PER_SEC)
@@ -177,7 +182,8 @@
   bool owns_shard; /* according to the store */
   uint64_t token;
   zones_t *zones;
-  usec_t zones_due; /* next read of the operator's records */
+  usec_t zones_due;    /* next read of the operator's records */
+  usec_t frozen_until; /* its process does nothing until then */
 } sim_owner_t;
 
 /* Actual state of a task on all workers, for the checks. */
@@ -268,6 +274,7 @@
   usec_t unlist_due;
   usec_t departure_due;
   usec_t mislead_due;
+  usec_t freeze_due;
   bool list_down; /* the list of workers cannot be read */
   usec_t listed_at;
   uint32_t violations;
@@ -334,6 +341,12 @@
   g_ptr_array_add (world->events, event);
 }
 
+static bool
+is_frozen (const shard_world_t *world, const sim_owner_t *owner)
+{
+  return world->now < owner->frozen_until;
+}
+
 static char *
 task_key (const run_id_t *run_id)
 {
@@ -528,6 +541,7 @@
   world->unlist_due = world->now + config->unlist_interval;
   world->departure_due = world->now + config->departure_interval;
   world->mislead_due = world->now + config->mislead_interval;
+  world->freeze_due = world->now + config->freeze_interval;
   return world;
 }
 
@@ -601,7 +615,8 @@
 {
   GHashTable *listed;
 
-  if (world->list_down || (list_changes (world) && world->store_down))
+  if (world->list_down || (list_changes (world) && world->store_down)
+      || is_frozen (world, owner))
     return;
   listed = g_hash_table_new (g_str_hash, g_str_equal);
   for (uint32_t i = 0; i < world->config.workers; i++)
@@ -665,6 +680,15 @@
     }
 }
 
+static void
+freeze_owner (shard_world_t *world, sim_owner_t *owner)
+{
+  usec_t until
+      = world->now + g_rand_int_range (world->rng, FREEZE_MIN, FREEZE_MAX);
+
+  owner->frozen_until = MIN (until, world->faults_end);
+}
+
 /* The list of workers may be read before the shard is loaded, or later. */
 static void
 load_owner (shard_world_t *world, sim_owner_t *owner)
@@ -693,6 +717,7 @@
     }
   world->current_owner = (world->current_owner + 1) % OWNER_COUNT;
   next = &world->owners[world->current_owner];
+  next->frozen_until = 0;
   next->token = ++world->generation;
   next->alive = next->owns_shard = true;
   shard_acquire (next->shard, world->now, next->token);
@@ -701,6 +726,9 @@
   world->sequence = 0;
   apply_records (world, next);
   load_owner (world, next);
+  if (world->config.freeze_interval
+      && g_rand_int_range (world->rng, 0, 4) == 0)
+    freeze_owner (world, next);
 }
 
 static void
@@ -1528,7 +1556,8 @@
   const sim_owner_t *owner = &world->owners[world->current_owner];
   blob_t record = { (const char *)bytes->data, bytes->len };
 
-  if (!owner->alive || shard_submit (owner->shard, world->now, id, record))
+  if (!owner->alive || is_frozen (world, owner)
+      || shard_submit (owner->shard, world->now, id, record))
     return false;
   if (!has_record (world, RECORD_SUBMISSION, id)
       && !has_record (world, RECORD_PROGRESS, id))
@@ -1579,6 +1608,8 @@
 {
   sim_owner_t *owner = &world->owners[world->current_owner];
 
+  if (is_frozen (world, owner))
+    return;
   for (uint32_t i = 0; i < world->config.jobs; i++)
     {
       sim_job_t *job = &world->jobs[i];
@@ -1727,6 +1758,15 @@
       world->departure_due = world->now + world->config.departure_interval;
       announce_departure (world, draw_worker (world));
     }
+  if (world->config.freeze_interval && world->now >= world->freeze_due)
+    {
+      world->freeze_due = world->now + world->config.freeze_interval;
+      freeze_owner (
+          world,
+          &world->owners[g_rand_int_range (world->rng, 0, OWNER_COUNT)]);
+      if (g_rand_boolean (world->rng))
+        take_over (world);
+    }
   if (world->config.mislead_interval && world->now >= world->mislead_due)
     {
       world->mislead_due = world->now + world->config.mislead_interval;
@@ -1764,6 +1804,23 @@
   return g_ptr_array_steal_index_fast (world->events, best);
 }
 
+/* @return whether the owner is frozen, and the event is queued for it.  A call
+   may time out before its reply is read. */
+static bool
+queue_event (shard_world_t *world, event_t *event)
+{
+  if ((event->kind != EVENT_REPLY && event->kind != EVENT_APPEND_RESULT)
+      || !is_frozen (world, event->owner)
+      || event->owner_token != event->owner->token)
+    return false;
+  if (event->kind == EVENT_REPLY && g_rand_boolean (world->rng))
+    event->reply = (shard_reply_t){ .kind = SHARD_REPLY_NONE };
+  schedule_event (world, event,
+                  event->owner->frozen_until
+                      + g_rand_int_range (world->rng, 0, QUEUE_MAX));
+  return true;
+}
+
 static void
 handle_events (shard_world_t *world)
 {
@@ -1771,6 +1828,8 @@
 
   while ((event = pop_due_event (world)))
     {
+      if (queue_event (world, event))
+        continue;
       switch (event->kind)
         {
         case EVENT_CALL:
@@ -1810,7 +1869,7 @@
     {
       sim_owner_t *owner = &world->owners[i];
 
-      if (!owner->alive)
+      if (!owner->alive || is_frozen (world, owner))
         continue;
       read_zones (world, owner);
       if (owner->owns_shard)
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -71,11 +71,16 @@
                               calls to it are rejected and do nothing; with
                               DEPARTURE_INTERVAL half of the new workers have
                               the address of the former one.  0 for none */
-  bool best_effort;        /**< every other step is best effort */
-  bool check_capacity;     /**< workers reject starts beyond their capacity */
-  bool gangs;              /**< a third of the steps are gangs */
-  bool lasting; /**< the tasks of all jobs are long-running, and each
-                   job is canceled */
+  /** Between times of 1 to 8 s in which the process of an owner does nothing
+      and then goes on with what was queued for it; every other time the shard
+      gets another owner at the same moment, and every fourth new owner is
+      frozen at once.  0 for none.  */
+  usec_t freeze_interval;
+  bool best_effort;    /**< every other step is best effort */
+  bool check_capacity; /**< workers reject starts beyond their capacity */
+  bool gangs;          /**< a third of the steps are gangs */
+  bool lasting;        /**< the tasks of all jobs are long-running, and each
+                          job is canceled */
 } world_config_t;
 
 shard_world_t *world_new (const world_config_t *config);
