--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -354,6 +354,35 @@
              2 * SEED_COUNT);
 }
 
+/* Paths to workers, entries, owners and workers fail together. */
+static void
+test_paths_and_owners (void)
+{
+  world_config_t config = { .unlist_interval = 400 * USEC_PER_MSEC,
+                            .departure_interval = 1700 * USEC_PER_MSEC,
+                            .worker_cut_interval = 2300 * USEC_PER_MSEC,
+                            .long_cuts = true,
+                            .reset_call_share = 0.02,
+                            .freeze_interval = 5 * USEC_PER_SEC,
+                            .takeover_interval = 4700 * USEC_PER_MSEC,
+                            .keep_former_owner = true,
+                            .store_outage_interval = 6 * USEC_PER_SEC,
+                            .worker_crash_interval = 3 * USEC_PER_SEC,
+                            .lost_reply_share = 0.03,
+                            .delayed_call_share = 0.03,
+                            .lost_append_reply_share = 0.03,
+                            .lost_start_share = 0.02,
+                            .failed_run_share = 0.05,
+                            .canceled_job_share = 0.1,
+                            .check_capacity = true,
+                            .gangs = true };
+
+  run_seeds (config, 2 * SEED_COUNT);
+  config.gangs = false;
+  config.lasting = true;
+  run_seeds (config, SEED_COUNT);
+}
+
 /* Guards against gangs that are started only partially. */
 static void
 test_gangs (void)
@@ -390,6 +419,7 @@
     { "other worker at address", test_other_worker },
     { "frozen owners", test_frozen_owners },
     { "all faults", test_all_faults },
+    { "paths and owners", test_paths_and_owners },
     { "gangs", test_gangs },
   };
 
