World of shards: splits of the network

With a takeover each worker is reached by one of the two owners only, and the store by the new one. Owners are confirmed for 3 s, as in the program, and not during outages of the store.

--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -317,6 +317,22 @@
   run_seeds (config, SEED_COUNT);
 }
 
+/* Guards against leases that a former owner extends which the store no longer
+   confirms, on workers that its successor does not reach. */
+static void
+test_splits (void)
+{
+  world_config_t config = { .stale_limit = 3 * USEC_PER_SEC,
+                            .takeover_interval = 10500 * USEC_PER_MSEC,
+                            .keep_former_owner = true,
+                            .splits = true,
+                            .lasting = true };
+
+  run_seeds (config, SEED_COUNT);
+  config.store_outage_interval = 3 * USEC_PER_SEC;
+  run_seeds (config, SEED_COUNT);
+}
+
 /* Guards against owners that were frozen and then act by what they knew
    before: leases that have expired, a successor, replies that are not
    processed yet. */
@@ -417,6 +433,7 @@
     { "leaving workers", test_leaving_workers },
     { "long cuts", test_long_cuts },
     { "other worker at address", test_other_worker },
+    { "splits", test_splits },
     { "frozen owners", test_frozen_owners },
     { "all faults", test_all_faults },
     { "paths and owners", test_paths_and_owners },
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -65,6 +65,8 @@
 /* Longest time until an owner that never hears of a worker is sure that its
    leases have expired, from its takeover on. */
 #define SILENT_END_LIMIT (STALE_LIMIT + LEASE_DURATION * 11 / 10)
+#define SPLIT_MIN (10 * USEC_PER_SEC)
+#define SPLIT_MAX (14 * USEC_PER_SEC)
 #define FREEZE_MIN (USEC_PER_SEC)
 #define FREEZE_MAX (8 * USEC_PER_SEC)
 /* An owner that goes on has processed what was queued for it after at most
@@ -275,7 +277,8 @@
   usec_t departure_due;
   usec_t mislead_due;
   usec_t freeze_due;
-  bool list_down; /* the list of workers cannot be read */
+  usec_t split_until; /* the network is split until then */
+  bool list_down;     /* the list of workers cannot be read */
   usec_t listed_at;
   uint32_t violations;
 };
@@ -485,7 +488,8 @@
           .poll_shared = 400 * USEC_PER_MSEC,
           .poll_idle = 2 * USEC_PER_SEC,
           .call_timeout = CALL_TIMEOUT,
-          .stale_limit = STALE_LIMIT,
+          .stale_limit
+          = config->stale_limit ? config->stale_limit : STALE_LIMIT,
           .keep_ended = 3600 * USEC_PER_SEC,
           .append_bytes = 1U << 20,
           .zones_max_age = WORLD_EVACUATE - CALL_TIMEOUT,
@@ -689,6 +693,23 @@
   owner->frozen_until = MIN (until, world->faults_end);
 }
 
+/* Each worker is reached by one of the owners only. */
+static void
+split_network (shard_world_t *world)
+{
+  usec_t until
+      = world->now + g_rand_int_range (world->rng, SPLIT_MIN, SPLIT_MAX);
+
+  world->split_until = MIN (until, world->faults_end);
+  for (uint32_t i = 0; i < world->config.workers; i++)
+    {
+      world->workers[i].cut_until = world->split_until;
+      world->workers[i].cut_kind = CUT_SILENT;
+      world->workers[i].cut_owners
+          = 1U << g_rand_int_range (world->rng, 0, OWNER_COUNT);
+    }
+}
+
 /* The list of workers may be read before the shard is loaded, or later. */
 static void
 load_owner (shard_world_t *world, sim_owner_t *owner)
@@ -709,6 +730,9 @@
   sim_owner_t *former = &world->owners[world->current_owner];
   sim_owner_t *next;
 
+  if (world->config.splits)
+    split_network (world);
+
   former->owns_shard = false;
   if (!world->config.keep_former_owner)
     {
@@ -761,7 +785,9 @@
 static shard_append_result_t
 store_append (shard_world_t *world, event_t *event)
 {
-  if (world->store_down)
+  if (world->store_down
+      || (world->now < world->split_until
+          && event->owner != &world->owners[world->current_owner]))
     return SHARD_NOT_STORED;
   if (event->epoch < world->epoch)
     return SHARD_SUPERSEDED;
@@ -1872,7 +1898,8 @@
       if (!owner->alive || is_frozen (world, owner))
         continue;
       read_zones (world, owner);
-      if (owner->owns_shard)
+      if (owner->owns_shard
+          && !(world->config.stale_limit && world->store_down))
         shard_ownership_confirmed (owner->shard, world->now);
       shard_tick (owner->shard, world->now);
     }
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -76,6 +76,12 @@
       gets another owner at the same moment, and every fourth new owner is
       frozen at once.  0 for none.  */
   usec_t freeze_interval;
+  /** Of the owners, which the store then does not confirm during its outages.
+      0: 12 s, and it does.  */
+  usec_t stale_limit;
+  /** With each takeover the network splits for 10 to 14 s: a worker is reached
+      by one of the owners, the store by the new one.  */
+  bool splits;
   bool best_effort;    /**< every other step is best effort */
   bool check_capacity; /**< workers reject starts beyond their capacity */
   bool gangs;          /**< a third of the steps are gangs */
