World of shards: slow replies, in another order than they were sent

All replies took 4 ms, so that none overtook another. A share of them now takes nearly as long as the call may.

--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -333,6 +333,24 @@
   run_seeds (config, SEED_COUNT);
 }
 
+/* Guards against runs of a new incarnation that are taken for runs of the one
+   before: replies of both arrive in another order than they were sent. */
+static void
+test_slow_replies (void)
+{
+  world_config_t config = { .slow_reply_share = 0.3,
+                            .worker_crash_interval = 500 * USEC_PER_MSEC,
+                            .lost_reply_share = 0.03,
+                            .reset_call_share = 0.03,
+                            .takeover_interval = 4300 * USEC_PER_MSEC,
+                            .keep_former_owner = true,
+                            .canceled_job_share = 0.1 };
+
+  run_seeds (config, SEED_COUNT);
+  config.lasting = true;
+  run_seeds (config, SEED_COUNT);
+}
+
 /* Guards against owners that were frozen and then act by what they knew
    before: leases that have expired, a successor, replies that are not
    processed yet. */
@@ -433,6 +451,7 @@
     { "leaving workers", test_leaving_workers },
     { "long cuts", test_long_cuts },
     { "other worker at address", test_other_worker },
+    { "slow replies", test_slow_replies },
     { "splits", test_splits },
     { "frozen owners", test_frozen_owners },
     { "all faults", test_all_faults },
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -1302,6 +1302,20 @@
   answer->reply = (shard_reply_t){ .kind = SHARD_REPLY_NONE };
 }
 
+static usec_t
+reply_time (shard_world_t *world, const event_t *event, const event_t *answer)
+{
+  bool answered = answer->reply.kind != SHARD_REPLY_NONE;
+
+  if (!answered && !event->reset)
+    return CALL_TIMEOUT;
+  if (answered && draw_fault (world, world->config.slow_reply_share))
+    return g_rand_int_range (world->rng, LINK_DELAY,
+                             (gint32)MIN (event->call.timeout, CALL_TIMEOUT)
+                                 - 4 * LINK_DELAY);
+  return LINK_DELAY;
+}
+
 static void
 execute_call (shard_world_t *world, event_t *event)
 {
@@ -1366,12 +1380,8 @@
     }
   if (event->reset == RESET_AFTER || (worker && is_cut (world, event, worker)))
     lose_reply (answer);
-  schedule_event (
-      world, answer,
-      world->now
-          + (answer->reply.kind == SHARD_REPLY_NONE && !event->reset
-                 ? CALL_TIMEOUT
-                 : LINK_DELAY));
+  schedule_event (world, answer,
+                  world->now + reply_time (world, event, answer));
 }
 
 static void
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -76,6 +76,9 @@
       gets another owner at the same moment, and every fourth new owner is
       frozen at once.  0 for none.  */
   usec_t freeze_interval;
+  /** Share of replies that take nearly as long as their call may, so that they
+      arrive in another order.  */
+  double slow_reply_share;
   /** Of the owners, which the store then does not confirm during its outages.
       0: 12 s, and it does.  */
   usec_t stale_limit;
