--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -1306,13 +1306,13 @@
 reply_time (shard_world_t *world, const event_t *event, const event_t *answer)
 {
   bool answered = answer->reply.kind != SHARD_REPLY_NONE;
+  gint32 longest
+      = (gint32)(MIN (event->call.timeout, CALL_TIMEOUT) - 4 * LINK_DELAY);
 
   if (!answered && !event->reset)
     return CALL_TIMEOUT;
   if (answered && draw_fault (world, world->config.slow_reply_share))
-    return g_rand_int_range (world->rng, LINK_DELAY,
-                             (gint32)MIN (event->call.timeout, CALL_TIMEOUT)
-                                 - 4 * LINK_DELAY);
+    return g_rand_int_range (world->rng, LINK_DELAY, longest);
   return LINK_DELAY;
 }
 
@@ -1732,6 +1732,36 @@
       update_entry (&world->workers[i]);
 }
 
+/* Faults of owners and of entries in the list of workers. */
+static void
+inject_changes (shard_world_t *world)
+{
+  if (world->config.unlist_interval && world->now >= world->unlist_due)
+    {
+      world->unlist_due = world->now + world->config.unlist_interval;
+      unlist_worker (world, draw_worker (world));
+    }
+  if (world->config.departure_interval && world->now >= world->departure_due)
+    {
+      world->departure_due = world->now + world->config.departure_interval;
+      announce_departure (world, draw_worker (world));
+    }
+  if (world->config.freeze_interval && world->now >= world->freeze_due)
+    {
+      world->freeze_due = world->now + world->config.freeze_interval;
+      freeze_owner (
+          world,
+          &world->owners[g_rand_int_range (world->rng, 0, OWNER_COUNT)]);
+      if (g_rand_boolean (world->rng))
+        take_over (world);
+    }
+  if (world->config.mislead_interval && world->now >= world->mislead_due)
+    {
+      world->mislead_due = world->now + world->config.mislead_interval;
+      mislead_entry (world, draw_worker (world));
+    }
+}
+
 static void
 inject_faults (shard_world_t *world)
 {
@@ -1784,30 +1814,7 @@
             + (world->list_down ? LIST_OUTAGE_DURATION
                                 : world->config.list_outage_interval);
     }
-  if (world->config.unlist_interval && world->now >= world->unlist_due)
-    {
-      world->unlist_due = world->now + world->config.unlist_interval;
-      unlist_worker (world, draw_worker (world));
-    }
-  if (world->config.departure_interval && world->now >= world->departure_due)
-    {
-      world->departure_due = world->now + world->config.departure_interval;
-      announce_departure (world, draw_worker (world));
-    }
-  if (world->config.freeze_interval && world->now >= world->freeze_due)
-    {
-      world->freeze_due = world->now + world->config.freeze_interval;
-      freeze_owner (
-          world,
-          &world->owners[g_rand_int_range (world->rng, 0, OWNER_COUNT)]);
-      if (g_rand_boolean (world->rng))
-        take_over (world);
-    }
-  if (world->config.mislead_interval && world->now >= world->mislead_due)
-    {
-      world->mislead_due = world->now + world->config.mislead_interval;
-      mislead_entry (world, draw_worker (world));
-    }
+  inject_changes (world);
   if (world->config.store_outage_interval && world->now >= world->outage_due)
     {
       world->store_down = !world->store_down;
