--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -617,6 +617,44 @@
   tear_down ();
 }
 
+/* Guards against two runs of a task: a worker has restarted, lists no runs,
+   then accepts a start, and its list arrives after the answer to the start. */
+static void
+test_list_older_than_start (void)
+{
+  const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  shard_reply_t lists = { .kind = SHARD_REPLY_OK,
+                          .clock_ms = 1,
+                          .started_ms = START_WALL_MS + 5,
+                          .has_lists = true };
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  add_job (1);
+  advance (USEC_PER_MSEC);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (count_calls (SHARD_START), 1);
+  shard_reply (fixture.shard, fixture.now, last_call (SHARD_START)->id, &ok);
+  shard_reply (fixture.shard, fixture.now, last_call (SHARD_HOLD)->id, &lists);
+  lists.clock_ms = 2;
+  lists.runs = &first_run;
+  lists.run_count = 1;
+  for (int i = 0; i < 3; i++)
+    {
+      advance (USEC_PER_MSEC);
+      if (fixture.appends > 1)
+        shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+      advance (USEC_PER_MSEC);
+      shard_reply (fixture.shard, fixture.now, last_call (SHARD_HOLD)->id,
+                   &lists);
+    }
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 1);
+  CU_ASSERT_EQUAL (count_calls (SHARD_STOP), 0);
+  tear_down ();
+}
+
 /* Guards against a large job that waits behind every small job of the same
    age, although its steps need more time to be placed (ruedas-plata trouble-2:
    a quarter of the largest tenth of the jobs was served, but half of all
@@ -977,6 +1015,7 @@
     { "stalled run", test_stalled_run },
     { "paused worker", test_paused_worker },
     { "reply from a former incarnation", test_reply_from_former_incarnation },
+    { "list older than a start", test_list_older_than_start },
     { "large job first", test_large_job_first },
     { "started job first", test_started_job_first },
     { "adopted run, unlisted worker", test_adopted_run_unlisted },
