--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -140,7 +140,6 @@
 {
   bool announced;
   bool has_ended;
-  bool tells_remaining; /* its entry tells the least time left */
   usec_t least_end;
   usec_t ends_at;
   usec_t unlisted_at; /* its entry is gone from then on */
@@ -604,16 +603,6 @@
              : worker->address;
 }
 
-static usec_t
-remaining_time (const shard_world_t *world, const sim_worker_t *worker)
-{
-  const sim_departure_t *departure = &worker->departure;
-
-  return departure->announced && departure->tells_remaining
-             ? MAX (departure->least_end - world->now, 0)
-             : 0;
-}
-
 static void
 pass_worker_list (shard_world_t *world, sim_owner_t *owner)
 {
@@ -635,8 +624,7 @@
                               .zone = world_zone_name (i % WORLD_ZONES),
                               .millicores = worker->entry.capacity.millicores,
                               .memory_mb = worker->entry.capacity.memory_mb,
-                              .leaving = worker->departure.announced,
-                              .remaining = remaining_time (world, worker) };
+                              .leaving = worker->departure.announced };
 
       if (!has_entry (world, worker))
         continue;
@@ -1465,7 +1453,6 @@
       || 3 * count_leaving (world) >= world->config.workers)
     return;
   departure->announced = true;
-  departure->tells_remaining = g_rand_boolean (world->rng);
   departure->least_end
       = world->now + g_rand_int_range (world->rng, NOTICE_MIN, NOTICE_MAX);
   departure->ends_at
