Acknowledge an end only while its worker lists it

Cause: each hold acknowledged all ends that were stored, again and again. The number carries no incarnation. After a restart that the owner did not know yet, such a hold acknowledged the first ends of the new incarnation unread.

Fix: ends are acknowledged only while the latest list has some, in the hold that follows it.

"end is acknowledged once" failed before.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -249,9 +249,11 @@
      can be started elsewhere once their leases have expired. */
   if (!worker->in_doubt && !worker->lapsing)
     call.lease_until = lease_until (shard, worker, now);
-  /* A restarted worker numbers its ends from 1 again: no ends are acknowledged
-     to a worker in doubt, since it may have restarted. */
-  call.acknowledged_end = worker->in_doubt ? 0 : worker->ends_stored;
+  /* A restarted worker numbers its ends from 1 again, and the restart may not
+     be known yet: ends are acknowledged only while the worker lists some, and
+     not to a worker in doubt. */
+  call.acknowledged_end
+      = worker->in_doubt || !worker->ends_listed ? 0 : worker->ends_stored;
   if (!worker->in_doubt && !worker->lapsing && !unstored)
     call.wait = hold_wait (shard, worker);
   call.timeout = shard->config.call_timeout + call.wait;
@@ -491,6 +493,7 @@
   worker->unanswered_holds = 0;
   worker->refused_holds = 0;
   worker->last_answer = now - worker_answer_age (worker, now, reply->clock_ms);
+  worker->ends_listed = reply->end_count != 0;
   apply_ends (shard, now, handle, reply);
   apply_runs (shard, now, handle, reply);
   requeue_missing_runs (shard, now, handle, reply, pending->sent, restarted);
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -148,6 +148,7 @@
   bool lapsing; /* the stored record of lapsing workers may name it: it gets no
                    lease */
   bool in_lapsing_batch; /* the record in the batch names it */
+  bool ends_listed;      /* in its latest list */
   uint64_t ends_applied; /* highest number of an end that was applied */
   uint64_t ends_stored;  /* highest number of an end that is stored */
   uint32_t failures;     /* consecutive failed runs, each of another job */
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -642,6 +642,27 @@
   tear_down ();
 }
 
+/* Guards against an end that is acknowledged unread: the worker restarts
+   unnoticed, and its new incarnation numbers its ends from 1 again. */
+static void
+test_end_is_acknowledged_once (void)
+{
+  const end_report_t end = { 1, first_run.run_id, RUN_DONE, "" };
+
+  set_up_with_placed_run ();
+  list_worker ();
+  advance (0);
+  answer_hold_of (START_WALL_MS, NULL, 0, &end, 1);
+  advance (USEC_PER_MSEC);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_SEC);
+  CU_ASSERT_EQUAL (last_call (SHARD_HOLD)->acknowledged_end, 1);
+  answer_hold_of (START_WALL_MS, NULL, 0, NULL, 0);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (last_call (SHARD_HOLD)->acknowledged_end, 0);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -651,6 +672,7 @@
     { "unanswered start goes elsewhere",
       test_unanswered_start_goes_elsewhere },
     { "unanswered start and stops", test_unanswered_start_and_stops },
+    { "end is acknowledged once", test_end_is_acknowledged_once },
     { "end numbers of two incarnations",
       test_end_numbers_of_two_incarnations },
     { "start answered by a former incarnation",
