Keep a run at a new incarnation also if it is to be stopped

A review of found (by a test) that two runs of a task are still possible where the run is being stopped when the list that tells of the restart arrives, as when the start of another member of its gang was rejected: it was given up while it may take until the limit of a stop to end.

The exception for such runs is not needed: without an unanswered start no later one can be carried out, so that lists decide. "stop after a start at a new incarnation" failed before.

--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -510,7 +510,8 @@
     worker->hold_due += HOLD_INTERVAL_UNSTORED;
 }
 
-/* A hold that was rejected has extended no lease, as one without an answer. */
+/* A rejected hold is treated as one without an answer: its worker may not be
+   able to extend leases. */
 static void
 on_failed_hold (shard_t *shard, usec_t now, handle_t handle,
                 shard_reply_kind_t kind)
@@ -716,7 +717,7 @@
 may_be_accepted_since (const run_t *run, usec_t sent)
 {
   return run->state == RUN_ACKNOWLEDGED && run->acknowledged_at >= sent
-         && !run->stop_requested && !run->start_unanswered;
+         && !run->start_unanswered;
 }
 
 /* Handles runs that are missing from the list.  Apart from restarts and
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -642,6 +642,45 @@
   tear_down ();
 }
 
+/* The same for a run that is to be stopped, since the start of the other
+   member of its gang was rejected. */
+static void
+test_stop_after_start_at_new_incarnation (void)
+{
+  const run_report_t run = { { JOB_ID, 0, 0, 0, 1 }, "", 0, 0 };
+  submission_t *submission = new_submission (2);
+
+  submission->steps[0].gang = true;
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  advance (USEC_PER_MSEC); /* sends the hold */
+  apply_submission (submission);
+  advance (USEC_PER_MSEC);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL_FATAL (count_calls (SHARD_START), 2);
+  for (size_t i = 0; i < fixture.call_count; i++)
+    if (fixture.calls[i].kind == SHARD_START)
+      {
+        const shard_reply_t reply
+            = { .kind = fixture.calls[i].run_id.index ? SHARD_REPLY_NO_ROOM
+                                                      : SHARD_REPLY_OK };
+
+        shard_reply (fixture.shard, fixture.now, fixture.calls[i].id, &reply);
+      }
+  advance (USEC_PER_MSEC);
+  reply_to_last (SHARD_STOP, SHARD_REPLY_NONE);
+  answer_hold_of (START_WALL_MS + 5, NULL, 0, NULL, 0);
+  list_worker_on ("w1", "10.0.0.1:1", "r", START_WALL_MS + 5);
+  list_worker_on ("w2", "10.0.0.2:1", "r", START_WALL_MS);
+  advance (USEC_PER_MSEC);
+  reply_as_ready ("w2");
+  list_runs_of (START_WALL_MS + 5, &run, 1);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 2);
+  tear_down ();
+}
+
 /* Guards against an end that is acknowledged unread: the worker restarts
    unnoticed, and its new incarnation numbers its ends from 1 again. */
 static void
@@ -679,6 +718,8 @@
       test_start_answered_by_former_incarnation },
     { "start accepted by a new incarnation",
       test_start_accepted_by_new_incarnation },
+    { "stop after a start at a new incarnation",
+      test_stop_after_start_at_new_incarnation },
     { "start accepted by a former incarnation",
       test_start_accepted_by_former_incarnation },
     { "lists after a stop", test_lists_after_stop },
