Do not take a run for gone whose end may not be listed yet

Callers could see a task that runs again after its end: a worker lists 500 ends at a time, and a run whose end was beyond them was missing from the list. A new owner gave it up at once, others after two lists. Found by a review, shown by tests; it takes over 500 ends that are not acknowledged, as after a long outage.

A list that is full now says so, and no run is missing from it.

--- a/src/scheduler/sched_workers.c
+++ b/src/scheduler/sched_workers.c
@@ -123,9 +123,9 @@
   return text.len && memmem (text.data, text.len, part, strlen (part));
 }
 
-/* A worker's rack never changes: an entry with the rack of another shard,
-   which another writer left, names no worker.  So does the first right one if
-   the odd entry was read first; the next one counts.
+/* A worker's rack never changes.  An entry with the rack of another shard than
+   the one before is not used, and the next one is taken as it is: either of
+   the two may have been left by another writer.
    @return whether the entry is to be used */
 static bool
 check_shard (scheduler_t *s, usec_t now, const shard_worker_t *info,
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -154,6 +154,7 @@
   size_t run_count;
   const end_report_t *ends;
   size_t end_count;
+  bool has_more_ends; /**< the worker may have more ends than it has listed */
 } shard_reply_t;
 
 typedef enum
@@ -170,9 +171,9 @@
   RECORD_SUBMISSION = 'j',
   RECORD_PROGRESS = 's',
   RECORD_INTERFERENCE = 'i', /**< interference between images; job is 0 */
-  RECORD_LAPSING
-  = 'l' /**< workers that get no lease until it is stored without
-           them, and when theirs have expired; job is 0 */
+  /** Workers to which no owner extends leases while this record names them,
+     and when their leases have expired; job is 0 */
+  RECORD_LAPSING = 'l'
 } record_kind_t;
 
 /** Largest value of a record: with its key and length it takes less than the
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -502,7 +502,7 @@
   sharing_apply_list (shard, now, handle);
   check_stalled (shard, now, handle);
   worker = worker_get (shard, handle);
-  worker->restarted = false;
+  worker->restarted &= reply->has_more_ends;
   worker->hold_due = now;
   if (worker->lapsing)
     worker->hold_due += HOLD_RETRY;
@@ -741,6 +741,9 @@
           run->in_list = false;
           continue;
         }
+      /* Its end may be among those that are not listed yet. */
+      if (reply->has_more_ends)
+        continue;
       if (restarted && run->state != RUN_UNSTORED
           && !may_be_accepted_since (run, sent))
         {
--- a/src/shard/test_shard_evidence.c
+++ b/src/shard/test_shard_evidence.c
@@ -681,6 +681,35 @@
   tear_down ();
 }
 
+/* Guards against a task that is started again after its end: a new owner gets
+   a list of its worker that has no room for the end. */
+static void
+test_end_is_not_listed_yet (void)
+{
+  const shard_reply_t full = { .kind = SHARD_REPLY_OK,
+                               .clock_ms = 1000,
+                               .started_ms = START_WALL_MS,
+                               .has_lists = true,
+                               .ends = &end_of_unknown_run,
+                               .end_count = 1,
+                               .has_more_ends = true };
+  const end_report_t end = { 2, first_run.run_id, RUN_DONE, "" };
+
+  set_up_with_placed_run ();
+  list_worker ();
+  reply_to_holds (3, USEC_PER_SEC, &full);
+  CU_ASSERT_EQUAL (fixture.appends, 0);
+  fixture.call_count = 0;
+  advance (USEC_PER_SEC);
+  answer_hold_of (START_WALL_MS, NULL, 0, &end, 1);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_SEC);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  tear_down ();
+}
+
 /* Guards against an end that is acknowledged unread: the worker restarts
    unnoticed, and its new incarnation numbers its ends from 1 again. */
 static void
@@ -711,6 +740,7 @@
     { "unanswered start goes elsewhere",
       test_unanswered_start_goes_elsewhere },
     { "unanswered start and stops", test_unanswered_start_and_stops },
+    { "end is not listed yet", test_end_is_not_listed_yet },
     { "end is acknowledged once", test_end_is_acknowledged_once },
     { "end numbers of two incarnations",
       test_end_numbers_of_two_incarnations },
