Do not count a reload as records of another owner

An active owner that reloads its records after the store has dropped its history may read its own progress records as younger than that of lapsing workers, and logged and counted that another owner had appended.

--- a/src/scheduler/sched_store.c
+++ b/src/scheduler/sched_store.c
@@ -284,10 +284,10 @@
   if (records->has_more && records->count)
     return;
   state->loading = false;
-  if (state->lapsing_end && state->lapsing_end <= state->progress_offset)
-    shard_discard_lapsing (state->shard);
   if (shard_is_active (state->shard))
     return; /* reload after STORE_EXPIRED; the shard stays active */
+  if (state->lapsing_end && state->lapsing_end <= state->progress_offset)
+    shard_discard_lapsing (state->shard);
   shard_loaded (state->shard, now);
 }
 
