Withdraw a start once its worker is not listed

Placement leaves unlisted workers out; now a start is also withdrawn once its worker has gone from the list. "no start on an unlisted worker" failed before.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -49,6 +49,7 @@
 SAME_RUN_NUMBER|src/jobs/jobs.c|jobs/test_jobs|s/task->run++;//
 NO_STEP_ORDER|src/jobs/jobs.c|jobs/test_jobs|s/if (occurrence->unfinished\[s->depends_on\[i\]\])/if (0)/
 NO_CAPACITY|src/shard/shard_choose.c|shard/test_shard_capacity|s/worker->used_millicores + step->millicores > worker->millicores/false/
+START_ON_UNLISTED|src/shard/shard_withdraw.c|shard/test_shard_steps|s/if (!worker->listed)/if (0)/
 REPEATED_ON_LEAVING|src/shard/shard_withdraw.c|shard/test_shard_steps|s/if (worker->leaving)/if (0)/
 START_ON_LEAVING|src/shard/shard_choose.c|shard/test_shard_steps|s/worker->leaving ||//
 PARTIAL_GANG|src/shard/shard_place.c|shard/test_shard_steps|s/undo_gang_placement (shard, now, c, i);//
--- a/src/shard/shard_withdraw.c
+++ b/src/shard/shard_withdraw.c
@@ -31,6 +31,8 @@
     return "zone is evacuated";
   if (worker->leaving)
     return "worker is leaving";
+  if (!worker->listed)
+    return "worker is not listed";
   if (worker_is_over_capacity (worker))
     return "worker is over its capacity";
   return NULL;
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -846,6 +846,31 @@
   tear_down ();
 }
 
+/* Guards against a start on a worker that has gone from the list since it was
+   chosen: what it has room for is not known any more. */
+static void
+test_no_start_on_unlisted (void)
+{
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  add_job (1);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (fixture.appends, 1);
+  shard_worker_unlisted (fixture.shard, fixture.now, "w1");
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 0);
+  list_worker ();
+  for (int i = 0; i < 3; i++)
+    {
+      shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+      advance (USEC_PER_MSEC);
+    }
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 1);
+  tear_down ();
+}
+
 /* Guards against starts on a worker that is listed as leaving. */
 static void
 test_no_start_on_leaving (void)
@@ -1022,6 +1047,7 @@
     { "superseded by a worker", test_superseded_by_worker },
     { "run without record", test_run_without_record },
     { "lost stops of a run without record", test_lost_stops_without_record },
+    { "no start on an unlisted worker", test_no_start_on_unlisted },
     { "no start on a leaving worker", test_no_start_on_leaving },
     { "no repeated start on a leaving worker",
       test_no_repeated_start_on_leaving },
