Soak: workers leave

A worker of the stand-in says that it is draining, with remaining_ms, runs on for that time and up to six seconds longer, ends with all its runs, and its entry goes. Another one, of another name, comes at its address, which rejects calls for its predecessor (421).

--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -51,8 +51,10 @@
                               none; each task then needs one core */
   uint32_t odd_every; /* ms between odd entries among those of the workers,
                          0: none */
-  uint32_t shrunk_ms; /* no start may exceed a smaller capacity from then
-                         on, counted from the report that follows */
+  uint32_t shrunk_ms;      /* no start may exceed a smaller capacity from then
+                              on, counted from the report that follows */
+  uint32_t leave_every;    /* ms between times when workers begin to leave, 0:
+                              none */
 } fleet_config_t;
 
 typedef struct fleet fleet_t;
@@ -123,6 +125,22 @@
 void fleet_odd_tick (odd_writer_t *writer, usec_t now);
 /** @return whether a call is for the worker */
 bool fleet_is_meant (httpd_t *httpd, handle_t http, const char *id);
+/* fleet_leaving.c */
+typedef struct leaving leaving_t;
+
+leaving_t *fleet_leaving_new (fleet_t *fleet);
+void fleet_leaving_free (leaving_t *leaving);
+/** Draws workers that begin to leave. */
+void fleet_leaving_tick (leaving_t *leaving, usec_t now);
+/** The worker writes its entry.
+    @return whether it says that it leaves, and after how long at least */
+bool fleet_leaving_tell (leaving_t *leaving, uint32_t worker, usec_t now,
+                         int *remaining_ms);
+/** @return whether the worker ends now */
+bool fleet_leaving_is_over (const leaving_t *leaving, uint32_t worker,
+                            usec_t now);
+/** The worker has ended; the next one there does not leave. */
+void fleet_leaving_reset (leaving_t *leaving, uint32_t worker);
 
 struct fleet
 {
@@ -135,6 +153,7 @@
   capacity_plan_t *capacity;
   spells_t *spells;
   odd_writer_t *odd_writer;
+  leaving_t *leaving;
   bool spells_over; /* no more spells and lost calls */
   bool calm;        /* no more faults */
   uint32_t version; /* of the configuration */
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -91,7 +91,8 @@
   workers_t *all;
   uint32_t index;
   httpd_t *httpd;
-  char id[16];
+  char id[16]; /* another one after the worker has left */
+  uint32_t left_count;
   char address[64];
   usec_t born;
   int64_t born_ms;
@@ -129,6 +130,7 @@
   uint32_t done;
   uint32_t lapsed;
   uint32_t crashes;
+  uint32_t left;
   uint32_t dropped;
   uint32_t unhealthy;
   uint32_t fills;
@@ -340,13 +342,13 @@
 json_t *
 fleet_workers_audit (const workers_t *all)
 {
-  return json_pack ("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:O}",
-                    "broken", (int)all->broken, "starts", (int)all->starts,
-                    "done", (int)all->done, "lapsed", (int)all->lapsed,
-                    "crashes", (int)all->crashes, "dropped", (int)all->dropped,
-                    "unhealthy", (int)all->unhealthy, "deadly_starts",
-                    (int)all->deadly_starts, "fills", (int)all->fills, "idle",
-                    idle_count (all), "reports", all->reports);
+  return json_pack (
+      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:O}", "broken",
+      (int)all->broken, "starts", (int)all->starts, "done", (int)all->done,
+      "lapsed", (int)all->lapsed, "crashes", (int)all->crashes, "left",
+      (int)all->left, "dropped", (int)all->dropped, "unhealthy",
+      (int)all->unhealthy, "deadly_starts", (int)all->deadly_starts, "fills",
+      (int)all->fills, "idle", idle_count (all), "reports", all->reports);
 }
 
 /* --- Runs --- */
@@ -398,18 +400,13 @@
     broken (all, name, number, "started again and again after crashes");
 }
 
+/* All that runs there ends with the worker. */
 static void
-crash (worker_t *w, usec_t now)
+go_down (worker_t *w, usec_t now)
 {
   for (guint i = 0; i < w->runs->len; i++)
-    {
-      const run_t *run = &g_array_index (w->runs, run_t, i);
-      task_t *task = task_of (w->all, run->task);
-
-      task->running--;
-      task->crashes += run->deadly;
-    }
-  w->all->crashes++;
+    task_of (w->all, g_array_index (w->runs, run_t, i).task)->running--;
+  fleet_leaving_reset (w->all->fleet->leaving, w->index);
   w->crash_at = 0;
   w->down_until
       = now
@@ -420,6 +417,30 @@
   clear (w);
 }
 
+static void
+crash (worker_t *w, usec_t now)
+{
+  for (guint i = 0; i < w->runs->len; i++)
+    {
+      const run_t *run = &g_array_index (w->runs, run_t, i);
+
+      task_of (w->all, run->task)->crashes += run->deadly;
+    }
+  w->all->crashes++;
+  go_down (w, now);
+}
+
+static void
+leave (worker_t *w, usec_t now)
+{
+  w->all->left++;
+  go_down (w, now);
+  fleet_store_put (w->all->fleet->store, "keyed.servers", w->id, "");
+  w->left_count++;
+  g_snprintf (w->id, sizeof w->id, "i-%u",
+              w->index + w->left_count * w->all->fleet->config.workers);
+}
+
 /* @param late the call arrived before, and was not carried out then */
 static const char *
 start (worker_t *w, const json_t *body, usec_t now, bool late)
@@ -615,9 +636,13 @@
   int64_t lease = json_integer_value (json_object_get (body, "expiry_ms"));
   bool lost = fleet_chance (fleet, fleet->config.lose);
   bool starts = strcmp (request->path, "/-/run-start") == 0;
+  const char *instance
+      = httpd_header (w->httpd, request->handle, "Expected-Instance");
 
-  if (spell_strikes (w, SPELL_LOSS,
-                     fleet->spells_over ? 0 : fleet->config.drop, now))
+  if (instance && strcmp (instance, w->id) != 0)
+    answer (w, request->handle, false, 421, NULL, now);
+  else if (spell_strikes (w, SPELL_LOSS,
+                          fleet->spells_over ? 0 : fleet->config.drop, now))
     w->all->dropped++;
   else if (!fleet_is_meant (w->httpd, request->handle, w->id))
     answer (w, request->handle, lost, 421, NULL, now);
@@ -705,7 +730,7 @@
 }
 
 static void
-register_all (workers_t *all)
+register_all (workers_t *all, usec_t now)
 {
   for (uint32_t i = 0; i < all->fleet->config.workers; i++)
     {
@@ -714,17 +739,24 @@
       char zone[16];
       json_t *entry;
       char *text;
+      int remaining_ms = 0;
+      bool leaves;
 
       if (!w->httpd)
         continue;
+      leaves = fleet_leaving_tell (all->fleet->leaving, i, now, &remaining_ms);
       g_snprintf (rack, sizeof rack, "r%u", i / 3);
       g_snprintf (zone, sizeof zone, "z%u", i % FLEET_ZONES);
       entry = json_pack (
           "{s:s, s:s, s:s, s:s, s:I, s:{s:i, s:i, s:i}, s:[s, s]}", "service",
-          "s", "address", w->address, "zone", zone, "state", "ready", "born",
-          (json_int_t)w->born_ms, "capacity", "cpu",
+          "s", "address", w->address, "zone", zone, "state",
+          leaves ? "draining" : "ready", "born", (json_int_t)w->born_ms,
+          "capacity", "cpu",
           (int)fleet_capacity_cores (all->fleet->capacity, i) * 1000, "mem_mb",
           MEMORY_MB, "gpu", 0, "labels", "a", rack);
+      if (leaves)
+        json_object_set_new (entry, "remaining_ms",
+                             json_integer (remaining_ms));
       text = json_dumps (entry, JSON_COMPACT);
       fleet_store_put (all->fleet->store, "keyed.servers", w->id, text);
       free (text);
@@ -734,13 +766,16 @@
 
 /* @return whether the worker is up */
 static bool
-crash_and_boot (worker_t *w, usec_t now)
+end_and_boot (worker_t *w, usec_t now)
 {
   bool ill
       = fleet_spell_acts (w->all->fleet->spells, w->index, SPELL_CRASH, now);
 
   if (w->httpd && (ill || (w->crash_at && now >= w->crash_at)))
     crash (w, now);
+  else if (w->httpd
+           && fleet_leaving_is_over (w->all->fleet->leaving, w->index, now))
+    leave (w, now);
   else if (!w->httpd && !ill && now >= w->down_until)
     {
       boot (w, now);
@@ -755,13 +790,13 @@
   if (now >= all->register_due)
     {
       all->register_due = now + REGISTER_INTERVAL;
-      register_all (all);
+      register_all (all, now);
     }
   for (uint32_t k = 0; k < all->fleet->config.workers; k++)
     {
       worker_t *w = &all->rows[k];
 
-      if (!crash_and_boot (w, now))
+      if (!end_and_boot (w, now))
         continue;
       run_late (w, now);
       for (guint i = w->runs->len; i > 0; i--)
--- a/standin/main_fleet.c
+++ b/standin/main_fleet.c
@@ -24,6 +24,7 @@
   (void)events;
   put_config (fleet, now);
   fleet_spells_tick (fleet->spells, now);
+  fleet_leaving_tick (fleet->leaving, now);
   fleet_workers_tick (fleet->workers, now);
   fleet_store_tick (fleet->store, now);
   fleet_zones_tick (fleet->zones, now);
@@ -106,6 +107,7 @@
       return 1;
     }
   fleet->store = fleet_store_new (fleet);
+  fleet->leaving = fleet_leaving_new (fleet);
   fleet->workers = fleet_workers_new (fleet);
   fleet->zones = fleet_zones_new (fleet);
   fleet->capacity = fleet_capacity_new (fleet);
@@ -128,6 +130,7 @@
   fleet_odd_free (fleet->odd_writer);
   fleet_capacity_free (fleet->capacity);
   fleet_spells_free (fleet->spells);
+  fleet_leaving_free (fleet->leaving);
   fleet_zones_free (fleet->zones);
   fleet_workers_free (fleet->workers);
   fleet_store_free (fleet->store);
@@ -161,6 +164,8 @@
   { "crash-every", 0, 0, G_OPTION_ARG_INT,
     &standin.config.spell_every[SPELL_CRASH],
     "Time between crashes of a worker", "MS" },
+  { "leave-every", 0, 0, G_OPTION_ARG_INT, &standin.config.leave_every,
+    "Time between workers that begin to leave", "MS" },
   { "limit-deadly", 0, 0, G_OPTION_ARG_NONE, &standin.config.limit_deadly,
     "Count repeated starts of a task that crashes workers as a violation",
     NULL },
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -40,6 +40,9 @@
 # Earlier builds do not stand odd entries.
 ODD_EVERY=${FORMER_BUILD:+0}
 ODD_EVERY=${ODD_EVERY:-300}
+LEAVE_EVERY=${FORMER_BUILD:+0}
+LEAVE_EVERY=${LEAVE_EVERY:-1500}
+[ "$DEADLY" = 0 ] || LEAVE_EVERY=0
 TABLE_ROWS_MAX=20000
 # What a KILL or STOP within this time before a request excuses.
 SIGNAL_MS=3000
@@ -259,6 +262,8 @@
 	--resize-every $(((SEED + 2) % 3 * RESIZE_EVERY))
 	--odd-every $(((SEED + 1) % 3 * ODD_EVERY))
 	--shrunk-ms $SHRUNK_MS)
+# Drawn from the seed alone, so that those above stay the same.
+faults+=(--leave-every $((SEED % 3 * LEAVE_EVERY)))
 calm=$((RANDOM % 2))
 deadly_share=0
 if [ "$DEADLY" != 0 ]; then
