Soak: entries of workers that run on expire

Entries expire after three intervals without a report, and in a share of the outages of the store; single workers do not reach the store for up to nine seconds. The bound on a smaller capacity counts from the report that a worker has made, which may now be older. A worker that has left while it did not reach the store stays listed until its entry expires or its successor reports.

--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -55,6 +55,10 @@
                               on, counted from the report that follows */
   uint32_t leave_every;    /* ms between times when workers begin to leave, 0:
                               none */
+  gboolean expire;         /* entries expire without reports */
+  double expire_share; /* of the outages, in which entries expire as well */
+  uint32_t away_every; /* ms between workers that do not reach the store for
+                          some seconds, 0: none */
 } fleet_config_t;
 
 typedef struct fleet fleet_t;
@@ -67,6 +71,7 @@
 /** Puts a record of the platform's own. */
 void fleet_store_put (store_t *store, const char *topic, const char *key,
                       const char *value);
+bool fleet_store_is_down (const store_t *store, usec_t now);
 /** Answers reads that waited, ends members' lifetimes. */
 void fleet_store_tick (store_t *store, usec_t now);
 extern const httpd_ops_t fleet_store_ops;
@@ -142,6 +147,26 @@
 /** The worker has ended; the next one there does not leave. */
 void fleet_leaving_reset (leaving_t *leaving, uint32_t worker);
 
+/* fleet_entries.c */
+#define FLEET_REPORT_INTERVAL USEC_PER_SEC
+typedef struct entries entries_t;
+
+entries_t *fleet_entries_new (fleet_t *fleet);
+void fleet_entries_free (entries_t *entries);
+/** Ends entries; draws workers that do not reach the store. */
+void fleet_entries_tick (entries_t *entries, usec_t now);
+/** @return whether the worker reaches the store */
+bool fleet_entry_can_report (const entries_t *entries, uint32_t worker,
+                             usec_t now);
+/** The worker writes its entry. */
+void fleet_entry_report (entries_t *entries, uint32_t worker, usec_t now,
+                         const char *id, const char *entry);
+/** The worker ends and takes its entry out if it reaches the store. */
+void fleet_entry_leave (entries_t *entries, uint32_t worker, usec_t now);
+/** @return when the worker last reported before AT */
+usec_t fleet_entry_last_report (const entries_t *entries, uint32_t worker,
+                                usec_t at);
+
 struct fleet
 {
   fleet_config_t config;
@@ -154,6 +179,7 @@
   spells_t *spells;
   odd_writer_t *odd_writer;
   leaving_t *leaving;
+  entries_t *entries;
   bool spells_over; /* no more spells and lost calls */
   bool calm;        /* no more faults */
   uint32_t version; /* of the configuration */
--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -174,6 +174,12 @@
               strlen (value));
 }
 
+bool
+fleet_store_is_down (const store_t *store, usec_t now)
+{
+  return now < store->outage_end;
+}
+
 static uint64_t
 query_number (store_t *store, handle_t http, const char *name, uint64_t preset)
 {
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -7,7 +7,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define REGISTER_INTERVAL (USEC_PER_SEC)
 #define LEASE_MS 6000
 #define MEMORY_MB 32000
 #define REPORTS_MOST 20U
@@ -435,7 +434,7 @@
 {
   w->all->left++;
   go_down (w, now);
-  fleet_store_put (w->all->fleet->store, "keyed.servers", w->id, "");
+  fleet_entry_leave (w->all->fleet->entries, w->index, now);
   w->left_count++;
   g_snprintf (w->id, sizeof w->id, "i-%u",
               w->index + w->left_count * w->all->fleet->config.workers);
@@ -495,15 +494,18 @@
   return NULL;
 }
 
-/* A smaller capacity counts SHRUNK_MS after the report that follows.  Tasks
-   that fill use what is left. */
+/* A smaller capacity counts SHRUNK_MS after the report that follows; a change
+   in the moment of a report is later than it.  Tasks that fill use what is
+   left. */
 static void
 check_capacity (const worker_t *w, const char *name, uint32_t run, usec_t now)
 {
   uint32_t used = 0;
   const fleet_t *fleet = w->all->fleet;
-  usec_t since = now - REGISTER_INTERVAL
-                 - (usec_t)fleet->config.shrunk_ms * USEC_PER_MSEC;
+  usec_t told = now - (usec_t)fleet->config.shrunk_ms * USEC_PER_MSEC;
+  usec_t since
+      = MIN (told - FLEET_REPORT_INTERVAL,
+             fleet_entry_last_report (fleet->entries, w->index, told) - 1);
 
   for (guint i = 0; i < w->runs->len; i++)
     used += !kinds[g_array_index (w->runs, run_t, i).kind].added_load;
@@ -742,7 +744,7 @@
       int remaining_ms = 0;
       bool leaves;
 
-      if (!w->httpd)
+      if (!w->httpd || !fleet_entry_can_report (all->fleet->entries, i, now))
         continue;
       leaves = fleet_leaving_tell (all->fleet->leaving, i, now, &remaining_ms);
       g_snprintf (rack, sizeof rack, "r%u", i / 3);
@@ -758,7 +760,7 @@
         json_object_set_new (entry, "remaining_ms",
                              json_integer (remaining_ms));
       text = json_dumps (entry, JSON_COMPACT);
-      fleet_store_put (all->fleet->store, "keyed.servers", w->id, text);
+      fleet_entry_report (all->fleet->entries, i, now, w->id, text);
       free (text);
       json_decref (entry);
     }
@@ -789,7 +791,7 @@
 {
   if (now >= all->register_due)
     {
-      all->register_due = now + REGISTER_INTERVAL;
+      all->register_due = now + FLEET_REPORT_INTERVAL;
       register_all (all, now);
     }
   for (uint32_t k = 0; k < all->fleet->config.workers; k++)
--- a/standin/main_fleet.c
+++ b/standin/main_fleet.c
@@ -25,6 +25,7 @@
   put_config (fleet, now);
   fleet_spells_tick (fleet->spells, now);
   fleet_leaving_tick (fleet->leaving, now);
+  fleet_entries_tick (fleet->entries, now);
   fleet_workers_tick (fleet->workers, now);
   fleet_store_tick (fleet->store, now);
   fleet_zones_tick (fleet->zones, now);
@@ -108,6 +109,7 @@
     }
   fleet->store = fleet_store_new (fleet);
   fleet->leaving = fleet_leaving_new (fleet);
+  fleet->entries = fleet_entries_new (fleet);
   fleet->workers = fleet_workers_new (fleet);
   fleet->zones = fleet_zones_new (fleet);
   fleet->capacity = fleet_capacity_new (fleet);
@@ -131,6 +133,7 @@
   fleet_capacity_free (fleet->capacity);
   fleet_spells_free (fleet->spells);
   fleet_leaving_free (fleet->leaving);
+  fleet_entries_free (fleet->entries);
   fleet_zones_free (fleet->zones);
   fleet_workers_free (fleet->workers);
   fleet_store_free (fleet->store);
@@ -166,6 +169,13 @@
     "Time between crashes of a worker", "MS" },
   { "leave-every", 0, 0, G_OPTION_ARG_INT, &standin.config.leave_every,
     "Time between workers that begin to leave", "MS" },
+  { "expire", 0, 0, G_OPTION_ARG_NONE, &standin.config.expire,
+    "Entries expire after three intervals without a report", NULL },
+  { "expire-share", 0, 0, G_OPTION_ARG_DOUBLE, &standin.config.expire_share,
+    "Share of outages in which entries expire", "SHARE" },
+  { "away-every", 0, 0, G_OPTION_ARG_INT, &standin.config.away_every,
+    "Time between workers that do not reach the store for some seconds",
+    "MS" },
   { "limit-deadly", 0, 0, G_OPTION_ARG_NONE, &standin.config.limit_deadly,
     "Count repeated starts of a task that crashes workers as a violation",
     NULL },
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -264,6 +264,11 @@
 	--shrunk-ms $SHRUNK_MS)
 # Drawn from the seed alone, so that those above stay the same.
 faults+=(--leave-every $((SEED % 3 * LEAVE_EVERY)))
+if [ "$LEAVE_EVERY" != 0 ]; then
+	faults+=(--expire-share 0.$((SEED % 4 * 3))
+		--away-every $((SEED / 2 % 3 * 500)))
+	[ $((SEED / 3 % 2)) = 0 ] || faults+=(--expire)
+fi
 calm=$((RANDOM % 2))
 deadly_share=0
 if [ "$DEADLY" != 0 ]; then
