Soak: some owners do not reach workers that run on

Connections to the workers pass through the stand-in. Those of the present owner and its predecessors, of its successors or of all are reset, before a request or instead of its answer, or refused, for 20 ms to 9 s (a lease lasts 6 s); so are those of a new owner to half of the workers, from its first call on. Owners are told apart by their fencing tokens.

--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -59,6 +59,10 @@
   double expire_share; /* of the outages, in which entries expire as well */
   uint32_t away_every; /* ms between workers that do not reach the store for
                           some seconds, 0: none */
+  uint32_t cut_every;  /* ms between workers that some owners do not reach for
+                          some time, 0: none */
+  double takeover_cut; /* share of the owners that do not reach half of the
+                          workers at first */
 } fleet_config_t;
 
 typedef struct fleet fleet_t;
@@ -167,6 +171,23 @@
 usec_t fleet_entry_last_report (const entries_t *entries, uint32_t worker,
                                 usec_t at);
 
+/* fleet_paths.c */
+/* The workers listen so many ports above those of the paths to them. */
+#define FLEET_INNER_PORTS 500U
+typedef struct paths paths_t;
+
+paths_t *fleet_paths_new (fleet_t *fleet);
+void fleet_paths_free (paths_t *paths);
+/** Draws cuts and ends them. */
+void fleet_paths_tick (paths_t *paths, usec_t now);
+/** The worker has started, and listens at INNER. */
+void fleet_path_open (paths_t *paths, uint32_t worker, const char *address,
+                      const char *inner);
+/** The worker has ended. */
+void fleet_path_close (paths_t *paths, uint32_t worker);
+/** @return how many connections were reset */
+uint32_t fleet_paths_resets (const paths_t *paths);
+
 struct fleet
 {
   fleet_config_t config;
@@ -180,6 +201,7 @@
   odd_writer_t *odd_writer;
   leaving_t *leaving;
   entries_t *entries;
+  paths_t *paths;
   bool spells_over; /* no more spells and lost calls */
   bool calm;        /* no more faults */
   uint32_t version; /* of the configuration */
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -93,6 +93,7 @@
   char id[16]; /* another one after the worker has left */
   uint32_t left_count;
   char address[64];
+  char inner[64]; /* where it listens, behind its path */
   usec_t born;
   int64_t born_ms;
   usec_t crash_at; /* 0: not due */
@@ -171,6 +172,8 @@
       g_snprintf (w->id, sizeof w->id, "i-%u", i);
       g_snprintf (w->address, sizeof w->address, "%s:%u", fleet->config.host,
                   fleet->config.worker_port + i);
+      g_snprintf (w->inner, sizeof w->inner, "%s:%u", fleet->config.host,
+                  fleet->config.worker_port + FLEET_INNER_PORTS + i);
       w->runs = g_array_new (FALSE, FALSE, sizeof (run_t));
       w->ends = g_array_new (FALSE, FALSE, sizeof (end_t));
       w->holds = g_array_new (FALSE, FALSE, sizeof (hold_t));
@@ -185,7 +188,7 @@
 static void
 boot (worker_t *w, usec_t now)
 {
-  httpd_config_t config = { .address = w->address,
+  httpd_config_t config = { .address = w->inner,
                             .max_connections = 256,
                             .max_body = 65536,
                             .timeout = 60 * USEC_PER_SEC };
@@ -195,7 +198,8 @@
   w->born_ms = g_get_real_time () / USEC_PER_MSEC;
   w->httpd = httpd_new (w->all->fleet->loop, &config, &worker_ops, w, &err);
   if (!w->httpd)
-    fprintf (stderr, "%s: %s\n", w->address, err.text);
+    fprintf (stderr, "%s: %s\n", w->inner, err.text);
+  fleet_path_open (w->all->fleet->paths, w->index, w->address, w->inner);
 }
 
 /* Forgets all that a life of the worker knew.  */
@@ -342,12 +346,14 @@
 fleet_workers_audit (const workers_t *all)
 {
   return json_pack (
-      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:O}", "broken",
-      (int)all->broken, "starts", (int)all->starts, "done", (int)all->done,
-      "lapsed", (int)all->lapsed, "crashes", (int)all->crashes, "left",
-      (int)all->left, "dropped", (int)all->dropped, "unhealthy",
-      (int)all->unhealthy, "deadly_starts", (int)all->deadly_starts, "fills",
-      (int)all->fills, "idle", idle_count (all), "reports", all->reports);
+      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:O}",
+      "broken", (int)all->broken, "starts", (int)all->starts, "done",
+      (int)all->done, "lapsed", (int)all->lapsed, "crashes", (int)all->crashes,
+      "left", (int)all->left, "resets",
+      (int)fleet_paths_resets (all->fleet->paths), "dropped",
+      (int)all->dropped, "unhealthy", (int)all->unhealthy, "deadly_starts",
+      (int)all->deadly_starts, "fills", (int)all->fills, "idle",
+      idle_count (all), "reports", all->reports);
 }
 
 /* --- Runs --- */
@@ -411,6 +417,7 @@
       = now
         + g_rand_int_range (w->all->fleet->random, DOWN_LEAST_MS, DOWN_MOST_MS)
               * USEC_PER_MSEC;
+  fleet_path_close (w->all->fleet->paths, w->index);
   httpd_free (w->httpd);
   w->httpd = NULL;
   clear (w);
--- a/standin/main_fleet.c
+++ b/standin/main_fleet.c
@@ -26,6 +26,7 @@
   fleet_spells_tick (fleet->spells, now);
   fleet_leaving_tick (fleet->leaving, now);
   fleet_entries_tick (fleet->entries, now);
+  fleet_paths_tick (fleet->paths, now);
   fleet_workers_tick (fleet->workers, now);
   fleet_store_tick (fleet->store, now);
   fleet_zones_tick (fleet->zones, now);
@@ -110,6 +111,7 @@
   fleet->store = fleet_store_new (fleet);
   fleet->leaving = fleet_leaving_new (fleet);
   fleet->entries = fleet_entries_new (fleet);
+  fleet->paths = fleet_paths_new (fleet);
   fleet->workers = fleet_workers_new (fleet);
   fleet->zones = fleet_zones_new (fleet);
   fleet->capacity = fleet_capacity_new (fleet);
@@ -134,6 +136,7 @@
   fleet_spells_free (fleet->spells);
   fleet_leaving_free (fleet->leaving);
   fleet_entries_free (fleet->entries);
+  fleet_paths_free (fleet->paths);
   fleet_zones_free (fleet->zones);
   fleet_workers_free (fleet->workers);
   fleet_store_free (fleet->store);
@@ -176,6 +179,11 @@
   { "away-every", 0, 0, G_OPTION_ARG_INT, &standin.config.away_every,
     "Time between workers that do not reach the store for some seconds",
     "MS" },
+  { "cut-every", 0, 0, G_OPTION_ARG_INT, &standin.config.cut_every,
+    "Time between workers that some owners do not reach", "MS" },
+  { "takeover-cut", 0, 0, G_OPTION_ARG_DOUBLE, &standin.config.takeover_cut,
+    "Share of owners that do not reach half of the workers at first",
+    "SHARE" },
   { "limit-deadly", 0, 0, G_OPTION_ARG_NONE, &standin.config.limit_deadly,
     "Count repeated starts of a task that crashes workers as a violation",
     NULL },
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -267,6 +267,8 @@
 if [ "$LEAVE_EVERY" != 0 ]; then
 	faults+=(--expire-share 0.$((SEED % 4 * 3))
 		--away-every $((SEED / 2 % 3 * 500)))
+	faults+=(--cut-every $(((SEED + 1) / 2 % 3 * 400))
+		--takeover-cut 0.$((SEED / 2 % 4 * 3)))
 	[ $((SEED / 3 % 2)) = 0 ] || faults+=(--expire)
 fi
 calm=$((RANDOM % 2))
