Soak: workers that leave are cut off

Half of the workers that leave do not reach the store any more, where workers are away; half of the cuts are of workers that leave.

--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -145,6 +145,8 @@
     @return whether it says that it leaves, and after how long at least */
 bool fleet_leaving_tell (leaving_t *leaving, uint32_t worker, usec_t now,
                          int *remaining_ms);
+/** @return whether the store has accepted that the worker leaves */
+bool fleet_leaving_is_told (const leaving_t *leaving, uint32_t worker);
 /** @return whether the worker ends now */
 bool fleet_leaving_is_over (const leaving_t *leaving, uint32_t worker,
                             usec_t now);
@@ -162,6 +164,8 @@
 /** @return whether the worker reaches the store */
 bool fleet_entry_can_report (const entries_t *entries, uint32_t worker,
                              usec_t now);
+/** The worker does not reach the store. */
+void fleet_entry_away (entries_t *entries, uint32_t worker, usec_t until);
 /** The worker writes its entry. */
 void fleet_entry_report (entries_t *entries, uint32_t worker, usec_t now,
                          const char *id, const char *entry);
--- a/standin/fleet_entries.c
+++ b/standin/fleet_entries.c
@@ -69,6 +69,12 @@
   return !entries->down && now >= entries->rows[worker].away_until;
 }
 
+void
+fleet_entry_away (entries_t *entries, uint32_t worker, usec_t until)
+{
+  entries->rows[worker].away_until = until;
+}
+
 void
 fleet_entry_report (entries_t *entries, uint32_t worker, usec_t now,
                     const char *id, const char *entry)
--- a/standin/fleet_leaving.c
+++ b/standin/fleet_leaving.c
@@ -10,6 +10,9 @@
 /* Half of them stay this much longer, the others that much. */
 #define SHORT_MOST_MS 300
 #define LONG_MOST_MS 6000
+/* Of those that leave, where workers are away: they do not reach the store any
+   more, and their entries expire. */
+#define AWAY_SHARE 0.5
 /* One in so many leaves at a time, at most. */
 #define SHARE_MOST 4U
 
@@ -78,16 +81,28 @@
 fleet_leaving_tell (leaving_t *leaving, uint32_t worker, usec_t now,
                     int *remaining_ms)
 {
+  fleet_t *fleet = leaving->fleet;
   row_t *row = &leaving->rows[worker];
 
   if (!row->leaves)
     return false;
   if (!row->told_at)
-    row->told_at = now;
+    {
+      row->told_at = now;
+      if (fleet->config.away_every && fleet_chance (fleet, AWAY_SHARE))
+        fleet_entry_away (fleet->entries, worker,
+                          now + NOTICE_MS * USEC_PER_MSEC + row->stays);
+    }
   *remaining_ms = MAX (0, NOTICE_MS - (int)usec_to_msec (now - row->told_at));
   return true;
 }
 
+bool
+fleet_leaving_is_told (const leaving_t *leaving, uint32_t worker)
+{
+  return leaving->rows[worker].leaves && leaving->rows[worker].told_at;
+}
+
 bool
 fleet_leaving_is_over (const leaving_t *leaving, uint32_t worker, usec_t now)
 {
--- a/standin/fleet_paths.c
+++ b/standin/fleet_paths.c
@@ -313,13 +313,28 @@
       begin_cut (&paths->rows[i], clock_now (), token, UINT64_MAX);
 }
 
+/* Half of them are workers that are leaving, if there are any. */
+static uint32_t
+draw_worker (fleet_t *fleet)
+{
+  uint32_t workers = fleet->config.workers;
+  uint32_t first
+      = (uint32_t)g_rand_int_range (fleet->random, 0, (gint32)workers);
+
+  if (g_rand_boolean (fleet->random))
+    return first;
+  for (uint32_t i = 0; i < workers; i++)
+    if (fleet_leaving_is_told (fleet->leaving, (first + i) % workers))
+      return (first + i) % workers;
+  return first;
+}
+
 /* Cuts off the present owner and its predecessors, its successors, or all. */
 static void
 draw_cut (paths_t *paths, usec_t now)
 {
   fleet_t *fleet = paths->fleet;
-  path_t *path = &paths->rows[g_rand_int_range (
-      fleet->random, 0, (gint32)fleet->config.workers)];
+  path_t *path = &paths->rows[draw_worker (fleet)];
   int scope = g_rand_int_range (fleet->random, 0, 3);
 
   if (path->up)
