--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -216,6 +216,8 @@
 /* fleet.c */
 /** Draws a fault. */
 bool fleet_chance (fleet_t *fleet, double share);
+/** Writes a line with the time to standard error. */
+void fleet_log (const char *format, ...) G_GNUC_PRINTF (1, 2);
 /** Answers with JSON; takes the reference. */
 void fleet_answer (httpd_t *httpd, handle_t http, int status, json_t *body);
 
--- a/standin/fleet_entries.c
+++ b/standin/fleet_entries.c
@@ -59,6 +59,7 @@
 static void
 drop (entries_t *entries, row_t *row)
 {
+  fleet_log ("entry of %s goes", row->id);
   fleet_store_put (entries->fleet->store, "keyed.servers", row->id, "");
   row->id[0] = '\0';
 }
--- a/standin/fleet_leaving.c
+++ b/standin/fleet_leaving.c
@@ -89,6 +89,8 @@
   if (!row->told_at)
     {
       row->told_at = now;
+      fleet_log ("worker %u leaves in %d ms", worker,
+                 NOTICE_MS + (int)usec_to_msec (row->stays));
       if (fleet->config.away_every && fleet_chance (fleet, AWAY_SHARE))
         fleet_entry_away (fleet->entries, worker,
                           now + NOTICE_MS * USEC_PER_MSEC + row->stays);
--- a/standin/fleet_paths.c
+++ b/standin/fleet_paths.c
@@ -282,6 +282,10 @@
   cut_t cut = { (cut_mode_t)g_rand_int_range (fleet->random, 0, CUT_MODES),
                 now + draw_length (fleet), least, most };
 
+  fleet_log ("worker %u cut, kind %d, %d ms, tokens %" G_GUINT64_FORMAT
+             " to %" G_GUINT64_FORMAT,
+             (uint32_t)(path - path->paths->rows), (int)cut.mode,
+             (int)usec_to_msec (cut.until - now), least, most);
   path->cut = cut;
   if (cut.mode == CUT_REFUSES)
     stop_listening (path);
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -262,6 +262,7 @@
 static void
 broken (workers_t *all, const char *name, uint32_t run, const char *rule)
 {
+  fleet_log ("%s run %u: %s", name, run, rule);
   if (all->broken++ < REPORTS_MOST)
     json_array_append_new (all->reports,
                            json_sprintf ("%s run %u: %s", name, run, rule));
@@ -432,6 +433,7 @@
 
       task_of (w->all, run->task)->crashes += run->deadly;
     }
+  fleet_log ("%s crashed, %u runs", w->id, w->runs->len);
   w->all->crashes++;
   go_down (w, now);
 }
@@ -439,6 +441,7 @@
 static void
 leave (worker_t *w, usec_t now)
 {
+  fleet_log ("%s left, %u runs", w->id, w->runs->len);
   w->all->left++;
   go_down (w, now);
   fleet_entry_leave (w->all->fleet->entries, w->index, now);
