Soak: some runs last longer than an outage of the store

Workers leave more often. A share of the runs lasts 2.5 s, so that more than the tasks that serve goes on when a new owner reads the list after an outage.

--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -63,6 +63,7 @@
                           some time, 0: none */
   double takeover_cut; /* share of the owners that do not reach half of the
                           workers at first */
+  double long_share;   /* of the runs, which last longer than an outage */
 } fleet_config_t;
 
 typedef struct fleet fleet_t;
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -14,6 +14,7 @@
 #define LATE_MOST_MS 5000
 #define RUN_LEAST_MS 60
 #define RUN_MOST_MS 900
+#define LONG_RUN_MS 2500
 /* Of calls during SPELL_LOSS and SPELL_LATE. */
 #define SPELL_SHARE 0.5
 /* A crashed worker refuses connections for this long. */
@@ -486,6 +487,8 @@
   if (!late && !kinds[run.kind].added_load)
     check_capacity (w, name, number, now);
   check_order (all, name, number, spec ? spec : "");
+  if (fleet_chance (all->fleet, all->fleet->config.long_share))
+    run.ends = now + LONG_RUN_MS * USEC_PER_MSEC;
   all->fills += kinds[run.kind].added_load > 0;
   if (run.kind == KIND_SERVES)
     {
--- a/standin/main_fleet.c
+++ b/standin/main_fleet.c
@@ -184,6 +184,8 @@
   { "takeover-cut", 0, 0, G_OPTION_ARG_DOUBLE, &standin.config.takeover_cut,
     "Share of owners that do not reach half of the workers at first",
     "SHARE" },
+  { "long-share", 0, 0, G_OPTION_ARG_DOUBLE, &standin.config.long_share,
+    "Share of runs that last longer than an outage", "SHARE" },
   { "limit-deadly", 0, 0, G_OPTION_ARG_NONE, &standin.config.limit_deadly,
     "Count repeated starts of a task that crashes workers as a violation",
     NULL },
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -41,7 +41,7 @@
 ODD_EVERY=${FORMER_BUILD:+0}
 ODD_EVERY=${ODD_EVERY:-300}
 LEAVE_EVERY=${FORMER_BUILD:+0}
-LEAVE_EVERY=${LEAVE_EVERY:-1500}
+LEAVE_EVERY=${LEAVE_EVERY:-800}
 [ "$DEADLY" = 0 ] || LEAVE_EVERY=0
 TABLE_ROWS_MAX=20000
 # What a KILL or STOP within this time before a request excuses.
@@ -265,9 +265,10 @@
 # Drawn from the seed alone, so that those above stay the same.
 faults+=(--leave-every $((SEED % 3 * LEAVE_EVERY)))
 if [ "$LEAVE_EVERY" != 0 ]; then
-	faults+=(--expire-share 0.$((SEED % 4 * 3))
+	faults+=(--long-share 0.$((SEED % 2 * 3))
+		--expire-share 0.$((SEED % 4 * 3))
 		--away-every $((SEED / 2 % 3 * 500)))
-	faults+=(--cut-every $(((SEED + 1) / 2 % 3 * 400))
+	faults+=(--cut-every $(((SEED + 1) / 2 % 3 * 200))
 		--takeover-cut 0.$((SEED / 2 % 4 * 3)))
 	[ $((SEED / 3 % 4)) = 0 ] || faults+=(--expire)
 fi
