Soak: judge starts between an end and its confirmation

A start after a run has ended as done breaks the rule also if the end is taken note of later (RULES.md, TWICE); the stand-in only judged starts after the confirmation. Such a start is now a violation when the end is confirmed. An end whose worker's lease lapsed before the confirmation does not count, as the rule says: owners do not reach workers for longer than a lease now, and may start the task again. Two runs at a time and starts after the confirmation are judged as before, by what the workers run (start in standin/fleet_workers.c).

--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -69,6 +69,7 @@
   char *task;
   uint32_t run;
   const char *how;
+  uint32_t starts; /* of the task, until then */
 } end_t;
 
 typedef struct
@@ -106,6 +107,7 @@
   GArray *holds; /* hold_t */
   GArray *late;  /* late_t */
   uint64_t last_end;
+  uint64_t lapsed_end; /* last end before the lease last lapsed */
   GHashTable *highest; /* task -> run stopped or ended */
 } worker_t;
 
@@ -113,6 +115,7 @@
 typedef struct
 {
   uint32_t running;
+  uint32_t starts;
   bool done;
   bool confirmed;
   bool serves;           /* has to run until the end */
@@ -221,6 +224,7 @@
   w->token = 0;
   w->lease_until = 0;
   w->last_end = 0;
+  w->lapsed_end = 0;
 }
 
 void
@@ -365,7 +369,7 @@
 {
   run_t run = g_array_index (w->runs, run_t, index);
   task_t *task = task_of (w->all, run.task);
-  end_t end = { ++w->last_end, run.task, run.run, how };
+  end_t end = { ++w->last_end, run.task, run.run, how, task->starts };
 
   task->running--;
   if (strcmp (how, "done") == 0)
@@ -501,6 +505,7 @@
       start_deadly (w, name, number, now, late);
     }
   task->running++;
+  task->starts++;
   all->starts++;
   run.task = g_strdup (name);
   g_array_append_val (w->runs, run);
@@ -543,6 +548,31 @@
                         GUINT_TO_POINTER (MAX (highest, number)));
 }
 
+/* The lease of a worker that runs nothing lapses as well. */
+static void
+extend_lease (worker_t *w, int64_t lease, usec_t now)
+{
+  if (clock_ms (w, now) > w->lease_until)
+    w->lapsed_end = w->last_end;
+  w->lease_until
+      = MAX (w->lease_until, MIN (lease, clock_ms (w, now) + LEASE_MS));
+}
+
+/* An end that is listed anew after the lease has lapsed does not count as
+   taken note of: the task may have been started again meanwhile. */
+static void
+confirm_done (worker_t *w, const end_t *end)
+{
+  task_t *task = task_of (w->all, end->task);
+
+  if (end->number <= w->lapsed_end)
+    return;
+  task->confirmed = true;
+  if (task->starts > end->starts)
+    broken (w->all, end->task, end->run,
+            "started again after an end that is confirmed now");
+}
+
 static void
 confirm (worker_t *w, uint64_t seen)
 {
@@ -551,7 +581,7 @@
       end_t end = g_array_index (w->ends, end_t, 0);
 
       if (strcmp (end.how, "done") == 0)
-        task_of (w->all, end.task)->confirmed = true;
+        confirm_done (w, &end);
       g_free (end.task);
       g_array_remove_index (w->ends, 0);
     }
@@ -676,8 +706,7 @@
   else
     {
       w->token = token;
-      w->lease_until
-          = MAX (w->lease_until, MIN (lease, clock_ms (w, now) + LEASE_MS));
+      extend_lease (w, lease, now);
       if (starts)
         {
           const char *reason = start (w, body, now, false);
