--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -12,6 +12,10 @@
 # read must have been answered, and the stand-in must have recorded no
 # violation.  Ends only processes that it started.
 #
+# Workers leave and others come; entries of workers that run on expire; single
+# owners do not reach workers that others reach.  Violations are judged by what
+# the workers themselves run.
+#
 # Spells of workers and calls lost on the way end with the signals; in half of
 # the runs all faults do, and then jobs have to end sooner.
 #
