--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -49,21 +49,21 @@
   uint32_t evacuate_ms;    /* nothing may start in a zone from then on */
   uint32_t resize_every;   /* ms between changes of a worker's capacity, 0:
                               none; each task then needs one core */
-  uint32_t odd_every; /* ms between odd entries among those of the workers,
-                         0: none */
-  uint32_t shrunk_ms;      /* no start may exceed a smaller capacity from then
-                              on, counted from the report that follows */
-  uint32_t leave_every;    /* ms between times when workers begin to leave, 0:
-                              none */
-  gboolean expire;         /* entries expire without reports */
-  double expire_share; /* of the outages, in which entries expire as well */
-  uint32_t away_every; /* ms between workers that do not reach the store for
-                          some seconds, 0: none */
-  uint32_t cut_every;  /* ms between workers that some owners do not reach for
-                          some time, 0: none */
-  double takeover_cut; /* share of the owners that do not reach half of the
-                          workers at first */
-  double long_share;   /* of the runs, which last longer than an outage */
+  uint32_t odd_every;   /* ms between odd entries among those of the workers,
+                           0: none */
+  uint32_t shrunk_ms;   /* no start may exceed a smaller capacity from then
+                           on, counted from the report that follows */
+  uint32_t leave_every; /* ms between times when workers begin to leave, 0:
+                           none */
+  gboolean expire;      /* entries expire without reports */
+  double expire_share;  /* of the outages, in which entries expire as well */
+  uint32_t away_every;  /* ms between workers that do not reach the store for
+                           some seconds, 0: none */
+  uint32_t cut_every;   /* ms between workers that some owners do not reach for
+                           some time, 0: none */
+  double takeover_cut;  /* share of the owners that do not reach half of the
+                           workers at first */
+  double long_share;    /* of the runs, which last longer than an outage */
 } fleet_config_t;
 
 typedef struct fleet fleet_t;
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -681,13 +681,9 @@
   int64_t lease = json_integer_value (json_object_get (body, "expiry_ms"));
   bool lost = fleet_chance (fleet, fleet->config.lose);
   bool starts = strcmp (request->path, "/-/run-start") == 0;
-  const char *instance
-      = httpd_header (w->httpd, request->handle, "Expected-Instance");
 
-  if (instance && strcmp (instance, w->id) != 0)
-    answer (w, request->handle, false, 421, NULL, now);
-  else if (spell_strikes (w, SPELL_LOSS,
-                          fleet->spells_over ? 0 : fleet->config.drop, now))
+  if (spell_strikes (w, SPELL_LOSS,
+                     fleet->spells_over ? 0 : fleet->config.drop, now))
     w->all->dropped++;
   else if (!fleet_is_meant (w->httpd, request->handle, w->id))
     answer (w, request->handle, lost, 421, NULL, now);
