--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -29,7 +29,7 @@
 CONFIRM_BEFORE_STORED|src/shard/shard_calls.c|shard/test_shard_steps|s/worker->in_doubt || !worker->ends_listed ? 0 : worker->ends_stored/worker->ends_applied/
 NO_LEASE_WAIT|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now < worker->leases_expired_at)/if (0)/
 REFUSAL_ENDS_RUNS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now < worker->leases_expired_at)/if (now < worker->leases_expired_at \&\& !seems_crashed (worker, now))/
-OTHER_ADDRESS_COUNTS|src/shard/shard_calls.c|shard/test_shard_evidence|s/&& !is_from_its_address (worker, &pending))/&& 0)/
+OTHER_ADDRESS_COUNTS|src/shard/shard_calls.c|shard/test_shard_evidence|s/\&\& !is_from_its_address (worker, \&pending))/\&\& is_from_its_address (worker, \&pending))/
 ACCEPTED_SINCE_IS_GONE|src/shard/shard_calls.c|shard/test_shard_evidence|s/return run->state == RUN_ACKNOWLEDGED && run->acknowledged_at >= sent/return false/
 ENDS_ACKNOWLEDGED_AGAIN|src/shard/shard_calls.c|shard/test_shard_evidence|s/worker->in_doubt || !worker->ends_listed ?/worker->in_doubt ?/
 LEASE_WHILE_ON_RECORD|src/shard/shard_calls.c|shard/test_shard_lapsing|s/if (!worker->in_doubt \&\& !worker->lapsing)/if (!worker->in_doubt)/
