--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -404,6 +404,11 @@
     on_no_answer (shard, now, pending.worker, reply->kind);
   if (is_from_former_incarnation (worker, &pending, reply))
     reply = &no_answer;
+  /* Before the first answer the start is that of the entry, which another
+     writer may have left: a later one than the worker's is not true. */
+  if (reply->started_ms && reply->started_ms < worker->started_ms
+      && !worker->fenced && !worker->runs->len)
+    worker->started_ms = 0;
   worker->restarted |= reply->started_ms && worker->started_ms
                        && reply->started_ms != worker->started_ms;
   if (reply->started_ms && reply->started_ms != worker->started_ms)
--- a/src/shard/test_shard_steps.c
+++ b/src/shard/test_shard_steps.c
@@ -1,6 +1,7 @@
 /* Unit tests of a shard: calls and appends that follow from each input.
    Names such as kitakaze-hkd trouble-3 in the comments identify the site and
    the scenario of the benchmark fleetbench in which the failure occurred. */
+#include "base/counters.h"
 #include "base/log.h"
 #include "support/shard_fixture.h"
 #include "support/suite.h"
@@ -150,6 +151,96 @@
   tear_down ();
 }
 
+static const int64_t odd_starts[] = {
+  0,         -1,       1, START_WALL_MS - 1, START_WALL_MS + 1000000000000LL,
+  INT64_MAX, INT64_MIN
+};
+
+/* Replies to the hold of w1 in its only incarnation: its run goes on. */
+static void
+check_run_goes_on (void)
+{
+  job_status_t status;
+
+  reply_to_hold (&first_run, 1, NULL, 0);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_EQUAL (count_calls (SHARD_STOP), 0);
+  CU_ASSERT_EQUAL (count_calls (SHARD_START), 0);
+  CU_ASSERT_EQUAL (fixture.appends, 0);
+  CU_ASSERT_EQUAL (shard_status (fixture.shard, JOB_ID, &status), 0);
+  CU_ASSERT_EQUAL (status, JOB_RUNNING);
+}
+
+/* Guards against a run that is taken for lost because an entry names a start
+   of its worker that is not true, before or after the records are read, and a
+   worker that is not used after its right entry. */
+static void
+test_odd_start_of_worker_with_run (void)
+{
+  for (size_t i = 0; i < 2 * G_N_ELEMENTS (odd_starts); i++)
+    {
+      int64_t odd = odd_starts[i / 2];
+      bool list_first = i % 2 != 0;
+
+      set_up ();
+      if (list_first)
+        list_worker_on ("w1", "10.0.0.1:1", "r", odd);
+      add_placed_run ();
+      shard_loaded (fixture.shard, fixture.now);
+      if (!list_first)
+        list_worker_on ("w1", "10.0.0.1:1", "r", odd);
+      advance (0);
+      check_run_goes_on ();
+      list_worker_on ("w1", "10.0.0.1:1", "r", odd);
+      check_run_goes_on ();
+      list_worker ();
+      check_run_goes_on ();
+      add_job_with_id (JOB_ID + 1, 1);
+      advance (USEC_PER_MSEC);
+      shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+      advance (USEC_PER_MSEC);
+      CU_ASSERT_EQUAL (count_calls (SHARD_START), 1);
+      tear_down ();
+    }
+}
+
+/* Guards against a first answer that is taken for a restart because the entry
+   named a later start: a crash that a task causes at the same time then seemed
+   to have a common cause.  An earlier start may be that of a former
+   incarnation. */
+static void
+test_odd_start_hides_crash (void)
+{
+  static const int64_t starts[]
+      = { START_WALL_MS, 0, START_WALL_MS + 1, START_WALL_MS + 1000000000000LL,
+          INT64_MAX };
+  const shard_reply_t restarted = { .kind = SHARD_REPLY_OK,
+                                    .clock_ms = 1,
+                                    .started_ms = START_WALL_MS + 5000,
+                                    .has_lists = true };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (starts); i++)
+    {
+      uint64_t suspects = counter_get (COUNTER_CRASH_SUSPECTS);
+
+      set_up ();
+      list_worker_on ("w2", "10.0.0.2:1", "r2", starts[i]);
+      add_placed_run ();
+      shard_loaded (fixture.shard, fixture.now);
+      list_worker_on ("w1", "10.0.0.1:1", "r", restarted.started_ms);
+      list_worker_on ("w3", "10.0.0.3:1", "r", START_WALL_MS);
+      advance (0);
+      reply_as_ready ("w2");
+      reply_as_ready ("w3");
+      for (size_t k = 0; k < fixture.call_count; k++)
+        if (strcmp (fixture.calls[k].worker, "w1") == 0)
+          shard_reply (fixture.shard, fixture.now, fixture.calls[k].id,
+                       &restarted);
+      CU_ASSERT_EQUAL (counter_get (COUNTER_CRASH_SUSPECTS), suspects + 1);
+      tear_down ();
+    }
+}
+
 /* Guards against a run of a former owner that is treated as never started when
    it has to be stopped: the task would run twice (ruedas-plata trouble-1). */
 static void
@@ -839,6 +930,8 @@
 main (void)
 {
   const suite_test_t tests[] = {
+    { "odd start of worker with run", test_odd_start_of_worker_with_run },
+    { "odd start hides crash", test_odd_start_hides_crash },
     { "worker of another shard", test_worker_of_another_shard },
     { "start after placement is stored", test_start_after_stored },
     { "submit with start", test_submit_with_start },
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -347,14 +347,13 @@
 }
 
 void
-set_up_with_placed_run (void)
+add_placed_run (void)
 {
   GByteArray *progress = g_byte_array_new ();
   submission_t *submission = new_submission (1);
   job_t *job = job_new (submission);
   place_t place = { (char *)"w1", START_WALL_MS, (char *)"10.0.0.1:1" };
 
-  set_up ();
   job_create_due_occurrences (job, START_WALL_MS);
   task_place (job, job_occurrence (job, 0), 0, 0, &place);
   job_encode (job, progress);
@@ -363,6 +362,13 @@
                       (blob_t){ (char *)progress->data, progress->len });
   g_byte_array_unref (progress);
   job_free (job);
+}
+
+void
+set_up_with_placed_run (void)
+{
+  set_up ();
+  add_placed_run ();
   shard_loaded (fixture.shard, fixture.now);
 }
 
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -88,6 +88,10 @@
 /** The same with empty lists. */
 void reply_as_ready (const char *worker);
 
+/** Passes the records of a job whose only task was placed by a former owner to
+    the shard. */
+void add_placed_run (void);
+
 /** Sets up the owner of a job whose only task was placed by a former owner. */
 void set_up_with_placed_run (void);
 
