--- a/review/lib.sh
+++ b/review/lib.sh
@@ -35,9 +35,9 @@
 give_up() { note "cannot run: $*"; echo "cannot run: $*" >&2; exit 2; }
 
 # http HOST PORT METHOD PATH [BODY]: sends a request as a consumer does and
-# prints "STATUS BODY"; nothing without an answer within 4 s.
+# prints "STATUS BODY"; nothing without an answer within PATIENCE seconds (4).
 http() {
-	timeout 4 bash -c '
+	timeout "${PATIENCE:-4}" bash -c '
 	    exec 3<>"/dev/tcp/$1/$2" || exit 1
 	    printf "%s %s HTTP/1.1\r\nHost: jobs.example\r\nConnection: close\r\nContent-Type: application/json\r\nRequest-Deadline: 3000\r\nContent-Length: %d\r\n\r\n%s" \
 	        "$3" "$4" "${#5}" "$5" >&3
