Review case 1: an end of a new life is acknowledged unread

Shows that a task which is done is started again after its end was taken note of (TWICE): a list of ends was under way while the minion crashed and came back under its id, and is acknowledged to the new life by number alone.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,47 +1,53 @@
 #!/bin/bash
-# A job whose tasks last is shown as failed, and its tasks run nowhere, although
-# no run has ended as failed: the minion that they need goes down and up by
-# turns for 6.5 s, and is sound after that.
-# Exit status: 1 the rule LOST was broken, 0 it held, 2 the case could not run.
-# With TROUBLE=0 the minion stays up.
+# A consumer cancels a job and is told that it doesn't exist (410); the job runs
+# afterwards.  The process that had the submission was frozen meanwhile.
+# Exit status: 1 the rule UNASKED was broken, 0 it held, 2 the case could not
+# run.  With TROUBLE=0 nothing is frozen.
 CASE=$(cd "$(dirname "$0")" && pwd)
 RECORD=$CASE/record.txt
 . "$CASE/../lib.sh"
 
 JOB=5c0e7a21d94b36f8
-CONTROL=00000bb87a21d94b
-LASTS='{"spec":"0 1000","steps":[{"count":1,"cpu":1000,"mem_mb":256,"long_running":true,"requirements":"b"}]}'
-
-state_of() {
-	consumer 2 GET "/plate/$1"
-	STATE=$(sed -n 's/.*"state" *: *"\([a-z]*\)".*/\1/p' <<<"$ANSWER")
-}
-
-# Minion 0 of ten has the label b, the others a.
+CANCEL_MS=3000
+BODY='{"spec":"1000 1000","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimated_ms":1000}]}'
 start_site --minions 10
 sleep 1
-consumer 1 POST /plate/$JOB "$LASTS"
-[[ $ANSWER = 200* ]] || give_up "the job was not accepted: $ANSWER"
-sleep 0.5
-[ "$TROUBLE" = 0 ] || stage "flap?minion=0&up=700&down=700&for=6500"
-for _ in $(seq 14); do
-	sleep 0.5
-	state_of $JOB
-done
-# The minion has been up for over 6 s when the state is judged, and runs another
-# such job.
-consumer 1 POST /plate/$CONTROL "$LASTS"
+
+# Neither the process that is frozen nor the one that is asked to cancel owns
+# the jobs.
+owner=$(http "$STORE_HOST" "$STORE_PORT" GET "/-/log-owners?group=scheduler" |
+    grep -o "$NET\.[0-9]*" | head -1)
+owner=$((${owner##*.} - 10))
+first=$((owner % NODES + 1))
+second=$((first % NODES + 1))
+note "owner is node-$owner"
+if [ "$TROUBLE" != 0 ]; then
+	note "node-$first is frozen"
+	kill -STOP "${NODE_PIDS[$first]}"
+	thaw_at=$(($(date +%s%N) / 1000000 + 3900))
+fi
+# The consumer leaves after 250 ms.
+PATIENCE=0.25 consumer "$first" POST /plate/$JOB "$BODY"
+submitted=$ANSWER
+consumer "$second" DELETE /plate/$JOB
+cancelled_at=$(now)
+cancelled=$ANSWER
+[[ $cancelled = 200* || $cancelled = 410* ]] || give_up "not cancelled: $cancelled"
+if [ "$TROUBLE" != 0 ]; then
+	left=$((thaw_at - $(date +%s%N) / 1000000))
+	[ $left -gt 0 ] || give_up "the machine is too slow"
+	sleep $((left / 1000)).$(printf %03d $((left % 1000)))
+	note "node-$first goes on"
+	kill -CONT "${NODE_PIDS[$first]}"
+fi
 sleep 6
-state_of $CONTROL
-control=$STATE
-state_of $JOB
-failed_ends=$(grep -c "end task=$JOB.*how=failed" "$RECORD")
-note "state=$STATE, runs that ended as failed: $failed_ends; same job sent later: $control"
-[ "$control" = running ] || give_up "a second job has state \"$control\""
-if [ "$STATE" = failed ] && [ "$failed_ends" = 0 ]; then
-	note "LOST: shown as failed without an end that counts as an attempt"
-	echo "LOST: job $JOB is shown as failed, no run has ended as failed"
+consumer "$second" GET /plate/$JOB
+late=$(awk -v job="$JOB" -v after="$cancelled_at" -v ms=$CANCEL_MS \
+    '/ start task=/ && index($0, job) && $1 > after + ms / 1000' "$RECORD")
+note "submitted: ${submitted:-no answer}, cancelled: $cancelled, starts later than $CANCEL_MS ms after that: ${late:-none}"
+if [ -n "$late" ]; then
+	note "UNASKED: started after the cancelling was acknowledged"
+	echo "UNASKED: job $JOB: cancelling answered with ${cancelled%% *}, started later"
 	exit 1
 fi
-[ "$STATE" = running ] || { note "LOST: the job has state $STATE"; exit 1; }
 exit 0
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-in platform of the cases, target/review-platform, from the
+# Builds the stand-ins of the cases, target/review-platform and review-proxy, from the
 # project's own sources.
 set -e
 cd "$(dirname "$0")/.."
@@ -12,3 +12,5 @@
     $(find target/standin -name '*.o' ! -name 'main_*') \
     $(find target/src target/platform -name '*.o' ! -name 'main.o' ! -name 'test_*') \
     $(pkg-config --libs $packages) -lmsgpackc -lev -lm
+cc -std=gnu11 -O2 -g -Wall -Wextra -D_GNU_SOURCE -o target/review-proxy \
+    review/proxy.c -lev
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -7,6 +7,7 @@
 TROUBLE=${TROUBLE:-1}
 WORK=$(mktemp -d)
 PLATFORM_PID=
+PROXY_PID=
 declare -a NODE_PIDS
 NODES=4
 NET=127.$((100 + $$ / 250 % 120)).$(($$ % 250 + 1))
@@ -16,7 +17,7 @@
 cleanup() {
 	status=$?
 	trap - EXIT INT TERM
-	for pid in "${NODE_PIDS[@]}" $PLATFORM_PID; do
+	for pid in "${NODE_PIDS[@]}" $PLATFORM_PID $PROXY_PID; do
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
 	done
@@ -101,6 +102,12 @@
 	target/review-platform --host "$STORE_HOST" --port "$STORE_PORT" "$@" \
 	    >>"$RECORD" 2>"$WORK/platform.err" &
 	PLATFORM_PID=$!
+	if [ -n "$PROXY_DELAY" ]; then
+		target/review-proxy "$STORE_HOST" $((STORE_PORT + 300)) \
+		    "$STORE_HOST" $((STORE_PORT + 100)) "$PROXY_DELAY" \
+		    2>"$WORK/proxy.err" &
+		PROXY_PID=$!
+	fi
 	for i in $(seq $NODES); do
 		write_settings "$i"
 		LIMPETHINGE_CONFIG=$WORK/node-$i.ini target/limpethinge schedule \
--- a/review/platform.c
+++ b/review/platform.c
@@ -5,6 +5,8 @@
  * The script sends "POST /stage/COMMAND?..." to the store's address:
  *   up?minion=N&kind=LABEL&cpu=MILLICORES   a new life of the minion, same id
  *   down?minion=N                           it crashes and refuses connections
+ *   restart?minion=N&down=MS                it crashes as it has answered a hold
+ *                                           with an end, and is back MS later
  *   flap?minion=N&up=MS&down=MS&for=MS      down and up by turns, then up
  *   store?state=up|busy|silent|partly|late  503 to each call, no answer, 503 to
  *                                           appends to keyed.work, or appends
@@ -28,6 +30,11 @@
 #define MEMORY_MB 128000
 #define FIRST_MINION_PORT 100U
 #define STARTUP (200 * USEC_PER_MSEC)
+/* The list of minions lags behind what they report. */
+#define DISCOVERY_LAG (800 * USEC_PER_MSEC)
+#define PROXY_PORTS 200U
+/* From an answer to the crash. */
+#define CRASH_DELAY (20 * USEC_PER_MSEC)
 #define GANG_TIMEOUT (3000 * USEC_PER_MSEC)
 /* A grey minion fails a run so long after its start. */
 #define GREY_FAILS_AFTER (300 * USEC_PER_MSEC)
@@ -72,7 +79,8 @@
   uint32_t index;
   httpd_t *httpd; /* NULL: down */
   char id[16];
-  char address[64];
+  char address[64];        /* where it listens */
+  char public_address[64]; /* of its entry, the same or that of a proxy */
   char kind[16];
   uint32_t millicores;
   usec_t born;
@@ -82,12 +90,14 @@
   uint64_t last_end;
   uint32_t sequence;
   usec_t heartbeat_due;
+  uint32_t lives;
   bool listed; /* has an entry, which is removed after three intervals */
   GArray *runs;
   GArray *ends;
   GArray *holds;
   GHashTable *highest; /* task -> run stopped or ended */
   usec_t grey_end; /* it fails all that it runs until then */
+  usec_t restart_down; /* it crashes after the next end that it tells */
   usec_t flap_end;
   usec_t flap_due;
   usec_t flap_up;
@@ -114,6 +124,7 @@
 static minion_t minions[MAX_MINIONS];
 static uint32_t minion_count = 10;
 static uint32_t rack_size = 2;
+static int behind_proxy = -1; /* minion */
 static char **special_racks; /* their minions are of kind b */
 static gboolean guarded = TRUE;
 static GHashTable *gangs; /* step and run -> gang_t */
@@ -184,7 +195,7 @@
       record ("stage minion=%s cannot listen: %s", m->id, err.text);
       return;
     }
-  m->heartbeat_due = 0;
+  m->heartbeat_due = m->lives++ ? m->born + DISCOVERY_LAG : 0;
   record ("minion %s up kind=%s cpu=%u born=%" PRId64, m->id, m->kind,
           m->millicores, m->born_ms);
 }
@@ -232,7 +243,7 @@
   entry = json_pack (
       "{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:{s:i, s:i, s:i}, s:[s, s], s:I, "
       "s:I, s:i}",
-      "service", "s", "address", m->address, "zone", "z", "version", "v1",
+      "service", "s", "address", m->public_address, "zone", "z", "version", "v1",
       "slots", 8, "state", "ready", "cold_remaining_ms", 0, "capacity", "cpu",
       (int)m->millicores, "mem_mb", MEMORY_MB, "gpu", 0, "labels", m->kind,
       rack, "clock_ms", (json_int_t)clock_ms (m, now), "born",
@@ -539,6 +550,14 @@
         continue;
       g_array_remove_index_fast (m->holds, i - 1);
       fleet_answer (m->httpd, hold.http, 200, lists (m, now));
+      if (!m->ends->len || !m->restart_down)
+        continue;
+      record ("minion %s tells %u ends, the last is %s", m->id, m->ends->len,
+              g_array_index (m->ends, stage_end_t, m->ends->len - 1).task);
+      m->flap_due = now + CRASH_DELAY;
+      m->flap_down = m->restart_down;
+      m->flap_end = m->flap_due + m->flap_down;
+      m->restart_down = 0;
     }
 }
 
@@ -585,6 +604,8 @@
     }
   else if (strcmp (name, "down") == 0)
     go_down (m);
+  else if (strcmp (name, "restart") == 0)
+    m->restart_down = number_of (http, "down", 250) * USEC_PER_MSEC;
   else if (strcmp (name, "grey") == 0)
     {
       m->grey_end = clock_now () + number_of (http, "for", 1000) * USEC_PER_MSEC;
@@ -717,6 +738,10 @@
   g_snprintf (m->id, sizeof m->id, "i-%08x", 0x7f3a9100U + index);
   g_snprintf (m->address, sizeof m->address, "%s:%u", fleet.config.host,
               fleet.config.store_port + FIRST_MINION_PORT + index);
+  g_snprintf (m->public_address, sizeof m->public_address, "%s:%u",
+              fleet.config.host,
+              fleet.config.store_port + FIRST_MINION_PORT + index
+                  + ((int)index == behind_proxy ? PROXY_PORTS : 0));
   g_snprintf (rack, sizeof rack, "%u", index / rack_size);
   g_strlcpy (m->kind,
              special_racks
@@ -752,6 +777,8 @@
     { "rack", 0, 0, G_OPTION_ARG_INT, &rack, "Minions of a rack", "N" },
     { "special", 0, 0, G_OPTION_ARG_STRING, &special,
       "Racks whose minions are of kind b, else minion 0 is", "N,..." },
+    { "proxy", 0, 0, G_OPTION_ARG_INT, &behind_proxy,
+      "Minion that is reached 200 ports above its own", "N" },
     { "unguarded", 0, 0, G_OPTION_ARG_NONE, &unguarded,
       "Minions start what does not fit", NULL },
     G_OPTION_ENTRY_NULL
