Bound leases by the last confirmation of the ownership

Cause: a task whose worker has gone is started again once all leases there have surely ended. Leases were as long as the platform allows, 10 s there, which with the margins of clocks and stops is more than the 9 s within which the next run is asked for. That an entry is gone or a connection refused shows no end of a run, so the leases themselves have to be shorter.

Change: no lease ends later than lease_horizon (6.5 s) after the store last confirmed the ownership. Where the platform allows 6 s nothing changes while the store answers. Runs now survive an outage of the store of 6.5 s instead of 9 s; the longest one in the site files takes 4.5 s.

--- a/bench/jobs_product.c
+++ b/bench/jobs_product.c
@@ -332,6 +332,7 @@
                                          .poll_idle = 2 * USEC_PER_SEC,
                                          .call_timeout = USEC_PER_SEC,
                                          .stale_limit = 3 * USEC_PER_SEC,
+                                         .lease_horizon = 6500 * USEC_PER_MSEC,
                                          .keep_ended = 600 * USEC_PER_SEC,
                                          .append_bytes = 1 << 20 };
   product_t p = { .world = world };
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -26,10 +26,13 @@
 #define POLL_IDLE (2000 * USEC_PER_MSEC)
 /* Over ten times the duration of a worker call on the slowest link. */
 #define WORKER_CALL_TIMEOUT (700 * USEC_PER_MSEC)
-/* An owner that does not reach the store extends leases for this long, so that
-   runs survive an outage of up to this time plus a lease.  A new owner has to
-   wait as long for workers that it does not reach. */
+/* An owner that does not reach the store extends leases for this long. */
 #define STALE_LIMIT (3 * USEC_PER_SEC)
+/* Runs survive an outage of the store of about this length.  A task whose
+   worker has gone waits until all leases there have ended, and the platform
+   asks for its next run within 9 s of the last: this leaves time for a
+   takeover, the margins of clocks and stops, and the start. */
+#define LEASE_HORIZON (6500 * USEC_PER_MSEC)
 
 /* The store counts as unhealthy when calls have failed for this long without
    a later one that succeeded. */
@@ -129,6 +132,7 @@
   const scheduler_settings_t *settings = s->settings;
   shard_config_t config
       = { .lease = settings->lease,
+          .lease_horizon = LEASE_HORIZON,
           .stop_limit = settings->stop_limit,
           .poll_busy = POLL_BUSY,
           .poll_shared = POLL_SHARED,
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -25,16 +25,19 @@
 
 typedef struct
 {
-  usec_t lease;        /**< duration of the leases sent to workers */
-  usec_t stop_limit;   /**< longest time that a worker needs to stop a run */
-  usec_t poll_busy;    /**< longest wait of a hold at a worker with runs */
-  usec_t poll_shared;  /**< the same where best-effort tasks run beside tasks
-                          with a latency target */
-  usec_t poll_idle;    /**< the same at a worker without runs */
-  usec_t call_timeout; /**< of a call to a worker, excluding its wait */
-  usec_t stale_limit;  /**< no calls are sent to workers once the store has not
-                          confirmed the ownership for this long */
-  usec_t keep_ended;   /**< how long an ended job stays known */
+  usec_t lease;         /**< longest lease sent to workers */
+  usec_t lease_horizon; /**< leases end this long after the store last
+                           confirmed the ownership, at the latest; longer than
+                           stale_limit */
+  usec_t stop_limit;    /**< longest time that a worker needs to stop a run */
+  usec_t poll_busy;     /**< longest wait of a hold at a worker with runs */
+  usec_t poll_shared;   /**< the same where best-effort tasks run beside tasks
+                           with a latency target */
+  usec_t poll_idle;     /**< the same at a worker without runs */
+  usec_t call_timeout;  /**< of a call to a worker, excluding its wait */
+  usec_t stale_limit; /**< no calls are sent to workers once the store has not
+                         confirmed the ownership for this long */
+  usec_t keep_ended;  /**< how long an ended job stays known */
   uint32_t append_bytes;  /**< size at which an append is full */
   const zones_t *zones;   /**< evacuated availability zones, NULL: no zone is
                              ever evacuated */
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -168,9 +168,12 @@
 static int64_t
 lease_until (const shard_t *shard, const worker_t *worker, usec_t now)
 {
+  usec_t horizon = shard->confirmed_at + shard->config.lease_horizon - now;
+
   if (!worker->clock_at)
     return 0;
-  return worker_clock (worker, now) + usec_to_msec (shard->config.lease);
+  return worker_clock (worker, now)
+         + usec_to_msec (MIN (shard->config.lease, horizon));
 }
 
 static uint64_t
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -148,15 +148,22 @@
 
 void
 set_up (void)
+{
+  set_up_leases (6 * USEC_PER_SEC, STALE_LIMIT, LEASE_HORIZON);
+}
+
+void
+set_up_leases (usec_t lease, usec_t stale_limit, usec_t lease_horizon)
 {
   zones_t *zones = zones_new ();
-  const shard_config_t config = { .lease = 6 * USEC_PER_SEC,
+  const shard_config_t config = { .lease = lease,
+                                  .lease_horizon = lease_horizon,
                                   .stop_limit = 200 * USEC_PER_MSEC,
                                   .poll_busy = USEC_PER_SEC,
                                   .poll_shared = USEC_PER_SEC,
                                   .poll_idle = 2 * USEC_PER_SEC,
                                   .call_timeout = USEC_PER_SEC,
-                                  .stale_limit = STALE_LIMIT,
+                                  .stale_limit = stale_limit,
                                   .keep_ended = 60 * USEC_PER_SEC,
                                   .append_bytes = 1 << 20,
                                   .zones = zones,
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -12,6 +12,8 @@
 #define WORKERS_MAX_AGE (2 * USEC_PER_SEC)
 /** How long an owner without a confirmation extends leases. */
 #define STALE_LIMIT (12 * USEC_PER_SEC)
+/** Longest time from such a confirmation to the end of a lease. */
+#define LEASE_HORIZON (18 * USEC_PER_SEC)
 #define START_WALL_MS 1700000000000LL
 #define JOB_ID 0x5c0e7a21d94b36f8ULL
 
@@ -45,6 +47,8 @@
 extern const run_report_t first_run;
 
 void set_up (void);
+/** The same with other limits of leases. */
+void set_up_leases (usec_t lease, usec_t stale_limit, usec_t lease_horizon);
 void tear_down (void);
 /** Frees what is kept from one test to the next. */
 void free_fixture (void);
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -13,6 +13,8 @@
 /* If no owner stores a submission within this time, the caller appends it. */
 #define OFFER_TIMEOUT (1500 * USEC_PER_MSEC)
 #define LEASE_DURATION (6 * USEC_PER_SEC)
+/* In worlds with a stale_limit of their own. */
+#define LEASE_HORIZON (6500 * USEC_PER_MSEC)
 #define LINK_DELAY (4 * USEC_PER_MSEC)
 #define STORE_ROUND_TRIP (8 * USEC_PER_MSEC)
 #define OUTAGE_DURATION (4 * USEC_PER_SEC)
@@ -489,6 +491,8 @@
           .call_timeout = CALL_TIMEOUT,
           .stale_limit
           = config->stale_limit ? config->stale_limit : STALE_LIMIT,
+          .lease_horizon
+          = config->stale_limit ? LEASE_HORIZON : STALE_LIMIT + LEASE_DURATION,
           .keep_ended = 3600 * USEC_PER_SEC,
           .append_bytes = 1U << 20,
           .zones_max_age = WORLD_EVACUATE - CALL_TIMEOUT,
