Put the bound of an owner's leases on record for its successor

Cause: a new owner does not know which leases its predecessors granted, and waited at workers that it does not reach for stale_limit + lease + margins, 9.48 s from its takeover. So a takeover from half a second before the departure of a worker on broke the rule (9 s), and a second one, as the shard came back to its owner 1.5 s after it had been dealt to a process that had left, made the wait begin anew.

Change: since no lease ends later than lease_horizon after the last confirmation, which comes before the takeover, all have expired 7 s after it. The owner says so in a record, the youngest of each append: if an owner of an earlier build has appended since, or none has written it, the former wait holds. The first hold of a new owner no longer raises the bound that it took over.

"lease bound is outdated" (test_scheduler), five mutants, "splits" (test_shard) finds leases beyond the horizon. The fake of test_scheduler records the first append as the fence, and appends of jobs as such, as an owner without a record now appends its bound; the checks are the same.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -38,6 +38,11 @@
 LAPSING_FORGOTTEN|src/shard/shard_lapsing.c|shard/test_shard_lapsing|/in_lapsing_batch)$/,/pack_worker/s/worker->lapsing = true;/;/
 LAPSING_IGNORED|src/shard/shard_lapsing.c|shard/test_shard_lapsing|/worker = worker_get (shard, handle);/,/leases_expired_at/s/worker->lapsing = true;/;/
 LAPSING_OUTDATED_USED|src/scheduler/sched_store.c|scheduler/test_scheduler|s/state->lapsing_end <= state->progress_offset/0/
+LEASE_BOUND_NOT_APPLIED|src/shard/shard.c|shard/test_shard_leases|s/^  lease_bound_apply (shard);//
+LEASE_BOUND_TOO_SHORT|src/shard/shard_lease_bound.c|shard/test_shard_leases|s/MIN (worker_lease_limit (shard->config.lease_horizon),/MIN (shard->config.lease_horizon - USEC_PER_SEC,/
+LEASE_BOUND_OUTDATED_USED|src/scheduler/sched_store.c|scheduler/test_scheduler|s/state->lease_bound_end <= state->progress_offset/0/
+LEASE_BEYOND_HORIZON|src/shard/shard_calls.c|shard/test_shard|s/MIN (shard->config.lease, horizon)/MAX (shard->config.lease, horizon)/
+LEASE_LONGER_THAN_HORIZON|src/shard/shard_calls.c|shard/test_shard_leases|s/MIN (shard->config.lease, horizon)/MAX (shard->config.lease, horizon)/
 EXPIRED_IS_LEFT|src/shard/shard_calls.c|shard/test_shard_evidence|s/if (now < worker->leases_expired_at)/if (now < worker->leases_expired_at \&\& (worker->listed || !worker->leaving))/
 STALE_OWNER_EXTENDS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now - shard->confirmed_at > .*)/if (0)/
 NOT_SUPERSEDED|src/shard/shard_calls.c|shard/test_shard_steps|s/shard_supersede (shard, worker->id);//
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -83,6 +83,8 @@
      "listed runs of tasks that have a newer run elsewhere")                  \
   X (LAPSING_DISCARDED, "lapsing_discarded_total", "records", "counter",      \
      "records of lapsing workers that were older than other records")         \
+  X (LEASE_BOUND_DISCARDED, "lease_bound_discarded_total", "records",         \
+     "counter", "bounds of leases that were older than other records")        \
   X (RUNS_IMPOSED, "runs_imposed_total", "runs", "counter",                   \
      "best-effort runs that were placed although they disturb others")        \
   X (CRASH_SUSPECTS, "crash_suspects_total", "runs", "counter",               \
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -123,6 +123,7 @@
   uint64_t progress_offset; /* of the last record of progress in them */
   uint64_t lapsing_end; /* offset after the record of lapsing workers in them,
                            0: there is none */
+  uint64_t lease_bound_end; /* the same of the bound of leases */
   uint64_t next_offset;
   bool next_offset_known;
   bool read_busy;
--- a/src/scheduler/sched_store.c
+++ b/src/scheduler/sched_store.c
@@ -60,6 +60,10 @@
     = { shard_call,       shard_append, shard_settled,
         shard_superseded, wall_ms,      rejects_overload };
 
+static const char record_kinds[]
+    = { RECORD_SUBMISSION, RECORD_PROGRESS, RECORD_INTERFERENCE,
+        RECORD_LAPSING, RECORD_LEASE_BOUND };
+
 /* Context of a store call that is made as the owner of a shard.  */
 typedef struct
 {
@@ -106,9 +110,7 @@
 parse_key (blob_t key, record_kind_t *kind, job_id_t *job)
 {
   if (key.len != RECORD_KEY_LEN
-      || (key.data[0] != RECORD_SUBMISSION && key.data[0] != RECORD_PROGRESS
-          && key.data[0] != RECORD_INTERFERENCE
-          && key.data[0] != RECORD_LAPSING))
+      || !memchr (record_kinds, key.data[0], sizeof record_kinds))
     return false;
   *kind = (record_kind_t)key.data[0];
   return job_id_parse (key.data + 1, RECORD_KEY_HEX_DIGITS, job);
@@ -137,7 +139,7 @@
   state->load_busy = false;
   state->last_key[0] = '\0';
   state->next_offset_known = false;
-  state->lapsing_end = state->progress_offset = 0;
+  state->lapsing_end = state->lease_bound_end = state->progress_offset = 0;
   state->read_busy = false;
   state->unanswered_reads = 0;
   state->read_due = now;
@@ -288,6 +290,9 @@
     return; /* reload after STORE_EXPIRED; the shard stays active */
   if (state->lapsing_end && state->lapsing_end <= state->progress_offset)
     shard_discard_lapsing (state->shard);
+  if (state->lease_bound_end
+      && state->lease_bound_end <= state->progress_offset)
+    shard_discard_lease_bound (state->shard);
   shard_loaded (state->shard, now);
 }
 
@@ -306,6 +311,8 @@
     }
   if (kind == RECORD_LAPSING)
     state->lapsing_end = record->offset + 1;
+  else if (kind == RECORD_LEASE_BOUND)
+    state->lease_bound_end = record->offset + 1;
   else if (kind != RECORD_INTERFERENCE
            && sched_shard_of (state->scheduler, job) != state->number)
     return;
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -62,7 +62,8 @@
 typedef struct
 {
   char calls[4096]; /* names of the store calls, in order */
-  uint64_t fence_epoch;
+  uint32_t appends;
+  uint64_t fence_epoch; /* of the first append */
   size_t fence_records;
   store_result_t fence_result;
   bool appends_hang;     /* no append of records is answered */
@@ -83,16 +84,17 @@
   usec_t read_timeouts[4]; /* of the same */
   uint32_t read_count;
   uint32_t lost_appends; /* number of appends of records to leave unanswered */
-  uint64_t progress_offset; /* of the record of a job, which follows that of
-                               lapsing workers in the latest records, 0: both
-                               are missing */
+  record_kind_t lease_record; /* about leases, returned by the first page */
+  uint64_t progress_offset;   /* of the record of a job, which follows that of
+                                 lapsing workers in the latest records, 0: both
+                                 are missing */
   usec_t read_delay;
   GByteArray *late_record; /* submission of JOB_ID that another process has
                               stored, NULL for none */
   usec_t late_record_at;   /* it is in no answer to a read sent before */
   usec_t request_sent;     /* by the caller */
   usec_t answered_at;
-  usec_t appended_at;    /* first append of records */
+  usec_t appended_at;    /* first append of records of a job */
   const char *owner;     /* member that owns the shard, NULL for none */
   char left_member[96];  /* member named in the last leave */
   uint32_t config_count; /* decoded configurations */
@@ -178,6 +180,16 @@
   return a;
 }
 
+static bool
+has_job_record (const store_append_t *append)
+{
+  for (size_t i = 0; i < append->count; i++)
+    if (append->records[i].key.data[0] == RECORD_SUBMISSION
+        || append->records[i].key.data[0] == RECORD_PROGRESS)
+      return true;
+  return false;
+}
+
 static void
 fake_append (void *ctx, const store_append_t *append, store_done_t done,
              void *done_ctx)
@@ -188,10 +200,13 @@
 
   (void)ctx;
   fake.layout_proposed |= append->topic == TOPIC_LAYOUT;
-  if (append->count && !fake.appended_at)
+  if (has_job_record (append) && !fake.appended_at)
     fake.appended_at = clock_now ();
-  fake.fence_epoch = append->epoch;
-  fake.fence_records = append->count;
+  if (!fake.appends++)
+    {
+      fake.fence_epoch = append->epoch;
+      fake.fence_records = append->count;
+    }
   a->done = done;
   a->ctx = done_ctx;
   a->owns_ctx = true;
@@ -254,8 +269,7 @@
   a->result = STORE_UNKNOWN;
 }
 
-/* Has the pages return the record of lapsing workers and then that of a job.
- */
+/* Has the pages return a record about leases and then that of a job. */
 static void
 add_work_record (store_answer_t *a)
 {
@@ -264,7 +278,7 @@
 
   if (!fake.progress_offset || page >= G_N_ELEMENTS (keys))
     return;
-  record_key (page ? RECORD_PROGRESS : RECORD_LAPSING, page ? JOB_ID : 0,
+  record_key (page ? RECORD_PROGRESS : fake.lease_record, page ? JOB_ID : 0,
               keys[page]);
   a->record = (store_record_t){ .key = blob_of (keys[page]),
                                 .value = blob_of ("x"),
@@ -690,6 +704,8 @@
   SCENARIO_LOST_READS,     /* the answers to three reads of records are lost */
   SCENARIO_LAPSING_LAST,   /* the record of lapsing workers is the last one */
   SCENARIO_LAPSING_OUTDATED, /* it is older than the record of a job */
+  SCENARIO_LEASE_BOUND_LAST,
+  SCENARIO_LEASE_BOUND_OUTDATED,
   SCENARIO_LARGE_JOB,    /* a job is submitted that takes more bytes than the
                             store accepts in a record */
   SCENARIO_NO_TURN,      /* stopped; has no turn until no more connections are
@@ -732,6 +748,13 @@
               "%s" MEMBER_SUFFIX, addresses.live_peer);
 }
 
+static bool
+has_lease_record (scenario_t scenario)
+{
+  return scenario >= SCENARIO_LAPSING_LAST
+         && scenario <= SCENARIO_LEASE_BOUND_OUTDATED;
+}
+
 static bool
 has_no_turn (scenario_t scenario)
 {
@@ -825,10 +848,15 @@
   fake.layout = scenario == SCENARIO_LARGEST_VM ? "1 350 30" : "1 350";
   fake.appends_refused = scenario == SCENARIO_SMALL_VM;
   fake.reads_behind = scenario == SCENARIO_CANCEL_BEHIND;
-  if (scenario == SCENARIO_LAPSING_LAST)
-    fake.progress_offset = LAPSING_OFFSET - 1;
-  else if (scenario == SCENARIO_LAPSING_OUTDATED)
-    fake.progress_offset = LAPSING_OFFSET + 1;
+  if (has_lease_record (scenario))
+    fake.progress_offset = scenario == SCENARIO_LAPSING_LAST
+                                   || scenario == SCENARIO_LEASE_BOUND_LAST
+                               ? LAPSING_OFFSET - 1
+                               : LAPSING_OFFSET + 1;
+  fake.lease_record = scenario == SCENARIO_LAPSING_LAST
+                              || scenario == SCENARIO_LAPSING_OUTDATED
+                          ? RECORD_LAPSING
+                          : RECORD_LEASE_BOUND;
   if (scenario == SCENARIO_CANCEL_UNREAD)
     {
       fake.read_delay = SLOW_READ;
@@ -847,9 +875,8 @@
   bool outage = scenario == SCENARIO_OUTAGE;
   bool is_long
       = scenario == SCENARIO_NO_LAYOUT || scenario == SCENARIO_LOST_READS;
-  bool lapsing = scenario == SCENARIO_LAPSING_LAST
-                 || scenario == SCENARIO_LAPSING_OUTDATED;
-  bool has_caller = scenario != SCENARIO_NO_CALLER && !lapsing && !is_long
+  bool has_caller = scenario != SCENARIO_NO_CALLER
+                    && !has_lease_record (scenario) && !is_long
                     && !owner_of (scenario);
   int peer_socket = scenario == SCENARIO_LIVE_OWNER ? listen_as_peer () : -1;
   char *text = settings_text (scenario);
@@ -943,6 +970,19 @@
   CU_ASSERT (counter_get (COUNTER_LAPSING_DISCARDED) > before);
 }
 
+/* The same with the bound of all leases. */
+static void
+test_lease_bound_is_outdated (void)
+{
+  uint64_t before = counter_get (COUNTER_LEASE_BOUND_DISCARDED);
+
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_LEASE_BOUND_LAST), 0);
+  CU_ASSERT (fake.work_pages > 1);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_LEASE_BOUND_DISCARDED), before);
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_LEASE_BOUND_OUTDATED), 0);
+  CU_ASSERT (counter_get (COUNTER_LEASE_BOUND_DISCARDED) > before);
+}
+
 /* A shard is not loaded under an epoch that the store has not accepted. */
 static void
 test_no_load_without_fence (void)
@@ -1503,6 +1543,7 @@
   const suite_test_t tests[] = {
     { "fence before load", test_fence_before_load },
     { "lapsing record is outdated", test_lapsing_record_is_outdated },
+    { "lease bound is outdated", test_lease_bound_is_outdated },
     { "no load without a fence", test_no_load_without_fence },
     { "configuration version rises", test_config_version_rises },
     { "answer before the stop", test_answer_before_stop },
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -135,6 +135,12 @@
   shard->token = token;
   shard->owned_since = now;
   shard->confirmed_at = now;
+  /* Without a record a former owner may have extended leases until its
+     stale_limit was over. */
+  shard->former_leases_expired_at
+      = now + shard->config.stale_limit + worker_max_lease_duration (shard);
+  shard->loaded_lease_bound = 0;
+  shard->lease_bound_stored = false;
   shard->sequence = 0;
   log_line (LOG_LEVEL_NOTICE, "shard.begin", NULL,
             "shard=%u token=%" PRIu64 " loading records", shard->number,
@@ -253,6 +259,13 @@
                   "shard=%u bytes=%u", shard->number, value.len);
       return;
     }
+  if (kind == RECORD_LEASE_BOUND)
+    {
+      if (lease_bound_load (shard, value))
+        log_line (LOG_LEVEL_ERR, "lease_bound.unreadable", NULL,
+                  "shard=%u bytes=%u", shard->number, value.len);
+      return;
+    }
   if (!entry)
     entry = new_entry (shard, job);
   if (kind == RECORD_SUBMISSION)
@@ -450,15 +463,18 @@
         open++;
       shard_shrink_ended (shard, entry);
     }
+  lease_bound_apply (shard);
   lapsing_apply (shard, now);
   shard->placement_needed = true;
   shard->occurrences_due = now;
   shard->forget_due = now + FORGET_INTERVAL;
-  log_line (
-      LOG_LEVEL_NOTICE, "shard.loaded", NULL,
-      "shard=%u token=%" PRIu64 " jobs=%u open=%u runs=%zu took_ms=%" PRId64,
-      shard->number, shard->token, g_hash_table_size (shard->jobs), open,
-      table_count (shard->runs), usec_to_msec (now - shard->owned_since));
+  log_line (LOG_LEVEL_NOTICE, "shard.loaded", NULL,
+            "shard=%u token=%" PRIu64
+            " jobs=%u open=%u runs=%zu took_ms=%" PRId64
+            " former_leases_ms=%" PRId64,
+            shard->number, shard->token, g_hash_table_size (shard->jobs), open,
+            table_count (shard->runs), usec_to_msec (now - shard->owned_since),
+            usec_to_msec (MAX (shard->former_leases_expired_at - now, 0)));
 }
 
 static void
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -176,7 +176,10 @@
   RECORD_INTERFERENCE = 'i', /**< interference between images; job is 0 */
   /** Workers to which no owner extends leases while this record names them,
      and when their leases have expired; job is 0 */
-  RECORD_LAPSING = 'l'
+  RECORD_LAPSING = 'l',
+  /** How long after a takeover the leases of the owner that wrote it have
+     expired, in ms; job is 0 */
+  RECORD_LEASE_BOUND = 'b'
 } record_kind_t;
 
 /** Largest value of a record: with its key and length it takes less than the
@@ -228,6 +231,9 @@
     know such records has appended since, and may have extended leases. */
 void shard_discard_lapsing (shard_t *shard);
 
+/** Drops the bound of leases that was passed, for the same reason. */
+void shard_discard_lease_bound (shard_t *shard);
+
 /** Accepts a submission, which is stored with a later append.
     @return 0 if it is stored already, -EINPROGRESS if it will be
     (shard_ops_t.settled follows), -EAGAIN if the shard is not active or
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -475,8 +475,9 @@
   if (!worker->fenced)
     {
       worker->fenced = true;
-      worker->leases_expired_at
-          = now + worker_max_lease_duration (shard) + shard->config.stop_limit;
+      worker->leases_expired_at = MIN (worker->leases_expired_at,
+                                       now + worker_max_lease_duration (shard)
+                                           + shard->config.stop_limit);
     }
   if (worker->in_doubt && worker->unanswered_holds)
     log_line (LOG_LEVEL_NOTICE, "worker.back", worker->address,
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -278,6 +278,11 @@
   bool lapsing_on_record;     /* the stored record may name workers */
   usec_t lapsing_encoded_at;
 
+  usec_t loaded_lease_bound; /* from a takeover until the leases of former
+                                owners have expired, 0: no record */
+  bool lease_bound_stored;   /* the stored record holds for this owner */
+  usec_t former_leases_expired_at; /* of former owners, at any worker */
+
   interference_t *interference;
   usec_t interference_store_due; /* earliest time to store the model again */
   bool interference_changed;     /* since the model was last stored */
@@ -336,8 +341,11 @@
     its clock */
 usec_t worker_answer_age (const worker_t *worker, usec_t now,
                           int64_t worker_ms);
-/** @return longest time on the local clock until a lease granted now has
+/** @return longest time on the local clock until a lease of this duration has
     expired */
+usec_t worker_lease_limit (usec_t duration);
+/** @return longest time on the local clock until a lease granted now, by any
+    build, has expired */
 usec_t worker_max_lease_duration (const shard_t *shard);
 /** Records that a call with a lease until UNTIL_MS was sent. */
 void worker_lease_sent (const shard_t *shard, worker_t *worker, usec_t now,
@@ -382,6 +390,16 @@
 /** Applies the decoded record once all records are loaded. */
 void lapsing_apply (shard_t *shard, usec_t now);
 
+/* shard_lease_bound.c */
+/** @return whether the bound of this owner's leases is to be stored though
+    nothing else has changed */
+bool lease_bound_is_due (const shard_t *shard);
+void lease_bound_encode (const shard_t *shard, GByteArray *out);
+/** Decodes the record of a former owner. @return 0 or -EBADMSG */
+int lease_bound_load (shard_t *shard, blob_t record);
+/** Applies the decoded record once all records are loaded. */
+void lease_bound_apply (shard_t *shard);
+
 /* shard_withdraw.c */
 /** Withdraws the start of a run if its worker must not get it any more.
     @return whether it was withdrawn */
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -18,6 +18,7 @@
 
 static void add_interference (shard_t *shard, usec_t now);
 static void add_lapsing (shard_t *shard, usec_t now);
+static void add_lease_bound (shard_t *shard);
 static void add_record (shard_t *shard, record_kind_t kind, job_id_t job,
                         GByteArray *value);
 static void add_entry (shard_t *shard, job_entry_t *entry);
@@ -69,7 +70,8 @@
         send_append (shard, now);
       return;
     }
-  if (!shard->dirty_entries->len && !lapsing_is_due (shard, now))
+  if (!shard->dirty_entries->len && !lapsing_is_due (shard, now)
+      && !lease_bound_is_due (shard))
     return;
   shard_reset_batch (shard);
   while (taken < shard->dirty_entries->len
@@ -98,6 +100,7 @@
   if (shard->interference_changed && now >= shard->interference_store_due)
     add_interference (shard, now);
   add_lapsing (shard, now);
+  add_lease_bound (shard);
   shard->sequence++;
   send_append (shard, now);
 }
@@ -138,6 +141,15 @@
   add_record (shard, RECORD_LAPSING, 0, value);
 }
 
+static void
+add_lease_bound (shard_t *shard)
+{
+  GByteArray *value = g_byte_array_new ();
+
+  lease_bound_encode (shard, value);
+  add_record (shard, RECORD_LEASE_BOUND, 0, value);
+}
+
 static void
 add_entry (shard_t *shard, job_entry_t *entry)
 {
@@ -257,6 +269,7 @@
       run->state = RUN_STARTING;
       run_set_due (shard, run, now);
     }
+  shard->lease_bound_stored = true;
   if (shard->batch_has_lapsing)
     lapsing_stored (shard, now);
   for (guint i = 0; i < shard->batch_end_acks->len; i++)
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -47,9 +47,7 @@
   worker->zone = g_strdup ("");
   worker->runs = g_array_new (FALSE, FALSE, sizeof (handle_t));
   worker->recent_runs = g_array_new (FALSE, FALSE, sizeof (recent_run_t));
-  /* A former owner may have extended leases until its stale_limit was over. */
-  worker->leases_expired_at = shard->owned_since + shard->config.stale_limit
-                              + worker_max_lease_duration (shard);
+  worker->leases_expired_at = shard->former_leases_expired_at;
   worker_doubt (worker, shard->owned_since);
   worker->last_answer = shard->owned_since;
   g_hash_table_insert (shard->workers_by_id, g_strdup (id),
@@ -306,11 +304,16 @@
   return MAX (worker_clock (worker, now) - worker_ms, 0) * USEC_PER_MSEC;
 }
 
+usec_t
+worker_lease_limit (usec_t duration)
+{
+  return duration * MAX_CLOCK_RATIO_PERCENT / 100 + LEASE_EXPIRY_MARGIN;
+}
+
 usec_t
 worker_max_lease_duration (const shard_t *shard)
 {
-  return shard->config.lease * MAX_CLOCK_RATIO_PERCENT / 100
-         + LEASE_EXPIRY_MARGIN;
+  return worker_lease_limit (shard->config.lease);
 }
 
 void
--- a/src/shard/test_shard_lapsing.c
+++ b/src/shard/test_shard_lapsing.c
@@ -52,7 +52,7 @@
                       (blob_t){ (char *)kept->data, kept->len });
   fixture.call_count = 0;
   fixture.appends = 0;
-  fixture.lapsing_unstored = false;
+  fixture.leases_unstored = false;
   g_byte_array_unref (kept);
 }
 
--- a/src/shard/test_shard_leases.c
+++ b/src/shard/test_shard_leases.c
@@ -16,6 +16,7 @@
 #define LONG_LEASE (10 * USEC_PER_SEC)
 #define SHORT_STALE_LIMIT (3 * USEC_PER_SEC)
 #define SHORT_HORIZON (6500 * USEC_PER_MSEC)
+#define SEEDS 200U
 /* A worker's clock may be slow by this much, in percent. */
 #define SLOW_CLOCK_PERCENT 2
 
@@ -81,11 +82,189 @@
   tear_down ();
 }
 
+/* How an owner fails, and how long the store's service counts as disturbed:
+   for RESTART_LIMIT to hold, the last CALM_TIME has to be undisturbed. */
+typedef struct
+{
+  usec_t least_gap; /* without an owner */
+  usec_t most_gap;
+  usec_t disturbed;
+} failure_t;
+
+#define CALM_TIME (7 * USEC_PER_SEC)
+
+static const failure_t failures[] = {
+  /* killed, and removed from the group by its peers */
+  { 100 * USEC_PER_MSEC, 600 * USEC_PER_MSEC, 0 },
+  /* frozen or cut off for longer than its membership lasts */
+  { 1600 * USEC_PER_MSEC, 2500 * USEC_PER_MSEC, 3500 * USEC_PER_MSEC },
+};
+
+/* A worker gives notice and leaves, while its owners change. */
+typedef struct
+{
+  GRand *rand;
+  usec_t leaves_at;
+  usec_t leases_end;   /* the latest, by a slow clock */
+  usec_t disturbed_at; /* last time */
+  usec_t requeued_at;  /* 0: not yet */
+  uint64_t token;
+  run_report_t run;
+} departure_t;
+
+static usec_t
+random_span (departure_t *d, usec_t least, usec_t most)
+{
+  return least
+         + (usec_t)g_rand_double_range (d->rand, 0, (double)(most - least));
+}
+
+/* An owner that the store has confirmed now may grant leases until then. */
+static void
+grant_until_horizon (departure_t *d)
+{
+  if (fixture.now < d->leaves_at)
+    d->leases_end
+        = fixture.now + SHORT_HORIZON * 100 / (100 - SLOW_CLOCK_PERCENT);
+}
+
+static void
+answer_hold (departure_t *d)
+{
+  const shard_call_t *hold = last_call (SHARD_HOLD);
+
+  if (!hold)
+    return;
+  d->run.percent = d->run.percent % 100 + 1;
+  if (fixture.now < d->leaves_at)
+    reply_to_hold (&d->run, 1, NULL, 0);
+  else
+    shard_reply (fixture.shard, fixture.now, hold->id, &none);
+}
+
+/* The owner works until then, or until it starts the task again. */
+static void
+own_until (departure_t *d, usec_t end)
+{
+  uint32_t appends = fixture.appends;
+
+  while (fixture.now < end && !d->requeued_at)
+    {
+      fixture.call_count = 0;
+      advance (STEP);
+      grant_until_horizon (d);
+      answer_hold (d);
+      if (fixture.now >= d->leaves_at && fixture.appends > appends)
+        d->requeued_at = fixture.now;
+    }
+}
+
+static void
+load_records (void)
+{
+  GByteArray *records[]
+      = { fixture.progress, fixture.lapsing, fixture.lease_bound };
+  static const record_kind_t kinds[]
+      = { RECORD_PROGRESS, RECORD_LAPSING, RECORD_LEASE_BOUND };
+
+  add_job (1);
+  for (size_t i = 0; i < G_N_ELEMENTS (records); i++)
+    if (records[i]->len)
+      shard_apply_record (
+          fixture.shard, fixture.now, kinds[i],
+          kinds[i] == RECORD_PROGRESS ? JOB_ID : 0,
+          (blob_t){ (char *)records[i]->data, records[i]->len });
+  shard_loaded (fixture.shard, fixture.now);
+}
+
+static void
+replace_owner (departure_t *d)
+{
+  const failure_t *failure = &failures[g_rand_int_range (d->rand, 0, 2)];
+
+  d->disturbed_at = MAX (d->disturbed_at, fixture.now + failure->disturbed);
+  shard_release (fixture.shard);
+  fixture.now += random_span (d, failure->least_gap, failure->most_gap);
+  fixture.leases_unstored = false;
+  shard_acquire (fixture.shard, fixture.now, ++d->token);
+  load_records ();
+}
+
+/* The progress record of the run is stored, as the owner that placed it did.
+ */
+static void
+give_notice (departure_t *d)
+{
+  list_worker_leaving (true);
+  fixture.call_count = 0;
+  advance (STEP);
+  answer_hold (d);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+}
+
+static void
+check_departure (uint32_t seed, usec_t lease, int takeovers)
+{
+  departure_t d
+      = { .rand = g_rand_new_with_seed (seed), .token = 1, .run = first_run };
+  usec_t limit;
+
+  set_up_leases (lease, SHORT_STALE_LIMIT, SHORT_HORIZON);
+  add_placed_run ();
+  shard_loaded (fixture.shard, fixture.now);
+  list_worker ();
+  d.leaves_at = INT64_MAX;
+  own_until (&d, fixture.now + USEC_PER_SEC);
+  give_notice (&d);
+  d.leaves_at
+      = fixture.now + random_span (&d, 2 * USEC_PER_SEC, 5 * USEC_PER_SEC);
+  for (int i = 0; i < takeovers; i++)
+    {
+      own_until (&d, MIN (fixture.now
+                              + random_span (&d, 300 * USEC_PER_MSEC,
+                                             d.leaves_at + 10 * USEC_PER_SEC
+                                                 - fixture.now),
+                          d.leaves_at + 10 * USEC_PER_SEC));
+      if (!d.requeued_at)
+        replace_owner (&d);
+    }
+  own_until (&d, d.leaves_at + 3 * RESTART_LIMIT);
+  limit = MAX (d.leaves_at + RESTART_LIMIT, d.disturbed_at + CALM_TIME)
+          - START_TIME;
+  CU_ASSERT (d.requeued_at >= d.leases_end);
+  CU_ASSERT (d.requeued_at <= limit);
+  if (d.requeued_at < d.leases_end || d.requeued_at > limit)
+    fprintf (stderr,
+             "seed %u lease %d: requeued %d ms after the worker left, leases "
+             "until %d ms, limit %d ms\n",
+             seed, (int)usec_to_msec (lease),
+             (int)usec_to_msec (d.requeued_at - d.leaves_at),
+             (int)usec_to_msec (d.leases_end - d.leaves_at),
+             (int)usec_to_msec (limit - d.leaves_at));
+  g_rand_free (d.rand);
+  tear_down ();
+}
+
+/* Guards against a long-running task that is without a run for too long since
+   the owner of its worker changes around the worker's departure. */
+static void
+test_takeovers_around_departure (void)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      check_departure (seed, 6 * USEC_PER_SEC, 1);
+      check_departure (seed, LONG_LEASE, 1);
+      check_departure (seed, 6 * USEC_PER_SEC, 2);
+      check_departure (seed, LONG_LEASE, 2);
+    }
+}
+
 int
 main (void)
 {
   const suite_test_t tests[] = {
     { "task of a worker that left", test_task_of_worker_that_left },
+    { "takeovers around a departure", test_takeovers_around_departure },
   };
   int code;
 
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -13,6 +13,9 @@
 
 fixture_t fixture;
 
+/* 2^32 - 1 ms */
+static const guint8 longest_bound[] = { 0xce, 0xff, 0xff, 0xff, 0xff };
+
 static void
 on_call (void *ctx, const shard_call_t *call)
 {
@@ -34,14 +37,19 @@
            size_t count)
 {
   uint32_t bytes = 0;
+  bool has_lapsing = false;
 
   (void)ctx;
   (void)sequence;
-  fixture.lapsing_unstored = count == 1 && records[0].kind == RECORD_LAPSING;
-  if (fixture.lapsing_unstored)
-    fixture.lapsing_appends++;
-  else
-    fixture.appends++;
+  fixture.leases_unstored = true;
+  for (size_t i = 0; i < count; i++)
+    {
+      has_lapsing |= records[i].kind == RECORD_LAPSING;
+      fixture.leases_unstored &= records[i].kind == RECORD_LAPSING
+                                 || records[i].kind == RECORD_LEASE_BOUND;
+    }
+  fixture.appends += !fixture.leases_unstored;
+  fixture.lapsing_appends += fixture.leases_unstored && has_lapsing;
   for (size_t i = 0; i < count; i++)
     {
       bytes += RECORD_OVERHEAD_BYTES + records[i].value.len;
@@ -59,6 +67,8 @@
       keep_value (fixture.progress, &records[i]);
     else if (records[i].kind == RECORD_LAPSING)
       keep_value (fixture.lapsing, &records[i]);
+    else if (records[i].kind == RECORD_LEASE_BOUND)
+      keep_value (fixture.lease_bound, &records[i]);
 }
 
 static void
@@ -171,16 +181,23 @@
                                   .workers_max_age = WORKERS_MAX_AGE };
   GByteArray *progress = fixture.progress;
   GByteArray *lapsing = fixture.lapsing;
+  GByteArray *lease_bound = fixture.lease_bound;
 
   memset (&fixture, 0, sizeof fixture);
   fixture.progress = progress ? progress : g_byte_array_new ();
   fixture.lapsing = lapsing ? lapsing : g_byte_array_new ();
   g_byte_array_set_size (fixture.lapsing, 0);
+  fixture.lease_bound = lease_bound ? lease_bound : g_byte_array_new ();
+  g_byte_array_set_size (fixture.lease_bound, 0);
   fixture.now = USEC_PER_SEC;
   fixture.zones = zones;
   zones_confirm (zones, fixture.now);
   fixture.shard = shard_new (&config, &ops, NULL, 0);
   shard_acquire (fixture.shard, fixture.now, 1);
+  /* So that the shard has nothing to append of its own accord.  */
+  shard_apply_record (
+      fixture.shard, fixture.now, RECORD_LEASE_BOUND, 0,
+      (blob_t){ (const char *)longest_bound, sizeof longest_bound });
 }
 
 void
@@ -195,6 +212,7 @@
 {
   g_byte_array_unref (fixture.progress);
   g_byte_array_unref (fixture.lapsing);
+  g_byte_array_unref (fixture.lease_bound);
 }
 
 static const shard_worker_t listed_worker = { .started_ms = START_WALL_MS,
@@ -255,9 +273,9 @@
 void
 advance (usec_t span)
 {
-  if (fixture.lapsing_unstored)
+  if (fixture.leases_unstored)
     {
-      fixture.lapsing_unstored = false;
+      fixture.leases_unstored = false;
       shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
     }
   fixture.now += span;
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -25,10 +25,11 @@
   shard_call_t calls[MAX_CALLS];
   size_t call_count;
   uint32_t appends;
-  uint32_t lapsing_appends; /**< of nothing but the record of lapsing workers;
-                               not in APPENDS, stored by the next advance */
-  bool lapsing_unstored;    /**< one of these is in flight */
-  GByteArray *lapsing;      /**< the last such record */
+  uint32_t lapsing_appends; /**< of lapsing workers and no job; not in APPENDS,
+                               stored by the next advance */
+  bool leases_unstored;     /**< an append without a job is in flight */
+  GByteArray *lapsing;      /**< the last record of lapsing workers */
+  GByteArray *lease_bound;  /**< the last bound of leases appended */
   uint32_t submissions;     /**< non-empty submission records appended */
   bool submission_deleted;  /**< by the last submission record */
   uint32_t largest_record;  /**< bytes of the largest value appended */
