Record the silence of workers that gave notice sooner, and more often

Cause: only a worker silent for 1 s went on record, and the time that is left was stored once a second. Each takeover before that, and up to a second with each later one, was added to the wait.

Change: the silence of a worker that has given notice counts after 0.2 s, as it is expected; what is left is stored twice a second while somebody lapses.

Test: "takeovers around a departure" now has a second worker and looks for the start there instead of the append, and passes the list of workers to each owner. Two tests of test_shard_lapsing wait until no append of the record is in flight before they answer, since the record is stored more often; their checks are the same.

--- a/src/shard/shard_lapsing.c
+++ b/src/shard/shard_lapsing.c
@@ -16,8 +16,11 @@
 
 /* Shorter silences are common, and leave most of the wait to the successor. */
 #define LAPSING_AFTER (USEC_PER_SEC)
+/* The same of a worker that has given notice, whose silence is expected to
+   last. */
+#define LAPSING_AFTER_NOTICE (200 * USEC_PER_MSEC)
 /* Interval at which the time that is left is stored again. */
-#define LAPSING_INTERVAL (USEC_PER_SEC)
+#define LAPSING_INTERVAL (500 * USEC_PER_MSEC)
 /* The platform accepts records of up to 256 KiB. */
 #define LAPSING_MAX_BYTES 200000U
 
@@ -32,8 +35,10 @@
 static bool
 lapses (const worker_t *worker, usec_t now)
 {
+  usec_t after = worker->leaving ? LAPSING_AFTER_NOTICE : LAPSING_AFTER;
+
   return worker->in_doubt && worker->runs->len
-         && (worker->lapsing || now - worker->in_doubt_since >= LAPSING_AFTER);
+         && (worker->lapsing || now - worker->in_doubt_since >= after);
 }
 
 bool
--- a/src/shard/test_shard_lapsing.c
+++ b/src/shard/test_shard_lapsing.c
@@ -112,7 +112,7 @@
   set_up_silent_worker (2 * USEC_PER_SEC);
   CU_ASSERT (fixture.lapsing->len > 0);
   fixture.call_count = 0;
-  while (!last_call (SHARD_HOLD))
+  while (!last_call (SHARD_HOLD) || fixture.leases_unstored)
     advance (STEP);
   reply_to_hold (&first_run, 1, NULL, 0);
   fixture.call_count = 0;
@@ -174,7 +174,7 @@
   reply_to_holds (13, STEP, &none);
   CU_ASSERT_FATAL (fixture.lapsing->len > 0);
   fixture.call_count = 0;
-  while (!last_call (SHARD_HOLD))
+  while (!last_call (SHARD_HOLD) || fixture.leases_unstored)
     advance (STEP);
   reply_to_hold (NULL, 0, NULL, 0);
   fixture.call_count = 0;
--- a/src/shard/test_shard_leases.c
+++ b/src/shard/test_shard_leases.c
@@ -5,6 +5,7 @@
 #include "support/suite.h"
 
 #include <CUnit/CUnit.h>
+#include <string.h>
 
 #define STEP (50 * USEC_PER_MSEC)
 /* The platform asks for the next run of a long-running task this long after
@@ -107,7 +108,7 @@
   usec_t leaves_at;
   usec_t leases_end;   /* the latest, by a slow clock */
   usec_t disturbed_at; /* last time */
-  usec_t requeued_at;  /* 0: not yet */
+  usec_t restarted_at; /* 0: not yet */
   uint64_t token;
   run_report_t run;
 } departure_t;
@@ -129,33 +130,31 @@
 }
 
 static void
-answer_hold (departure_t *d)
+answer_holds (departure_t *d)
 {
-  const shard_call_t *hold = last_call (SHARD_HOLD);
-
-  if (!hold)
-    return;
   d->run.percent = d->run.percent % 100 + 1;
   if (fixture.now < d->leaves_at)
-    reply_to_hold (&d->run, 1, NULL, 0);
-  else
-    shard_reply (fixture.shard, fixture.now, hold->id, &none);
+    reply_with_lists ("w1", &d->run, 1, NULL, 0);
+  reply_as_ready ("w2");
+  for (size_t i = 0; fixture.now >= d->leaves_at && i < fixture.call_count;
+       i++)
+    if (strcmp (fixture.calls[i].worker, "w1") == 0)
+      shard_reply (fixture.shard, fixture.now, fixture.calls[i].id, &none);
 }
 
 /* The owner works until then, or until it starts the task again. */
 static void
 own_until (departure_t *d, usec_t end)
 {
-  uint32_t appends = fixture.appends;
-
-  while (fixture.now < end && !d->requeued_at)
+  while (fixture.now < end && !d->restarted_at)
     {
       fixture.call_count = 0;
       advance (STEP);
+      shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
       grant_until_horizon (d);
-      answer_hold (d);
-      if (fixture.now >= d->leaves_at && fixture.appends > appends)
-        d->requeued_at = fixture.now;
+      answer_holds (d);
+      if (last_call (SHARD_START))
+        d->restarted_at = fixture.now;
     }
 }
 
@@ -177,6 +176,23 @@
   shard_loaded (fixture.shard, fixture.now);
 }
 
+/* The entry of a worker that has left is gone. */
+static void
+read_worker_list (const departure_t *d)
+{
+  GHashTable *listed = g_hash_table_new (g_str_hash, g_str_equal);
+
+  if (fixture.now < d->leaves_at)
+    {
+      list_worker_leaving (true);
+      g_hash_table_add (listed, (gpointer) "w1");
+    }
+  list_worker_with ("w2", "10.0.0.2:1", false);
+  g_hash_table_add (listed, (gpointer) "w2");
+  shard_worker_list_read (fixture.shard, fixture.now, listed);
+  g_hash_table_destroy (listed);
+}
+
 static void
 replace_owner (departure_t *d)
 {
@@ -188,18 +204,27 @@
   fixture.leases_unstored = false;
   shard_acquire (fixture.shard, fixture.now, ++d->token);
   load_records ();
+  read_worker_list (d);
 }
 
-/* The progress record of the run is stored, as the owner that placed it did.
- */
+/* The task is started again when no lease can be left, but in time. */
 static void
-give_notice (departure_t *d)
+check_restart (const departure_t *d, uint32_t seed, usec_t lease)
 {
-  list_worker_leaving (true);
-  fixture.call_count = 0;
-  advance (STEP);
-  answer_hold (d);
-  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  usec_t limit
+      = MAX (d->leaves_at + RESTART_LIMIT, d->disturbed_at + CALM_TIME)
+        - START_TIME;
+
+  CU_ASSERT (d->restarted_at >= d->leases_end);
+  CU_ASSERT (d->restarted_at <= limit);
+  if (d->restarted_at < d->leases_end || d->restarted_at > limit)
+    fprintf (stderr,
+             "seed %u lease %d: restarted %d ms after the worker left, leases "
+             "until %d ms, limit %d ms\n",
+             seed, (int)usec_to_msec (lease),
+             (int)usec_to_msec (d->restarted_at - d->leaves_at),
+             (int)usec_to_msec (d->leases_end - d->leaves_at),
+             (int)usec_to_msec (limit - d->leaves_at));
 }
 
 static void
@@ -207,17 +232,17 @@
 {
   departure_t d
       = { .rand = g_rand_new_with_seed (seed), .token = 1, .run = first_run };
-  usec_t limit;
 
   set_up_leases (lease, SHORT_STALE_LIMIT, SHORT_HORIZON);
   add_placed_run ();
   shard_loaded (fixture.shard, fixture.now);
   list_worker ();
   d.leaves_at = INT64_MAX;
+  list_worker_with ("w2", "10.0.0.2:1", false);
   own_until (&d, fixture.now + USEC_PER_SEC);
-  give_notice (&d);
-  d.leaves_at
-      = fixture.now + random_span (&d, 2 * USEC_PER_SEC, 5 * USEC_PER_SEC);
+  list_worker_leaving (true);
+  own_until (&d, fixture.now + USEC_PER_SEC);
+  d.leaves_at = fixture.now + random_span (&d, USEC_PER_SEC, 4 * USEC_PER_SEC);
   for (int i = 0; i < takeovers; i++)
     {
       own_until (&d, MIN (fixture.now
@@ -225,22 +250,11 @@
                                              d.leaves_at + 10 * USEC_PER_SEC
                                                  - fixture.now),
                           d.leaves_at + 10 * USEC_PER_SEC));
-      if (!d.requeued_at)
+      if (!d.restarted_at)
         replace_owner (&d);
     }
   own_until (&d, d.leaves_at + 3 * RESTART_LIMIT);
-  limit = MAX (d.leaves_at + RESTART_LIMIT, d.disturbed_at + CALM_TIME)
-          - START_TIME;
-  CU_ASSERT (d.requeued_at >= d.leases_end);
-  CU_ASSERT (d.requeued_at <= limit);
-  if (d.requeued_at < d.leases_end || d.requeued_at > limit)
-    fprintf (stderr,
-             "seed %u lease %d: requeued %d ms after the worker left, leases "
-             "until %d ms, limit %d ms\n",
-             seed, (int)usec_to_msec (lease),
-             (int)usec_to_msec (d.requeued_at - d.leaves_at),
-             (int)usec_to_msec (d.leases_end - d.leaves_at),
-             (int)usec_to_msec (limit - d.leaves_at));
+  check_restart (&d, seed, lease);
   g_rand_free (d.rand);
   tear_down ();
 }
