Store the cancellation of a job that is not known

Cause: the owner answered a cancel of an unknown job as soon as it had read all that was stored, and kept nothing, so that a submission that arrived later was a new job. Ruled out: a read that is not complete (the owner waits for it); a submission that the former owner holds (its appends are fenced).

Change: the owner stores that the job has been canceled, as the progress record of a job that has ended with a field of its own, and answers 410 once that is stored. A submission that arrives later, from a caller's process, by a late append or after a takeover, is not run: callers see a canceled job. Until then the job is not shown. The record is kept as long as that of an ended job; there are 10000 of them at most, beyond which a cancel is answered with 503 at once.

--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -24,7 +24,7 @@
 
 #define SUBMISSION_FIELDS 13
 #define STEP_FIELDS 13
-#define PROGRESS_FIELDS 6
+#define PROGRESS_FIELDS 7
 #define TASK_FIELDS 10
 #define MAX_ASSUMED_LOSSES 2U
 
@@ -208,7 +208,8 @@
 }
 
 /* A progress record: job identifier, final status, time of the end, started,
-   next occurrence, then the occurrences that are not done. */
+   next occurrence, the occurrences that are not done, and whether the job was
+   canceled before it was submitted. */
 static void
 encode_progress (const job_t *job, bool checkpoints, GByteArray *out)
 {
@@ -225,6 +226,7 @@
   for (guint i = 0; i < job->occurrences->len; i++)
     pack_occurrence (&packer, job->submission, job->occurrences->pdata[i],
                      checkpoints);
+  msgpack_pack_uint32 (&packer, job->unsubmitted);
 }
 
 void
@@ -318,7 +320,7 @@
 }
 
 job_status_t
-job_decode_end (blob_t bytes, int64_t *ended_ms)
+job_decode_end (blob_t bytes, int64_t *ended_ms, bool *unsubmitted)
 {
   msgpack_unpacked unpacked;
   const msgpack_object *record = &unpacked.data;
@@ -332,6 +334,7 @@
     {
       end = (job_status_t)uint_at (record, 1);
       *ended_ms = int_at (record, 2);
+      *unsubmitted = uint_at (record, 6) != 0;
     }
   msgpack_unpacked_destroy (&unpacked);
   return end;
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -138,6 +138,7 @@
   bool started;             /**< a run of one of its tasks has started */
   job_status_t end_status;  /**< final status, JOB_QUEUED until the job ends */
   int64_t ended_ms;         /**< wall clock, 0 until the job ends */
+  bool unsubmitted; /**< canceled before any submission of it was known */
 } job_t;
 
 /** @return "queued", "running", "completed", "failed" or "canceled" */
@@ -173,8 +174,10 @@
 int job_decode (job_t *job, blob_t bytes);
 
 /** Reads the final status from a progress record.
+    @param unsubmitted set to job_t.unsubmitted
     @return JOB_QUEUED if the job has not ended or the record is invalid */
-job_status_t job_decode_end (blob_t bytes, int64_t *ended_ms);
+job_status_t job_decode_end (blob_t bytes, int64_t *ended_ms,
+                             bool *unsubmitted);
 
 /** Creates the occurrences that are due.  While some are not done, they have
     at most JOB_MAX_TASKS tasks in total.  @return how many were created */
--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -38,6 +38,8 @@
 static reply_code_t accept_submission (scheduler_t *s, usec_t now,
                                        uint32_t shard, job_id_t job,
                                        blob_t record);
+static int cancel_job (const shard_state_t *state, usec_t now,
+                       const deferred_query_t *query);
 static bool answer_query (scheduler_t *s, usec_t now,
                           const deferred_query_t *query, bool timed_out,
                           query_reply_t *reply);
@@ -261,6 +263,17 @@
     defer_query (s, now, &query);
 }
 
+/* A job that is said to be unknown must not start later: once all that was
+   stored before the query has been read, the cancellation is stored. */
+static int
+cancel_job (const shard_state_t *state, usec_t now,
+            const deferred_query_t *query)
+{
+  return state->read_as_of >= query->arrived_at
+             ? shard_cancel_unknown (state->shard, now, query->job)
+             : shard_cancel (state->shard, now, query->job);
+}
+
 /* @param timed_out answer now, even if the result is not final
    @return false if the query is to be deferred */
 static bool
@@ -290,7 +303,7 @@
       return true;
     }
   code = kind == QUERY_CANCEL
-             ? shard_cancel (state->shard, now, job)
+             ? cancel_job (state, now, query)
              : shard_status (state->shard, job, &reply->status);
   if (kind == QUERY_CANCEL)
     sched_wake (s);
@@ -304,11 +317,13 @@
       reply->code = REPLY_UNKNOWN;
       return true;
     case -ENOENT:
-      /* The job's submission may be stored and not read yet: a job that is
-         said to be unknown must not start later. */
+      /* The job's submission may be stored and not read yet. */
       if (state->read_as_of >= query->arrived_at)
         reply->code = REPLY_UNKNOWN;
       return timed_out || reply->code == REPLY_UNKNOWN;
+    case -ENOSPC:
+      reply->code = REPLY_NOT_STORED;
+      return true;
     default:
       /* An end that is not stored is not reported: a new owner might not know
          it.  */
@@ -435,7 +450,9 @@
 queries_await_read (const scheduler_t *s, uint32_t shard)
 {
   for (guint i = 0; i < s->deferred_queries->len; i++)
-    if (awaits_read (s, i, shard))
+    if (awaits_read (s, i, shard)
+        && g_array_index (s->deferred_queries, deferred_query_t, i).arrived_at
+               > s->shards[shard].read_as_of)
       return true;
   return false;
 }
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -482,6 +482,9 @@
       finish_request (s, request, 410, 0,
                       ops->error_body (s->backend->ctx, "no such job"));
       break;
+    case REPLY_NOT_STORED:
+      fail_request (s, request);
+      break;
     default:
       request->query_sent = 0;
       request->due = now + QUERY_RETRY_DELAY;
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -1265,6 +1265,9 @@
   CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_CANCEL_UNKNOWN), 0);
   CU_ASSERT_EQUAL (fake.answer_status, 410);
   CU_ASSERT (fake.answered_at - fake.request_sent < 500 * USEC_PER_MSEC);
+  /* Its submission may still be under way: the cancellation is stored. */
+  CU_ASSERT (fake.appended_at > fake.request_sent);
+  CU_ASSERT (fake.appended_at < fake.answered_at);
   CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_CANCEL_BEHIND), 0);
   CU_ASSERT_EQUAL (fake.answer_status, 503);
 }
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -8,6 +8,9 @@
 /* Interval of placement passes while tasks wait: there is no event when the
    load of a worker falls or its pause ends. */
 #define PLACE_INTERVAL (100 * USEC_PER_MSEC)
+/* Jobs that are canceled, but not submitted, are kept for the sake of callers
+   whose submissions are under way; anybody may ask for more. */
+#define UNSUBMITTED_JOBS_MAX 10000U
 /* Shortest interval between passes that create due occurrences. */
 #define OCCURRENCE_INTERVAL (20 * USEC_PER_MSEC)
 
@@ -19,7 +22,8 @@
 static void load_progress (job_entry_t *entry, blob_t value);
 static job_entry_t *new_entry (shard_t *shard, job_id_t job);
 static void register_job (shard_t *shard, usec_t now, job_entry_t *entry);
-static void apply_progress (job_entry_t *entry);
+static bool apply_progress (job_entry_t *entry);
+static void job_submitted (shard_t *shard, job_entry_t *entry);
 static void add_open_job (shard_t *shard, job_entry_t *entry);
 static void forget_ended_jobs (shard_t *shard, usec_t now);
 static usec_t create_due_occurrences (shard_t *shard, usec_t now);
@@ -110,6 +114,7 @@
   g_ptr_array_set_size (shard->dirty_entries, 0);
   shard_reset_batch (shard);
   g_hash_table_remove_all (shard->jobs);
+  shard->unsubmitted_jobs = 0;
 }
 
 static void
@@ -306,6 +311,12 @@
       return -EBADMSG;
     }
   entry = shard_entry (shard, job);
+  if (entry && entry->job)
+    {
+      submission_free (order);
+      job_submitted (shard, entry);
+      return 0;
+    }
   if (!entry)
     entry = new_entry (shard, job);
   entry->job = job_new (order);
@@ -316,6 +327,20 @@
   return -EINPROGRESS;
 }
 
+/* The submission of a canceled job has arrived: callers see that it has
+   ended. */
+static void
+job_submitted (shard_t *shard, job_entry_t *entry)
+{
+  log_item (
+      LOG_LEVEL_INFO, entry->job->id, "job.late", NULL,
+      "job=%016" PRIx64 " canceled_ms_ago=%" PRId64 " its submission arrives",
+      entry->job->id, shard->ops->wall_ms (shard->ctx) - entry->end_time_ms);
+  entry->job->unsubmitted = false;
+  shard->unsubmitted_jobs--;
+  shard_mark_dirty (shard, entry);
+}
+
 int
 shard_submission_state (const shard_t *shard, job_id_t job)
 {
@@ -323,6 +348,8 @@
 
   if (!entry || !entry->job)
     return -ENOENT;
+  if (entry->job->unsubmitted)
+    return entry->stored_end == JOB_QUEUED ? -EINPROGRESS : -ENOENT;
   return entry->unstored_submission ? -EINPROGRESS : 0;
 }
 
@@ -363,6 +390,8 @@
           g_bytes_unref (entry->unstored_submission);
           entry->unstored_submission = NULL;
         }
+      if (entry->job->unsubmitted)
+        job_submitted (shard, entry);
       if (shard->active && !entry->job->submission)
         {
           entry->drop_submission = true;
@@ -408,8 +437,9 @@
   entry->early_progress = g_bytes_new (value.data, value.len);
 }
 
-/* Applies the progress record to a loaded job. */
-static void
+/* Applies the progress record to a loaded job.
+   @return whether the job was canceled before it was submitted */
+static bool
 apply_progress (job_entry_t *entry)
 {
   gsize len = 0;
@@ -418,7 +448,8 @@
                          : "";
   blob_t value = { data, (uint32_t)len };
   int64_t ended_ms = 0;
-  job_status_t end = job_decode_end (value, &ended_ms);
+  bool unsubmitted = false;
+  job_status_t end = job_decode_end (value, &ended_ms, &unsubmitted);
 
   if (entry->job && len && job_decode (entry->job, value))
     log_line (LOG_LEVEL_ERR, "job.unreadable", NULL,
@@ -426,6 +457,7 @@
   entry->stored_end = end;
   if (end != JOB_QUEUED)
     entry->end_time_ms = ended_ms;
+  return unsubmitted;
 }
 
 void
@@ -443,13 +475,17 @@
   while (g_hash_table_iter_next (&iter, &key, &data))
     {
       job_entry_t *entry = data;
+      bool unsubmitted = apply_progress (entry);
 
-      apply_progress (entry);
       if (!entry->job)
-        entry->job = job_new_ended (
-            *(job_id_t *)key,
-            entry->stored_end != JOB_QUEUED ? entry->stored_end : JOB_FAILED,
-            entry->end_time_ms);
+        {
+          entry->job = job_new_ended (
+              *(job_id_t *)key,
+              entry->stored_end != JOB_QUEUED ? entry->stored_end : JOB_FAILED,
+              entry->end_time_ms);
+          entry->job->unsubmitted = unsubmitted;
+          shard->unsubmitted_jobs += unsubmitted;
+        }
       if (entry->early_progress)
         g_bytes_unref (entry->early_progress);
       entry->early_progress = NULL;
@@ -525,7 +561,7 @@
 {
   const job_entry_t *entry = shard_entry (shard, job);
 
-  if (!entry || !entry->job)
+  if (!entry || !entry->job || entry->job->unsubmitted)
     return -ENOENT;
   *status = job_status (entry->job);
   if (entry->job->end_status != JOB_QUEUED && entry->stored_end == JOB_QUEUED)
@@ -562,7 +598,37 @@
     shard_end_job (shard, now, entry, JOB_CANCELED);
   if (entry->stored_end == JOB_QUEUED)
     return -EAGAIN;
-  return entry->job->end_status == JOB_CANCELED ? 0 : -EALREADY;
+  return entry->job->end_status == JOB_CANCELED && !entry->job->unsubmitted
+             ? 0
+             : -EALREADY;
+}
+
+int
+shard_cancel_unknown (shard_t *shard, usec_t now, job_id_t job)
+{
+  int known = shard_cancel (shard, now, job);
+  job_entry_t *entry = shard_entry (shard, job);
+
+  if (known != -ENOENT)
+    return known;
+  if (shard->unsubmitted_jobs >= UNSUBMITTED_JOBS_MAX)
+    {
+      log_item (LOG_LEVEL_WARNING, job, "job.cancel", NULL,
+                "job=%016" PRIx64 " refused, unsubmitted=%u", job,
+                shard->unsubmitted_jobs);
+      return -ENOSPC;
+    }
+  if (!entry)
+    entry = new_entry (shard, job);
+  entry->end_time_ms = shard->ops->wall_ms (shard->ctx);
+  entry->job = job_new_ended (job, JOB_CANCELED, entry->end_time_ms);
+  entry->job->unsubmitted = true;
+  shard->unsubmitted_jobs++;
+  shard_mark_dirty (shard, entry);
+  log_item (LOG_LEVEL_INFO, job, "job.cancel", NULL,
+            "job=%016" PRIx64 " not submitted yet, unsubmitted=%u", job,
+            shard->unsubmitted_jobs);
+  return -EAGAIN;
 }
 
 uint32_t
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -300,7 +300,8 @@
 
 /** @param status set if the job is known
     @return 0, -ENOENT if no such job is known, -EAGAIN if its end is not
-    stored yet (shard_ops_t.settled follows) */
+    stored yet (shard_ops_t.settled follows).  A job that was canceled, but not
+    submitted, is not known */
 int shard_status (const shard_t *shard, job_id_t job, job_status_t *status);
 
 /** @return whether all tasks of the job that are not done are running, and no
@@ -313,6 +314,13 @@
     has ended otherwise */
 int shard_cancel (shard_t *shard, usec_t now, job_id_t job);
 
+/** Cancels a job of which no submission is known, so that none of its tasks
+    starts if its submission arrives later.  The cancellation is kept as long
+   as an ended job.
+    @return as shard_cancel, never -ENOENT; -ENOSPC if too many such jobs were
+    canceled lately */
+int shard_cancel_unknown (shard_t *shard, usec_t now, job_id_t job);
+
 /** @return number of jobs of the queue without a started task */
 uint32_t shard_pending (const shard_t *shard, const char *queue);
 
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -251,6 +251,7 @@
 
   GHashTable *jobs;          /* job_id_t -> job_entry_t */
   GQueue *open_jobs;         /* job_t that have not ended */
+  uint32_t unsubmitted_jobs; /* with job_t.unsubmitted */
   GPtrArray *dirty_entries;  /* job_entry_t */
   GHashTable *workers_by_id; /* id -> handle_t */
   table_t *workers;
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -322,7 +322,9 @@
       const job_entry_t *entry = shard->batch_drops->pdata[i];
       job_id_t job = entry->job->id;
 
-      if (!entry->dirty)
-        g_hash_table_remove (shard->jobs, &job);
+      if (entry->dirty)
+        continue;
+      shard->unsubmitted_jobs -= entry->job->unsubmitted;
+      g_hash_table_remove (shard->jobs, &job);
     }
 }
