Leave again when a shard is assigned to a process that has left

Cause: the store serves a join late that a cut process had sent, after its leave. It deals the shard to that process, which learns of it from the list of owners and did nothing; the shard had no owner until the membership ended.

Change: a process that is listed as an owner, by a list asked for after its last leave, and is no member, leaves at once.

Test: "leave after a late join" (test_scheduler), fails without the change; a mutant.

--- a/src/scheduler/sched_group.c
+++ b/src/scheduler/sched_group.c
@@ -34,6 +34,7 @@
 static void decide_join (scheduler_t *s, usec_t now, uint32_t members);
 static void update_owner (scheduler_t *s, usec_t now, uint32_t shard,
                           const char *member);
+static bool is_stale_member (const scheduler_t *s, const char *member);
 static uint32_t count_members (const store_parts_t *parts);
 static void set_owner (scheduler_t *s, uint32_t shard, const char *member);
 static void evict (scheduler_t *s, usec_t now, const char *member,
@@ -290,6 +291,22 @@
     set_owner (s, shard, member);
   if (member && is_former_process (s, member))
     evict (s, now, member, "former process of this address");
+  if (member && is_stale_member (s, member))
+    {
+      log_line (LOG_LEVEL_NOTICE, "group.leave", NULL,
+                "shard=%u is assigned to this process, which has left", shard);
+      s->leave_due = now;
+    }
+}
+
+/* @return whether the member is this process although it is none: the store
+   has served a join of it late, and would leave the shard without an owner
+   until the membership ends */
+static bool
+is_stale_member (const scheduler_t *s, const char *member)
+{
+  return !s->joined && !s->join_busy && !s->leave_busy && !s->leave_due
+         && s->owners_sent >= s->left_at && strcmp (member, s->member) == 0;
 }
 
 static uint32_t
@@ -453,6 +470,7 @@
   sched_wake (s);
   if (result == STORE_OK)
     {
+      s->left_at = clock_now ();
       message.u.owner_left.generation = s->generation;
       peerlink_broadcast (s->link, &message);
       return;
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -197,6 +197,7 @@
   usec_t fallback_until;   /* without sufficient cpu_share, shards are
                               owned until then; 0 for not at all */
   bool joined;             /* is a member of the group, or may be one */
+  usec_t left_at;          /* answer to the last leave, 0: none */
   usec_t unassigned_since; /* joined, or lost a shard, at that time */
   usec_t last_join_ok;     /* send time of the last successful join */
   usec_t last_owners_ok;   /* send time of the last list of owners */
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -1378,6 +1378,40 @@
   free_bare_scheduler (s);
 }
 
+/* Guards against a shard without an owner until a membership ends: the store
+   serves a join after the leave of its process, which does not know of it
+   (ruedas-plata race-15, seed 1: 1.5 s). */
+static void
+test_leave_after_late_join (void)
+{
+  static const scheduler_settings_t settings
+      = { .listen_peers = "127.0.0.1:1", .zone = "z" };
+  scheduler_t *s = new_bare_scheduler ();
+
+  memset (&fake, 0, sizeof fake);
+  fake.loop = s->loop;
+  fake.pending = g_ptr_array_new ();
+  s->settings = &settings;
+  s->zones = zones_new ();
+  sched_set_shards (s, 1);
+  g_strlcpy (s->member, "127.0.0.1:1/2", sizeof s->member);
+  fake.owner = s->member;
+  group_tick (s, clock_now ());
+  paused_loop_run (s->loop, 2 * ANSWER_DELAY);
+  group_tick (s, clock_now ());
+  CU_ASSERT_STRING_EQUAL (fake.left_member, s->member);
+  paused_loop_run (s->loop, 2 * ANSWER_DELAY);
+  CU_ASSERT_EQUAL (s->leave_due, 0);
+  CU_ASSERT (!s->joined);
+  free_pending_answers ();
+  g_ptr_array_free (fake.pending, TRUE);
+  shard_free (s->shards[0].shard);
+  g_free (s->shards);
+  g_free (s->owners);
+  zones_free (s->zones);
+  free_bare_scheduler (s);
+}
+
 #define OWNER_NODE 9U
 
 /* Adds a query for the state of a job whose owner is OWNER_NODE. */
@@ -1552,6 +1586,7 @@
     { "answer before the stop", test_answer_before_stop },
     { "requests without a turn", test_requests_without_turn },
     { "leave follows join", test_leave_follows_join },
+    { "leave after a late join", test_leave_after_late_join },
     { "evict dead member", test_evict_dead_member },
     { "no join with an owner", test_no_join_with_owner },
     { "forward before append", test_forward_before_append },
