--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -955,32 +955,38 @@
   CU_ASSERT_EQUAL (fake.fence_epoch, GENERATION);
 }
 
+/* The record about leases counts in the first scenario, and not in the second.
+ */
+static void
+check_outdated_record (scenario_t last, scenario_t outdated,
+                       counter_t discarded)
+{
+  uint64_t before = counter_get (discarded);
+
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, last), 0);
+  CU_ASSERT (fake.work_pages > 1);
+  CU_ASSERT_EQUAL (counter_get (discarded), before);
+  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, outdated), 0);
+  CU_ASSERT (counter_get (discarded) > before);
+}
+
 /* Guards against a record of lapsing workers that is used although an owner
    which does not know such records has appended since and has extended
    leases. */
 static void
 test_lapsing_record_is_outdated (void)
 {
-  uint64_t before = counter_get (COUNTER_LAPSING_DISCARDED);
-
-  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_LAPSING_LAST), 0);
-  CU_ASSERT (fake.work_pages > 1);
-  CU_ASSERT_EQUAL (counter_get (COUNTER_LAPSING_DISCARDED), before);
-  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_LAPSING_OUTDATED), 0);
-  CU_ASSERT (counter_get (COUNTER_LAPSING_DISCARDED) > before);
+  check_outdated_record (SCENARIO_LAPSING_LAST, SCENARIO_LAPSING_OUTDATED,
+                         COUNTER_LAPSING_DISCARDED);
 }
 
 /* The same with the bound of all leases. */
 static void
 test_lease_bound_is_outdated (void)
 {
-  uint64_t before = counter_get (COUNTER_LEASE_BOUND_DISCARDED);
-
-  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_LEASE_BOUND_LAST), 0);
-  CU_ASSERT (fake.work_pages > 1);
-  CU_ASSERT_EQUAL (counter_get (COUNTER_LEASE_BOUND_DISCARDED), before);
-  CU_ASSERT_EQUAL (run_scheduler (STORE_OK, SCENARIO_LEASE_BOUND_OUTDATED), 0);
-  CU_ASSERT (counter_get (COUNTER_LEASE_BOUND_DISCARDED) > before);
+  check_outdated_record (SCENARIO_LEASE_BOUND_LAST,
+                         SCENARIO_LEASE_BOUND_OUTDATED,
+                         COUNTER_LEASE_BOUND_DISCARDED);
 }
 
 /* A shard is not loaded under an epoch that the store has not accepted. */
--- a/src/shard/shard_lapsing.c
+++ b/src/shard/shard_lapsing.c
@@ -27,7 +27,6 @@
 static bool lapses (const worker_t *worker, usec_t now);
 static void pack_worker (msgpack_packer *packer, usec_t now,
                          const worker_t *worker);
-static int append_bytes (void *data, const char *buffer, size_t len);
 static void resume_calls (shard_t *shard, usec_t now, worker_t *worker);
 static bool load_row (shard_t *shard, const msgpack_object *row);
 
@@ -64,7 +63,7 @@
   uint32_t count = 0;
   msgpack_packer packer;
 
-  msgpack_packer_init (&packer, out, append_bytes);
+  msgpack_packer_init (&packer, out, shard_append_bytes);
   for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
        h = table_next (shard->workers, h))
     {
@@ -83,13 +82,6 @@
   return count;
 }
 
-static int
-append_bytes (void *data, const char *buffer, size_t len)
-{
-  g_byte_array_append (data, (const guint8 *)buffer, (guint)len);
-  return 0;
-}
-
 /* Rows are [worker, ms until its leases have expired], one after the other. */
 static void
 pack_worker (msgpack_packer *packer, usec_t now, const worker_t *worker)
--- a/src/shard/shard_lease_bound.c
+++ b/src/shard/shard_lease_bound.c
@@ -15,7 +15,6 @@
 #include <msgpack.h>
 
 static usec_t lease_bound (const shard_t *shard);
-static int append_bytes (void *data, const char *buffer, size_t len);
 
 /* @return longest time from a takeover until the leases of this owner have
    expired */
@@ -37,17 +36,10 @@
 {
   msgpack_packer packer;
 
-  msgpack_packer_init (&packer, out, append_bytes);
+  msgpack_packer_init (&packer, out, shard_append_bytes);
   msgpack_pack_int64 (&packer, usec_to_msec (lease_bound (shard)) + 1);
 }
 
-static int
-append_bytes (void *data, const char *buffer, size_t len)
-{
-  g_byte_array_append (data, (const guint8 *)buffer, (guint)len);
-  return 0;
-}
-
 int
 lease_bound_load (shard_t *shard, blob_t record)
 {
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -322,6 +322,8 @@
 /** Appends the dirty jobs, or retries the last append if it failed. */
 void shard_flush (shard_t *shard, usec_t now);
 void shard_reset_batch (shard_t *shard);
+/** Callback of msgpack_packer_init. @param data the GByteArray to append to */
+int shard_append_bytes (void *data, const char *buffer, size_t len);
 /** @return whether an append in flight or to be retried contains the job's
     submission */
 bool shard_append_has_submission (const shard_t *shard, job_id_t job);
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -43,6 +43,13 @@
   shard->batch_has_lapsing = false;
 }
 
+int
+shard_append_bytes (void *data, const char *buffer, size_t len)
+{
+  g_byte_array_append (data, (const guint8 *)buffer, (guint)len);
+  return 0;
+}
+
 bool
 shard_has_unstored (const shard_t *shard)
 {
