Soak: cancel some jobs before they are submitted

Half of the jobs that the soak cancels are canceled before their submission is sent, as if it had been held up on the way. A job whose cancel was answered with 200 or 410 must then not be shown as anything but canceled or unknown.

--- a/standin/soak_jobs.c
+++ b/standin/soak_jobs.c
@@ -35,6 +35,8 @@
   bool accepted;
   bool cancel_asked; /* may take effect */
   bool cancelled;
+  bool early; /* canceled before it is submitted, as if its submission had been
+                 held up on the way */
   bool settled;
   char state[16]; /* as last told */
 };
@@ -93,6 +95,7 @@
   if (job->best_effort && job->id % 2)
     job->image = job->id % 4 == 1 ? MILD : HARSH;
   job->to_cancel = !g_rand_int_range (jobs->random, 0, CANCEL_ONE_IN);
+  job->early = job->to_cancel && job->id % 2;
   job->deadly = g_rand_double (jobs->random) < jobs->deadly;
   return job;
 }
@@ -130,6 +133,13 @@
   job = g_queue_pop_head (jobs->to_submit);
   if (!job && jobs->all->len < jobs->most)
     job = add (jobs);
+  if (job && job->early && !job->cancel_asked)
+    {
+      *ask = ASK_CANCEL;
+      job->cancel_asked = true;
+      g_queue_push_tail (jobs->to_submit, job);
+      return job;
+    }
   if (job)
     {
       job->attempts++;
@@ -195,7 +205,7 @@
   if (reply->status == 200)
     {
       job->accepted = true;
-      if (job->to_cancel)
+      if (job->to_cancel && !job->early)
         g_queue_push_tail (jobs->to_cancel, job);
       return;
     }
@@ -225,7 +235,8 @@
   if (ask == ASK_SUBMIT)
     on_submitted (jobs, job, reply);
   else if (ask == ASK_CANCEL)
-    job->cancelled = job->cancelled || reply->status == 200;
+    job->cancelled
+        |= reply->status == 200 || (job->early && reply->status == 410);
   else
     on_state (job, reply);
 }
@@ -257,6 +268,7 @@
 {
   uint32_t accepted = 0;
   uint32_t cancelled = 0;
+  uint32_t early = 0;
   uint32_t deadly = 0;
   uint32_t wrong = 0;
 
@@ -266,6 +278,7 @@
 
       accepted += job->accepted;
       cancelled += job->cancelled;
+      early += job->cancelled && job->early;
       deadly += job->accepted && job->deadly;
       if (job->settled)
         continue;
@@ -277,7 +290,8 @@
               job->id, job->state, job->cancelled ? ", cancelled" : "",
               job->deadly ? ", deadly" : "");
     }
-  printf ("%u accepted, %u cancelled, %u deadly, %u jobs wrong\n", accepted,
-          cancelled, deadly, wrong);
+  printf ("%u accepted, %u cancelled, %u before they came, %u deadly,"
+          " %u jobs wrong\n",
+          accepted, cancelled, early, deadly, wrong);
   return wrong + !accepted;
 }
