Accept a late submission only when its cancellation would outlast the owner

Cause: the owner answered such a submission at once, before it was stored that there is one; the owner changed, and the next one knew only of the cancel.

Change: the submission counts as not stored until the next append has carried the progress of its job.

--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -315,7 +315,8 @@
     {
       submission_free (order);
       job_submitted (shard, entry);
-      return 0;
+      entry->unstored_submission = g_bytes_new (NULL, 0);
+      return -EINPROGRESS;
     }
   if (!entry)
     entry = new_entry (shard, job);
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -235,10 +235,11 @@
 void shard_discard_lease_bound (shard_t *shard);
 
 /** Accepts a submission, which is stored with a later append.
-    @return 0 if it is stored already, -EINPROGRESS if it will be
-    (shard_ops_t.settled follows), -EAGAIN if the shard is not active or
-    quiesced, -EBADMSG if RECORD is no submission of JOB or too large; with the
-    last two the submission is not accepted */
+    @return 0 if it is stored already, -EINPROGRESS if it will be, or if its
+    job was canceled before and that will be (shard_ops_t.settled follows),
+   -EAGAIN if the shard is not active or quiesced, -EBADMSG if RECORD is no
+   submission of JOB or too large; with the last two the submission is not
+   accepted */
 int shard_submit (shard_t *shard, usec_t now, job_id_t job, blob_t record);
 
 /** @return 0 if the submission is stored, -EINPROGRESS if it is not stored
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -193,7 +193,8 @@
 {
   job_t *job;
   GBytes *early_progress;      /* progress record, until shard_loaded */
-  GBytes *unstored_submission; /* NULL once it is stored */
+  GBytes *unstored_submission; /* NULL once it is stored; empty if the job was
+                                  canceled before: only its progress is */
   bool dirty;                  /* in shard.dirty_entries */
   bool drop_submission;        /* the next append deletes its record */
   job_status_t stored_end;     /* as stored, JOB_QUEUED: no end */
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -204,12 +204,16 @@
 static void
 add_submission (shard_t *shard, job_entry_t *entry)
 {
-  GByteArray *value = g_byte_array_new ();
   gsize len;
   const guint8 *data = g_bytes_get_data (entry->unstored_submission, &len);
 
-  g_byte_array_append (value, data, (guint)len);
-  add_record (shard, RECORD_SUBMISSION, entry->job->id, value);
+  if (len)
+    {
+      GByteArray *value = g_byte_array_new ();
+
+      g_byte_array_append (value, data, (guint)len);
+      add_record (shard, RECORD_SUBMISSION, entry->job->id, value);
+    }
   g_array_append_val (shard->batch_submits, entry->job->id);
 }
 
