--- a/standin/main_soak.c
+++ b/standin/main_soak.c
@@ -1,6 +1,7 @@
 /** @file
  * Callers of a soak.  From SIGUSR1 on they submit no more and ask for each
- * job's state until it has ended as it should or time is up.
+ * job's state until it has ended as it should or time is up.  With --crowd,
+ * clients that do not keep the limits instead, until SIGTERM.
  *
  * A line "cut NODE SENT END", in microseconds of the wall clock, is printed
  * for each request that was read and whose connection ended without a complete
@@ -156,9 +157,38 @@
   return wrong || soak->without_retry_after;
 }
 
+static void
+on_term (EV_P_ ev_signal *signal, int events)
+{
+  (void)signal;
+  (void)events;
+  ev_break (EV_A_ EVBREAK_ALL);
+}
+
+/* @return the exit status */
+static int
+run_crowd (struct ev_loop *loop, const crowd_config_t *config)
+{
+  crowd_t *crowd = crowd_new (loop, config);
+  ev_signal term;
+
+  if (!crowd)
+    {
+      fprintf (stderr, "--crowd %s: unknown kind, or no --node\n",
+               config->kind);
+      return 64;
+    }
+  ev_signal_init (&term, on_term, SIGTERM);
+  ev_signal_start (loop, &term);
+  ev_run (loop, 0);
+  crowd_free (crowd);
+  return 0;
+}
+
 int
 main (int argc, char **argv)
 {
+  crowd_config_t crowd = { .kind = NULL, .path = "/", .count = 400 };
   soak_t soak = { .interval_ms = 100, .settle_s = 60 };
   int seed = 1;
   int jobs = 4000;
@@ -181,6 +211,12 @@
             "Time between requests of a connection", "MS" },
           { "settle", 0, 0, G_OPTION_ARG_INT, &soak.settle_s,
             "Time after SIGUSR1 in which each job must end", "S" },
+          { "crowd", 0, 0, G_OPTION_ARG_STRING, &crowd.kind,
+            "Clients of this kind, to the first node", "KIND" },
+          { "crowd-path", 0, 0, G_OPTION_ARG_STRING, &crowd.path,
+            "Path of their requests", "PATH" },
+          { "crowd-count", 0, 0, G_OPTION_ARG_INT, &crowd.count,
+            "How many there are", "N" },
           G_OPTION_ENTRY_NULL };
   GOptionContext *context = g_option_context_new ("");
   GError *error = NULL;
@@ -191,6 +227,12 @@
   if (g_option_context_parse (context, &argc, &argv, &error))
     {
       soak.loop = ev_default_loop (EVFLAG_AUTO);
+      crowd.address = nodes ? nodes[0] : "";
+    }
+  if (soak.loop && crowd.kind)
+    code = run_crowd (soak.loop, &crowd);
+  else if (soak.loop)
+    {
       soak.random = g_rand_new_with_seed ((guint32)seed);
       soak.jobs = soak_jobs_new ((uint32_t)seed, (uint32_t)jobs, deadly);
       if (serving)
--- a/standin/soak.h
+++ b/standin/soak.h
@@ -47,6 +47,25 @@
 /** Gives up requests without an answer. */
 void connection_tick (connection_t *connection, usec_t now);
 
+/* --- soak_crowd.c --- */
+
+typedef struct crowd crowd_t;
+
+typedef struct
+{
+  const char *kind;    /**< what the clients do, see behaviours */
+  const char *address; /**< IP:port */
+  const char *path;
+  uint32_t count; /**< clients */
+} crowd_config_t;
+
+/** Starts clients that do not keep the limits.
+    @return NULL if the kind or the address is unknown */
+crowd_t *crowd_new (struct ev_loop *loop, const crowd_config_t *config);
+
+/** Closes the connections and prints what was sent. */
+void crowd_free (crowd_t *crowd);
+
 /* --- soak_jobs.c --- */
 
 typedef struct jobs jobs_t;
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -12,6 +12,8 @@
 # read must have been answered, and the stand-in must have recorded no
 # violation.  Ends only processes that it started.
 #
+# In one run of three, clients that do not keep the limits are at one process.
+#
 # Workers leave and others come; entries of workers that run on expire; single
 # owners do not reach workers that others reach.  Violations are judged by what
 # the workers themselves run.
@@ -47,6 +49,13 @@
 LEAVE_EVERY=${FORMER_BUILD:+0}
 LEAVE_EVERY=${LEAVE_EVERY:-800}
 [ "$DEADLY" = 0 ] || LEAVE_EVERY=0
+# Earlier builds do not bound what such clients take.
+CROWDS=(body pieces chunks oversize fields ahead head slow half)
+CROWD=
+[ -n "$FORMER_BUILD" ] || [ $((SEED % 3)) != 2 ] ||
+	CROWD=${CROWDS[$((SEED / 3 % ${#CROWDS[@]}))]}
+CROWD_CLIENTS=100
+CROWD_CONNECTIONS=64
 TABLE_ROWS_MAX=20000
 # What a KILL or STOP within this time before a request excuses.
 SIGNAL_MS=3000
@@ -56,11 +65,12 @@
 overdue=0
 FLEET_PID=
 LOAD_PID=
+CROWD_PID=
 
 finish() {
 	status=$?
 	trap - EXIT INT TERM
-	for pid in ${NODE_PID[*]} $FLEET_PID $LOAD_PID; do
+	for pid in ${NODE_PID[*]} $FLEET_PID $LOAD_PID $CROWD_PID; do
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
 	done
@@ -102,6 +112,9 @@
 [log]
 level = $2
 END
+	[ -z "$CROWD" ] || printf \
+	    '[limits]\nconnections = %d\nrequest_timeout_ms = 2000\n' \
+	    $CROWD_CONNECTIONS
 	[ -n "$FORMER_BUILD" ] || printf \
 	    '[workers]\nevacuate_ms = %d\nshrunk_ms = %d\n' $EVACUATE_MS $SHRUNK_MS
 }
@@ -308,6 +321,13 @@
     --settle $((calm ? CALM_SETTLE_SECONDS : SETTLE_SECONDS)) \
     >"$WORK/callers" 2>&1 &
 LOAD_PID=$!
+if [ -n "$CROWD" ]; then
+	"$BUILD/bin/standin-soak" --crowd "$CROWD" --crowd-count $CROWD_CLIENTS \
+	    --crowd-path /q1/00000000000000aa \
+	    --node "$(callers_address $((SEED % NODE_COUNT + 1)))" \
+	    >"$WORK/crowd" 2>&1 &
+	CROWD_PID=$!
+fi
 END=$((SECONDS + FAULT_SECONDS))
 while [ $SECONDS -lt $END ]; do
 	for _ in $(seq $(((NODE_COUNT + 3) / 4))); do
@@ -318,6 +338,12 @@
 for i in $(seq "$NODE_COUNT"); do
 	signal_node "$i" CONT
 done
+if [ -n "$CROWD" ]; then
+	kill -TERM $CROWD_PID
+	wait $CROWD_PID
+	CROWD_PID=
+	sed "s/^/soak: seed $SEED: $CROWD /" "$WORK/crowd"
+fi
 await_stopping
 revive_nodes
 [ -z "$FORMER_BUILD" ] || replace_former
