--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -311,6 +311,26 @@
 	    .connection_violations == 0 and .double_lc == 0 and
 	    .double_runs == 0 and .run_again == 0 and .late_work == 0'
 }
+# check_used INSTANCE SLOTS: fails unless the instance runs work although no load
+# but that of this check is left.  SLOTS is the number of slots of all instances
+# in use.  Under light load an instance may get nothing for seconds without a
+# fault: one that is regarded as slow is used last (docs/policy.md), and the run
+# times of the stand-in are spread so widely that this happens by chance.  Hence
+# bursts that fill the slots of all others.  Three at most: an instance may be
+# ejected at the first one because a slow machine made its answers late.
+check_used() {
+	audit
+	ran_before=$(jq ".vms.$1.ran" "$WORK/audit")
+	for burst in 101 102 103; do
+		SEED=$burst run_load "burst-$burst" --rate $(($2 * 400)) \
+		    --seconds 0.01 --run-ms 300 ||
+		    fail "burst failed: $(cat "$WORK/burst-$burst.err")"
+		check_load "burst-$burst"
+		audit
+		[ "$(jq ".vms.$1.ran" "$WORK/audit")" -gt "$ran_before" ] && return
+	done
+	fail "$1 has run nothing since its request $ran_before"
+}
 # post NODE MEMBER PATH BODY [CURL-ARGUMENTS...]: sends a request; writes the
 # body of the answer to $WORK/answer and its headers to $WORK/headers; prints
 # the HTTP status.
--- a/tests/test-leaving.sh
+++ b/tests/test-leaving.sh
@@ -18,12 +18,11 @@
 wait_load || fail "load failed: $(cat "$WORK/load.err")"
 check_load load
 check orders "$WORK/load.out" '.answered == .sent and .orders_pending == 0'
+check_used i3 16
 check_audit
 for vm in i1 i2 w1; do
 	check "$vm" "$WORK/audit" ".vms.$vm.ran ==
 	    $(jq ".vms.$vm.ran" "$WORK/before") and .vms.$vm.refused ==
 	    $(jq ".vms.$vm.refused" "$WORK/before")"
 done
-check remaining "$WORK/audit" \
-    ".vms.i3.ran > $(jq .vms.i3.ran "$WORK/before")"
 exit $FAILED
