Forward requests of a member over its share where no VM is left

Seen: tests/test-leaving.sh "orders: .answered == .sent" in 3 of 69 runs of a copy that records /dump of the nodes, and in 1 of 2 runs of the test itself (not traced), on the routing of beside load (average 10 to 19): 1 to 8 of 1,800 requests are answered not-run at their deadline.

Cause: in all three traced runs they waited in node 1, whose last instance had left, for 2.3 s, while both instances of node 2 were idle. They were regarded as slow; their slots are not in the load report, so that node 2 reported no free slots. Then node 1 forwards by the length of the peer's queue, but not requests of a member over its share. Only dispatches to own VMs update the shares, so that a process without VMs never takes a member out of that state.

Change: a process without slots forwards these requests too. They wait for nothing there, and the peer orders its queue by its own account of shares. Nothing changes for processes with slots.

Tests: "over share without own VM" in test_routing fails without the change (no forward, expected "f:7") and passes with it; without the change it passes for a member within its share.

--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -1008,7 +1008,12 @@
 }
 
 /** Places waiting requests while there are free slots.  A nested call from a
-    callback returns at once; the outer call handles its changes. */
+    callback returns at once; the outer call handles its changes.
+
+    A request of a member over its share is not sent to the queue of a peer
+    unless this process has no slots: then it would wait until a peer reports
+    free slots, which a peer whose idle VMs are all regarded as slow does not
+    do. */
 static void
 place_waiting (routing_t *routing, usec_t now)
 {
@@ -1028,7 +1033,7 @@
   for (lane_t lane = LANE_SHORT; lane < LANE_COUNT && routing->peers->len;
        lane++)
     while ((item = queue_first (routing->queue, lane, true))
-           && !queue_over_share (item)
+           && (!queue_over_share (item) || !own_slots (routing))
            && place_on_peer (routing, now, item->request, pick_shorter_queue))
       ;
   routing->placing = false;
--- a/src/routing/test_routing.c
+++ b/src/routing/test_routing.c
@@ -430,8 +430,37 @@
   fixture_free (fx);
 }
 
+/* Guards against a request that waits until its deadline in a process without
+   VMs because its member had used more than its share when the last VM left,
+   while a peer reports neither free slots nor a queue: its VMs are regarded as
+   slow and are idle. */
+static void
+test_over_share_without_own_vm (void)
+{
+  fixture_t *fx = fixture_new (1, 10);
+
+  for (usec_t t = 0; t < 200 * MS; t += 10 * MS)
+    {
+      fx->member = t == 100 * MS ? "n" : "m";
+      submit (fx, t, 1, 900 * MS, false, 0);
+      routing_attempt_ended (fx->routing, t, fx->last_request, ATTEMPT_RAN,
+                             10 * MS);
+      fx->log[0] = 0;
+    }
+  routing_update_peer (fx->routing, 200 * MS, 7, 1, 1, 0, MS, true);
+  routing_update_peer (fx->routing, 200 * MS, 7, 1, 0, 0, MS, true);
+  submit (fx, 200 * MS, 1, 900 * MS, false, 0);
+  submit (fx, 200 * MS, 1, 900 * MS, false, 0);
+  expect_log (fx, "d:a");
+  limits_set_leaving (fx->limits, limits_find (fx->limits, "a"));
+  routing_refresh (fx->routing, 201 * MS);
+  expect_log (fx, "f:7");
+  fixture_free (fx);
+}
+
 static const suite_test_t tests[] = {
   { "no own VM", test_no_own_vm },
+  { "over share without own VM", test_over_share_without_own_vm },
   { "order", test_order },
   { "fair shares", test_fair_shares },
   { "lanes", test_lanes },
