Derive the limits of a scheduling process from its memory and descriptors

Cause: [limits] connections was used as it stands in the settings, whatever the memory and the descriptors of the machine: 2,000 connections, their unread bytes and bodies of up to 262,144 bytes each exceed 160 MB.

With 48 KiB for each connection a third of 160 MiB holds 1,137. Less than 1,600 descriptors are reserved by half. An explicit request_bytes that does not fit is a problem of the file, with the sum.

--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -10,6 +10,7 @@
 #include "net/clock.h"
 #include "net/httpd.h"
 #include "net/peerlink.h"
+#include "scheduler/sched_limits.h"
 #include "scheduler/scheduler.h"
 #include "zones/zones.h"
 
@@ -180,6 +181,7 @@
   struct ev_loop *loop;
   const scheduler_settings_t *settings;
   const backend_t *backend;
+  sched_limits_t limits; /* in force */
   incarnation_t incarnation;
   char member[96]; /* name in the group: peer address and incarnation */
   node_id_t node;
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -7,13 +7,19 @@
 #include <arpa/inet.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <sys/resource.h>
 
 #define SLEEP_MAX (100 * USEC_PER_MSEC)
 #define SLEEP_MIN (USEC_PER_MSEC)
-#define CALLER_BODY_MAX_BYTES (262144U)
-#define CALLER_TIMEOUT (30 * USEC_PER_SEC)
+#define CALLER_BACKLOG 1024U
+#define ADMIN_TIMEOUT (30 * USEC_PER_SEC)
 #define ADMIN_CONNECTIONS_MAX 32U
 #define ADMIN_BODY_MAX_BYTES 4096U
+#define ADMIN_BACKLOG 64U
+/* Readiness requests have no body, and their answers are short.  */
+#define READY_BUDGET_BYTES (1U << 20)
+/* The state dump, which operators read, is megabytes in size.  */
+#define OPERATORS_BUDGET_BYTES (8U << 20)
 
 /* How long a worker holds a long poll open while it waits for a run to end:
    POLL_BUSY with runs, POLL_IDLE without.  Each poll extends the leases, so
@@ -56,8 +62,8 @@
 
 static int start (scheduler_t *s, err_t *err);
 static int open_sockets (scheduler_t *s, err_t *err);
-static httpd_t *open_admin_server (scheduler_t *s, const char *address,
-                                   const httpd_ops_t *ops, err_t *err);
+static void derive_limits (scheduler_t *s);
+static httpd_config_t admin_config (const char *address);
 static void open_watchers (scheduler_t *s);
 static void scheduler_free (scheduler_t *s);
 static void on_timer (void *ctx);
@@ -123,9 +129,33 @@
   if (settings->shards)
     sched_set_shards (s, settings->shards);
   open_watchers (s);
+  derive_limits (s);
   return open_sockets (s, err);
 }
 
+static void
+derive_limits (scheduler_t *s)
+{
+  const scheduler_settings_t *settings = s->settings;
+  struct rlimit limit = { .rlim_cur = RLIM_INFINITY };
+  uint32_t descriptors;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit))
+    log_line (LOG_LEVEL_WARNING, "limits", NULL, "RLIMIT_NOFILE: %s",
+              g_strerror (errno));
+  descriptors = (uint32_t)MIN (limit.rlim_cur, UINT32_MAX);
+  sched_limits_derive (settings, descriptors, &s->limits);
+  log_line (LOG_LEVEL_NOTICE, "limits", NULL,
+            "connections=%u configured=%u request_bytes=%u "
+            "request_timeout_ms=%" PRId64
+            " receive_buffer=%u job_bytes=%" PRIu64
+            " memory_mb=%u descriptors=%u rlimit=%u",
+            s->limits.connections, settings->max_connections,
+            s->limits.request_bytes, usec_to_msec (s->limits.request_timeout),
+            s->limits.receive_buffer, s->limits.job_bytes, settings->memory_mb,
+            settings->descriptors, descriptors);
+}
+
 void
 sched_set_shards (scheduler_t *s, uint32_t count)
 {
@@ -163,15 +193,23 @@
 {
   const scheduler_settings_t *settings = s->settings;
   httpd_config_t callers = { .address = settings->listen_callers,
-                             .max_connections = settings->max_connections,
-                             .max_body = CALLER_BODY_MAX_BYTES,
-                             .timeout = CALLER_TIMEOUT };
+                             .max_connections = s->limits.connections,
+                             .max_body = SCHED_BODY_MAX_BYTES,
+                             .timeout = s->limits.request_timeout,
+                             .budget_bytes = s->limits.request_bytes,
+                             .receive_buffer = s->limits.receive_buffer,
+                             .backlog = CALLER_BACKLOG };
+  httpd_config_t ready = admin_config (settings->listen_ready);
+  httpd_config_t operators = admin_config (settings->listen_operators);
   msg_hello_t hello = { .protocol = MESSAGE_PROTOCOL_VERSION,
                         .node = s->node,
                         .incarnation = s->incarnation,
                         .zone = succession_describe (settings),
                         .address = blob_of (settings->listen_peers) };
 
+  ready.budget_bytes = READY_BUDGET_BYTES;
+  ready.receive_buffer = s->limits.receive_buffer;
+  operators.budget_bytes = OPERATORS_BUDGET_BYTES;
   s->link = peerlink_new (s->loop, settings->listen_peers, &hello,
                           &sched_peerlink_ops, s, err);
   if (!s->link)
@@ -179,25 +217,21 @@
   s->callers = httpd_new (s->loop, &callers, &sched_caller_ops, s, err);
   if (!s->callers)
     return err->code;
-  s->ready
-      = open_admin_server (s, settings->listen_ready, &sched_ready_ops, err);
+  s->ready = httpd_new (s->loop, &ready, &sched_ready_ops, s, err);
   if (!s->ready)
     return err->code;
-  s->operators = open_admin_server (s, settings->listen_operators,
-                                    &sched_operator_ops, err);
+  s->operators = httpd_new (s->loop, &operators, &sched_operator_ops, s, err);
   return s->operators ? 0 : err->code;
 }
 
-static httpd_t *
-open_admin_server (scheduler_t *s, const char *address, const httpd_ops_t *ops,
-                   err_t *err)
+static httpd_config_t
+admin_config (const char *address)
 {
-  httpd_config_t config = { .address = address,
-                            .max_connections = ADMIN_CONNECTIONS_MAX,
-                            .max_body = ADMIN_BODY_MAX_BYTES,
-                            .timeout = CALLER_TIMEOUT };
-
-  return httpd_new (s->loop, &config, ops, s, err);
+  return (httpd_config_t){ .address = address,
+                           .max_connections = ADMIN_CONNECTIONS_MAX,
+                           .max_body = ADMIN_BODY_MAX_BYTES,
+                           .timeout = ADMIN_TIMEOUT,
+                           .backlog = ADMIN_BACKLOG };
 }
 
 static void
--- a/src/scheduler/settings.c
+++ b/src/scheduler/settings.c
@@ -3,8 +3,10 @@
  */
 #include "scheduler/settings.h"
 #include "base/log.h"
+#include "scheduler/sched_limits.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <string.h>
 
 #define SETTINGS_FILE_MAX 262144U
@@ -17,6 +19,8 @@
 
 static void *open_settings (void *context, const char *name, const char **why);
 static void check_settings (void *context, ini_file_t *file);
+static void check_request_bytes (const scheduler_settings_t *settings,
+                                 ini_file_t *file);
 
 #define ROW(key_name, key_kind, member)                                       \
   .name = (key_name), .kind = (key_kind),                                     \
@@ -64,6 +68,18 @@
   { ROW ("cpu_share", INI_NAME, cpu_share_text), .default_text = "1" },
   { ROW ("connections", INI_U32, max_connections), RANGE (16, 65536),
     .default_text = "2048", .unit = "connections" },
+  { ROW ("memory_mb", INI_U32, memory_mb), RANGE (0, 1048576),
+    .default_text = "0", .unit = "MiB" },
+  { ROW ("descriptors", INI_U32, descriptors), RANGE (0, 1048576),
+    .default_text = "0", .unit = "descriptors" },
+  { ROW ("request_bytes", INI_U32, request_bytes), RANGE (0, 1073741824),
+    .default_text = "0", .unit = "bytes" },
+  { ROW ("request_timeout_ms", INI_MSEC, request_timeout),
+    RANGE (1000, 600000), .default_text = "30000", .unit = "ms" },
+  { ROW ("receive_buffer_bytes", INI_U32, receive_buffer),
+    RANGE (4096, 4194304), .default_text = "16384", .unit = "bytes" },
+  { ROW ("job_bytes", INI_U64, job_bytes), RANGE (0, 1099511627776),
+    .default_text = "0", .unit = "bytes" },
 };
 static const ini_key_t log_keys[] = {
   { ROW ("level", INI_CHOICE, log_level), .default_text = "info",
@@ -157,4 +173,31 @@
     ini_problem (file, "limits", "cpu_share",
                  "is not a number of cores above 0, such as 0.25");
   settings->log_level = log_levels[settings->log_level];
+  check_request_bytes (settings, file);
+}
+
+/* Values that are derived always fit; only an explicit one can be too large or
+   too small.  */
+static void
+check_request_bytes (const scheduler_settings_t *settings, ini_file_t *file)
+{
+  sched_limits_t limits;
+  uint64_t sum;
+
+  if (!settings->request_bytes)
+    return;
+  if (settings->request_bytes < SCHED_BODY_MAX_BYTES)
+    ini_problem (file, "limits", "request_bytes",
+                 "is less than the largest request, %u bytes",
+                 SCHED_BODY_MAX_BYTES);
+  if (!settings->memory_mb)
+    return;
+  sched_limits_derive (settings, 0, &limits);
+  sum = sched_limits_sum (&limits);
+  if (sum > (uint64_t)settings->memory_mb << 20)
+    ini_problem (file, "limits", "request_bytes",
+                 "32 MiB for the process, %u connections and request_bytes "
+                 "are %" PRIu64 " MiB; memory_mb is %u",
+                 limits.connections, (sum + (1U << 20) - 1) >> 20,
+                 settings->memory_mb);
 }
--- a/src/scheduler/settings.h
+++ b/src/scheduler/settings.h
@@ -6,7 +6,7 @@
 
 #include "base/inifile.h"
 
-/* Keys are [section] key; see docs/settings.md. */
+/* Keys are [section] key; see docs/scheduler-settings.md. */
 typedef struct
 {
   char *name;                 /**< [node] name */
@@ -34,6 +34,16 @@
   double cpu_share;           /**< [limits] cpu_share, cores that the
                                  process may use */
   uint32_t max_connections;   /**< [limits] connections */
+  uint32_t memory_mb;         /**< [limits] memory_mb of the machine, MiB,
+                                 0: not known */
+  uint32_t descriptors;       /**< [limits] descriptors of the process, 0:
+                                 RLIMIT_NOFILE */
+  uint32_t request_bytes;     /**< [limits] request_bytes, 0: derived from
+                                 memory_mb */
+  usec_t request_timeout;     /**< [limits] request_timeout_ms */
+  uint32_t receive_buffer;    /**< [limits] receive_buffer_bytes */
+  uint64_t job_bytes;         /**< [limits] job_bytes, 0: derived from
+                                 memory_mb */
   int log_level;              /**< [log] level, a log_level_t */
 } scheduler_settings_t;
 
