Bound what connections of peers take before HELLO and in incomplete frames

Cause: the peers' address accepted up to 4,096 connections of anybody and kept those without HELLO forever, buffered frames of up to 1 MiB for each, kept a buffer once it had grown, wrote a log line for each bad frame, and spun while accept failed for want of descriptors. A HELLO of node 0, the number that stands for no HELLO, closed all older connections without one.

Change: before HELLO a frame has at most 4,096 bytes; at most 64 connections have no HELLO; HELLO is due within 5 s, counted in ticks of 0.5 s that have run, so that a freeze counts as one tick. What a connection has sent is read before it is closed for one of these, and the oldest connection of the address with the most of them is chosen: peers, with one connection each, are not closed in favor of many from elsewhere. Buffers of incomplete frames are bounded by 32 MiB in all, checked before they are allocated; the connection with the largest is closed. Complete frames are not copied. Accepting pauses for 100 ms without descriptors. Each cause has a counter; at most one line peer.limit and 10 lines peer-frame are written a second.

--- a/Makefile
+++ b/Makefile
@@ -134,8 +134,8 @@
               shard/test_shard_leases shard/test_shard_cancel \
               zones/test_zones \
               scheduler/test_scheduler scheduler/test_operator \
-              scheduler/test_workers scheduler/test_records net/test_peerlink \
-              net/test_http_client
+              scheduler/test_workers scheduler/test_records \
+              scheduler/test_limits net/test_peerlink net/test_http_client
 mutants-sched: $(SCHED_TESTS:%=$(BUILD)/src/%.o) $(TESTSUP_OBJ) $(OBJ)
 	@scripts/mutants-sched.sh $(BUILD) $(OBJ) $(TESTSUP_OBJ) -- $(CC) \
 	  $(CFLAGS) -- $(LDLIBS) -lcunit
--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -132,6 +132,24 @@
 UNCOUNTED_CRASHES|src/jobs/job_record.c|scheduler/test_records|s/return MIN (uncounted_runs (task, state), 1U);/return 0;/
 LATER_SETTINGS_REFUSED|src/scheduler/settings.c|scheduler/test_scheduler|s/if (!g_array_index (problems, problem_t, i).unknown)/if (true)/
 LATER_FRAMES_REFUSED|src/net/peerlink.c|net/test_peerlink|s/if (code == -ENOMSG \&\& in->node)/if (false)/
+WITHOUT_HELLO_UNBOUNDED|src/net/peerlink.c|net/test_peerlink|s/link->without_hello.length >= MAX_WITHOUT_HELLO/false/
+EVICTED_UNREAD|src/net/peerlink.c|net/test_peerlink|/^evict_without_hello/,/^}/s/if (read_inbound (in) \&\& !in->node)/if (true)/
+OLDEST_OF_ALL_EVICTED|src/net/peerlink.c|net/test_peerlink|s/if (count > most)/if (!found)/
+LARGE_FIRST_FRAME|src/net/peerlink.c|net/test_peerlink|s/in->node ? PEERLINK_MAX_FRAME_BYTES : MAX_HELLO_FRAME_BYTES/PEERLINK_MAX_FRAME_BYTES/
+SMALL_FRAMES_ONLY|src/net/peerlink.c|net/test_peerlink|s/in->node ? PEERLINK_MAX_FRAME_BYTES : MAX_HELLO_FRAME_BYTES/MAX_HELLO_FRAME_BYTES/
+HELLO_NEVER_DUE|src/net/peerlink.c|net/test_peerlink|s/if (++in->ticks <= HELLO_TICKS)/if (true)/
+HELLO_DUE_BY_CLOCK|src/net/peerlink.c|net/test_peerlink|s/if (++in->ticks <= HELLO_TICKS)/if (clock_now () <= 105 * USEC_PER_SEC)/
+LATE_HELLO_UNREAD|src/net/peerlink.c|net/test_peerlink|/^on_tick/,/^}/s/if (read_inbound (in) \&\& !in->node)/if (true)/
+INCOMPLETE_UNBOUNDED|src/net/peerlink.c|net/test_peerlink|s/link->incomplete_bytes + more > MAX_INCOMPLETE_BYTES/false/
+ANY_INCOMPLETE_CLOSED|src/net/peerlink.c|net/test_peerlink|s/if (largest == in)/if (true)/
+COMPLETE_FRAMES_COUNT|src/net/peerlink.c|net/test_peerlink|s/^  in->link->incomplete_bytes -= in->buffer_size;//
+ACCEPT_SPINS|src/net/peerlink.c|net/test_peerlink|/^pause_accepting/,/^}/s/ev_io_stop (link->loop, &link->listen_io);//
+HELLO_OF_NOBODY|src/net/peerlink.c|net/test_peerlink|s/if (!(node_id_t)hello->node)/if (false)/
+FRAME_LINES_UNBOUNDED|src/net/peerlink.c|net/test_peerlink|s/link->frame_lines >= FRAME_LINES_MAX/false/
+LIMIT_LINES_UNBOUNDED|src/net/peerlink.c|net/test_peerlink|s/now - link->events_logged_at < LOG_INTERVAL/false/
+RECEIVE_BUFFER_KEPT|src/scheduler/sched_limits.c|scheduler/test_limits|s/while (\*buffer > RECEIVE_BUFFER_MIN/while (false/
+CONNECTIONS_EXCEED_MEMORY|src/scheduler/sched_limits.c|scheduler/test_limits|s/define CONNECTIONS_DIVISOR 3U/define CONNECTIONS_DIVISOR 1U/
+DESCRIPTORS_NOT_RESERVED|src/scheduler/sched_limits.c|scheduler/test_limits|s/MIN (RESERVED_DESCRIPTORS, descriptors \/ 2)/0/
 PLACED_WORKER_KEPT|src/shard/shard_place.c|shard/test_shard_capacity|s/^  choose_placed (shard, now, c, handle);//
 STALE_FITTING|src/shard/shard_place.c|shard/test_shard_steps|s/^  choose_reset (shard);//
 SUSPECTS_TOGETHER|src/shard/shard_choose.c|shard/test_shard_crashes|s/if (crashes_keep_apart (worker, task))/if (0)/
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -34,6 +34,21 @@
      "frames of types that this build does not know; they were ignored")      \
   X (PEER_CONNECTS, "peer_connects_total", "connections", "counter",          \
      "connections opened to peers")                                           \
+  X (PEER_REFUSED, "peer_refused_total", "connections", "counter",            \
+     "connections from peers beyond the limit; they were closed")             \
+  X (PEER_HELLO_EVICTED, "peer_hello_evicted_total", "connections",           \
+     "counter", "connections without HELLO closed in favor of newer ones")    \
+  X (PEER_HELLO_LATE, "peer_hello_late_total", "connections", "counter",      \
+     "connections closed since their HELLO did not come in time")             \
+  X (PEER_HELLO_OVERSIZE, "peer_hello_oversize_total", "connections",         \
+     "counter",                                                               \
+     "connections closed since a frame before HELLO was too large")           \
+  X (PEER_BYTES_EVICTED, "peer_bytes_evicted_total", "connections",           \
+     "counter", "connections closed as incomplete frames took too much")      \
+  X (PEER_ACCEPT_PAUSES, "peer_accept_pauses_total", "pauses", "counter",     \
+     "pauses of accepting connections from peers, without descriptors")       \
+  X (PEER_BAD_FRAMES_UNLOGGED, "peer_bad_frames_unlogged_total", "frames",    \
+     "counter", "frames of peer_bad_frames_total without a log line")         \
   X (PLATFORM_BYTES, "platform_bytes_total", "bytes", "counter",              \
      "bytes sent to and received from the log and the list of VMs")           \
   X (UPSTREAM_BYTES, "upstream_bytes_total", "bytes", "counter",              \
--- a/src/net/clock.c
+++ b/src/net/clock.c
@@ -97,6 +97,12 @@
   return true;
 }
 
+void
+clock_skip (usec_t span)
+{
+  paused_at += span;
+}
+
 void
 clock_resume (void)
 {
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -39,6 +39,10 @@
     @return false if no timer is started */
 bool clock_step (void);
 
+/** Advances the paused clock without firing timers, as if the process had been
+    frozen.  Timers that have become due fire late, once each. */
+void clock_skip (usec_t span);
+
 /** Has the clock run again; no timer may be started. */
 void clock_resume (void);
 
--- a/src/net/peerlink.c
+++ b/src/net/peerlink.c
@@ -11,6 +11,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -27,6 +28,24 @@
 #define ACCEPTS_MAX 256U
 /* Every other process of the site may connect to a shard owner. */
 #define MAX_INBOUND 4096U
+/* Pause of accepting after a failure for want of descriptors or memory. */
+#define ACCEPT_PAUSE (100 * USEC_PER_MSEC)
+/* Connections and frames before HELLO, which anybody may send.  HELLO has less
+   than 200 bytes. */
+#define MAX_WITHOUT_HELLO 64U
+#define MAX_HELLO_FRAME_BYTES 4096U
+/* HELLO is due before the eleventh tick, which is 5 s or more of running time
+   after the accept.  A process that was frozen counts one tick for the whole
+   freeze. */
+#define TICK_INTERVAL (500 * USEC_PER_MSEC)
+#define HELLO_TICKS 10U
+/* Incomplete frames of all connections together. */
+#define MAX_INCOMPLETE_BYTES (32U << 20)
+/* First allocation for an incomplete frame, unless the frame is smaller. */
+#define BUFFER_MIN_BYTES 512U
+/* Log lines about bad frames a second; the others are only counted. */
+#define FRAME_LINES_MAX 10U
+#define LOG_INTERVAL (USEC_PER_SEC)
 /* A peer that opens a new connection has usually lost the old one, so the
    outbound connection is renewed as well.  A younger one is kept: opening it
    is what made the peer connect. */
@@ -69,13 +88,46 @@
   peerlink_t *link;
   int fd;
   ev_io io;
-  GByteArray *buffer;
-  uint64_t number; /* in the order of their accepts */
-  node_id_t node;  /* 0 before HELLO */
+  guint8 *buffer;       /* of an incomplete frame, or NULL */
+  uint32_t buffer_len;  /* bytes received of it, prefix included */
+  uint32_t buffer_size; /* bytes allocated */
+  uint64_t number;      /* in the order of their accepts */
+  node_id_t node;       /* 0 before HELLO */
   incarnation_t incarnation;
+  GList without_hello; /* in the queue of the link while node is 0 */
+  uint32_t ticks;      /* since the accept, while node is 0 */
+  in_addr_t source;
   char peer_address[64];
 } inbound_t;
 
+/* What a limit made the link do. */
+typedef enum
+{
+  LIMIT_REFUSED,
+  LIMIT_HELLO_EVICTED,
+  LIMIT_HELLO_LATE,
+  LIMIT_HELLO_OVERSIZE,
+  LIMIT_BYTES_EVICTED,
+  LIMIT_ACCEPT_PAUSED,
+  LIMIT_FRAMES_NOT_LOGGED,
+  LIMIT_EVENTS
+} limit_event_t;
+
+static const struct
+{
+  const char *name; /* on the log line */
+  counter_t counter;
+} limit_events[LIMIT_EVENTS] = {
+  [LIMIT_REFUSED] = { "refused", COUNTER_PEER_REFUSED },
+  [LIMIT_HELLO_EVICTED] = { "hello_evicted", COUNTER_PEER_HELLO_EVICTED },
+  [LIMIT_HELLO_LATE] = { "hello_late", COUNTER_PEER_HELLO_LATE },
+  [LIMIT_HELLO_OVERSIZE] = { "hello_oversize", COUNTER_PEER_HELLO_OVERSIZE },
+  [LIMIT_BYTES_EVICTED] = { "bytes_evicted", COUNTER_PEER_BYTES_EVICTED },
+  [LIMIT_ACCEPT_PAUSED] = { "accept_paused", COUNTER_PEER_ACCEPT_PAUSES },
+  [LIMIT_FRAMES_NOT_LOGGED]
+  = { "bad_frames_not_logged", COUNTER_PEER_BAD_FRAMES_UNLOGGED },
+};
+
 struct peerlink
 {
   struct ev_loop *loop;
@@ -84,9 +136,19 @@
   msg_hello_t hello;
   int listen_fd;
   ev_io listen_io;
-  GHashTable *outbound; /* node -> outbound_t */
-  GHashTable *inbound;  /* set of inbound_t */
-  uint64_t accepted;    /* connections so far */
+  GHashTable *outbound;      /* node -> outbound_t */
+  GHashTable *inbound;       /* set of inbound_t */
+  GQueue without_hello;      /* of inbound_t, in the order of their accepts */
+  uint64_t accepted;         /* connections so far */
+  uint64_t incomplete_bytes; /* allocated for incomplete frames */
+  clock_timer_t accept_timer;
+  clock_timer_t tick;
+  bool tick_started;
+  uint32_t events[LIMIT_EVENTS]; /* since the last log line */
+  char event_address[64];        /* peer of the latest of them, or empty */
+  usec_t events_logged_at;
+  uint32_t frame_lines; /* log lines since frame_lines_since */
+  usec_t frame_lines_since;
   guint8 chunk[READ_CHUNK];
 };
 
@@ -95,9 +157,28 @@
 static void set_keepalive (int fd);
 static void on_accept (EV_P_ ev_io *io, int events);
 static bool accept_one (peerlink_t *link, int listen_fd);
+static void pause_accepting (peerlink_t *link);
+static void on_accept_timer (void *ctx);
+static void evict_without_hello (peerlink_t *link);
+static inbound_t *crowded_source (const peerlink_t *link);
+static void on_tick (void *ctx);
+static void start_tick (peerlink_t *link);
+static void count_event (peerlink_t *link, limit_event_t event,
+                         const char *address);
+static bool log_events (peerlink_t *link);
+static void bad_frame (const inbound_t *in, const char *why);
 static void on_inbound_readable (EV_P_ ev_io *io, int events);
-static bool process_frames (inbound_t *in);
+static bool read_inbound (inbound_t *in);
+static bool receive (inbound_t *in, const guint8 *bytes, uint32_t len);
+static bool receive_part (inbound_t *in, const guint8 **bytes, uint32_t *len);
+static uint64_t frame_bytes (const guint8 *bytes);
+static bool check_frame_size (const inbound_t *in, uint64_t len);
+static bool reserve_buffer (inbound_t *in, uint32_t need);
+static bool reserve_bytes (const inbound_t *in, uint32_t more);
+static void release_buffer (inbound_t *in);
 static bool process_message (inbound_t *in, blob_t frame);
+static bool process_hello (inbound_t *in, const msg_hello_t *hello,
+                           err_t *err);
 static bool close_older_inbound (const inbound_t *in);
 static void renew_outbound (peerlink_t *link, node_id_t node);
 static void inbound_free (void *data);
@@ -128,6 +209,9 @@
   link->listen_fd = fd;
   link->outbound = g_hash_table_new_full (NULL, NULL, NULL, outbound_free);
   link->inbound = g_hash_table_new_full (NULL, NULL, inbound_free, NULL);
+  g_queue_init (&link->without_hello);
+  clock_timer_init (&link->accept_timer, loop, on_accept_timer, link);
+  clock_timer_init (&link->tick, loop, on_tick, link);
   ev_io_init (&link->listen_io, on_accept, fd, EV_READ);
   link->listen_io.data = link;
   ev_io_start (loop, &link->listen_io);
@@ -140,6 +224,8 @@
   if (!link)
     return;
   ev_io_stop (link->loop, &link->listen_io);
+  clock_timer_stop (&link->accept_timer);
+  clock_timer_stop (&link->tick);
   close (link->listen_fd);
   g_hash_table_destroy (link->outbound);
   g_hash_table_destroy (link->inbound);
@@ -286,7 +372,7 @@
     ;
 }
 
-/* @return false if no connection is waiting */
+/* @return false if no connection is waiting, or none can be accepted now */
 static bool
 accept_one (peerlink_t *link, int listen_fd)
 {
@@ -296,10 +382,17 @@
   inbound_t *in;
 
   if (fd < 0)
-    return false;
+    {
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS
+          || errno == ENOMEM)
+        pause_accepting (link);
+      return false;
+    }
+  evict_without_hello (link);
   if (g_hash_table_size (link->inbound) >= MAX_INBOUND)
     {
       close (fd);
+      count_event (link, LIMIT_REFUSED, inet_ntoa (from.sin_addr));
       return true;
     }
   set_nonblocking (fd);
@@ -308,64 +401,335 @@
   in->link = link;
   in->fd = fd;
   in->number = ++link->accepted;
-  in->buffer = g_byte_array_new ();
+  in->source = from.sin_addr.s_addr;
+  in->without_hello.data = in;
   g_snprintf (in->peer_address, sizeof in->peer_address, "%s:%u",
               inet_ntoa (from.sin_addr), ntohs (from.sin_port));
   ev_io_init (&in->io, on_inbound_readable, fd, EV_READ);
   in->io.data = in;
   ev_io_start (link->loop, &in->io);
   g_hash_table_add (link->inbound, in);
+  g_queue_push_tail_link (&link->without_hello, &in->without_hello);
+  start_tick (link);
   return true;
 }
 
+/* The listener stays readable while descriptors are missing, and would have
+   the loop spin. */
+static void
+pause_accepting (peerlink_t *link)
+{
+  ev_io_stop (link->loop, &link->listen_io);
+  clock_timer_start (&link->accept_timer, ACCEPT_PAUSE);
+  count_event (link, LIMIT_ACCEPT_PAUSED, "");
+}
+
+static void
+on_accept_timer (void *ctx)
+{
+  peerlink_t *link = ctx;
+
+  ev_io_start (link->loop, &link->listen_io);
+}
+
+/* Makes room for one more connection without HELLO.  What a connection has
+   sent is read before it is closed, since its HELLO may have arrived. */
+static void
+evict_without_hello (peerlink_t *link)
+{
+  while (link->without_hello.length >= MAX_WITHOUT_HELLO)
+    {
+      inbound_t *in = crowded_source (link);
+
+      if (read_inbound (in) && !in->node)
+        {
+          count_event (link, LIMIT_HELLO_EVICTED, in->peer_address);
+          g_hash_table_remove (link->inbound, in);
+        }
+    }
+}
+
+/* @return the oldest connection without HELLO from the address that has the
+   most of them: a peer, which opens one, is not evicted in favor of many from
+   elsewhere */
+static inbound_t *
+crowded_source (const peerlink_t *link)
+{
+  inbound_t *found = NULL;
+  uint32_t most = 0;
+
+  for (const GList *l = link->without_hello.head; l; l = l->next)
+    {
+      inbound_t *in = l->data;
+      uint32_t count = 0;
+
+      for (const GList *other = l; other; other = other->next)
+        count += ((const inbound_t *)other->data)->source == in->source;
+      if (count > most)
+        {
+          most = count;
+          found = in;
+        }
+    }
+  return found;
+}
+
+static void
+on_tick (void *ctx)
+{
+  peerlink_t *link = ctx;
+  GList *next;
+
+  link->tick_started = false;
+  for (GList *l = link->without_hello.head; l; l = next)
+    {
+      inbound_t *in = l->data;
+
+      next = l->next;
+      if (++in->ticks <= HELLO_TICKS)
+        continue;
+      /* HELLO may have arrived in a freeze.  Reading closes no other
+         connection without HELLO, such as the next: an older one of the same
+         node has one, and so has the one with the largest buffer. */
+      if (read_inbound (in) && !in->node)
+        {
+          count_event (link, LIMIT_HELLO_LATE, in->peer_address);
+          g_hash_table_remove (link->inbound, in);
+        }
+    }
+  if (!log_events (link) || link->without_hello.length)
+    start_tick (link);
+}
+
+/* The timer runs while connections have no HELLO or events are to be
+   logged. */
+static void
+start_tick (peerlink_t *link)
+{
+  if (link->tick_started)
+    return;
+  link->tick_started = true;
+  clock_timer_start (&link->tick, TICK_INTERVAL);
+}
+
+static void
+count_event (peerlink_t *link, limit_event_t event, const char *address)
+{
+  counter_add (limit_events[event].counter, 1);
+  link->events[event]++;
+  g_strlcpy (link->event_address, address, sizeof link->event_address);
+  if (!log_events (link))
+    start_tick (link);
+}
+
+/* Writes at most one line in LOG_INTERVAL.
+   @return whether all events are logged */
+static bool
+log_events (peerlink_t *link)
+{
+  usec_t now = clock_now ();
+  GString *text = g_string_new ("");
+  bool logged = true;
+
+  for (int i = 0; i < LIMIT_EVENTS; i++)
+    if (link->events[i])
+      g_string_append_printf (text, "%s%s=%u", text->len ? " " : "",
+                              limit_events[i].name, link->events[i]);
+  if (text->len && link->events_logged_at
+      && now - link->events_logged_at < LOG_INTERVAL)
+    logged = false;
+  else if (text->len)
+    {
+      log_line (LOG_LEVEL_WARNING, "peer.limit",
+                *link->event_address ? link->event_address : NULL, "%s",
+                text->str);
+      link->events_logged_at = now;
+      memset (link->events, 0, sizeof link->events);
+    }
+  g_string_free (text, TRUE);
+  return logged;
+}
+
+static void
+bad_frame (const inbound_t *in, const char *why)
+{
+  peerlink_t *link = in->link;
+  usec_t now = clock_now ();
+
+  counter_add (COUNTER_PEER_BAD_FRAMES, 1);
+  if (now - link->frame_lines_since >= LOG_INTERVAL)
+    {
+      link->frame_lines_since = now;
+      link->frame_lines = 0;
+    }
+  if (link->frame_lines >= FRAME_LINES_MAX)
+    {
+      count_event (link, LIMIT_FRAMES_NOT_LOGGED, in->peer_address);
+      return;
+    }
+  link->frame_lines++;
+  log_line (LOG_LEVEL_WARNING, "peer-frame", in->peer_address, "%s", why);
+}
+
 static void
 on_inbound_readable (EV_P_ ev_io *io, int events)
 {
-  inbound_t *in = io->data;
+  (void)loop;
+  (void)events;
+  read_inbound (io->data);
+}
+
+/* Reads once.  @return whether the connection is still open, else IN is
+   freed */
+static bool
+read_inbound (inbound_t *in)
+{
   guint8 *chunk = in->link->chunk;
   ssize_t received = read (in->fd, chunk, READ_CHUNK);
 
-  (void)loop;
-  (void)events;
   if (received < 0 && (errno == EAGAIN || errno == EINTR))
-    return;
-  if (received > 0)
-    g_byte_array_append (in->buffer, chunk, (guint)received);
-  if (received <= 0 || !process_frames (in))
-    g_hash_table_remove (in->link->inbound, in);
+    return true;
+  if (received > 0 && receive (in, chunk, (uint32_t)received))
+    return true;
+  g_hash_table_remove (in->link->inbound, in);
+  return false;
 }
 
+/* @return false if the connection is to be closed */
 static bool
-process_frames (inbound_t *in)
+receive (inbound_t *in, const guint8 *bytes, uint32_t len)
 {
-  guint done = 0;
-
-  while (in->buffer->len - done >= PREFIX_BYTES)
+  while (len)
     {
-      uint32_t len;
+      uint64_t frame = len >= PREFIX_BYTES ? frame_bytes (bytes) : UINT64_MAX;
 
-      memcpy (&len, in->buffer->data + done, PREFIX_BYTES);
-      len = ntohl (len);
-      if (len > PEERLINK_MAX_FRAME_BYTES)
+      if (in->buffer_len || frame > len)
         {
-          counter_add (COUNTER_PEER_BAD_FRAMES, 1);
-          log_line (LOG_LEVEL_WARNING, "peer-frame", in->peer_address,
-                    "frame of %u bytes is too large", len);
-          return false;
+          if (!receive_part (in, &bytes, &len))
+            return false;
+          continue;
         }
-      if (in->buffer->len - done < PREFIX_BYTES + len)
-        break;
-      if (!process_message (
-              in,
-              (blob_t){ (char *)in->buffer->data + done + PREFIX_BYTES, len }))
+      /* A complete frame is not copied. */
+      if (!check_frame_size (in, frame - PREFIX_BYTES)
+          || !process_message (in,
+                               (blob_t){ (const char *)bytes + PREFIX_BYTES,
+                                         (uint32_t)frame - PREFIX_BYTES }))
         return false;
-      done += PREFIX_BYTES + len;
+      bytes += frame;
+      len -= (uint32_t)frame;
     }
-  if (done)
-    g_byte_array_remove_range (in->buffer, 0, done);
   return true;
 }
 
+/* Buffers bytes up to the end of the prefix or of the frame.
+   @return false if the connection is to be closed */
+static bool
+receive_part (inbound_t *in, const guint8 **bytes, uint32_t *len)
+{
+  uint64_t end = in->buffer_len < PREFIX_BYTES ? PREFIX_BYTES
+                                               : frame_bytes (in->buffer);
+  uint32_t part = (uint32_t)MIN (end - in->buffer_len, *len);
+
+  if (!reserve_buffer (in, in->buffer_len + part))
+    return false;
+  memcpy (in->buffer + in->buffer_len, *bytes, part);
+  in->buffer_len += part;
+  *bytes += part;
+  *len -= part;
+  if (in->buffer_len < PREFIX_BYTES)
+    return true;
+  end = frame_bytes (in->buffer);
+  if (!check_frame_size (in, end - PREFIX_BYTES))
+    return false;
+  if (in->buffer_len < end)
+    return true;
+  if (!process_message (in, (blob_t){ (const char *)in->buffer + PREFIX_BYTES,
+                                      (uint32_t)end - PREFIX_BYTES }))
+    return false;
+  release_buffer (in);
+  return true;
+}
+
+/* @return the length of a frame by its prefix, prefix included */
+static uint64_t
+frame_bytes (const guint8 *bytes)
+{
+  uint32_t len;
+
+  memcpy (&len, bytes, PREFIX_BYTES);
+  return (uint64_t)PREFIX_BYTES + ntohl (len);
+}
+
+static bool
+check_frame_size (const inbound_t *in, uint64_t len)
+{
+  char why[64];
+
+  if (len <= (in->node ? PEERLINK_MAX_FRAME_BYTES : MAX_HELLO_FRAME_BYTES))
+    return true;
+  g_snprintf (why, sizeof why, "frame of %" PRIu64 " bytes is too large%s",
+              len, in->node ? "" : " before HELLO");
+  bad_frame (in, why);
+  if (!in->node)
+    count_event (in->link, LIMIT_HELLO_OVERSIZE, in->peer_address);
+  return false;
+}
+
+/* Doubles the buffer until it holds NEED bytes, up to the length of the frame.
+   @return false if the connection is to be closed */
+static bool
+reserve_buffer (inbound_t *in, uint32_t need)
+{
+  uint32_t size = MAX (in->buffer_size, BUFFER_MIN_BYTES);
+
+  if (need <= in->buffer_size)
+    return true;
+  while (size < need)
+    size *= 2;
+  if (in->buffer_len >= PREFIX_BYTES)
+    size = (uint32_t)MIN (size, frame_bytes (in->buffer));
+  if (!reserve_bytes (in, size - in->buffer_size))
+    return false;
+  in->link->incomplete_bytes += size - in->buffer_size;
+  in->buffer = g_realloc (in->buffer, size);
+  in->buffer_size = size;
+  return true;
+}
+
+/* Closes the connections with the largest incomplete frames until MORE bytes
+   can be allocated.
+   @return false if IN has the largest */
+static bool
+reserve_bytes (const inbound_t *in, uint32_t more)
+{
+  peerlink_t *link = in->link;
+
+  while (link->incomplete_bytes + more > MAX_INCOMPLETE_BYTES)
+    {
+      const inbound_t *largest = in;
+      GHashTableIter iter;
+      gpointer key;
+
+      g_hash_table_iter_init (&iter, link->inbound);
+      while (g_hash_table_iter_next (&iter, &key, NULL))
+        if (((const inbound_t *)key)->buffer_size > largest->buffer_size)
+          largest = key;
+      count_event (link, LIMIT_BYTES_EVICTED, largest->peer_address);
+      if (largest == in)
+        return false;
+      g_hash_table_remove (link->inbound, largest);
+    }
+  return true;
+}
+
+static void
+release_buffer (inbound_t *in)
+{
+  in->link->incomplete_bytes -= in->buffer_size;
+  g_clear_pointer (&in->buffer, g_free);
+  in->buffer_len = in->buffer_size = 0;
+}
+
 static bool
 process_message (inbound_t *in, blob_t frame)
 {
@@ -382,13 +746,7 @@
     }
   if (valid && message.type == MSG_HELLO)
     {
-      valid = message.u.hello.protocol == MESSAGE_PROTOCOL_VERSION;
-      if (!valid)
-        err_set (&err, -EPROTO, "decode", in->peer_address,
-                 "protocol version %u is not supported",
-                 (unsigned)message.u.hello.protocol);
-      in->node = (node_id_t)message.u.hello.node;
-      in->incarnation = message.u.hello.incarnation;
+      valid = process_hello (in, &message.u.hello, &err);
       if (valid && !close_older_inbound (in))
         {
           message_clear (&message);
@@ -410,15 +768,36 @@
                               &message);
     }
   else
-    {
-      counter_add (COUNTER_PEER_BAD_FRAMES, 1);
-      log_line (LOG_LEVEL_WARNING, "peer-frame", in->peer_address, "%s",
-                err.text);
-    }
+    bad_frame (in, err.text);
   message_clear (&message);
   return valid;
 }
 
+/* Notes which node the connection belongs to.
+   @return false with ERR filled if it is to be closed */
+static bool
+process_hello (inbound_t *in, const msg_hello_t *hello, err_t *err)
+{
+  if (hello->protocol != MESSAGE_PROTOCOL_VERSION)
+    {
+      err_set (err, -EPROTO, "decode", in->peer_address,
+               "protocol version %u is not supported",
+               (unsigned)hello->protocol);
+      return false;
+    }
+  /* Node 0 stands for no HELLO. */
+  if (!(node_id_t)hello->node)
+    {
+      err_set (err, -EPROTO, "decode", in->peer_address, "HELLO of node 0");
+      return false;
+    }
+  if (!in->node)
+    g_queue_unlink (&in->link->without_hello, &in->without_hello);
+  in->node = (node_id_t)hello->node;
+  in->incarnation = hello->incarnation;
+  return true;
+}
+
 /* A peer has one connection at a time; an older one belongs to a process or VM
    that no longer exists, or was replaced before its HELLO was read.
    @return false if the connection is itself older than another one */
@@ -462,7 +841,9 @@
 
   ev_io_stop (in->link->loop, &in->io);
   close (in->fd);
-  g_byte_array_free (in->buffer, TRUE);
+  if (!in->node)
+    g_queue_unlink (&in->link->without_hello, &in->without_hello);
+  release_buffer (in);
   g_free (in);
 }
 
