Bound the memory of a shard's jobs and refuse new ones beyond it

Cause: the owner keeps each accepted job in memory, with up to 3,000 tasks (264 KB) and strings as long as the body, and nothing bounds the sum. A job that repeats each millisecond takes 1 KB when it is submitted and grows to 3,000 tasks later.

Change: shard_memory.c keeps an estimate of the bytes of all jobs of the shard (entry, submission, record until it is stored, occurrences, of which at least one is counted), updated where a job is registered, loaded, stored, done, freed or removed. shard_config_t.job_bytes bounds it, 0 is no bound; the scheduler does not set it yet. shard_submit returns -ENOSPC for a new job beyond the bound, before the record is decoded if its length alone exceeds it. Known, stored and canceled jobs are never refused. Beyond the bound a job gets another occurrence only if it has none. An owner also refuses a submission that is so large that the front would append it.

The owner replies REPLY_FULL (7). The front answers 503 with Retry-After: 1 at once and does not append the submission, unless it may be stored: then it is forwarded again and appended in the end, as after REPLY_NOT_STORED. A build without the code logs peer.tell, and appends after FORWARD_TIMEOUT. Log: job.refused has a cause (requests, memory), job.full at the owner, job_bytes on shard.load. Counter: jobs_no_memory_total.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -90,7 +90,21 @@
 READ_REPEATED_AS_IS|src/scheduler/sched_store.c|scheduler/test_scheduler|s/^    state->unanswered_reads++;/    ;/
 EACH_QUERY_RECONNECTS|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/.replied_at < request->query_sent/.replied_at >= 0/
 LARGEST_OWNS_NOTHING|src/scheduler/sched_layout.c|scheduler/test_scheduler|s/(layout->millicores$/(0/
-PEER_NUMBERS_UNCHECKED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/m->code < REPLY_KNOWN || m->code > REPLY_WITHDRAWN/false/
+PEER_NUMBERS_UNCHECKED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/m->code < REPLY_KNOWN || m->code > REPLY_FULL/false/
+MEMORY_NOT_BOUNDED|src/shard/shard_memory.c|shard/test_shard_memory|s/return !shard->config.job_bytes$/return true/
+OCCURRENCES_NOT_BOUNDED|src/shard/shard_memory.c|shard/test_shard_memory|s/|| fits (shard, entry->occurrence_bytes)/|| true/
+DECODED_BEFORE_BOUND|src/shard/shard.c|shard/test_shard_memory|s/if (shard_check_room (shard, job, record.len))/if (false)/
+LARGE_JOB_NOT_BOUNDED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/int code = shard_check_room (shard, job, record_len)/int code = 0/
+ENDED_JOB_COUNTS|src/shard/shard.c|shard/test_shard_memory|/^  job_free_details (job);/,/memory_update/s/memory_update (shard, entry);//
+FORGOTTEN_JOB_COUNTS|src/shard/shard_store.c|shard/test_shard_memory|s/memory_remove (shard, entry);//
+DONE_OCCURRENCE_COUNTS|src/shard/shard_runs.c|shard/test_shard_memory|s/^  memory_update (shard, entry);//
+STORED_RECORD_COUNTS|src/shard/shard_store.c|shard/test_shard_memory|s/memory_update (shard, entry);//
+WITHDRAWN_JOB_COUNTS|src/shard/shard.c|shard/test_shard_memory|s/memory_remove (shard, entry);//
+FORMER_JOBS_COUNT|src/shard/shard.c|shard/test_shard_memory|s/memory_clear (shard);//
+KNOWN_JOB_IS_BOUND|src/shard/shard.c|shard/test_shard_memory|s/|| (entry && entry->job)$//
+FULL_IS_RETRIED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/return REPLY_FULL/return REPLY_NOT_STORED/
+FULL_IS_APPENDED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/^  if (request->may_be_stored)$/  if (true)/
+STORED_IS_REFUSED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/^  if (request->may_be_stored)$/  if (false)/
 CARRIED_IS_WITHDRAWN|src/shard/shard.c|shard/test_shard_steps|s/ || shard_append_has_submission (shard, id)//
 STORED_IS_WITHDRAWN|src/shard/shard.c|shard/test_shard_steps|s/^      if (entry->unstored_submission)$/      if (0)/
 UNREAD_IS_UNKNOWN|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/if (state->read_as_of >= query->arrived_at)/if (timed_out)/
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -65,6 +65,9 @@
      "jobs whose submission this process stored")                             \
   X (JOBS_REFUSED, "jobs_refused_total", "jobs", "counter",                   \
      "jobs refused before they were stored")                                  \
+  X (JOBS_NO_MEMORY, "jobs_no_memory_total", "jobs", "counter",               \
+     "submissions that the owner refused since its jobs take too much "       \
+     "memory")                                                                \
   X (JOBS_KNOWN, "jobs_known_total", "jobs", "counter",                       \
      "new jobs read by this process as the owner of their shard")             \
   X (JOBS_ENDED, "jobs_ended_total", "jobs", "counter",                       \
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -7,10 +7,16 @@
 #include <string.h>
 
 #define ID_HEX_DIGITS 16U
+/* Of malloc: the header of a chunk, the multiple to which its size is rounded
+   up, and the least size. */
+#define HEAP_HEADER_BYTES 8U
+#define HEAP_ALIGNMENT 16U
+#define HEAP_MIN_BYTES 32U
 
 static const char *const status_names[]
     = { "queued", "running", "completed", "failed", "canceled" };
 
+static uint64_t string_heap_bytes (const char *text);
 static occurrence_t *occurrence_new (const submission_t *submission,
                                      uint32_t number);
 static void occurrence_free (const submission_t *submission,
@@ -107,6 +113,56 @@
   g_free (submission);
 }
 
+uint64_t
+heap_bytes (uint64_t size)
+{
+  uint64_t chunk = (size + HEAP_HEADER_BYTES + HEAP_ALIGNMENT - 1)
+                   / HEAP_ALIGNMENT * HEAP_ALIGNMENT;
+
+  return MAX (chunk, HEAP_MIN_BYTES);
+}
+
+static uint64_t
+string_heap_bytes (const char *text)
+{
+  return text ? heap_bytes (strlen (text) + 1) : 0;
+}
+
+uint64_t
+submission_heap_bytes (const submission_t *submission)
+{
+  uint64_t bytes = heap_bytes (sizeof *submission)
+                   + heap_bytes (submission->step_count * sizeof (step_t))
+                   + string_heap_bytes (submission->queue)
+                   + string_heap_bytes (submission->service)
+                   + string_heap_bytes (submission->spec);
+
+  for (uint32_t s = 0; s < submission->step_count; s++)
+    {
+      const step_t *step = &submission->steps[s];
+
+      bytes += string_heap_bytes (step->required_label)
+               + string_heap_bytes (step->data_rack)
+               + string_heap_bytes (step->image);
+      if (step->depends_on)
+        bytes += heap_bytes (step->depends_on_count * sizeof (uint32_t));
+    }
+  return bytes;
+}
+
+uint64_t
+occurrence_heap_bytes (const submission_t *submission)
+{
+  uint64_t steps = submission->step_count;
+  uint64_t bytes = heap_bytes (sizeof (occurrence_t))
+                   + heap_bytes (steps * sizeof (task_t *))
+                   + 2 * heap_bytes (steps * sizeof (uint32_t));
+
+  for (uint32_t s = 0; s < submission->step_count; s++)
+    bytes += heap_bytes (submission->steps[s].count * sizeof (task_t));
+  return bytes;
+}
+
 job_t *
 job_new (submission_t *submission)
 {
@@ -205,16 +261,21 @@
 {
   uint32_t created = 0;
 
-  while (job_next_due (job) <= wall_ms && has_room_for_occurrence (job))
-    {
-      g_ptr_array_add (
-          job->occurrences,
-          occurrence_new (job->submission, job->next_occurrence++));
-      created++;
-    }
+  while (job_create_due_occurrence (job, wall_ms))
+    created++;
   return created;
 }
 
+bool
+job_create_due_occurrence (job_t *job, int64_t wall_ms)
+{
+  if (job_next_due (job) > wall_ms || !has_room_for_occurrence (job))
+    return false;
+  g_ptr_array_add (job->occurrences,
+                   occurrence_new (job->submission, job->next_occurrence++));
+  return true;
+}
+
 int64_t
 job_next_due (const job_t *job)
 {
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -157,6 +157,18 @@
 /** @return the submission, NULL if BYTES do not hold a valid one */
 submission_t *submission_decode (blob_t bytes);
 
+/** @return estimate of the heap memory of a submission, in bytes */
+uint64_t submission_heap_bytes (const submission_t *submission);
+
+/** @return estimate of the heap memory of one occurrence of the job, in bytes.
+    The places and checkpoints of its tasks are not included: they come from
+    the workers, whose capacity bounds them */
+uint64_t occurrence_heap_bytes (const submission_t *submission);
+
+/** @return what the allocator takes for SIZE bytes, estimated for malloc of
+    glibc on 64-bit machines */
+uint64_t heap_bytes (uint64_t size);
+
 /** Creates a job from a submission and takes ownership of the latter. */
 job_t *job_new (submission_t *submission);
 
@@ -183,6 +195,10 @@
     at most JOB_MAX_TASKS tasks in total.  @return how many were created */
 uint32_t job_create_due_occurrences (job_t *job, int64_t wall_ms);
 
+/** Creates the next occurrence if it is due, within the same limit.
+    @return whether one was created */
+bool job_create_due_occurrence (job_t *job, int64_t wall_ms);
+
 /** @return due time of the next occurrence to create, INT64_MAX for none,
     INT64_MIN for the only one of a job without a schedule */
 int64_t job_next_due (const job_t *job);
--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -35,6 +35,8 @@
                          const msg_job_tell_t *m);
 static void on_job_submit (scheduler_t *s, usec_t now, node_id_t node,
                            const msg_job_submit_t *submit);
+static int check_large_submission (const shard_t *shard, job_id_t job,
+                                   uint32_t record_len);
 static reply_code_t accept_submission (scheduler_t *s, usec_t now,
                                        uint32_t shard, job_id_t job,
                                        blob_t record);
@@ -141,6 +143,18 @@
     send_reply (s, now, node, submit->id, &reply);
 }
 
+/* The caller's process appends a large submission unless the owner, which will
+   read it, has no memory for it.
+   @return -ENOENT, or -ENOSPC */
+static int
+check_large_submission (const shard_t *shard, job_id_t job,
+                        uint32_t record_len)
+{
+  int code = shard_check_room (shard, job, record_len);
+
+  return code ? code : -ENOENT;
+}
+
 /* Passes a submission to the shard.
    @return REPLY_TRY_LATER while the submission is being stored */
 static reply_code_t
@@ -155,15 +169,18 @@
     return REPLY_NOT_STORED;
   /* A known job is not refused even if the store is unhealthy: the job may
      have been accepted in an answer that was lost.  */
-  if (code == -ENOENT && sched_store_healthy (s, now)
-      && record.len <= RECORD_MAX_BYTES)
-    code = shard_submit (own, now, job, record);
+  if (code == -ENOENT && sched_store_healthy (s, now))
+    code = record.len <= RECORD_MAX_BYTES
+               ? shard_submit (own, now, job, record)
+               : check_large_submission (own, job, record.len);
   switch (code)
     {
     case 0:
       return REPLY_KNOWN;
     case -EINPROGRESS:
       return REPLY_TRY_LATER;
+    case -ENOSPC:
+      return REPLY_FULL;
     default:
       return REPLY_NOT_STORED;
     }
@@ -205,7 +222,7 @@
   query_reply_t reply = { (reply_code_t)m->code, (job_status_t)m->status,
                           (uint32_t)m->pending };
 
-  if (m->code < REPLY_KNOWN || m->code > REPLY_WITHDRAWN
+  if (m->code < REPLY_KNOWN || m->code > REPLY_FULL
       || m->status > JOB_CANCELED)
     {
       log_line (LOG_LEVEL_WARNING, "peer.tell", NULL,
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -66,6 +66,8 @@
                          caller_request_t *request);
 static void on_owner_silent (scheduler_t *s, usec_t now,
                              const caller_request_t *request);
+static void on_owner_full (scheduler_t *s, usec_t now,
+                           caller_request_t *request);
 static void on_forward_reply (scheduler_t *s, usec_t now,
                               caller_request_t *request, reply_code_t code);
 static void finish_accepted (scheduler_t *s, usec_t now,
@@ -200,8 +202,8 @@
     {
       counter_add (COUNTER_JOBS_REFUSED, 1);
       log_line (LOG_LEVEL_INFO, "job.refused", NULL,
-                "job=%016" PRIx64 " queue=%s open=%u", job, rules->name,
-                g_hash_table_size (s->requests));
+                "job=%016" PRIx64 " queue=%s cause=requests open=%u", job,
+                rules->name, g_hash_table_size (s->requests));
       reject_now (s, http->handle, 503, RETRY_AFTER_S, "too many requests");
       submission_free (parsed);
       return;
@@ -315,6 +317,28 @@
   group_refresh_owners (s, now);
 }
 
+/* The owner has no memory for a new job, and the submission is not appended
+   past it: the owner would read the record and keep the job all the same.  A
+   submission that may be stored is not refused, since its job may run. */
+static void
+on_owner_full (scheduler_t *s, usec_t now, caller_request_t *request)
+{
+  if (request->may_be_stored)
+    {
+      request->due = now + QUERY_RETRY_DELAY;
+      return;
+    }
+  counter_add (COUNTER_JOBS_REFUSED, 1);
+  log_item (LOG_LEVEL_INFO, request->job, "job.refused", NULL,
+            "job=%016" PRIx64
+            " queue=%s cause=memory shard=%u age_ms=%" PRId64,
+            request->job, request->queue, request->shard,
+            usec_to_msec (now - request->arrived_at));
+  finish_request (
+      s, request, 503, RETRY_AFTER_S,
+      s->backend->ops->error_body (s->backend->ctx, "too many jobs"));
+}
+
 static void
 on_forward_reply (scheduler_t *s, usec_t now, caller_request_t *request,
                   reply_code_t code)
@@ -348,6 +372,9 @@
           return;
         }
       break;
+    case REPLY_FULL:
+      on_owner_full (s, now, request);
+      break;
     default:
       /* The submission is being stored, or the owner was replaced.  */
       request->may_be_stored = true;
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -50,8 +50,11 @@
   REPLY_NOT_OWNER = 3,
   REPLY_TRY_LATER = 4,  /* the owner cannot answer yet */
   REPLY_NOT_STORED = 5, /* a submission was not and will not be stored */
-  REPLY_WITHDRAWN = 6   /* like REPLY_NOT_STORED: the owner had accepted the
+  REPLY_WITHDRAWN = 6,  /* like REPLY_NOT_STORED: the owner had accepted the
                            submission and dropped it before an append */
+  REPLY_FULL = 7 /* like REPLY_NOT_STORED: the owner's jobs take too much
+                    memory.  A build without this code ignores the reply
+                    and appends the submission after a time-out */
 } reply_code_t;
 
 typedef struct
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -1487,6 +1487,213 @@
   close (owner_socket);
 }
 
+/* A process that receives requests from callers; the owner of its only shard
+   is OWNER_NODE unless the test makes the process own it. */
+typedef struct
+{
+  scheduler_t *s;
+  int owner_socket;
+  int caller_socket;
+} front_t;
+
+static void
+set_up_front (front_t *front)
+{
+  static const scheduler_settings_t settings
+      = { .zone = "z", .append_bytes = 65536, .partitions = 1 };
+  const httpd_config_t callers = { .address = addresses.callers,
+                                   .max_connections = 4,
+                                   .max_body = MAX_RECORD_BYTES,
+                                   .timeout = 30 * USEC_PER_SEC };
+  scheduler_t *s = new_bare_scheduler ();
+  err_t err = { 0 };
+
+  memset (&fake, 0, sizeof fake);
+  fake.loop = s->loop;
+  fake.pending = g_ptr_array_new ();
+  front->s = s;
+  front->owner_socket = listen_as_peer ();
+  s->settings = &settings;
+  s->zones = zones_new ();
+  s->queues = fake_config (NULL, NULL, NULL);
+  sched_set_shards (s, 1);
+  s->owners[0].node = OWNER_NODE;
+  peerlink_add (s->link, OWNER_NODE, addresses.live_peer);
+  s->callers = httpd_new (s->loop, &callers, &sched_caller_ops, s, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s->callers);
+  paused_loop_run (s->loop, 100 * USEC_PER_MSEC);
+  front->caller_socket = connect_as_caller ();
+}
+
+static void
+tear_down_front (front_t *front)
+{
+  scheduler_t *s = front->s;
+
+  httpd_free (s->callers);
+  free_pending_answers ();
+  g_ptr_array_free (fake.pending, TRUE);
+  shard_free (s->shards[0].shard);
+  g_free (s->shards);
+  g_free (s->owners);
+  queues_free (s->queues);
+  zones_free (s->zones);
+  close (front->caller_socket);
+  close (front->owner_socket);
+  free_bare_scheduler (s);
+}
+
+static void
+run_front (front_t *front, usec_t span)
+{
+  usec_t until = clock_now () + span;
+
+  while (clock_now () < until)
+    {
+      paused_loop_run (front->s->loop, 20 * USEC_PER_MSEC);
+      callers_tick (front->s, clock_now ());
+      queries_tick (front->s, clock_now ());
+    }
+}
+
+/* Sends a submission of JOB_ID with a body of LEN bytes. */
+static void
+send_submission (front_t *front, size_t len)
+{
+  char *body = g_strnfill (len, 'x');
+  char *text = g_strdup_printf ("POST " JOB_PATH " HTTP/1.1\r\nHost: %s\r\n"
+                                "Content-Length: %zu\r\n\r\n%s",
+                                addresses.callers, len, body);
+  size_t left = strlen (text);
+
+  while (left)
+    {
+      ssize_t sent = send (front->caller_socket, text + strlen (text) - left,
+                           left, MSG_DONTWAIT);
+
+      left -= (size_t)MAX (sent, 0);
+      run_front (front, 20 * USEC_PER_MSEC);
+    }
+  g_free (body);
+  g_free (text);
+}
+
+/* Has the owner reply to the only open request. */
+static void
+reply_as_owner (front_t *front, reply_code_t code)
+{
+  message_t tell = { .type = MSG_JOB_TELL };
+  GHashTableIter iter;
+  gpointer data = NULL;
+
+  g_hash_table_iter_init (&iter, front->s->requests);
+  CU_ASSERT_FATAL (g_hash_table_iter_next (&iter, NULL, &data));
+  CU_ASSERT (((caller_request_t *)data)->forward_busy);
+  tell.u.job_tell
+      = (msg_job_tell_t){ .id = ((caller_request_t *)data)->id, .code = code };
+  sched_peerlink_ops.message (front->s, OWNER_NODE, 1, &tell);
+  run_front (front, 40 * USEC_PER_MSEC);
+}
+
+/* Reads what the caller has received, without waiting. */
+static void
+read_answer (front_t *front, char text[1024])
+{
+  ssize_t got = recv (front->caller_socket, text, 1023, MSG_DONTWAIT);
+
+  text[MAX (got, 0)] = '\0';
+}
+
+static void
+check_refused (front_t *front)
+{
+  char text[1024];
+
+  read_answer (front, text);
+  CU_ASSERT (g_str_has_prefix (text, "HTTP/1.1 503 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "Retry-After: 1\r\n"));
+  run_front (front, LONG_RUN);
+  CU_ASSERT_EQUAL (fake.appends, 0);
+}
+
+/* Guards against a caller that waits for its time-out as the owner has no
+   memory for its job, and against a front that appends the submission past the
+   owner, which would read it and keep the job. */
+static void
+test_owner_is_full (void)
+{
+  front_t front;
+  uint64_t before = counter_get (COUNTER_JOBS_REFUSED);
+
+  set_up_front (&front);
+  send_submission (&front, 2);
+  reply_as_owner (&front, REPLY_FULL);
+  check_refused (&front);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_JOBS_REFUSED), before + 1);
+  tear_down_front (&front);
+}
+
+/* Guards against a refusal of a submission that may be stored: its job would
+   run though its caller was told that it does not. */
+static void
+test_stored_when_owner_is_full (void)
+{
+  front_t front;
+  char text[1024];
+
+  set_up_front (&front);
+  send_submission (&front, 2);
+  reply_as_owner (&front, REPLY_TRY_LATER);
+  reply_as_owner (&front, REPLY_FULL);
+  read_answer (&front, text);
+  CU_ASSERT_STRING_EQUAL (text, "");
+  run_front (&front, LONG_RUN);
+  read_answer (&front, text);
+  CU_ASSERT (g_str_has_prefix (text, "HTTP/1.1 200 "));
+  CU_ASSERT_EQUAL (fake.appends, 1);
+  tear_down_front (&front);
+}
+
+/* Makes the process own its shard, with no memory for any job. */
+static void
+own_full_shard (front_t *front)
+{
+  const shard_config_t config = { .job_bytes = 1, .append_bytes = 65536 };
+  shard_state_t *state = &front->s->shards[0];
+
+  shard_free (state->shard);
+  state->shard = shard_new (&config, &sched_shard_ops, state, 0);
+  state->owned = true;
+  state->read_due = INT64_MAX;
+  shard_acquire (state->shard, clock_now (), 1);
+  shard_loaded (state->shard, clock_now ());
+}
+
+static void
+check_own_full_shard (size_t len)
+{
+  front_t front;
+  uint64_t before = counter_get (COUNTER_JOBS_NO_MEMORY);
+
+  set_up_front (&front);
+  own_full_shard (&front);
+  front.s->shards[0].read_as_of = INT64_MAX;
+  send_submission (&front, len);
+  check_refused (&front);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_JOBS_NO_MEMORY), before + 1);
+  tear_down_front (&front);
+}
+
+/* Guards against an owner that takes the refusal of its shard for one that
+   another process may get round, also where the submission is so large that
+   the caller's process appends it itself. */
+static void
+test_own_shard_is_full (void)
+{
+  check_own_full_shard (2);
+  check_own_full_shard (220000);
+}
+
 /* A site has several shards only if one owner is not sufficient, since tasks
    of a full shard are not moved to another one, and never more shards than
    partitions.  Processes with a small cpu_share leave the decision and large
@@ -1609,6 +1816,9 @@
     { "malformed frames", test_malformed_frames },
     { "frame for odd shard", test_frame_for_odd_shard },
     { "connection to a slow owner", test_connection_to_slow_owner },
+    { "owner is full", test_owner_is_full },
+    { "stored when the owner is full", test_stored_when_owner_is_full },
+    { "own shard is full", test_own_shard_is_full },
     { "layout", test_layout },
     { "layout with changing workers", test_layout_with_changing_workers },
     { "settings", test_settings },
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -23,10 +23,13 @@
 static job_entry_t *new_entry (shard_t *shard, job_id_t job);
 static void register_job (shard_t *shard, usec_t now, job_entry_t *entry);
 static bool apply_progress (job_entry_t *entry);
+static int refuse_job (const shard_t *shard, job_id_t job,
+                       uint32_t record_len);
 static void job_submitted (shard_t *shard, job_entry_t *entry);
 static void add_open_job (shard_t *shard, job_entry_t *entry);
 static void forget_ended_jobs (shard_t *shard, usec_t now);
 static usec_t create_due_occurrences (shard_t *shard, usec_t now);
+static bool create_occurrences (shard_t *shard, job_t *job, int64_t wall);
 static void log_load (shard_t *shard, usec_t now);
 
 shard_t *
@@ -114,6 +117,7 @@
   g_ptr_array_set_size (shard->dirty_entries, 0);
   shard_reset_batch (shard);
   g_hash_table_remove_all (shard->jobs);
+  memory_clear (shard);
   shard->unsubmitted_jobs = 0;
 }
 
@@ -304,6 +308,8 @@
     return known;
   if (record.len > SHARD_VALUE_MAX_BYTES)
     return -EBADMSG;
+  if (shard_check_room (shard, job, record.len))
+    return -ENOSPC;
   order = submission_decode (record);
   if (!order || order->id != job)
     {
@@ -316,18 +322,49 @@
       submission_free (order);
       job_submitted (shard, entry);
       entry->unstored_submission = g_bytes_new (NULL, 0);
+      memory_update (shard, entry);
       return -EINPROGRESS;
     }
+  if (!memory_admits (shard, order, record.len))
+    {
+      submission_free (order);
+      return refuse_job (shard, job, record.len);
+    }
   if (!entry)
     entry = new_entry (shard, job);
   entry->job = job_new (order);
   entry->unstored_submission = g_bytes_new (record.data, record.len);
+  memory_update (shard, entry);
   register_job (shard, now, entry);
   shard_mark_dirty (shard, entry);
   shard->placement_needed = true;
   return -EINPROGRESS;
 }
 
+int
+shard_check_room (const shard_t *shard, job_id_t job, uint32_t record_len)
+{
+  const job_entry_t *entry = shard_entry (shard, job);
+
+  if (!shard_is_active (shard) || (entry && entry->job)
+      || memory_admits_record (shard, record_len))
+    return 0;
+  return refuse_job (shard, job, record_len);
+}
+
+/* @return -ENOSPC */
+static int
+refuse_job (const shard_t *shard, job_id_t job, uint32_t record_len)
+{
+  counter_add (COUNTER_JOBS_NO_MEMORY, 1);
+  log_item (LOG_LEVEL_INFO, job, "job.full", NULL,
+            "job=%016" PRIx64 " shard=%u bytes=%u job_bytes=%" PRIu64
+            "/%" PRIu64,
+            job, shard->number, record_len, shard->job_bytes,
+            shard->config.job_bytes);
+  return -ENOSPC;
+}
+
 /* The submission of a canceled job has arrived: callers see that it has
    ended. */
 static void
@@ -371,6 +408,7 @@
   run_stop_job (shard, now, job, "submission withdrawn");
   g_queue_remove (shard->open_jobs, job);
   g_ptr_array_remove (shard->dirty_entries, entry);
+  memory_remove (shard, entry);
   g_hash_table_remove (shard->jobs, &id);
   return 0;
 }
@@ -390,6 +428,7 @@
         {
           g_bytes_unref (entry->unstored_submission);
           entry->unstored_submission = NULL;
+          memory_update (shard, entry);
         }
       if (entry->job->unsubmitted)
         job_submitted (shard, entry);
@@ -409,6 +448,7 @@
       return;
     }
   entry->job = job_new (order);
+  memory_update (shard, entry);
   if (shard->active)
     register_job (shard, now, entry);
 }
@@ -490,6 +530,7 @@
       if (entry->early_progress)
         g_bytes_unref (entry->early_progress);
       entry->early_progress = NULL;
+      memory_update (shard, entry);
       if (!entry->job->submission)
         continue;
       add_open_job (shard, entry);
@@ -552,6 +593,7 @@
   if (job->end_status == JOB_QUEUED || job->placed || !job->submission)
     return;
   job_free_details (job);
+  memory_update (shard, entry);
   entry->end_time_ms = job->ended_ms;
   entry->drop_submission = true;
   shard_mark_dirty (shard, entry);
@@ -624,6 +666,7 @@
   entry->end_time_ms = shard->ops->wall_ms (shard->ctx);
   entry->job = job_new_ended (job, JOB_CANCELED, entry->end_time_ms);
   entry->job->unsubmitted = true;
+  memory_update (shard, entry);
   shard->unsubmitted_jobs++;
   shard_mark_dirty (shard, entry);
   log_item (LOG_LEVEL_INFO, job, "job.cancel", NULL,
@@ -674,15 +717,16 @@
       filling += worker->best_effort_millicores;
       leftover += MAX (sharing_leftover (worker), 0);
     }
-  log_line (
-      LOG_LEVEL_INFO, "shard.load", NULL,
-      "shard=%u workers=%u open=%u runs=%zu waiting=%u starting=%u"
-      " stopping=%u unsettled_ms=%" PRId64 " cores=%" PRIu64 " used=%" PRIu64
-      " serving=%" PRIu64 " filling=%" PRIu64 " leftover=%" PRId64,
-      shard->number, workers, g_queue_get_length (shard->open_jobs),
-      table_count (shard->runs), shard->waiting_tasks, unsettled.starting,
-      unsettled.stopping, usec_to_msec (unsettled.oldest), total / 1000,
-      used / 1000, serving / 1000, filling / 1000, leftover / 1000);
+  log_line (LOG_LEVEL_INFO, "shard.load", NULL,
+            "shard=%u workers=%u open=%u runs=%zu waiting=%u starting=%u"
+            " stopping=%u unsettled_ms=%" PRId64 " cores=%" PRIu64
+            " used=%" PRIu64 " serving=%" PRIu64 " filling=%" PRIu64
+            " leftover=%" PRId64 " job_bytes=%" PRIu64,
+            shard->number, workers, g_queue_get_length (shard->open_jobs),
+            table_count (shard->runs), shard->waiting_tasks,
+            unsettled.starting, unsettled.stopping,
+            usec_to_msec (unsettled.oldest), total / 1000, used / 1000,
+            serving / 1000, filling / 1000, leftover / 1000, shard->job_bytes);
 }
 
 usec_t
@@ -735,7 +779,7 @@
     {
       job_t *job = l->data;
 
-      if (job_create_due_occurrences (job, wall))
+      if (create_occurrences (shard, job, wall))
         shard->placement_needed = true;
       earliest = MIN (earliest, job_next_due (job));
     }
@@ -749,6 +793,25 @@
   return shard->occurrences_due;
 }
 
+/* @return whether an occurrence was created */
+static bool
+create_occurrences (shard_t *shard, job_t *job, int64_t wall)
+{
+  job_entry_t *entry;
+  bool created = false;
+
+  if (job_next_due (job) > wall)
+    return false;
+  entry = shard_entry (shard, job->id);
+  while (memory_admits_occurrence (shard, entry)
+         && job_create_due_occurrence (job, wall))
+    {
+      memory_update (shard, entry);
+      created = true;
+    }
+  return created;
+}
+
 /* Has the records of jobs deleted that ended long ago. */
 static void
 forget_ended_jobs (shard_t *shard, usec_t now)
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -46,6 +46,8 @@
   usec_t workers_max_age; /**< nothing is started on workers that accept more
                              than they have room for while the list of workers
                              is older than this */
+  uint64_t job_bytes;     /**< most bytes that jobs may take as new ones are
+                             accepted (shard_job_bytes), 0: no bound */
 } shard_config_t;
 
 /** A worker as listed by the platform. */
@@ -238,10 +240,17 @@
     @return 0 if it is stored already, -EINPROGRESS if it will be, or if its
     job was canceled before and that will be (shard_ops_t.settled follows),
    -EAGAIN if the shard is not active or quiesced, -EBADMSG if RECORD is no
-   submission of JOB or too large; with the last two the submission is not
-   accepted */
+   submission of JOB or too large, -ENOSPC if the jobs of the shard would take
+   more than shard_config_t.job_bytes with a job that is not known yet; with
+   the last three the submission is not accepted */
 int shard_submit (shard_t *shard, usec_t now, job_id_t job, blob_t record);
 
+/** Checks whether a submission that another process is to store would exceed
+    shard_config_t.job_bytes by the length of its record alone.
+    @return 0 or -ENOSPC; 0 as well if the job is known or the shard not
+    active */
+int shard_check_room (const shard_t *shard, job_id_t job, uint32_t record_len);
+
 /** @return 0 if the submission is stored, -EINPROGRESS if it is not stored
     yet, -ENOENT if no such job is known */
 int shard_submission_state (const shard_t *shard, job_id_t job);
@@ -322,6 +331,11 @@
     canceled lately */
 int shard_cancel_unknown (shard_t *shard, usec_t now, job_id_t job);
 
+/** @return estimate of the memory that the jobs of the shard take, in bytes:
+    their submissions, those that are not stored yet once more as records,
+    their occurrences, at least one each, and what is kept of ended jobs */
+uint64_t shard_job_bytes (const shard_t *shard);
+
 /** @return number of jobs of the queue without a started task */
 uint32_t shard_pending (const shard_t *shard, const char *queue);
 
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -205,6 +205,9 @@
                           job no run, since then, 0: not so */
   int64_t end_time_ms; /* wall clock of the end, 0 if the job has not ended or
                           its records are to be dropped */
+  uint64_t submission_bytes; /* estimates, 0 before they are made */
+  uint64_t occurrence_bytes;
+  uint64_t counted_bytes; /* in shard.job_bytes */
 } job_entry_t;
 
 /* A step with waiting tasks whose dependencies are done. */
@@ -253,6 +256,7 @@
   GHashTable *jobs;          /* job_id_t -> job_entry_t */
   GQueue *open_jobs;         /* job_t that have not ended */
   uint32_t unsubmitted_jobs; /* with job_t.unsubmitted */
+  uint64_t job_bytes;        /* estimate of the memory of JOBS */
   GPtrArray *dirty_entries;  /* job_entry_t */
   GHashTable *workers_by_id; /* id -> handle_t */
   table_t *workers;
@@ -329,6 +333,26 @@
     submission */
 bool shard_append_has_submission (const shard_t *shard, job_id_t job);
 
+/* shard_memory.c */
+/** Updates the estimate after the job was added or has changed: its
+    submission, its occurrences or whether its submission is stored. */
+void memory_update (shard_t *shard, job_entry_t *entry);
+/** Takes the job out of the estimate, before its entry is removed. */
+void memory_remove (shard_t *shard, job_entry_t *entry);
+/** All jobs have been removed. */
+void memory_clear (shard_t *shard);
+/** @return false if a new job with a record of this length exceeds the bound,
+    whatever the record holds */
+bool memory_admits_record (const shard_t *shard, uint32_t record_len);
+/** @return whether a new job fits within the bound, with its first
+    occurrence */
+bool memory_admits (const shard_t *shard, const submission_t *submission,
+                    uint32_t record_len);
+/** @return whether the job may get another occurrence, which it may always if
+    it has none: otherwise its next one waits until earlier ones are done or
+    there is room */
+bool memory_admits_occurrence (const shard_t *shard, const job_entry_t *entry);
+
 /* shard_workers.c */
 worker_t *worker_get (const shard_t *shard, handle_t handle);
 handle_t worker_find (const shard_t *shard, const char *id);
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -216,6 +216,7 @@
   run_remove (shard, now, handle);
   if (task_done (job, occurrence, run_id->step, run_id->index))
     shard_end_job (shard, now, entry, JOB_COMPLETED);
+  memory_update (shard, entry);
 }
 
 /* The first member that is done completes the whole gang. */
@@ -238,6 +239,7 @@
     }
   if (completed)
     shard_end_job (shard, now, entry, JOB_COMPLETED);
+  memory_update (shard, entry);
 }
 
 /* Stops the other members if the run was of a gang: they would wait at their
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -322,6 +322,7 @@
     return;
   g_bytes_unref (entry->unstored_submission);
   entry->unstored_submission = NULL;
+  memory_update (shard, entry);
   shard->ops->settled (shard->ctx, job);
 }
 
@@ -330,12 +331,13 @@
 {
   for (guint i = 0; i < shard->batch_drops->len; i++)
     {
-      const job_entry_t *entry = shard->batch_drops->pdata[i];
+      job_entry_t *entry = shard->batch_drops->pdata[i];
       job_id_t job = entry->job->id;
 
       if (entry->dirty)
         continue;
       shard->unsubmitted_jobs -= entry->job->unsubmitted;
+      memory_remove (shard, entry);
       g_hash_table_remove (shard->jobs, &job);
     }
 }
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -11,6 +11,9 @@
 /* Age from which on the state of the zones is too old for starts.  */
 #define ZONES_MAX_AGE (4 * USEC_PER_SEC)
 
+static void set_up_config (usec_t lease, usec_t stale_limit,
+                           usec_t lease_horizon, uint64_t job_bytes);
+
 fixture_t fixture;
 
 /* 2^32 - 1 ms */
@@ -159,11 +162,24 @@
 void
 set_up (void)
 {
-  set_up_leases (6 * USEC_PER_SEC, STALE_LIMIT, LEASE_HORIZON);
+  set_up_job_bytes (0);
+}
+
+void
+set_up_job_bytes (uint64_t job_bytes)
+{
+  set_up_config (6 * USEC_PER_SEC, STALE_LIMIT, LEASE_HORIZON, job_bytes);
 }
 
 void
 set_up_leases (usec_t lease, usec_t stale_limit, usec_t lease_horizon)
+{
+  set_up_config (lease, stale_limit, lease_horizon, 0);
+}
+
+static void
+set_up_config (usec_t lease, usec_t stale_limit, usec_t lease_horizon,
+               uint64_t job_bytes)
 {
   zones_t *zones = zones_new ();
   const shard_config_t config = { .lease = lease,
@@ -178,7 +194,8 @@
                                   .append_bytes = 1 << 20,
                                   .zones = zones,
                                   .zones_max_age = ZONES_MAX_AGE,
-                                  .workers_max_age = WORKERS_MAX_AGE };
+                                  .workers_max_age = WORKERS_MAX_AGE,
+                                  .job_bytes = job_bytes };
   GByteArray *progress = fixture.progress;
   GByteArray *lapsing = fixture.lapsing;
   GByteArray *lease_bound = fixture.lease_bound;
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -50,6 +50,8 @@
 void set_up (void);
 /** The same with other limits of leases. */
 void set_up_leases (usec_t lease, usec_t stale_limit, usec_t lease_horizon);
+/** The same with shard_config_t.job_bytes. */
+void set_up_job_bytes (uint64_t job_bytes);
 void tear_down (void);
 /** Frees what is kept from one test to the next. */
 void free_fixture (void);
