Refuse a job for want of memory only after the records before it are read

Cause: a front may have stored a submission whose answer was lost. Its caller sends it again to another front, and a full owner that has not read the record yet refused it with REPLY_FULL: the caller is told 503 (has not run and never runs), and the job runs once the record is read.

Change: the owner defers such a submission until a read has completed that was sent after the submission arrived, as it does for cancels of unknown jobs, and then replies REPLY_KNOWN or REPLY_FULL.

Tests (test_scheduler): "full owner reads first" failed before, as the caller got 503 at once; it fails with the mutants FULL_BEFORE_READ and FULL_WITHOUT_READ.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -102,6 +102,8 @@
 WITHDRAWN_JOB_COUNTS|src/shard/shard.c|shard/test_shard_memory|s/memory_remove (shard, entry);//
 FORMER_JOBS_COUNT|src/shard/shard.c|shard/test_shard_memory|s/memory_clear (shard);//
 KNOWN_JOB_IS_BOUND|src/shard/shard.c|shard/test_shard_memory|s/|| (entry && entry->job)$//
+FULL_BEFORE_READ|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/s->shards.query->shard.*read_as_of < query->arrived_at/false/
+FULL_WITHOUT_READ|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/query->kind != QUERY_SUBMIT || query->full/query->kind != QUERY_SUBMIT/
 FULL_IS_RETRIED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/return REPLY_FULL/return REPLY_NOT_STORED/
 FULL_IS_APPENDED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/^  if (request->may_be_stored)$/  if (true)/
 STORED_IS_REFUSED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/^  if (request->may_be_stored)$/  if (false)/
--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -35,6 +35,11 @@
                          const msg_job_tell_t *m);
 static void on_job_submit (scheduler_t *s, usec_t now, node_id_t node,
                            const msg_job_submit_t *submit);
+static bool defers_submission (const scheduler_t *s, reply_code_t code,
+                               deferred_query_t *query);
+static bool answer_submission (const shard_state_t *state,
+                               const deferred_query_t *query,
+                               query_reply_t *reply);
 static int check_large_submission (const shard_t *shard, job_id_t job,
                                    uint32_t record_len);
 static reply_code_t accept_submission (scheduler_t *s, usec_t now,
@@ -100,14 +105,15 @@
   deferred_query_t query = { .id = request->id,
                              .kind = QUERY_SUBMIT,
                              .job = request->job,
-                             .shard = request->shard };
-  query_reply_t reply;
+                             .shard = request->shard,
+                             .arrived_at = now };
+  query_reply_t reply = { 0 };
 
   if (s->shards[request->shard].owned)
     {
       reply.code
           = accept_submission (s, now, request->shard, request->job, record);
-      if (reply.code == REPLY_TRY_LATER)
+      if (defers_submission (s, reply.code, &query))
         defer_query (s, now, &query);
       else
         callers_on_reply (s, now, request->id, &reply);
@@ -131,18 +137,49 @@
                              .id = submit->id,
                              .kind = QUERY_SUBMIT,
                              .job = submit->job,
-                             .shard = (uint32_t)submit->shard };
+                             .shard = (uint32_t)submit->shard,
+                             .arrived_at = now };
   query_reply_t reply = { .code = REPLY_NOT_STORED };
 
   if (submit->shard < s->shard_count && s->shards[submit->shard].owned)
     reply.code
         = accept_submission (s, now, query.shard, submit->job, submit->record);
-  if (reply.code == REPLY_TRY_LATER)
+  if (defers_submission (s, reply.code, &query))
     defer_query (s, now, &query);
   else
     send_reply (s, now, node, submit->id, &reply);
 }
 
+/* The job of a submission for which there is no memory may be stored by
+   another process and not be read yet: it is refused once all that was stored
+   before the query has been read. */
+static bool
+defers_submission (const scheduler_t *s, reply_code_t code,
+                   deferred_query_t *query)
+{
+  query->full = code == REPLY_FULL;
+  return code == REPLY_TRY_LATER
+         || (query->full
+             && s->shards[query->shard].read_as_of < query->arrived_at);
+}
+
+/* An accepted submission stays REPLY_TRY_LATER until it is stored.  After a
+   change of ownership the new owner may not know it.
+   @return false if the query is to be deferred */
+static bool
+answer_submission (const shard_state_t *state, const deferred_query_t *query,
+                   query_reply_t *reply)
+{
+  int code = shard_submission_state (state->shard, query->job);
+
+  if (!code)
+    reply->code = REPLY_KNOWN;
+  else if (code == -ENOENT && query->full
+           && state->read_as_of >= query->arrived_at)
+    reply->code = REPLY_FULL;
+  return reply->code != REPLY_TRY_LATER;
+}
+
 /* The caller's process appends a large submission unless the owner, which will
    read it, has no memory for it.
    @return -ENOENT, or -ENOSPC */
@@ -306,13 +343,7 @@
   if (!shard_is_active (state->shard))
     return timed_out;
   if (kind == QUERY_SUBMIT)
-    {
-      /* An accepted submission stays REPLY_TRY_LATER until it is stored.
-         After a change of ownership the new owner may not know it.  */
-      if (!shard_submission_state (state->shard, job))
-        reply->code = REPLY_KNOWN;
-      return timed_out || reply->code == REPLY_KNOWN;
-    }
+    return answer_submission (state, query, reply) || timed_out;
   if (kind == QUERY_PENDING)
     {
       reply->code = REPLY_KNOWN;
@@ -389,7 +420,8 @@
                        : code                      ? END_STORED_WAIT
                                                    : FINISHING_WAIT);
   query->ownership_id = s->shards[query->shard].ownership_id;
-  query->unknown_job = query->kind != QUERY_SUBMIT && code == -ENOENT;
+  query->unknown_job
+      = (query->kind != QUERY_SUBMIT || query->full) && code == -ENOENT;
   g_array_append_val (s->deferred_queries, *query);
   sched_wake (s);
 }
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -104,6 +104,7 @@
   usec_t deadline;
   uint64_t ownership_id; /* of the ownership that accepted a submission */
   bool unknown_job;      /* answered after a read of the store at the latest */
+  bool full;             /* a submission for which there is no memory */
 } deferred_query_t;
 
 /* A shard as this process sees it, whether it owns the shard or not.  */
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -1694,6 +1694,63 @@
   check_own_full_shard (220000);
 }
 
+/* Guards against the refusal of a job that another process has stored for the
+   same caller, and that the owner has not read yet: it will run. */
+static void
+test_full_owner_reads_first (void)
+{
+  front_t front;
+  shard_state_t *state;
+  GByteArray *record = new_record ();
+  char text[1024];
+
+  for (int stored = 0; stored < 2; stored++)
+    {
+      set_up_front (&front);
+      own_full_shard (&front);
+      state = &front.s->shards[0];
+      send_submission (&front, 2);
+      read_answer (&front, text);
+      CU_ASSERT_STRING_EQUAL (text, "");
+      CU_ASSERT (queries_await_read (front.s, 0));
+      if (stored)
+        {
+          shard_apply_record (
+              state->shard, clock_now (), RECORD_SUBMISSION, JOB_ID,
+              (blob_t){ (const char *)record->data, record->len });
+          queries_job_changed (front.s, clock_now (), JOB_ID);
+        }
+      state->read_as_of = clock_now ();
+      queries_read_complete (front.s, clock_now (), 0);
+      CU_ASSERT_EQUAL (front.s->deferred_queries->len, 0);
+      run_front (&front, 40 * USEC_PER_MSEC);
+      read_answer (&front, text);
+      CU_ASSERT (
+          g_str_has_prefix (text, stored ? "HTTP/1.1 200 " : "HTTP/1.1 503 "));
+      tear_down_front (&front);
+    }
+  g_byte_array_unref (record);
+}
+
+/* Guards against a front that appends a submission past a full owner since the
+   owner's reads take long, and against a request that is not answered then. */
+static void
+test_full_owner_reads_nothing (void)
+{
+  front_t front;
+  char text[1024];
+
+  set_up_front (&front);
+  own_full_shard (&front);
+  send_submission (&front, 2);
+  run_front (&front, LONG_RUN);
+  read_answer (&front, text);
+  /* The owner had not replied to the last forward when the deadline came. */
+  CU_ASSERT (g_str_has_prefix (text, "HTTP/1.1 504 "));
+  CU_ASSERT_EQUAL (fake.appends, 0);
+  tear_down_front (&front);
+}
+
 /* A site has several shards only if one owner is not sufficient, since tasks
    of a full shard are not moved to another one, and never more shards than
    partitions.  Processes with a small cpu_share leave the decision and large
@@ -1819,6 +1876,8 @@
     { "owner is full", test_owner_is_full },
     { "stored when the owner is full", test_stored_when_owner_is_full },
     { "own shard is full", test_own_shard_is_full },
+    { "full owner reads first", test_full_owner_reads_first },
+    { "full owner reads nothing", test_full_owner_reads_nothing },
     { "layout", test_layout },
     { "layout with changing workers", test_layout_with_changing_workers },
     { "settings", test_settings },
