Do not crash on storing the interference of tasks without an image

Cause: steps need not have an image. The model counts such tasks as image 0, which has no name, and interference_encode passed NULL to strlen: the owner crashed with the first append after a task with target_ms and without image had run beside a best-effort task, and so did each next owner. One caller's job within the documented limits suffices.

Change: what was learned of image 0 is used as before and left out of the record. pair_count, which served the encoding only, goes.

Tests: "nameless images" in test_interference and test_shard_sharing.

--- a/src/interference/interference.c
+++ b/src/interference/interference.c
@@ -45,7 +45,6 @@
                              aggressor, or NULL.  Arrays are used because a
                              placement looks up pairs for each worker that it
                              examines. */
-  uint32_t pair_count;    /* in all arrays */
   GHashTable *idle_tails; /* victim -> double, lowest tail in ms */
 };
 
@@ -57,6 +56,7 @@
 
 static int append_bytes (void *data, const char *bytes, size_t len);
 static void pack_string (msgpack_packer *packer, const char *text);
+static uint32_t count_named_pairs (const interference_t *model);
 static void pack_pair (msgpack_packer *packer, image_id_t victim,
                        image_id_t aggressor, const pair_t *pair);
 static bool decode_idle_tail (interference_t *model,
@@ -151,7 +151,6 @@
   pair = g_new0 (pair_t, 1);
   pair->variance = INITIAL_SLOPE_DEVIATION * INITIAL_SLOPE_DEVIATION;
   array_set (row, aggressor, pair);
-  model->pair_count++;
   return pair;
 }
 
@@ -292,12 +291,30 @@
   msgpack_pack_str_body (packer, text, strlen (text));
 }
 
+/* @return number of pairs with two named images */
+static uint32_t
+count_named_pairs (const interference_t *model)
+{
+  uint32_t count = 0;
+
+  for (image_id_t victim = 1; victim < model->by_victim->len; victim++)
+    {
+      const GPtrArray *row = model->by_victim->pdata[victim];
+
+      for (image_id_t i = 1; row && i < row->len; i++)
+        count += row->pdata[i] != NULL;
+    }
+  return count;
+}
+
 /* Two arrays: rows of an image and its idle tail, and rows of victim,
    aggressor, slope and variance.  Images are encoded by name, since their
-   identifiers differ between processes. */
+   identifiers differ between processes.  What was learned of tasks without an
+   image, which count as those of image 0, is left out. */
 void
 interference_encode (const interference_t *model, GByteArray *out)
 {
+  bool has_nameless = g_hash_table_contains (model->idle_tails, NULL);
   msgpack_packer packer;
   GHashTableIter iter;
   gpointer key;
@@ -305,20 +322,23 @@
 
   msgpack_packer_init (&packer, out, append_bytes);
   msgpack_pack_array (&packer, 2);
-  msgpack_pack_array (&packer, g_hash_table_size (model->idle_tails));
+  msgpack_pack_array (&packer,
+                      g_hash_table_size (model->idle_tails) - has_nameless);
   g_hash_table_iter_init (&iter, model->idle_tails);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
+      if (!key)
+        continue;
       msgpack_pack_array (&packer, 2);
       pack_string (&packer, g_quark_to_string (GPOINTER_TO_UINT (key)));
       msgpack_pack_float (&packer, (float)*(double *)value);
     }
-  msgpack_pack_array (&packer, model->pair_count);
-  for (image_id_t victim = 0; victim < model->by_victim->len; victim++)
+  msgpack_pack_array (&packer, count_named_pairs (model));
+  for (image_id_t victim = 1; victim < model->by_victim->len; victim++)
     {
       const GPtrArray *row = model->by_victim->pdata[victim];
 
-      for (image_id_t i = 0; row && i < row->len; i++)
+      for (image_id_t i = 1; row && i < row->len; i++)
         if (row->pdata[i])
           pack_pair (&packer, victim, i, row->pdata[i]);
     }
@@ -348,7 +368,6 @@
        && root->type == MSGPACK_OBJECT_ARRAY && root->via.array.size >= 2;
   g_hash_table_remove_all (model->idle_tails);
   g_ptr_array_set_size (model->by_victim, 0);
-  model->pair_count = 0;
   for (uint32_t part = 0; ok && part < 2; part++)
     {
       const msgpack_object *list = &root->via.array.ptr[part];
--- a/src/interference/test_interference.c
+++ b/src/interference/test_interference.c
@@ -124,6 +124,33 @@
   g_byte_array_unref (bytes);
 }
 
+/* Guards against an owner that crashes when it stores its model: steps need
+   not have an image. */
+static void
+test_nameless_images (void)
+{
+  interference_t *model = interference_new ();
+  interference_t *decoded = interference_new ();
+  image_id_t served = interference_image_id ("served");
+  image_id_t bad = interference_image_id ("bad");
+  const disturbance_t disturbances[] = { { 0, 2 }, { bad, 2 } };
+  own_load_t own = { 0 };
+  GByteArray *bytes = g_byte_array_new ();
+
+  interference_observe (model, 0, &own, 0, 20, disturbances, 2);
+  own = (own_load_t){ 0 };
+  interference_observe (model, served, &own, 0, 20, disturbances, 2);
+  interference_encode (model, bytes);
+  CU_ASSERT_EQUAL (interference_decode (
+                       decoded, (blob_t){ (char *)bytes->data, bytes->len }),
+                   0);
+  CU_ASSERT_DOUBLE_EQUAL (interference_slope (decoded, served, bad),
+                          interference_slope (model, served, bad), 1e-5);
+  g_byte_array_unref (bytes);
+  interference_free (model);
+  interference_free (decoded);
+}
+
 /* Guards against a model that is lost to an earlier build when a later one
    appends fields. */
 static void
@@ -169,6 +196,7 @@
     { "load fluctuation", test_load_fluctuation },
     { "utilization limit", test_utilization_limit },
     { "encoding", test_encoding },
+    { "nameless images", test_nameless_images },
     { "appended fields", test_appended_fields },
     { "trials", test_trials },
   };
--- a/src/shard/test_shard_sharing.c
+++ b/src/shard/test_shard_sharing.c
@@ -63,7 +63,8 @@
 /* Sets up the owner of a long-running task with a latency target that runs on
    the only worker. */
 static void
-set_up_with_model (void (*apply_model) (void), uint32_t millicores)
+set_up_with_image (void (*apply_model) (void), uint32_t millicores,
+                   const char *image)
 {
   const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
   submission_t *submission = new_submission (1);
@@ -71,7 +72,7 @@
   submission->steps[0].long_running = true;
   submission->steps[0].millicores = millicores;
   submission->steps[0].target_latency_ms = 45;
-  submission->steps[0].image = g_strdup ("s");
+  submission->steps[0].image = g_strdup (image);
   set_up ();
   imposed_before = counter_get (COUNTER_RUNS_IMPOSED);
   apply_model ();
@@ -85,6 +86,12 @@
   shard_reply (fixture.shard, fixture.now, last_call (SHARD_START)->id, &ok);
 }
 
+static void
+set_up_with_model (void (*apply_model) (void), uint32_t millicores)
+{
+  set_up_with_image (apply_model, millicores, "s");
+}
+
 static void
 set_up_with_target (uint32_t millicores)
 {
@@ -234,6 +241,43 @@
   interference_free (model);
 }
 
+static void
+apply_no_model (void)
+{
+}
+
+/* Guards against an owner that crashes when it stores what it has learned of a
+   task without an image beside another one; each next owner crashed too. */
+static void
+test_nameless_images (void)
+{
+  const shard_reply_t ok = { .kind = SHARD_REPLY_OK };
+  const run_report_t runs[] = {
+    { { JOB_ID, 0, 0, 0, 1 }, "", 100, 14 },
+    { { JOB_ID + 1, 0, 0, 0, 1 }, "", 10, 2000 },
+  };
+  submission_t *beside = new_submission_with_id (JOB_ID + 1, 1);
+
+  set_up_with_image (apply_no_model, 1000, NULL);
+  for (int i = 0; i < 4; i++)
+    report_tail_latency (13);
+  beside->steps[0].best_effort = true;
+  beside->steps[0].millicores = 500;
+  apply_submission (beside);
+  for (int i = 0; i < 4; i++)
+    report_tail_latency (13);
+  shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+  advance (USEC_PER_MSEC);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (last_call (SHARD_START));
+  shard_reply (fixture.shard, fixture.now, last_call (SHARD_START)->id, &ok);
+  advance (USEC_PER_SEC);
+  reply_to_hold (runs, 2, NULL, 0);
+  add_job_with_id (JOB_ID + 2, 1);
+  advance (2 * USEC_PER_SEC);
+  CU_ASSERT (fixture.models > 0);
+  tear_down ();
+}
+
 /* Guards against a shard that stores nothing any more: a record that the
    platform refuses for its size is in every repetition of its append. */
 static void
@@ -494,6 +538,7 @@
 main (void)
 {
   const suite_test_t tests[] = {
+    { "nameless images", test_nameless_images },
     { "images kept together", test_images_kept_together },
     { "best-effort run stopped over target", test_best_effort_stopped },
     { "best-effort run between peaks", test_best_effort_between_peaks },
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -68,6 +68,8 @@
       }
     else if (records[i].kind == RECORD_PROGRESS)
       keep_value (fixture.progress, &records[i]);
+    else if (records[i].kind == RECORD_INTERFERENCE)
+      fixture.models++;
     else if (records[i].kind == RECORD_LAPSING)
       keep_value (fixture.lapsing, &records[i]);
     else if (records[i].kind == RECORD_LEASE_BOUND)
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -30,6 +30,7 @@
   bool leases_unstored;     /**< an append without a job is in flight */
   GByteArray *lapsing;      /**< the last record of lapsing workers */
   GByteArray *lease_bound;  /**< the last bound of leases appended */
+  uint32_t models;          /**< of interference, appended */
   uint32_t submissions;     /**< non-empty submission records appended */
   bool submission_deleted;  /**< by the last submission record */
   uint32_t largest_record;  /**< bytes of the largest value appended */
