Bound the number and the length of the image names that are kept

Cause: interference_image_id made a GQuark of each image that a waiting step names, and quarks are kept until the process ends. A caller chooses the names, of up to 262,000 bytes and 256 to a job: the owner's memory grew with each new one also after the job was canceled, outside of any estimate. A name of 128 bytes and more in the stored model made the rest of the record unreadable.

Change: at most 4,096 names of up to 127 bytes, the length that the decoder accepts, get an identifier. Tasks of others are treated as tasks without an image.

Test: "many images" (test_interference) fails without either limit: a name of 128 bytes has an identifier, and 8,192 names have 8,192.

--- a/src/interference/interference.c
+++ b/src/interference/interference.c
@@ -99,7 +99,18 @@
 image_id_t
 interference_image_id (const char *name)
 {
-  return name && *name ? g_quark_from_string (name) : 0;
+  static uint32_t image_count;
+  image_id_t id;
+
+  if (!name || !*name
+      || strnlen (name, INTERFERENCE_MAX_NAME_BYTES + 1)
+             > INTERFERENCE_MAX_NAME_BYTES)
+    return 0;
+  id = g_quark_try_string (name);
+  if (id || image_count >= INTERFERENCE_MAX_IMAGES)
+    return id;
+  image_count++;
+  return g_quark_from_string (name);
 }
 
 static void
@@ -422,7 +433,7 @@
 static image_id_t
 decode_image (const msgpack_object *value)
 {
-  char name[128];
+  char name[INTERFERENCE_MAX_NAME_BYTES + 1];
 
   if (value->type != MSGPACK_OBJECT_STR || !value->via.str.size
       || value->via.str.size >= sizeof name)
--- a/src/interference/interference.h
+++ b/src/interference/interference.h
@@ -44,7 +44,14 @@
 interference_t *interference_new (void);
 void interference_free (interference_t *model);
 
-/** @return the identifier of an image name, 0 if it is empty or NULL */
+/** Limits on the names that get an identifier: callers choose them, and they
+    are kept until the process ends. */
+#define INTERFERENCE_MAX_IMAGES 4096U
+#define INTERFERENCE_MAX_NAME_BYTES 127U
+
+/** @return the identifier of an image name, 0 if it is empty, NULL, longer
+   than INTERFERENCE_MAX_NAME_BYTES or one more than INTERFERENCE_MAX_IMAGES:
+    tasks of such images are treated as those without one */
 image_id_t interference_image_id (const char *name);
 
 /** Updates the model from one report of a victim.
--- a/src/interference/test_interference.c
+++ b/src/interference/test_interference.c
@@ -188,6 +188,32 @@
   interference_free (model);
 }
 
+/* Guards against a process that runs out of memory by the names of images that
+   callers invent, and against a name that makes the stored model unreadable,
+   as it is too long there.  Uses up all identifiers. */
+static void
+test_many_images (void)
+{
+  image_id_t known = interference_image_id ("served");
+  char *name = g_strnfill (INTERFERENCE_MAX_NAME_BYTES + 1, 'n');
+  uint32_t count = 0;
+
+  CU_ASSERT_EQUAL (interference_image_id (name), 0);
+  name[INTERFERENCE_MAX_NAME_BYTES] = '\0';
+  CU_ASSERT (interference_image_id (name) != 0);
+  g_free (name);
+  for (uint32_t i = 0; i < 2 * INTERFERENCE_MAX_IMAGES; i++)
+    {
+      name = g_strdup_printf ("many-%u", i);
+      count += interference_image_id (name) != 0;
+      g_free (name);
+    }
+  CU_ASSERT (count > INTERFERENCE_MAX_IMAGES - 64);
+  CU_ASSERT (count < INTERFERENCE_MAX_IMAGES);
+  CU_ASSERT_EQUAL (interference_image_id ("served"), known);
+  CU_ASSERT (interference_image_id ("many-0") != 0);
+}
+
 int
 main (void)
 {
@@ -199,6 +225,7 @@
     { "nameless images", test_nameless_images },
     { "appended fields", test_appended_fields },
     { "trials", test_trials },
+    { "many images", test_many_images },
   };
 
   return suite_main ("interference", tests, sizeof tests / sizeof *tests);
