Bound the appends of submissions that a front has in flight

Cause: while the owner of a shard is silent, a front appends each submission itself, with a connection to the store and another copy of the record for each. With 2,000 open requests that is 2,000 descriptors besides those of the callers, and 524 MB for records of 262,144 bytes besides the requests themselves.

Change: at most 256 appends and 8 MiB of records at a time. Further ones wait in steps of 60 ms, and are answered by their deadline as today. Appends whose callers have gone are counted until they are answered.

Test: "many appends" (test_scheduler).

--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -24,6 +24,11 @@
 #define APPEND_RETRY_DELAY (60 * USEC_PER_MSEC)
 /* A submission is refused after the store has refused this many appends. */
 #define APPEND_ATTEMPTS_MAX 2U
+/* Appends of submissions in flight at a time, each with a connection to the
+   store and a copy of the record.  While an owner is silent they would take as
+   many descriptors as all callers, and twice the memory of their bodies. */
+#define APPENDS_MAX 256U
+#define APPEND_BYTES_MAX (8U << 20)
 /* Without a reply for this long, the query is sent again, on a new connection
    unless the owner has replied to others.
    Over twice as long as an owner waits for its store. */
@@ -41,6 +46,7 @@
 {
   scheduler_t *scheduler;
   uint64_t request;
+  uint32_t record_len;
   usec_t sent;
 } append_call_t;
 
@@ -74,6 +80,7 @@
                              caller_request_t *request);
 static void send_append (scheduler_t *s, usec_t now,
                          caller_request_t *request);
+static bool may_append (const scheduler_t *s, uint32_t record_len);
 static void on_appended (void *ctx, store_result_t result, const char *error);
 static void send_query (scheduler_t *s, usec_t now, caller_request_t *request);
 static void fail_request (scheduler_t *s, caller_request_t *request);
@@ -397,11 +404,18 @@
   finish_request (s, request, 200, 0, NULL);
 }
 
+static bool
+may_append (const scheduler_t *s, uint32_t record_len)
+{
+  return s->appends_busy < APPENDS_MAX
+         && s->append_bytes_busy + record_len <= APPEND_BYTES_MAX;
+}
+
 static void
 send_append (scheduler_t *s, usec_t now, caller_request_t *request)
 {
   char key[RECORD_KEY_LEN + 1];
-  append_call_t *call = g_new0 (append_call_t, 1);
+  append_call_t *call;
   store_record_t record = { .key = { key, RECORD_KEY_LEN },
                             .value = { (const char *)request->record->data,
                                        request->record->len } };
@@ -411,9 +425,18 @@
                             .count = 1,
                             .timeout = APPEND_TIMEOUT };
 
+  if (!may_append (s, request->record->len))
+    {
+      request->due = now + APPEND_RETRY_DELAY;
+      return;
+    }
+  call = g_new0 (append_call_t, 1);
   call->scheduler = s;
   call->request = request->id;
+  call->record_len = request->record->len;
   call->sent = now;
+  s->appends_busy++;
+  s->append_bytes_busy += call->record_len;
   record_key (RECORD_SUBMISSION, request->job, key);
   request->append_busy = true;
   request->append_count++;
@@ -430,6 +453,8 @@
   usec_t now = clock_now ();
 
   g_free (ctx);
+  s->appends_busy--;
+  s->append_bytes_busy -= call.record_len;
   sched_store_result (s, call.sent, result, "submit", error);
   sched_wake (s);
   if (!request)
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -247,7 +247,10 @@
   GHashTable *requests;         /* id -> caller_request_t */
   GHashTable *requests_by_http; /* handle -> caller_request_t */
   uint64_t request_counter;
-  GArray *deferred_queries; /* deferred_query_t */
+  uint32_t appends_busy;      /* of submissions, those of abandoned requests
+                                 included */
+  uint64_t append_bytes_busy; /* of their records */
+  GArray *deferred_queries;   /* deferred_query_t */
 
   succession_t succession;
 
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -1751,6 +1751,53 @@
   tear_down_front (&front);
 }
 
+/* Adds a submission that is to be appended by this process. */
+static void
+add_submission (front_t *front, uint64_t id, guint len)
+{
+  caller_request_t *request = g_new0 (caller_request_t, 1);
+
+  request->id = request->job = id;
+  request->kind = QUERY_SUBMIT;
+  request->queue = g_strdup ("queue");
+  request->deadline = INT64_MAX;
+  request->record = g_byte_array_new ();
+  g_byte_array_set_size (request->record, len);
+  memset (request->record->data, 0, len);
+  g_hash_table_insert (front->s->requests, &request->id, request);
+}
+
+static void
+check_appends (guint len, uint32_t count, uint32_t most)
+{
+  front_t front;
+
+  set_up_front (&front);
+  for (uint32_t i = 1; i <= count; i++)
+    add_submission (&front, i, len);
+  fake.appends_hang = true;
+  callers_tick (front.s, clock_now ());
+  run_front (&front, LONG_RUN);
+  CU_ASSERT (fake.appends > 0);
+  CU_ASSERT (fake.appends <= most);
+  /* The appends in flight are answered, and the others follow. */
+  fake.appends_hang = false;
+  run_front (&front, 12 * LONG_RUN);
+  CU_ASSERT_EQUAL (fake.appends, count);
+  CU_ASSERT_EQUAL (g_hash_table_size (front.s->requests), 0);
+  CU_ASSERT_EQUAL (front.s->append_bytes_busy, 0);
+  tear_down_front (&front);
+}
+
+/* Guards against a process that opens a connection to the store and copies the
+   record for each request at the same time, as the owner is silent. */
+static void
+test_many_appends (void)
+{
+  check_appends (MAX_RECORD_BYTES, 100, 32);
+  check_appends (100, 600, 256);
+}
+
 /* A site has several shards only if one owner is not sufficient, since tasks
    of a full shard are not moved to another one, and never more shards than
    partitions.  Processes with a small cpu_share leave the decision and large
@@ -1876,6 +1923,7 @@
     { "owner is full", test_owner_is_full },
     { "stored when the owner is full", test_stored_when_owner_is_full },
     { "own shard is full", test_own_shard_is_full },
+    { "many appends", test_many_appends },
     { "full owner reads first", test_full_owner_reads_first },
     { "full owner reads nothing", test_full_owner_reads_nothing },
     { "layout", test_layout },
