--- a/src/shard/test_shard_memory.c
+++ b/src/shard/test_shard_memory.c
@@ -323,6 +323,8 @@
   tear_down ();
 }
 
+/* The allocator of AddressSanitizer does not report what is allocated. */
+#ifndef __SANITIZE_ADDRESS__
 /* @return a job that fills its memory in another way for each kind */
 static submission_t *
 new_kind (uint32_t kind, job_id_t id)
@@ -365,7 +367,6 @@
 static void
 test_measured (void)
 {
-#ifndef __SANITIZE_ADDRESS__
   for (uint32_t kind = 0; kind < 4; kind++)
     {
       uint64_t before;
@@ -386,8 +387,8 @@
       CU_ASSERT (estimate <= taken + taken / 2);
       tear_down ();
     }
-#endif
 }
+#endif
 
 static const suite_test_t tests[] = {
   { "completed", test_completed },
@@ -399,7 +400,9 @@
   { "occurrences", test_occurrences },
   { "done occurrence", test_done_occurrence },
   { "first occurrence", test_first_occurrence },
+#ifndef __SANITIZE_ADDRESS__
   { "measured", test_measured },
+#endif
 };
 
 int
