Keep the names of images in a table of the module

Cause: GLib keeps each former array of its quarks when it enlarges them, so that LeakSanitizer reported 49,152 bytes in test_interference, whose "many images" makes 4,096 names (make SAN=1: exit 1).

Change: a hash table and an array in interference.c.

Tests: test_interference and test_shard_sharing pass with and without SAN=1 (88 and 386 assertions); without the limit "many images" fails.

--- a/src/interference/interference.c
+++ b/src/interference/interference.c
@@ -48,6 +48,11 @@
   GHashTable *idle_tails; /* victim -> double, lowest tail in ms */
 };
 
+/* Of all models of the process.  A GQuark would be kept for good as well, but
+   GLib has no limit on their number. */
+static GPtrArray *image_names; /* by identifier, NULL for 0 */
+static GHashTable *image_ids;  /* name -> identifier */
+
 /* Larger lists are rejected when decoding. */
 #define MAX_DECODED_ROWS 65536U
 /* Standard deviation added to a decoded slope, since the effect may have
@@ -99,18 +104,26 @@
 image_id_t
 interference_image_id (const char *name)
 {
-  static uint32_t image_count;
   image_id_t id;
 
   if (!name || !*name
       || strnlen (name, INTERFERENCE_MAX_NAME_BYTES + 1)
              > INTERFERENCE_MAX_NAME_BYTES)
     return 0;
-  id = g_quark_try_string (name);
-  if (id || image_count >= INTERFERENCE_MAX_IMAGES)
+  if (!image_ids)
+    {
+      image_ids = g_hash_table_new (g_str_hash, g_str_equal);
+      image_names = g_ptr_array_new ();
+      g_ptr_array_add (image_names, NULL);
+    }
+  id = GPOINTER_TO_UINT (g_hash_table_lookup (image_ids, name));
+  if (id || image_names->len > INTERFERENCE_MAX_IMAGES)
     return id;
-  image_count++;
-  return g_quark_from_string (name);
+  id = image_names->len;
+  g_ptr_array_add (image_names, g_strdup (name));
+  g_hash_table_insert (image_ids, image_names->pdata[id],
+                       GUINT_TO_POINTER (id));
+  return id;
 }
 
 static void
@@ -341,7 +354,7 @@
       if (!key)
         continue;
       msgpack_pack_array (&packer, 2);
-      pack_string (&packer, g_quark_to_string (GPOINTER_TO_UINT (key)));
+      pack_string (&packer, image_names->pdata[GPOINTER_TO_UINT (key)]);
       msgpack_pack_float (&packer, (float)*(double *)value);
     }
   msgpack_pack_array (&packer, count_named_pairs (model));
@@ -360,8 +373,8 @@
            const pair_t *pair)
 {
   msgpack_pack_array (packer, 4);
-  pack_string (packer, g_quark_to_string (victim));
-  pack_string (packer, g_quark_to_string (aggressor));
+  pack_string (packer, image_names->pdata[victim]);
+  pack_string (packer, image_names->pdata[aggressor]);
   msgpack_pack_float (packer, (float)pair->slope);
   msgpack_pack_float (packer, (float)pair->variance);
 }
