Bound the queries that an owner defers

Cause: an owner defers queries that it cannot answer yet, for up to 500 ms, such as those for unknown jobs. Each other process may have 2,000 of them open, so that their number grows with the number of processes and not with anything that the owner decides.

Change: at most 32,768 deferred queries (136 bytes each). Further ones are answered REPLY_TRY_LATER, or REPLY_WITHDRAWN if they are submissions for which there is no memory, and are sent again by the front.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -106,6 +106,7 @@
 FULL_WITHOUT_READ|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/query->kind != QUERY_SUBMIT || query->full/query->kind != QUERY_SUBMIT/
 APPENDS_NOT_BOUNDED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/if (!may_append (s, request->record->len))/if (false)/
 NAMELESS_STORED|src/interference/interference.c|shard/test_shard_sharing|s/^      if (!key)$/      if (false)/
+QUERIES_NOT_BOUNDED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/if (s->deferred_queries->len >= DEFERRED_QUERIES_MAX)/if (false)/
 FULL_IS_RETRIED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/return REPLY_FULL/return REPLY_NOT_STORED/
 FULL_IS_APPENDED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/^  if (request->may_be_stored)$/  if (true)/
 STORED_IS_REFUSED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/^  if (request->may_be_stored)$/  if (false)/
--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -408,12 +408,22 @@
               "id=%016" PRIx64 " not sent; the peer will query again", id);
 }
 
+/* Beyond the limit a query is answered at once and the caller's process sends
+   it again.  REPLY_TRY_LATER would have it append a submission that does not
+   fit into the memory. */
 static void
 defer_query (scheduler_t *s, usec_t now, deferred_query_t *query)
 {
+  const query_reply_t later
+      = { .code = query->full ? REPLY_WITHDRAWN : REPLY_TRY_LATER };
   job_status_t status;
   int code = shard_status (s->shards[query->shard].shard, query->job, &status);
 
+  if (s->deferred_queries->len >= DEFERRED_QUERIES_MAX)
+    {
+      send_reply (s, now, query->peer, query->id, &later);
+      return;
+    }
   query->deadline = now
                     + (query->kind == QUERY_SUBMIT ? SUBMISSION_STORED_WAIT
                        : code == -ENOENT           ? UNKNOWN_JOB_WAIT
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -107,6 +107,10 @@
   bool full;             /* a submission for which there is no memory */
 } deferred_query_t;
 
+/* Most deferred queries of an owner, of all processes.  Callers of each may
+   have 2,000 requests open. */
+#define DEFERRED_QUERIES_MAX 32768U
+
 /* A shard as this process sees it, whether it owns the shard or not.  */
 typedef struct
 {
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -1384,6 +1384,34 @@
   free_bare_scheduler (s);
 }
 
+/* Guards against an owner that runs out of memory by queries of the callers of
+   all other processes that it cannot answer yet. */
+static void
+test_many_queries (void)
+{
+  static const scheduler_settings_t settings
+      = { .zone = "z", .append_bytes = 65536 };
+  scheduler_t *s = new_bare_scheduler ();
+  message_t message = { .type = MSG_JOB_ASK };
+
+  s->settings = &settings;
+  s->zones = zones_new ();
+  sched_set_shards (s, 1);
+  s->shards[0].owned = true;
+  for (uint64_t i = 1; i <= 2ULL * DEFERRED_QUERIES_MAX; i++)
+    {
+      message.u.job_ask
+          = (msg_job_ask_t){ .id = i, .kind = QUERY_STATUS, .job = i };
+      sched_peerlink_ops.message (s, 1, 1, &message);
+    }
+  CU_ASSERT_EQUAL (s->deferred_queries->len, DEFERRED_QUERIES_MAX);
+  shard_free (s->shards[0].shard);
+  g_free (s->shards);
+  g_free (s->owners);
+  zones_free (s->zones);
+  free_bare_scheduler (s);
+}
+
 /* Guards against a shard without an owner until a membership ends: the store
    serves a join after the leave of its process, which does not know of it
    (ruedas-plata race-15, seed 1: 1.5 s). */
@@ -1903,6 +1931,7 @@
     { "answer before the stop", test_answer_before_stop },
     { "requests without a turn", test_requests_without_turn },
     { "leave follows join", test_leave_follows_join },
+    { "many queries", test_many_queries },
     { "leave after a late join", test_leave_after_late_join },
     { "evict dead member", test_evict_dead_member },
     { "no join with an owner", test_no_join_with_owner },
