--- a/src/interference/interference.c
+++ b/src/interference/interference.c
@@ -45,10 +45,14 @@
                              aggressor, or NULL.  Arrays are used because a
                              placement looks up pairs for each worker that it
                              examines. */
-  uint32_t pair_count;    /* in all arrays */
   GHashTable *idle_tails; /* victim -> double, lowest tail in ms */
 };
 
+/* Of all models of the process.  A GQuark would be kept for good as well, but
+   GLib has no limit on their number. */
+static GPtrArray *image_names; /* by identifier, NULL for 0 */
+static GHashTable *image_ids;  /* name -> identifier */
+
 /* Larger lists are rejected when decoding. */
 #define MAX_DECODED_ROWS 65536U
 /* Standard deviation added to a decoded slope, since the effect may have
@@ -57,6 +61,7 @@
 
 static int append_bytes (void *data, const char *bytes, size_t len);
 static void pack_string (msgpack_packer *packer, const char *text);
+static uint32_t count_named_pairs (const interference_t *model);
 static void pack_pair (msgpack_packer *packer, image_id_t victim,
                        image_id_t aggressor, const pair_t *pair);
 static bool decode_idle_tail (interference_t *model,
@@ -99,7 +104,26 @@
 image_id_t
 interference_image_id (const char *name)
 {
-  return name && *name ? g_quark_from_string (name) : 0;
+  image_id_t id;
+
+  if (!name || !*name
+      || strnlen (name, INTERFERENCE_MAX_NAME_BYTES + 1)
+             > INTERFERENCE_MAX_NAME_BYTES)
+    return 0;
+  if (!image_ids)
+    {
+      image_ids = g_hash_table_new (g_str_hash, g_str_equal);
+      image_names = g_ptr_array_new ();
+      g_ptr_array_add (image_names, NULL);
+    }
+  id = GPOINTER_TO_UINT (g_hash_table_lookup (image_ids, name));
+  if (id || image_names->len > INTERFERENCE_MAX_IMAGES)
+    return id;
+  id = image_names->len;
+  g_ptr_array_add (image_names, g_strdup (name));
+  g_hash_table_insert (image_ids, image_names->pdata[id],
+                       GUINT_TO_POINTER (id));
+  return id;
 }
 
 static void
@@ -151,7 +175,6 @@
   pair = g_new0 (pair_t, 1);
   pair->variance = INITIAL_SLOPE_DEVIATION * INITIAL_SLOPE_DEVIATION;
   array_set (row, aggressor, pair);
-  model->pair_count++;
   return pair;
 }
 
@@ -292,12 +315,30 @@
   msgpack_pack_str_body (packer, text, strlen (text));
 }
 
+/* @return number of pairs with two named images */
+static uint32_t
+count_named_pairs (const interference_t *model)
+{
+  uint32_t count = 0;
+
+  for (image_id_t victim = 1; victim < model->by_victim->len; victim++)
+    {
+      const GPtrArray *row = model->by_victim->pdata[victim];
+
+      for (image_id_t i = 1; row && i < row->len; i++)
+        count += row->pdata[i] != NULL;
+    }
+  return count;
+}
+
 /* Two arrays: rows of an image and its idle tail, and rows of victim,
    aggressor, slope and variance.  Images are encoded by name, since their
-   identifiers differ between processes. */
+   identifiers differ between processes.  What was learned of tasks without an
+   image, which count as those of image 0, is left out. */
 void
 interference_encode (const interference_t *model, GByteArray *out)
 {
+  bool has_nameless = g_hash_table_contains (model->idle_tails, NULL);
   msgpack_packer packer;
   GHashTableIter iter;
   gpointer key;
@@ -305,20 +346,23 @@
 
   msgpack_packer_init (&packer, out, append_bytes);
   msgpack_pack_array (&packer, 2);
-  msgpack_pack_array (&packer, g_hash_table_size (model->idle_tails));
+  msgpack_pack_array (&packer,
+                      g_hash_table_size (model->idle_tails) - has_nameless);
   g_hash_table_iter_init (&iter, model->idle_tails);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
+      if (!key)
+        continue;
       msgpack_pack_array (&packer, 2);
-      pack_string (&packer, g_quark_to_string (GPOINTER_TO_UINT (key)));
+      pack_string (&packer, image_names->pdata[GPOINTER_TO_UINT (key)]);
       msgpack_pack_float (&packer, (float)*(double *)value);
     }
-  msgpack_pack_array (&packer, model->pair_count);
-  for (image_id_t victim = 0; victim < model->by_victim->len; victim++)
+  msgpack_pack_array (&packer, count_named_pairs (model));
+  for (image_id_t victim = 1; victim < model->by_victim->len; victim++)
     {
       const GPtrArray *row = model->by_victim->pdata[victim];
 
-      for (image_id_t i = 0; row && i < row->len; i++)
+      for (image_id_t i = 1; row && i < row->len; i++)
         if (row->pdata[i])
           pack_pair (&packer, victim, i, row->pdata[i]);
     }
@@ -329,8 +373,8 @@
            const pair_t *pair)
 {
   msgpack_pack_array (packer, 4);
-  pack_string (packer, g_quark_to_string (victim));
-  pack_string (packer, g_quark_to_string (aggressor));
+  pack_string (packer, image_names->pdata[victim]);
+  pack_string (packer, image_names->pdata[aggressor]);
   msgpack_pack_float (packer, (float)pair->slope);
   msgpack_pack_float (packer, (float)pair->variance);
 }
@@ -348,7 +392,6 @@
        && root->type == MSGPACK_OBJECT_ARRAY && root->via.array.size >= 2;
   g_hash_table_remove_all (model->idle_tails);
   g_ptr_array_set_size (model->by_victim, 0);
-  model->pair_count = 0;
   for (uint32_t part = 0; ok && part < 2; part++)
     {
       const msgpack_object *list = &root->via.array.ptr[part];
@@ -403,7 +446,7 @@
 static image_id_t
 decode_image (const msgpack_object *value)
 {
-  char name[128];
+  char name[INTERFERENCE_MAX_NAME_BYTES + 1];
 
   if (value->type != MSGPACK_OBJECT_STR || !value->via.str.size
       || value->via.str.size >= sizeof name)
--- a/src/interference/test_interference.c
+++ b/src/interference/test_interference.c
@@ -124,6 +124,33 @@
   g_byte_array_unref (bytes);
 }
 
+/* Guards against an owner that crashes when it stores its model: steps need
+   not have an image. */
+static void
+test_nameless_images (void)
+{
+  interference_t *model = interference_new ();
+  interference_t *decoded = interference_new ();
+  image_id_t served = interference_image_id ("served");
+  image_id_t bad = interference_image_id ("bad");
+  const disturbance_t disturbances[] = { { 0, 2 }, { bad, 2 } };
+  own_load_t own = { 0 };
+  GByteArray *bytes = g_byte_array_new ();
+
+  interference_observe (model, 0, &own, 0, 20, disturbances, 2);
+  own = (own_load_t){ 0 };
+  interference_observe (model, served, &own, 0, 20, disturbances, 2);
+  interference_encode (model, bytes);
+  CU_ASSERT_EQUAL (interference_decode (
+                       decoded, (blob_t){ (char *)bytes->data, bytes->len }),
+                   0);
+  CU_ASSERT_DOUBLE_EQUAL (interference_slope (decoded, served, bad),
+                          interference_slope (model, served, bad), 1e-5);
+  g_byte_array_unref (bytes);
+  interference_free (model);
+  interference_free (decoded);
+}
+
 /* Guards against a model that is lost to an earlier build when a later one
    appends fields. */
 static void
@@ -161,6 +188,32 @@
   interference_free (model);
 }
 
+/* Guards against a process that runs out of memory by the names of images that
+   callers invent, and against a name that makes the stored model unreadable,
+   as it is too long there.  Uses up all identifiers. */
+static void
+test_many_images (void)
+{
+  image_id_t known = interference_image_id ("served");
+  char *name = g_strnfill (INTERFERENCE_MAX_NAME_BYTES + 1, 'n');
+  uint32_t count = 0;
+
+  CU_ASSERT_EQUAL (interference_image_id (name), 0);
+  name[INTERFERENCE_MAX_NAME_BYTES] = '\0';
+  CU_ASSERT (interference_image_id (name) != 0);
+  g_free (name);
+  for (uint32_t i = 0; i < 2 * INTERFERENCE_MAX_IMAGES; i++)
+    {
+      name = g_strdup_printf ("many-%u", i);
+      count += interference_image_id (name) != 0;
+      g_free (name);
+    }
+  CU_ASSERT (count > INTERFERENCE_MAX_IMAGES - 64);
+  CU_ASSERT (count <= INTERFERENCE_MAX_IMAGES);
+  CU_ASSERT_EQUAL (interference_image_id ("served"), known);
+  CU_ASSERT (interference_image_id ("many-0") != 0);
+}
+
 int
 main (void)
 {
@@ -169,8 +222,10 @@
     { "load fluctuation", test_load_fluctuation },
     { "utilization limit", test_utilization_limit },
     { "encoding", test_encoding },
+    { "nameless images", test_nameless_images },
     { "appended fields", test_appended_fields },
     { "trials", test_trials },
+    { "many images", test_many_images },
   };
 
   return suite_main ("interference", tests, sizeof tests / sizeof *tests);
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -51,8 +51,11 @@
   REPLY_NOT_OWNER = 3,
   REPLY_TRY_LATER = 4,  /* the owner cannot answer yet */
   REPLY_NOT_STORED = 5, /* a submission was not and will not be stored */
-  REPLY_WITHDRAWN = 6   /* like REPLY_NOT_STORED: the owner had accepted the
+  REPLY_WITHDRAWN = 6,  /* like REPLY_NOT_STORED: the owner had accepted the
                            submission and dropped it before an append */
+  REPLY_FULL = 7 /* like REPLY_NOT_STORED: the owner's jobs take too much
+                    memory.  A build without this code ignores the reply
+                    and appends the submission after a time-out */
 } reply_code_t;
 
 typedef struct
@@ -102,8 +105,13 @@
   usec_t deadline;
   uint64_t ownership_id; /* of the ownership that accepted a submission */
   bool unknown_job;      /* answered after a read of the store at the latest */
+  bool full;             /* a submission for which there is no memory */
 } deferred_query_t;
 
+/* Most deferred queries of an owner, of all processes.  Callers of each may
+   have 2,000 requests open. */
+#define DEFERRED_QUERIES_MAX 32768U
+
 /* A shard as this process sees it, whether it owns the shard or not.  */
 typedef struct
 {
@@ -245,7 +253,10 @@
   GHashTable *requests;         /* id -> caller_request_t */
   GHashTable *requests_by_http; /* handle -> caller_request_t */
   uint64_t request_counter;
-  GArray *deferred_queries; /* deferred_query_t */
+  uint32_t appends_busy;      /* of submissions, those of abandoned requests
+                                 included */
+  uint64_t append_bytes_busy; /* of their records */
+  GArray *deferred_queries;   /* deferred_query_t */
 
   succession_t succession;
 
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -30,6 +30,7 @@
   bool leases_unstored;     /**< an append without a job is in flight */
   GByteArray *lapsing;      /**< the last record of lapsing workers */
   GByteArray *lease_bound;  /**< the last bound of leases appended */
+  uint32_t models;          /**< of interference, appended */
   uint32_t submissions;     /**< non-empty submission records appended */
   bool submission_deleted;  /**< by the last submission record */
   uint32_t largest_record;  /**< bytes of the largest value appended */
@@ -50,6 +51,8 @@
 void set_up (void);
 /** The same with other limits of leases. */
 void set_up_leases (usec_t lease, usec_t stale_limit, usec_t lease_horizon);
+/** The same with shard_config_t.job_bytes. */
+void set_up_job_bytes (uint64_t job_bytes);
 void tear_down (void);
 /** Frees what is kept from one test to the next. */
 void free_fixture (void);
