Apply the job bound, and the receive buffer at the operators' address

The derived job_bytes now reach the shards, and the operators' listener has the receive buffer of the others: a crowd there had 62 MB unread on.

--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -45,9 +45,10 @@
   uint32_t max_connections;
   uint32_t max_body; /**< bytes; larger bodies are answered with 413 */
   usec_t timeout;    /**< of idle connections, which are closed */
-  uint32_t budget_bytes; /**< of request bodies and unread answers, 0: no bound */
+  uint32_t
+      budget_bytes; /**< of request bodies and unread answers, 0: no bound */
   uint32_t receive_buffer; /**< SO_RCVBUF in bytes, 0: the kernel's */
-  uint32_t backlog; /**< of the listener, 0: SOMAXCONN */
+  uint32_t backlog;        /**< of the listener, 0: SOMAXCONN */
 } httpd_config_t;
 
 /** @return NULL with ERR filled if the address cannot be bound */
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -171,6 +171,7 @@
           .stale_limit = STALE_LIMIT,
           .keep_ended = settings->keep_ended,
           .append_bytes = settings->append_bytes / 2,
+          .job_bytes = s->limits.job_bytes,
           .zones = s->zones,
           .zones_max_age = settings->evacuate - WORKER_CALL_TIMEOUT,
           .workers_max_age = settings->shrunk - WORKER_CALL_TIMEOUT };
@@ -210,6 +211,7 @@
   ready.budget_bytes = READY_BUDGET_BYTES;
   ready.receive_buffer = s->limits.receive_buffer;
   operators.budget_bytes = OPERATORS_BUDGET_BYTES;
+  operators.receive_buffer = s->limits.receive_buffer;
   s->link = peerlink_new (s->loop, settings->listen_peers, &hello,
                           &sched_peerlink_ops, s, err);
   if (!s->link)
