Test submissions that arrive after their cancellation in simulated worlds

Worlds with early_cancel_share have callers that cancel a job at about the time at which its submission arrives. One to three copies of it are under way for up to 12 s. Each is offered to the owner that its front knows, which may be a former or a frozen one, and withdrawn if it is not stored in time, or appended by the front, done late, done without an answer or done twice. The caller submits the job again afterwards, until it is accepted. Owners read these appends from a log with a delay, reload when its history was discarded, and need up to 0.4 s to load a shard.

The judge fails if a task of a job starts that was canceled while no submission of it was known, if one starts more than 3 s after any other cancellation, and if an accepted job is unknown to an owner that has read all that was stored before. All draws of the other worlds stay as they are.

--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -17,6 +17,9 @@
    KNOWN-RED.txt.  They are passed over unless SHARD_SEEDS is set. */
 static const uint32_t known_red[] = { 5, 20 };
 
+/* Jobs of all worlds that were canceled before their submission arrived. */
+static uint32_t late_jobs;
+
 static bool
 is_known_red (const world_config_t *config, uint32_t seed)
 {
@@ -46,7 +49,9 @@
         continue;
       world = world_new (&config);
       CU_ASSERT_EQUAL (world_run (world, FAULTS_END, SIMULATION_END), 0);
-      CU_ASSERT_EQUAL (world_count_ended (world), config.jobs);
+      if (!config.keep_ended)
+        CU_ASSERT_EQUAL (world_count_ended (world), config.jobs);
+      late_jobs += world_count_late (world);
       world_free (world);
     }
 }
@@ -370,6 +375,34 @@
   run_seeds (config, SEED_COUNT);
 }
 
+/* Guards against jobs that run although their cancellation was acknowledged
+   before their submission arrived, and against accepted ones that become
+   unknown: by each way in which a submission may be late. */
+static void
+test_late_submissions (void)
+{
+  world_config_t config = { .early_cancel_share = 0.7 };
+
+  late_jobs = 0;
+  run_seeds (config, SEED_COUNT);
+  config.takeover_interval = 1300 * USEC_PER_MSEC;
+  run_seeds (config, SEED_COUNT);
+  config.keep_former_owner = true;
+  config.store_outage_interval = 3 * USEC_PER_SEC;
+  config.lost_append_reply_share = 0.1;
+  config.discard_interval = 700 * USEC_PER_MSEC;
+  run_seeds (config, SEED_COUNT);
+  config.freeze_interval = 2 * USEC_PER_SEC;
+  config.worker_crash_interval = 4 * USEC_PER_SEC;
+  config.lost_reply_share = 0.03;
+  config.delayed_call_share = 0.03;
+  run_seeds (config, SEED_COUNT);
+  config.lasting = true;
+  run_seeds (config, SEED_COUNT);
+  /* The worlds test nothing unless submissions are late. */
+  CU_ASSERT (late_jobs > SEED_COUNT);
+}
+
 /* All faults in combination. */
 static void
 test_all_faults (void)
@@ -454,6 +487,7 @@
     { "slow replies", test_slow_replies },
     { "splits", test_splits },
     { "frozen owners", test_frozen_owners },
+    { "late submissions", test_late_submissions },
     { "all faults", test_all_faults },
     { "paths and owners", test_paths_and_owners },
     { "gangs", test_gangs },
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -83,6 +83,30 @@
 #define UNLISTED_MAX (2 * USEC_PER_SEC)
 /* Longest time between two reads of the operator's records by an owner.  */
 #define ZONES_READ_INTERVAL (600 * USEC_PER_MSEC)
+/* Longest time between two reads of the log by an owner, and longest time that
+   a new owner needs to load its shard, where jobs are canceled early. */
+#define LOG_READ_INTERVAL (400 * USEC_PER_MSEC)
+#define LOAD_MAX (400 * USEC_PER_MSEC)
+/* Of a front: how long it waits for an owner's reply, and how long it offers a
+   submission before it appends it. */
+#define FRONT_REPLY_TIMEOUT (750 * USEC_PER_MSEC)
+#define FRONT_OFFER_SPAN (1850 * USEC_PER_MSEC)
+#define FRONT_APPEND_RETRY (60 * USEC_PER_MSEC)
+#define FRONT_APPEND_ATTEMPTS 2U
+/* How long an owner waits for a submission to be stored. */
+#define OWNER_STORED_WAIT (500 * USEC_PER_MSEC)
+/* Copies of a submission arrive up to this long after the first. */
+#define COPIES_MAX (12 * USEC_PER_SEC)
+/* An append that was not answered is repeated or done up to this long later.
+ */
+#define LATE_APPEND_MAX (6 * USEC_PER_SEC)
+/* A caller submits again this long after a submission was refused. */
+#define RESUBMIT_INTERVAL (USEC_PER_SEC)
+/* A front with an old view asks the former owner for this long. */
+#define OLD_VIEW_MAX (USEC_PER_SEC)
+/* A canceled job may be forgotten this share of keep_ended after a
+   cancellation of it was acknowledged. */
+#define KEPT_DIVISOR 2
 
 /* What a worker has had room for since AT. */
 typedef struct
@@ -187,6 +211,10 @@
   zones_t *zones;
   usec_t zones_due;    /* next read of the operator's records */
   usec_t frozen_until; /* its process does nothing until then */
+  usec_t loaded_at;    /* its shard is loaded then, 0: it is */
+  guint log_position;  /* it has read the log up to there */
+  usec_t log_due;      /* next read of the log */
+  usec_t read_as_of;   /* it has read all that was stored before */
 } sim_owner_t;
 
 /* Actual state of a task on all workers, for the checks. */
@@ -211,8 +239,42 @@
   usec_t cancel_confirmed; /* 0: not yet */
   usec_t cancel_at;
   bool end_shown;
+  /* Of a job that is canceled early: */
+  bool early;
+  uint32_t cancels;     /* that follow the one at CANCEL_AT */
+  uint32_t asked_owner; /* has the query */
+  uint64_t asked_token;
+  usec_t asked_at;       /* when the query arrived there, 0: no query */
+  usec_t kept_from;      /* of the last cancellation that was acknowledged */
+  bool canceled_unknown; /* no submission was known, and none may be started */
+  bool arrived_late;     /* a submission has arrived since then */
+  usec_t accepted_at;    /* when a caller was told so, 0: not yet */
 } sim_job_t;
 
+/* A copy of the submission of a job that is canceled early, at a front. */
+typedef struct
+{
+  uint32_t job;    /* index */
+  usec_t at;       /* next step */
+  bool appends;    /* instead of offering it */
+  bool last;       /* the caller submits until it is accepted */
+  bool unattended; /* arrives at OWNER, or at the store, without a front */
+  uint32_t owner;
+  uint64_t token;       /* of the owner that has accepted it */
+  usec_t offered_until; /* then the front appends, 0: not offered yet */
+  usec_t stored_until;  /* then the owner withdraws it */
+  bool may_be_stored;
+  uint32_t attempts;
+  bool done;
+} sim_copy_t;
+
+/* A submission that a front has appended. */
+typedef struct
+{
+  job_id_t job;
+  GBytes *value;
+} sim_log_entry_t;
+
 typedef enum
 {
   EVENT_CALL,         /* a call arrives at its worker */
@@ -263,6 +325,12 @@
   GHashTable *records; /* key -> GBytes */
   GHashTable *tasks;   /* task key -> sim_task_t */
   sim_job_t *jobs;
+  GRand *caller_rng; /* draws of callers that cancel early, so that those of
+                        other worlds stay as they are */
+  GArray *copies;    /* sim_copy_t */
+  GArray *log;       /* sim_log_entry_t */
+  guint log_first;   /* the history before was discarded */
+  usec_t discard_due;
   bool store_down;
   bool faults_enabled;
   usec_t faults_end;
@@ -304,6 +372,10 @@
 static void end_run (shard_world_t *world, sim_worker_t *worker, guint index,
                      run_end_t how);
 static void take_over (shard_world_t *world);
+static void log_entry_clear (void *data);
+static void plan_early_cancels (shard_world_t *world);
+static void offer_copy (shard_world_t *world, sim_copy_t *copy);
+static void append_copy (shard_world_t *world, sim_copy_t *copy);
 static void set_capacity (const shard_world_t *world, sim_worker_t *worker,
                           uint32_t processor_runs, uint32_t memory_runs);
 static void update_entry (sim_worker_t *worker);
@@ -493,7 +565,8 @@
           = config->stale_limit ? config->stale_limit : STALE_LIMIT,
           .lease_horizon
           = config->stale_limit ? LEASE_HORIZON : STALE_LIMIT + LEASE_DURATION,
-          .keep_ended = 3600 * USEC_PER_SEC,
+          .keep_ended
+          = config->keep_ended ? config->keep_ended : 3600 * USEC_PER_SEC,
           .append_bytes = 1U << 20,
           .zones_max_age = WORLD_EVACUATE - CALL_TIMEOUT,
           .workers_max_age = SHRUNK_AFTER - REPORT_INTERVAL - CALL_TIMEOUT };
@@ -534,6 +607,10 @@
       world->owners[i].shard
           = shard_new (&shard, &world_ops, &world->owners[i], 0);
     }
+  world->caller_rng = g_rand_new_with_seed (config->seed);
+  world->copies = g_array_new (FALSE, FALSE, sizeof (sim_copy_t));
+  world->log = g_array_new (FALSE, FALSE, sizeof (sim_log_entry_t));
+  g_array_set_clear_func (world->log, log_entry_clear);
   world->zones.rng = g_rand_new_with_seed (config->seed);
   world->zones.interval = config->evacuation_interval;
   world->current_owner = OWNER_COUNT - 1;
@@ -549,6 +626,8 @@
   world->departure_due = world->now + config->departure_interval;
   world->mislead_due = world->now + config->mislead_interval;
   world->freeze_due = world->now + config->freeze_interval;
+  world->discard_due = world->now + config->discard_interval;
+  plan_early_cancels (world);
   return world;
 }
 
@@ -574,6 +653,9 @@
   g_ptr_array_free (world->events, TRUE);
   g_hash_table_destroy (world->records);
   g_hash_table_destroy (world->tasks);
+  g_array_free (world->copies, TRUE);
+  g_array_free (world->log, TRUE);
+  g_rand_free (world->caller_rng);
   g_rand_free (world->zones.rng);
   g_rand_free (world->rng);
   g_free (world);
@@ -702,6 +784,87 @@
     }
 }
 
+/* --- The log of submissions that fronts have appended --- */
+
+static void
+log_entry_clear (void *data)
+{
+  g_bytes_unref (((sim_log_entry_t *)data)->value);
+}
+
+static void
+log_append (shard_world_t *world, job_id_t job, GBytes *value)
+{
+  sim_log_entry_t entry = { job, g_bytes_ref (value) };
+
+  g_hash_table_replace (
+      world->records,
+      g_strdup_printf ("%c%016" PRIx64, (char)RECORD_SUBMISSION, job),
+      g_bytes_ref (value));
+  g_array_append_val (world->log, entry);
+}
+
+static void
+pass_submission (const shard_world_t *world, const sim_owner_t *owner,
+                 job_id_t job, GBytes *value)
+{
+  gsize len;
+  const char *data = g_bytes_get_data (value, &len);
+
+  shard_apply_record (owner->shard, world->now, RECORD_SUBMISSION, job,
+                      (blob_t){ data, (uint32_t)len });
+}
+
+/* The history was discarded: the owner reads the newest record of each key. */
+static void
+reload_submissions (shard_world_t *world, sim_owner_t *owner)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, world->records);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (*(const char *)key == RECORD_SUBMISSION)
+      pass_submission (world, owner,
+                       g_ascii_strtoull ((const char *)key + 1, NULL, 16),
+                       value);
+  owner->log_position = world->log->len;
+}
+
+static void
+read_log (shard_world_t *world, sim_owner_t *owner)
+{
+  if (world->now < owner->log_due || world->store_down
+      || !shard_is_active (owner->shard))
+    return;
+  owner->log_due
+      = world->now
+        + g_rand_int_range (world->caller_rng, 0, LOG_READ_INTERVAL);
+  if (owner->log_position < world->log_first)
+    {
+      reload_submissions (world, owner);
+      return;
+    }
+  for (; owner->log_position < world->log->len; owner->log_position++)
+    {
+      const sim_log_entry_t *entry
+          = &g_array_index (world->log, sim_log_entry_t, owner->log_position);
+
+      pass_submission (world, owner, entry->job, entry->value);
+    }
+  owner->read_as_of = world->now;
+}
+
+static void
+discard_history (shard_world_t *world)
+{
+  if (!world->config.discard_interval || world->now < world->discard_due)
+    return;
+  world->discard_due = world->now + world->config.discard_interval;
+  world->log_first = world->log->len;
+}
+
 /* The list of workers may be read before the shard is loaded, or later. */
 static void
 load_owner (shard_world_t *world, sim_owner_t *owner)
@@ -716,6 +879,16 @@
     pass_worker_list (world, owner);
 }
 
+/* Loading waits for the store. */
+static void
+finish_load (shard_world_t *world, sim_owner_t *owner)
+{
+  if (!owner->loaded_at || world->now < owner->loaded_at || world->store_down)
+    return;
+  owner->loaded_at = 0;
+  load_owner (world, owner);
+}
+
 static void
 take_over (shard_world_t *world)
 {
@@ -740,8 +913,14 @@
   /* The scheduler fences former owners before it loads.  */
   world->epoch = next->token;
   world->sequence = 0;
+  next->log_position = world->log->len;
+  next->read_as_of = next->loaded_at = 0;
   apply_records (world, next);
-  load_owner (world, next);
+  if (world->config.early_cancel_share > 0)
+    next->loaded_at
+        = world->now + g_rand_int_range (world->caller_rng, 0, LOAD_MAX);
+  else
+    load_owner (world, next);
   if (world->config.freeze_interval
       && g_rand_int_range (world->rng, 0, 4) == 0)
     freeze_owner (world, next);
@@ -935,6 +1114,10 @@
   if (!step->gang && !step->long_running
       && task->failures >= job->submission->max_attempts)
     report_violation (world, run_id, "start after all attempts have failed");
+  if (job->canceled_unknown)
+    report_violation (
+        world, run_id,
+        "start of a job that was canceled before it was submitted");
   if (job->cancel_confirmed
       && world->now > job->cancel_confirmed + 3 * USEC_PER_SEC
       && world->owners[world->current_owner].token)
@@ -1605,7 +1788,7 @@
       usec_t at = USEC_PER_SEC + SUBMISSION_PERIOD / world->config.jobs * i;
       GByteArray *bytes;
 
-      if (job->accepted || world->now < at)
+      if (job->early || job->accepted || world->now < at)
         continue;
       if (!job->submission)
         make_job (world, job, i + 1);
@@ -1635,14 +1818,14 @@
 {
   sim_owner_t *owner = &world->owners[world->current_owner];
 
-  if (is_frozen (world, owner))
+  if (is_frozen (world, owner) || owner->loaded_at)
     return;
   for (uint32_t i = 0; i < world->config.jobs; i++)
     {
       sim_job_t *job = &world->jobs[i];
       int code;
 
-      if (!job->cancel_at || world->now < job->cancel_at
+      if (job->early || !job->cancel_at || world->now < job->cancel_at
           || job->cancel_confirmed)
         continue;
       code = shard_cancel (owner->shard, world->now, i + 1);
@@ -1654,6 +1837,387 @@
     }
 }
 
+/* --- Callers that cancel early --- */
+
+static usec_t
+draw_time (shard_world_t *world, usec_t longest)
+{
+  return g_rand_int_range (world->caller_rng, 0, (gint32)longest);
+}
+
+static bool
+draw_caller_fault (shard_world_t *world, double share)
+{
+  return world->faults_enabled && g_rand_double (world->caller_rng) < share;
+}
+
+static void
+add_copy (shard_world_t *world, uint32_t job, usec_t at, bool last)
+{
+  sim_copy_t copy = { .job = job,
+                      .at = at,
+                      .appends = g_rand_boolean (world->caller_rng),
+                      .last = last };
+
+  g_array_append_val (world->copies, copy);
+}
+
+/* One job of four is submitted before its cancellation begins. */
+static void
+plan_early_cancels (shard_world_t *world)
+{
+  const world_config_t *config = &world->config;
+
+  for (uint32_t i = 0; i < config->jobs && config->early_cancel_share > 0; i++)
+    {
+      sim_job_t *job = &world->jobs[i];
+      usec_t at = world->now + SUBMISSION_PERIOD / config->jobs * i;
+      uint32_t copies = 1 + i % 3;
+
+      if (g_rand_double (world->caller_rng) >= config->early_cancel_share)
+        continue;
+      job->early = true;
+      job->submission = make_submission (world, i + 1);
+      job->first_offered = at;
+      job->cancel_at = at + (i % 4 ? 0 : draw_time (world, USEC_PER_SEC));
+      job->cancels = i % 3;
+      add_copy (world, i, at + draw_time (world, 2 * USEC_PER_SEC), false);
+      while (--copies)
+        add_copy (world, i, at + draw_time (world, COPIES_MAX), false);
+      add_copy (world, i,
+                at + draw_time (world, COPIES_MAX) + config->keep_ended, true);
+    }
+}
+
+/* @return whether a canceled job may have been forgotten since */
+static bool
+may_be_forgotten (const shard_world_t *world, const sim_job_t *job)
+{
+  return world->config.keep_ended && job->kept_from
+         && world->now
+                >= job->kept_from + world->config.keep_ended / KEPT_DIVISOR;
+}
+
+/* A submission that arrives from now on may be taken for a new job. */
+static void
+forget_cancellation (const shard_world_t *world, sim_job_t *job)
+{
+  if (!may_be_forgotten (world, job))
+    return;
+  job->canceled_unknown = false;
+  job->cancel_confirmed = 0;
+}
+
+static void
+copy_accepted (const shard_world_t *world, sim_copy_t *copy)
+{
+  sim_job_t *job = &world->jobs[copy->job];
+
+  copy->done = true;
+  job->accepted = true;
+  if (!job->accepted_at)
+    job->accepted_at = world->now;
+}
+
+static void
+note_arrival (sim_job_t *job)
+{
+  job->arrived_late |= job->canceled_unknown;
+}
+
+/* A refused submission has not run; its caller may submit it again. */
+static void
+copy_refused (const shard_world_t *world, sim_copy_t *copy)
+{
+  copy->done = !copy->last;
+  copy->at = world->now + RESUBMIT_INTERVAL;
+  copy->offered_until = copy->stored_until = 0;
+  copy->attempts = 0;
+}
+
+static GBytes *
+encode_copy (const shard_world_t *world, const sim_copy_t *copy)
+{
+  GByteArray *bytes = g_byte_array_new ();
+
+  submission_encode (world->jobs[copy->job].submission, bytes);
+  return g_byte_array_free_to_bytes (bytes);
+}
+
+/* The front has no reply.  A frozen owner processes the offer later.  COPY may
+   have moved afterwards. */
+static void
+offer_is_unanswered (shard_world_t *world, sim_copy_t *copy)
+{
+  const sim_owner_t *owner = &world->owners[copy->owner];
+  sim_copy_t queued = *copy;
+
+  copy->may_be_stored = copy->appends = true;
+  copy->at = world->now + FRONT_REPLY_TIMEOUT;
+  if (!owner->alive || !is_frozen (world, owner))
+    return;
+  queued.at = owner->frozen_until + draw_time (world, QUEUE_MAX);
+  queued.unattended = true;
+  queued.last = false;
+  g_array_append_val (world->copies, queued);
+}
+
+/* The owner has had the submission for too long without storing it. */
+static void
+withdraw_copy (const shard_world_t *world, sim_copy_t *copy)
+{
+  const sim_owner_t *owner = &world->owners[copy->owner];
+  int code = shard_withdraw (owner->shard, world->now, copy->job + 1);
+
+  copy->stored_until = 0;
+  copy->done = copy->unattended;
+  if (code && code != -ENOENT)
+    copy->may_be_stored = true;
+}
+
+/* The submission is at an owner, which passes it to its shard.
+   @return the result, as of shard_submit */
+static int
+pass_offer (shard_world_t *world, const sim_owner_t *owner,
+            const sim_copy_t *copy)
+{
+  job_id_t id = copy->job + 1;
+  int code = shard_is_active (owner->shard)
+                 ? shard_submission_state (owner->shard, id)
+                 : -EAGAIN;
+  GBytes *value;
+  gsize len;
+  const char *data;
+
+  if (code != -ENOENT)
+    return code;
+  note_arrival (&world->jobs[copy->job]);
+  value = encode_copy (world, copy);
+  data = g_bytes_get_data (value, &len);
+  code = shard_submit (owner->shard, world->now, id,
+                       (blob_t){ data, (uint32_t)len });
+  g_bytes_unref (value);
+  return code;
+}
+
+/* A front offers a submission to the owner that it knows. */
+static void
+offer_copy (shard_world_t *world, sim_copy_t *copy)
+{
+  const sim_owner_t *owner;
+  int code;
+
+  if (!copy->offered_until)
+    {
+      copy->offered_until = world->now + FRONT_OFFER_SPAN;
+      if (!copy->unattended)
+        copy->owner = draw_caller_fault (world, 0.2)
+                          ? (world->current_owner + 1) % OWNER_COUNT
+                          : world->current_owner;
+    }
+  owner = &world->owners[copy->owner];
+  if (!owner->alive || is_frozen (world, owner))
+    {
+      if (copy->unattended)
+        copy->done = true;
+      else
+        offer_is_unanswered (world, copy);
+      return;
+    }
+  if (copy->stored_until && owner->token != copy->token)
+    copy->stored_until = 0;
+  if (copy->stored_until && world->now >= copy->stored_until)
+    {
+      withdraw_copy (world, copy);
+      return;
+    }
+  code = pass_offer (world, owner, copy);
+  if (code == -EINPROGRESS && !copy->stored_until)
+    {
+      copy->stored_until = world->now + OWNER_STORED_WAIT;
+      copy->token = owner->token;
+    }
+  if (code == 0 && copy->unattended)
+    copy->done = true;
+  else if (code == 0 && !draw_caller_fault (world, 0.1))
+    copy_accepted (world, copy);
+  else if (code == 0)
+    copy->may_be_stored = copy->appends = true;
+  else if (code != -EINPROGRESS)
+    {
+      copy->owner = world->current_owner;
+      copy->appends = world->now >= copy->offered_until;
+      copy->done = copy->unattended;
+    }
+}
+
+/* A front appends a submission itself.  An append without an answer is done at
+   once, or later, or again. */
+static void
+append_copy (shard_world_t *world, sim_copy_t *copy)
+{
+  sim_copy_t later = *copy;
+  bool unanswered
+      = !copy->unattended
+        && draw_caller_fault (world, world->store_down ? 0.3 : 0.2);
+  GBytes *value;
+
+  copy->at = world->now + FRONT_APPEND_RETRY;
+  if (unanswered)
+    {
+      copy->may_be_stored = true;
+      later.unattended = true;
+      later.last = false;
+      later.at = world->now + draw_time (world, LATE_APPEND_MAX);
+      g_array_append_val (world->copies, later);
+      return;
+    }
+  if (world->store_down)
+    {
+      if (!copy->unattended && !copy->may_be_stored
+          && ++copy->attempts >= FRONT_APPEND_ATTEMPTS)
+        copy_refused (world, copy);
+      return;
+    }
+  note_arrival (&world->jobs[copy->job]);
+  value = encode_copy (world, copy);
+  log_append (world, copy->job + 1, value);
+  g_bytes_unref (value);
+  if (copy->unattended)
+    copy->done = true;
+  else
+    copy_accepted (world, copy);
+}
+
+static void
+advance_copies (shard_world_t *world)
+{
+  for (guint i = 0; i < world->copies->len; i++)
+    {
+      sim_copy_t *copy = &g_array_index (world->copies, sim_copy_t, i);
+
+      if (copy->done || world->now < copy->at
+          || (world->config.keep_ended && !world->jobs[copy->job].kept_from))
+        continue;
+      /* Each may add a copy, after which COPY is no longer valid. */
+      if (copy->appends)
+        append_copy (world, copy);
+      else
+        offer_copy (world, copy);
+    }
+}
+
+static void
+cancel_acknowledged (const shard_world_t *world, sim_job_t *job, job_id_t id)
+{
+  const sim_owner_t *owner = &world->owners[job->asked_owner];
+  job_status_t status;
+
+  forget_cancellation (world, job);
+  job->cancelled = true;
+  job->kept_from = job->asked_at;
+  if (shard_status (owner->shard, id, &status) == -ENOENT)
+    job->canceled_unknown = true;
+  if (!job->cancel_confirmed)
+    job->cancel_confirmed = world->now;
+}
+
+/* A front sends the cancellation to the owner that it knows. */
+static void
+ask_to_cancel (shard_world_t *world, sim_job_t *job)
+{
+  bool former
+      = draw_caller_fault (world, 0.2)
+        && world->owners[(world->current_owner + 1) % OWNER_COUNT].alive;
+
+  job->asked_owner = former ? (world->current_owner + 1) % OWNER_COUNT
+                            : world->current_owner;
+  job->asked_at = world->now;
+  job->asked_token = world->owners[job->asked_owner].token;
+}
+
+static void
+cancel_early (shard_world_t *world, sim_job_t *job, job_id_t id)
+{
+  const sim_owner_t *owner;
+  job_status_t status;
+  int code;
+
+  if (!job->asked_at
+      || job->asked_token != world->owners[job->asked_owner].token
+      || (job->asked_owner != world->current_owner
+          && world->now >= job->asked_at + OLD_VIEW_MAX))
+    ask_to_cancel (world, job);
+  owner = &world->owners[job->asked_owner];
+  if (!owner->alive || is_frozen (world, owner)
+      || !shard_is_active (owner->shard))
+    return;
+  code = owner->read_as_of >= job->asked_at
+             ? shard_cancel_unknown (owner->shard, world->now, id)
+             : shard_cancel (owner->shard, world->now, id);
+  job->cancelled |= code == -EAGAIN;
+  /* An owner that has read all reports an unknown job as such. */
+  if (code != 0 && code != -EALREADY
+      && (code != -ENOENT || owner->read_as_of < job->asked_at))
+    return;
+  if (code == 0 || shard_status (owner->shard, id, &status) == -ENOENT)
+    cancel_acknowledged (world, job, id);
+  job->asked_at = 0;
+  job->cancel_at = 0;
+  if (!job->cancels)
+    return;
+  job->cancels--;
+  job->cancel_at = world->now
+                   + draw_time (world, world->config.keep_ended
+                                           ? world->config.keep_ended * 5 / 4
+                                           : 4 * USEC_PER_SEC);
+}
+
+/* An accepted job is known to each owner that has read what was stored before,
+   unless it was canceled and may be forgotten. */
+static void
+check_accepted (shard_world_t *world, sim_job_t *job, job_id_t id)
+{
+  const sim_owner_t *owner = &world->owners[world->current_owner];
+  job_status_t status;
+
+  if (!job->accepted_at || !shard_is_active (owner->shard)
+      || owner->read_as_of < job->accepted_at || may_be_forgotten (world, job)
+      || shard_status (owner->shard, id, &status) != -ENOENT)
+    return;
+  report_violation (world, &(run_id_t){ .job = id },
+                    "accepted job is unknown");
+  job->accepted_at = INT64_MAX;
+}
+
+static void
+advance_early_jobs (shard_world_t *world)
+{
+  discard_history (world);
+  advance_copies (world);
+  for (uint32_t i = 0; i < world->config.jobs; i++)
+    {
+      sim_job_t *job = &world->jobs[i];
+
+      if (!job->early)
+        continue;
+      forget_cancellation (world, job);
+      if (job->cancel_at && world->now >= job->cancel_at)
+        cancel_early (world, job, i + 1);
+      check_accepted (world, job, i + 1);
+    }
+}
+
+uint32_t
+world_count_late (const shard_world_t *world)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < world->config.jobs; i++)
+    count += world->jobs[i].arrived_late;
+  return count;
+}
+
 static void
 cut_worker (shard_world_t *world, sim_worker_t *worker)
 {
@@ -1905,7 +2469,10 @@
 
       if (!owner->alive || is_frozen (world, owner))
         continue;
+      finish_load (world, owner);
       read_zones (world, owner);
+      if (world->config.early_cancel_share > 0)
+        read_log (world, owner);
       if (owner->owns_shard
           && !(world->config.stale_limit && world->store_down))
         shard_ownership_confirmed (owner->shard, world->now);
@@ -2020,6 +2587,8 @@
       job_status_t status = JOB_QUEUED;
       int code = shard_status (owner->shard, i + 1, &status);
 
+      if (code == -ENOENT && may_be_forgotten (world, &world->jobs[i]))
+        continue;
       if (code)
         report_violation (world, &run_id,
                           code == -ENOENT ? "job is unknown"
@@ -2047,6 +2616,7 @@
       pass_worker_lists (world);
       submit_due_jobs (world);
       cancel_due_jobs (world);
+      advance_early_jobs (world);
       advance_workers (world);
       handle_events (world);
       tick_owners (world);
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -7,10 +7,11 @@
  * end was acknowledged, before the steps that it depends on are done, after
  * its attempts are used up, after the cancellation of its job was confirmed,
  * in an evacuated availability zone, or beyond the capacity of its worker,
- * where a smaller one counts 4.5 s after it has shrunk.  Once the faults are
- * over, no task whose turn has come is without a run for longer than 3 s while
- * there is capacity for it twice over and less than half of all capacity is in
- * use.
+ * where a smaller one counts 4.5 s after it has shrunk.  A job that was
+ * canceled while it was unknown has no start at all, and one that was accepted
+ * stays known.  Once the faults are over, no task whose turn has come is
+ * without a run for longer than 3 s while there is capacity for it twice over
+ * and less than half of all capacity is in use.
  */
 #ifndef SUPPORT_SHARD_WORLD_H
 #define SUPPORT_SHARD_WORLD_H
@@ -90,6 +91,19 @@
   bool gangs;          /**< a third of the steps are gangs */
   bool lasting;        /**< the tasks of all jobs are long-running, and each
                           job is canceled */
+  /** Share of jobs that their callers cancel at about the time at which their
+      submission arrives, mostly before it.  Copies of the submission are under
+      way for up to 12 s: each is offered to an owner or appended by a front.
+      In the end the caller submits the job again until it is accepted.  Owners
+      then read these submissions from a log, with a delay, and new owners need
+      up to 0.4 s to load their shard.  */
+  double early_cancel_share;
+  usec_t discard_interval; /**< between times at which the store discards the
+                              history of its log, 0 for none */
+  /** How long owners keep ended jobs, 0: for good.  Jobs that are canceled
+      early are canceled again within this time, and last submitted after it.
+      Then all jobs must be canceled early.  */
+  usec_t keep_ended;
 } world_config_t;
 
 shard_world_t *world_new (const world_config_t *config);
@@ -100,6 +114,10 @@
     @return number of violations; the first ones are printed */
 uint32_t world_run (shard_world_t *world, usec_t faults_until, usec_t until);
 
+/** @return number of jobs that were canceled while no submission of them was
+    known, and of which a submission arrived later */
+uint32_t world_count_late (const shard_world_t *world);
+
 /** @return number of jobs that are completed, failed or canceled */
 uint32_t world_count_ended (const shard_world_t *world);
 /** @return number of jobs that are completed */
