Keep a cancellation that is repeated late

What callers saw: a job is canceled before its submission arrives (410). The caller cancels it again shortly before the record of that is deleted, and is answered 410 at once. The record is deleted a moment later, the submission arrives, and the job runs although its cancellation was acknowledged less than a second before. A copy of the submission of a job that had ended was taken for a new job in the same way.

Cause: shard_cancel answered from the stored end and left its time as it was, so that the promise of the second answer was kept only for the rest of keep_ended, or not at all while the deletion was under way.

A cancel of a job that ended over half of keep_ended ago now stores the end again with the present time, and is answered once that is stored. Earlier ones are answered at once as before, also during an outage of the store.

The fix works since forget_ended_jobs and add_entry delete a record by its time only, and a deletion that is under way is followed by the renewed record: an entry that is dirty is not removed.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -49,6 +49,8 @@
 CANCEL_TAKEN_FOR_KNOWN|src/shard/shard.c|shard/test_shard_cancel|s/|| entry->job->unsubmitted)$/)/
 CANCEL_OF_UNKNOWN_UNRECORDED|src/shard/shard.c|shard/test_shard|s/^  if (known != -ENOENT)$/  if (true)/
 LATE_SUBMISSION_ACCEPTED_EARLY|src/shard/shard.c|shard/test_shard|s/^      entry->unstored_submission = g_bytes_new (NULL, 0);$/      ;/
+REPEATED_CANCEL_NOT_KEPT|src/shard/shard.c|shard/test_shard|s/if (renew_end (shard, entry))/if (0)/
+REPEATED_CANCEL_NOT_STORED|src/shard/shard_store.c|shard/test_shard_cancel|s/ || entry->renewed)/)/
 STAYS_AFTER_LATE_JOIN|src/scheduler/sched_group.c|scheduler/test_scheduler|s/if (member \&\& is_stale_member (s, member))/if (0)/
 EXPIRED_IS_LEFT|src/shard/shard_calls.c|shard/test_shard_evidence|s/if (now < worker->leases_expired_at)/if (now < worker->leases_expired_at \&\& (worker->listed || !worker->leaving))/
 STALE_OWNER_EXTENDS|src/shard/shard_calls.c|shard/test_shard_steps|s/if (now - shard->confirmed_at > .*)/if (0)/
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -11,6 +11,9 @@
 /* Jobs that are canceled, but not submitted, are kept for the sake of callers
    whose submissions are under way; anybody may ask for more. */
 #define UNSUBMITTED_JOBS_MAX 10000U
+/* A cancellation of an ended job is acknowledged at once during the first half
+   of keep_ended, so that most of them do not wait for the store. */
+#define RENEW_AFTER_DIVISOR 2
 /* Shortest interval between passes that create due occurrences. */
 #define OCCURRENCE_INTERVAL (20 * USEC_PER_MSEC)
 
@@ -25,6 +28,7 @@
 static bool apply_progress (job_entry_t *entry);
 static void job_submitted (shard_t *shard, job_entry_t *entry);
 static void add_open_job (shard_t *shard, job_entry_t *entry);
+static bool renew_end (shard_t *shard, job_entry_t *entry);
 static void forget_ended_jobs (shard_t *shard, usec_t now);
 static usec_t create_due_occurrences (shard_t *shard, usec_t now);
 static void log_load (shard_t *shard, usec_t now);
@@ -599,11 +603,35 @@
     shard_end_job (shard, now, entry, JOB_CANCELED);
   if (entry->stored_end == JOB_QUEUED)
     return -EAGAIN;
+  if (renew_end (shard, entry))
+    return -EAGAIN;
   return entry->job->end_status == JOB_CANCELED && !entry->job->unsubmitted
              ? 0
              : -EALREADY;
 }
 
+/* A copy of the submission of an ended job may still be under way, and would
+   be taken for a new job once this one is forgotten.  An acknowledged
+   cancellation must be kept, so one that is repeated late keeps the job known
+   for longer.
+   @return whether that is not stored yet */
+static bool
+renew_end (shard_t *shard, job_entry_t *entry)
+{
+  job_t *job = entry->job;
+  int64_t wall = shard->ops->wall_ms (shard->ctx);
+
+  if (wall - job->ended_ms
+      < shard->config.keep_ended / USEC_PER_MSEC / RENEW_AFTER_DIVISOR)
+    return entry->renewed;
+  job->ended_ms = wall;
+  if (!job->submission)
+    entry->end_time_ms = wall;
+  entry->renewed = true;
+  shard_mark_dirty (shard, entry);
+  return true;
+}
+
 int
 shard_cancel_unknown (shard_t *shard, usec_t now, job_id_t job)
 {
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -312,12 +312,13 @@
 /** Cancels a job.
     @return 0 if the cancellation is stored, -EAGAIN if the end of the job is
     not stored yet (shard_ops_t.settled follows), -ENOENT, -EALREADY if the job
-    has ended otherwise */
+    has ended otherwise.  A job that ended over half of keep_ended ago is kept
+    for another keep_ended, which is stored first: -EAGAIN */
 int shard_cancel (shard_t *shard, usec_t now, job_id_t job);
 
 /** Cancels a job of which no submission is known, so that none of its tasks
     starts if its submission arrives later.  The cancellation is kept as long
-   as an ended job.
+    as an ended job, and at least half as long after it was repeated.
     @return as shard_cancel, never -ENOENT; -ENOSPC if too many such jobs were
     canceled lately */
 int shard_cancel_unknown (shard_t *shard, usec_t now, job_id_t job);
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -198,6 +198,7 @@
   bool dirty;                  /* in shard.dirty_entries */
   bool drop_submission;        /* the next append deletes its record */
   job_status_t stored_end;     /* as stored, JOB_QUEUED: no end */
+  bool renewed;                /* the end has a later time than in the store */
   usec_t waits_since; /* a ready step has had tasks without a worker since
                          then, 0: none has */
   usec_t waits_log_due;
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -179,7 +179,7 @@
   if (entry->drop_submission)
     add_record (shard, RECORD_SUBMISSION, job->id, g_byte_array_new ());
   entry->drop_submission = false;
-  if (job->end_status != entry->stored_end)
+  if (job->end_status != entry->stored_end || entry->renewed)
     g_array_append_val (shard->batch_ends, end);
 }
 
@@ -304,6 +304,7 @@
       if (!entry)
         continue;
       entry->stored_end = end->end;
+      entry->renewed &= entry->dirty;
       shard->ops->settled (shard->ctx, end->job);
     }
   for (guint i = 0; i < shard->batch_submits->len; i++)
--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -403,6 +403,24 @@
   CU_ASSERT (late_jobs > SEED_COUNT);
 }
 
+/* Guards against a cancellation that is acknowledged again and forgotten at
+   once: its job would run when its submission arrives. */
+static void
+test_forgotten_cancellations (void)
+{
+  world_config_t config
+      = { .early_cancel_share = 1, .keep_ended = 16 * USEC_PER_SEC };
+
+  late_jobs = 0;
+  run_seeds (config, SEED_COUNT);
+  config.takeover_interval = 2900 * USEC_PER_MSEC;
+  config.keep_former_owner = true;
+  config.store_outage_interval = 5 * USEC_PER_SEC;
+  config.lost_append_reply_share = 0.05;
+  run_seeds (config, SEED_COUNT);
+  CU_ASSERT (late_jobs > SEED_COUNT);
+}
+
 /* All faults in combination. */
 static void
 test_all_faults (void)
@@ -488,6 +506,7 @@
     { "splits", test_splits },
     { "frozen owners", test_frozen_owners },
     { "late submissions", test_late_submissions },
+    { "forgotten cancellations", test_forgotten_cancellations },
     { "all faults", test_all_faults },
     { "paths and owners", test_paths_and_owners },
     { "gangs", test_gangs },
--- a/src/shard/test_shard_cancel.c
+++ b/src/shard/test_shard_cancel.c
@@ -204,6 +204,100 @@
   tear_down ();
 }
 
+/* Advances the clock until ended jobs have been looked for, and stores. */
+static void
+pass (usec_t duration)
+{
+  fixture.now += duration;
+  for (int i = 0; i < 3; i++)
+    {
+      fixture.now += FORGET_TIME;
+      store ();
+    }
+}
+
+/* Guards against a cancellation that is acknowledged again shortly before its
+   record is deleted: the submission that arrives next would run ("forgotten
+   cancellations" of test_shard, seed 1). */
+static void
+test_repeated_cancellation_is_kept (void)
+{
+  for (arrival_t arrival = BY_OFFER; arrival <= BY_LATE_STORE; arrival++)
+    {
+      set_up ();
+      shard_loaded (fixture.shard, fixture.now);
+      add_ready_worker ();
+      cancel_and_store ();
+      fixture.now += KEEP_ENDED - USEC_PER_SEC;
+      store ();
+      cancel_and_store ();
+      pass (0);
+      submission_arrives (arrival);
+      expect_canceled ();
+      tear_down ();
+    }
+}
+
+/* The same where the owner changes after the repetition, and while the
+   deletion of the record is under way. */
+static void
+test_repeated_cancellation_is_stored (void)
+{
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  cancel_and_store ();
+  fixture.now += KEEP_ENDED - USEC_PER_SEC;
+  store ();
+  cancel_and_store ();
+  take_over (false);
+  pass (0);
+  submission_arrives (BY_OFFER);
+  expect_canceled ();
+  tear_down ();
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_ready_worker ();
+  cancel_and_store ();
+  fixture.now += KEEP_ENDED + FORGET_TIME;
+  shard_tick (fixture.shard, fixture.now);
+  CU_ASSERT_EQUAL (cancel_unknown (JOB_ID), -EAGAIN);
+  store ();
+  CU_ASSERT_EQUAL (cancel_unknown (JOB_ID), -EAGAIN);
+  store ();
+  CU_ASSERT_EQUAL (cancel_unknown (JOB_ID), -EALREADY);
+  submission_arrives (BY_OFFER);
+  expect_canceled ();
+  tear_down ();
+}
+
+/* The same for a job that has ended otherwise: a copy of its submission may be
+   under way. */
+static void
+test_repeated_cancellation_of_canceled_job (void)
+{
+  job_status_t status = JOB_QUEUED;
+
+  set_up ();
+  shard_loaded (fixture.shard, fixture.now);
+  add_job (1);
+  CU_ASSERT_EQUAL (cancel_unknown (JOB_ID), -EAGAIN);
+  store ();
+  CU_ASSERT_EQUAL (cancel_unknown (JOB_ID), 0);
+  fixture.now += KEEP_ENDED - USEC_PER_SEC;
+  store ();
+  CU_ASSERT_EQUAL (cancel_unknown (JOB_ID), -EAGAIN);
+  CU_ASSERT_EQUAL (shard_status (fixture.shard, JOB_ID, &status), 0);
+  CU_ASSERT_EQUAL (status, JOB_CANCELED);
+  store ();
+  CU_ASSERT_EQUAL (cancel_unknown (JOB_ID), 0);
+  pass (0);
+  CU_ASSERT_EQUAL (submit (), 0);
+  CU_ASSERT_EQUAL (shard_status (fixture.shard, JOB_ID, &status), 0);
+  CU_ASSERT_EQUAL (status, JOB_CANCELED);
+  tear_down ();
+}
+
 int
 main (void)
 {
@@ -215,6 +309,11 @@
       test_submission_before_cancellation_is_stored },
     { "late submission is stored", test_late_submission_is_stored },
     { "cancellations are limited", test_cancellations_are_limited },
+    { "repeated cancellation is kept", test_repeated_cancellation_is_kept },
+    { "repeated cancellation is stored",
+      test_repeated_cancellation_is_stored },
+    { "repeated cancellation of a canceled job",
+      test_repeated_cancellation_of_canceled_job },
   };
   int code;
 
