--- a/standin/fleet.h
+++ b/standin/fleet.h
@@ -90,6 +90,8 @@
 void fleet_workers_tick (workers_t *workers, usec_t now);
 /** Reads "counts of tasks, by step" out of a job's spec. */
 json_t *fleet_workers_audit (const workers_t *workers);
+/** @return how often tasks of the job were started */
+uint32_t fleet_workers_starts (const workers_t *all, const char *job);
 
 /* fleet_zones.c */
 #define FLEET_ZONES 3U
--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -510,15 +510,37 @@
   return true;
 }
 
+/* With hold=1 an outage begins that lasts until hold=0, for tests of a given
+   order of events.  With silent=1 calls get no answer. */
+static void
+hold_outage (store_t *store, const httpd_request_t *request, bool hold)
+{
+  if (store->fleet->config.outage_every)
+    {
+      fleet_answer (store->fleet->httpd, request->handle, 409,
+                    json_pack ("{s:s}", "reason", "outage-every is set"));
+      return;
+    }
+  store->outage_end = hold ? INT64_MAX : clock_now ();
+  store->silent = query_number (store, request->handle, "silent", 0) != 0;
+  fleet_answer (store->fleet->httpd, request->handle, 200, json_object ());
+}
+
 /* Starts an outage, and tells the member that owns the first partition. */
 static void
 outage (store_t *store, const httpd_request_t *request)
 {
   const char *owner = store->shares[0].holder;
   usec_t interval = store->fleet->config.outage_every * USEC_PER_MSEC;
-  bool begun
-      = begin_outage (store, clock_now (), store->outage_end + interval / 2);
+  uint64_t hold = query_number (store, request->handle, "hold", UINT64_MAX);
+  bool begun;
 
+  if (hold != UINT64_MAX)
+    {
+      hold_outage (store, request, hold != 0);
+      return;
+    }
+  begun = begin_outage (store, clock_now (), store->outage_end + interval / 2);
   fleet_answer (store->fleet->httpd, request->handle, 200,
                 json_pack ("{s:s}", "owner", begun && owner ? owner : ""));
 }
@@ -543,6 +565,16 @@
                     fleet_workers_audit (fleet->workers));
       return;
     }
+  if (strcmp (request->path, "/starts") == 0)
+    {
+      const char *job = httpd_query (fleet->httpd, request->handle, "job");
+
+      fleet_answer (fleet->httpd, request->handle, 200,
+                    json_pack ("{s:i}", "starts",
+                               (int)fleet_workers_starts (fleet->workers,
+                                                          job ? job : "")));
+      return;
+    }
   if (strcmp (request->path, "/outage") == 0)
     {
       outage (fleet->store, request);
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -362,6 +362,22 @@
       idle_count (all), "reports", all->reports);
 }
 
+uint32_t
+fleet_workers_starts (const workers_t *all, const char *job)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer data;
+  size_t len = strlen (job);
+  uint32_t starts = 0;
+
+  g_hash_table_iter_init (&iter, all->tasks);
+  while (g_hash_table_iter_next (&iter, &name, &data))
+    if (strncmp (name, job, len) == 0 && ((const char *)name)[len] == '.')
+      starts += ((const task_t *)data)->starts;
+  return starts;
+}
+
 /* --- Runs --- */
 
 static void
