--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -550,6 +550,35 @@
   return submission;
 }
 
+static void
+init_early_cancels (shard_world_t *world)
+{
+  world->caller_rng = g_rand_new_with_seed (world->config.seed);
+  world->copies = g_array_new (FALSE, FALSE, sizeof (sim_copy_t));
+  world->log = g_array_new (FALSE, FALSE, sizeof (sim_log_entry_t));
+  g_array_set_clear_func (world->log, log_entry_clear);
+}
+
+/* The first of each kind. */
+static void
+schedule_faults (shard_world_t *world)
+{
+  const world_config_t *config = &world->config;
+
+  world->takeover_due = world->now + config->takeover_interval;
+  world->crash_due = world->now + config->worker_crash_interval;
+  world->outage_due = world->now + config->store_outage_interval;
+  world->unhealthy_due = world->now + config->unhealthy_interval;
+  world->resize_due = world->now + config->resize_interval;
+  world->cut_due = world->now + config->worker_cut_interval;
+  world->list_outage_due = world->now + config->list_outage_interval;
+  world->unlist_due = world->now + config->unlist_interval;
+  world->departure_due = world->now + config->departure_interval;
+  world->mislead_due = world->now + config->mislead_interval;
+  world->freeze_due = world->now + config->freeze_interval;
+  world->discard_due = world->now + config->discard_interval;
+}
+
 shard_world_t *
 world_new (const world_config_t *config)
 {
@@ -607,26 +636,12 @@
       world->owners[i].shard
           = shard_new (&shard, &world_ops, &world->owners[i], 0);
     }
-  world->caller_rng = g_rand_new_with_seed (config->seed);
-  world->copies = g_array_new (FALSE, FALSE, sizeof (sim_copy_t));
-  world->log = g_array_new (FALSE, FALSE, sizeof (sim_log_entry_t));
-  g_array_set_clear_func (world->log, log_entry_clear);
+  init_early_cancels (world);
   world->zones.rng = g_rand_new_with_seed (config->seed);
   world->zones.interval = config->evacuation_interval;
   world->current_owner = OWNER_COUNT - 1;
   take_over (world);
-  world->takeover_due = world->now + config->takeover_interval;
-  world->crash_due = world->now + config->worker_crash_interval;
-  world->outage_due = world->now + config->store_outage_interval;
-  world->unhealthy_due = world->now + config->unhealthy_interval;
-  world->resize_due = world->now + config->resize_interval;
-  world->cut_due = world->now + config->worker_cut_interval;
-  world->list_outage_due = world->now + config->list_outage_interval;
-  world->unlist_due = world->now + config->unlist_interval;
-  world->departure_due = world->now + config->departure_interval;
-  world->mislead_due = world->now + config->mislead_interval;
-  world->freeze_due = world->now + config->freeze_interval;
-  world->discard_due = world->now + config->discard_interval;
+  schedule_faults (world);
   plan_early_cancels (world);
   return world;
 }
