--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -258,7 +258,8 @@
   usec_t at;       /* next step */
   bool appends;    /* instead of offering it */
   bool last;       /* the caller submits until it is accepted */
-  bool unattended; /* arrives at OWNER, or at the store, without a front */
+  bool unattended; /* arrives at OWNER, or at the store, while its front has
+                      died or no longer waits */
   uint32_t owner;
   uint64_t token;       /* of the owner that has accepted it */
   usec_t offered_until; /* then the front appends, 0: not offered yet */
@@ -2025,10 +2026,9 @@
   if (!copy->offered_until)
     {
       copy->offered_until = world->now + FRONT_OFFER_SPAN;
-      if (!copy->unattended)
-        copy->owner = draw_caller_fault (world, 0.2)
-                          ? (world->current_owner + 1) % OWNER_COUNT
-                          : world->current_owner;
+      copy->owner = draw_caller_fault (world, 0.2)
+                        ? (world->current_owner + 1) % OWNER_COUNT
+                        : world->current_owner;
     }
   owner = &world->owners[copy->owner];
   if (!owner->alive || is_frozen (world, owner))
@@ -2051,6 +2051,7 @@
     {
       copy->stored_until = world->now + OWNER_STORED_WAIT;
       copy->token = owner->token;
+      copy->unattended |= !copy->last && draw_caller_fault (world, 0.1);
     }
   if (code == 0 && copy->unattended)
     copy->done = true;
