--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -105,6 +105,22 @@
      "questions about jobs sent to the owners of their shards")               \
   X (HTTP_REFUSED, "http_refused_total", "requests", "counter",               \
      "HTTP requests refused as malformed, oversize or not authorized")        \
+  X (HTTP_CLOSED_FULL, "http_closed_full_total", "connections", "counter",    \
+     "HTTP connections closed for the limit on connections")                  \
+  X (HTTP_CLOSED_BUDGET, "http_closed_budget_total", "connections",           \
+     "counter", "HTTP connections closed for the budget of bytes")            \
+  X (HTTP_CLOSED_SLOW, "http_closed_slow_total", "connections", "counter",    \
+     "HTTP connections closed since they were idle or too slow")              \
+  X (HTTP_CLOSED_OVERSIZE, "http_closed_oversize_total", "connections",       \
+     "counter", "HTTP connections closed within a body far over the limit")   \
+  X (HTTP_HEAD_OVERSIZE, "http_head_oversize_total", "requests", "counter",   \
+     "HTTP requests refused by their head: declared body too large")          \
+  X (HTTP_HEAD_REJECTED, "http_head_rejected_total", "requests", "counter",   \
+     "HTTP requests refused by their head: path, method, key or state")       \
+  X (HTTP_HEAD_BUDGET, "http_head_budget_total", "requests", "counter",       \
+     "HTTP requests refused by their head for the budget of bytes")           \
+  X (HTTP_ACCEPT_PAUSES, "http_accept_pauses_total", "pauses", "counter",     \
+     "pauses of accepting HTTP connections for want of descriptors")          \
   X (LOG_LINES_DROPPED, "log_lines_dropped_total", "lines", "counter",        \
      "log lines that standard error did not take")                            \
   X (LOG_LINES_SKIPPED, "log_lines_skipped_total", "lines", "counter",        \
