Bound the bytes, connections and time of HTTP clients

Cause: httpd collected up to max_body bytes for each of max_connections connections whatever the path, kept bodies that were too large to their end, left connections beyond the limit in the backlog, and any received byte renewed the idle timeout. Clients that do so can run a process out of memory.

A request with a body is refused by its head where that is possible (413, 503, and by the new callback head). The callers', readiness and operators' addresses of the scheduling process and those of limpethinge serve have these limits. No connection is closed whose request has been dispatched, except in the middle of a response that the client does not read.

--- a/src/net/acceptor.c
+++ b/src/net/acceptor.c
@@ -155,6 +155,7 @@
     {
       acceptor->ops->paused (acceptor->ctx, errno);
       ev_io_stop (acceptor->loop, &acceptor->io);
+      ev_timer_stop (acceptor->loop, &acceptor->resume);
       ev_timer_set (&acceptor->resume, PAUSE_S, 0.);
       ev_timer_start (acceptor->loop, &acceptor->resume);
     }
--- a/src/net/httpd.h
+++ b/src/net/httpd.h
@@ -3,6 +3,10 @@
  *
  * A request is dispatched once its body is complete.  It may be answered at
  * once or later; until then its connection is suspended.
+ *
+ * Connections, bytes and time are limited (net/conn_limits.h).  A connection
+ * is closed only while no request of it has been dispatched, or if its client
+ * does not read the response within the timeout.
  */
 #ifndef NET_HTTPD_H
 #define NET_HTTPD_H
@@ -33,18 +37,32 @@
 typedef struct
 {
   /** A complete request has arrived; call httpd_answer for its handle now or
-      later, exactly once.  REQUEST is valid during the call. */
+      later, exactly once.  REQUEST is valid during the call.  The body of a
+      GET or DELETE request is discarded. */
   void (*request) (void *ctx, const httpd_request_t *request);
   /** The client disconnected before it was answered; HANDLE is stale. */
   void (*abandoned) (void *ctx, handle_t handle);
+  /** The head of a request with a body has arrived; may be NULL.  A call of
+      httpd_answer for its handle refuses the request: its body is not read,
+     its connection is closed after the response and `request` is not called.
+     The body of REQUEST is empty.  Not called for requests without a body. */
+  void (*head) (void *ctx, const httpd_request_t *request);
 } httpd_ops_t;
 
 typedef struct
 {
-  const char *address; /**< IP:port */
-  uint32_t max_connections;
-  uint32_t max_body; /**< bytes; larger bodies are answered with 413 */
-  usec_t timeout;    /**< of idle connections, which are closed */
+  const char *address;      /**< IP:port */
+  uint32_t max_connections; /**< at which one connection is closed in favour
+                               of a new one */
+  uint32_t max_body;        /**< bytes; larger bodies are answered with 413 */
+  uint32_t budget_bytes; /**< of request bodies and unread answers, 0: no bound
+                          */
+  uint32_t receive_buffer; /**< SO_RCVBUF in bytes, 0: the kernel's */
+  uint32_t backlog;        /**< of the listener, 0: SOMAXCONN */
+  usec_t timeout; /**< of each whole phase of a connection: until its next head
+                     is complete, until the body is, and until the response is
+                     sent; 0: no bound.  Counted in sweeps that have run, so
+                     that a process that was frozen closes nothing for that. */
 } httpd_config_t;
 
 /** @return NULL with ERR filled if the address cannot be bound */
--- a/src/net/test_conn_limits.c
+++ b/src/net/test_conn_limits.c
@@ -203,82 +203,113 @@
   conn_limits_free (limits);
 }
 
-/* Random events: no byte is lost, the budget holds for bodies, and a
-   connection that runs is never chosen. */
+enum
+{
+  CONNECTIONS = 24,
+  STEPS = 40000
+};
+
+typedef struct
+{
+  conn_limits_t *limits;
+  GRand *random;
+  conn_t *conns[CONNECTIONS];
+  uint64_t reserved[CONNECTIONS];
+} world_t;
+
+/* Does something with a connection.  */
+static void
+act (world_t *world)
+{
+  int i = g_rand_int_range (world->random, 0, CONNECTIONS);
+  uint32_t bytes = (uint32_t)g_rand_int_range (world->random, 1, 200);
+  conn_t *conn = world->conns[i];
+
+  switch (g_rand_int_range (world->random, 0, 5))
+    {
+    case 0:
+    case 1:
+      conn_limits_enter (world->limits, conn,
+                         (conn_phase_t)g_rand_int_range (
+                             world->random, CONN_WAITING, CONN_ANSWERING + 1));
+      break;
+    case 2:
+    case 3:
+      if (conn_limits_reserve (world->limits, conn, bytes))
+        world->reserved[i] += bytes;
+      break;
+    default:
+      conn_limits_end_request (world->limits, conn, bytes & 1);
+      world->reserved[i] = 0;
+      break;
+    }
+}
+
+/* Chooses a connection to be closed by one of the rules, NULL for none. */
+static conn_t *
+choose (world_t *world)
+{
+  conn_t *chosen;
+
+  switch (g_rand_int_range (world->random, 0, 5))
+    {
+    case 0:
+      conn_limits_sweep (world->limits);
+      chosen = conn_limits_overdue (world->limits);
+      CU_ASSERT_TRUE (!chosen || conn_phase (chosen) != CONN_RUNNING);
+      return chosen;
+    case 1:
+      chosen = conn_limits_evictable (world->limits);
+      CU_ASSERT_TRUE (!chosen || conn_phase (chosen) == CONN_WAITING
+                      || conn_phase (chosen) == CONN_BODY);
+      return chosen;
+    case 2:
+      chosen = conn_limits_slowest (world->limits);
+      CU_ASSERT_TRUE (!chosen || conn_phase (chosen) == CONN_BODY);
+      return chosen;
+    default:
+      return NULL;
+    }
+}
+
+/* Guards against bytes that are lost in some order of events, a budget that is
+   exceeded by bodies, and a choice of a connection that runs. */
 static void
 test_random (void)
 {
-  enum
-  {
-    CONNECTIONS = 24,
-    STEPS = 40000
-  };
-  conn_limits_t *limits = new_limits (CONNECTIONS);
-  conn_t *conns[CONNECTIONS];
-  uint64_t reserved[CONNECTIONS] = { 0 };
-  GRand *random = g_rand_new_with_seed (20261206);
+  world_t world = { .limits = new_limits (CONNECTIONS),
+                    .random = g_rand_new_with_seed (20261206) };
 
   for (int i = 0; i < CONNECTIONS; i++)
-    conns[i] = conn_limits_add (limits, GINT_TO_POINTER (i));
+    world.conns[i] = conn_limits_add (world.limits, GINT_TO_POINTER (i));
   for (int step = 0; step < STEPS; step++)
     {
-      int i = g_rand_int_range (random, 0, CONNECTIONS);
-      uint32_t bytes = (uint32_t)g_rand_int_range (random, 1, 200);
-      conn_t *chosen = NULL;
+      conn_t *chosen;
       uint64_t sum = 0;
 
-      switch (g_rand_int_range (random, 0, 8))
-        {
-        case 0:
-        case 1:
-          conn_limits_enter (limits, conns[i],
-                             (conn_phase_t)g_rand_int_range (
-                                 random, CONN_WAITING, CONN_ANSWERING + 1));
-          break;
-        case 2:
-        case 3:
-          if (conn_limits_reserve (limits, conns[i], bytes))
-            reserved[i] += bytes;
-          break;
-        case 4:
-          conn_limits_end_request (limits, conns[i], bytes & 1);
-          reserved[i] = 0;
-          break;
-        case 5:
-          conn_limits_sweep (limits);
-          chosen = conn_limits_overdue (limits);
-          CU_ASSERT_TRUE (!chosen || conn_phase (chosen) != CONN_RUNNING);
-          break;
-        case 6:
-          chosen = conn_limits_evictable (limits);
-          CU_ASSERT_TRUE (!chosen || conn_phase (chosen) == CONN_WAITING
-                          || conn_phase (chosen) == CONN_BODY);
-          break;
-        default:
-          chosen = conn_limits_slowest (limits);
-          CU_ASSERT_TRUE (!chosen || conn_phase (chosen) == CONN_BODY);
-          break;
-        }
+      act (&world);
+      chosen = choose (&world);
       if (chosen)
         {
-          i = GPOINTER_TO_INT (conn_owner (chosen));
-          conn_limits_close (limits, chosen);
-          CU_ASSERT_EQUAL (conn_limits_count (limits), CONNECTIONS - 1);
-          conn_limits_remove (limits, chosen);
-          conns[i] = conn_limits_add (limits, GINT_TO_POINTER (i));
-          reserved[i] = 0;
+          int i = GPOINTER_TO_INT (conn_owner (chosen));
+
+          conn_limits_close (world.limits, chosen);
+          CU_ASSERT_EQUAL (conn_limits_count (world.limits), CONNECTIONS - 1);
+          conn_limits_remove (world.limits, chosen);
+          world.conns[i] = conn_limits_add (world.limits, GINT_TO_POINTER (i));
+          world.reserved[i] = 0;
         }
       for (int k = 0; k < CONNECTIONS; k++)
-        sum += reserved[k];
-      CU_ASSERT_EQUAL (conn_limits_bytes (limits), sum);
+        sum += world.reserved[k];
+      CU_ASSERT_EQUAL (conn_limits_bytes (world.limits), sum);
       CU_ASSERT_TRUE (sum <= BUDGET);
     }
   for (int i = 0; i < CONNECTIONS; i++)
-    conn_limits_remove (limits, conns[i]);
-  CU_ASSERT_EQUAL (conn_limits_bytes (limits), 0);
-  CU_ASSERT_EQUAL (conn_limits_count (limits), 0);
-  g_rand_free (random);
-  conn_limits_free (limits);
+    conn_limits_remove (world.limits, world.conns[i]);
+  CU_ASSERT_EQUAL (conn_limits_bytes (world.limits), 0);
+  CU_ASSERT_EQUAL (conn_limits_count (world.limits), 0);
+  g_rand_free (world.random);
+  conn_limits_free (world.limits);
 }
 
 int
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -35,6 +35,13 @@
 #define CLAIM_RETRY_DELAY (500 * USEC_PER_MSEC)
 #define OPERATOR_MAX_CONNECTIONS 64U
 #define OPERATOR_MAX_BODY_BYTES (1U << 20)
+#define CALLER_BUDGET_BYTES (32U << 20)
+#define CALLER_BACKLOG 1024U
+/* The kernel doubles it.  Unread bytes count as memory of the process. */
+#define RECEIVE_BUFFER_BYTES 16384U
+/* The state dump may have megabytes. */
+#define OPERATOR_BUDGET_BYTES (8U << 20)
+#define OPERATOR_BACKLOG 64U
 
 static int node_start (node_t *node, err_t *err);
 static void node_init_modules (node_t *node);
@@ -254,10 +261,15 @@
   httpd_config_t callers = { .address = settings->listen_callers,
                              .max_connections = settings->max_connections,
                              .max_body = settings->max_body_bytes,
+                             .budget_bytes = CALLER_BUDGET_BYTES,
+                             .receive_buffer = RECEIVE_BUFFER_BYTES,
+                             .backlog = CALLER_BACKLOG,
                              .timeout = settings->caller_timeout };
   httpd_config_t operators = { .address = settings->listen_operators,
                                .max_connections = OPERATOR_MAX_CONNECTIONS,
                                .max_body = OPERATOR_MAX_BODY_BYTES,
+                               .budget_bytes = OPERATOR_BUDGET_BYTES,
+                               .backlog = OPERATOR_BACKLOG,
                                .timeout = settings->caller_timeout };
   msg_hello_t hello = { .protocol = MESSAGE_PROTOCOL_VERSION,
                         .node = settings->node,
--- a/src/node/node_callers.c
+++ b/src/node/node_callers.c
@@ -42,7 +42,9 @@
   void (*handle) (const api_call_t *call);
 } route_t;
 
+static void on_head (void *ctx, const httpd_request_t *request);
 static void on_request (void *ctx, const httpd_request_t *request);
+static const route_t *admit (api_call_t *call);
 static void on_abandoned (void *ctx, handle_t handle);
 static const route_t *find_route (const httpd_request_t *request);
 static const member_t *find_member (node_t *node, const bundle_t *bundle,
@@ -66,7 +68,8 @@
 static void append_order_json (void *ctx, const order_t *order);
 static void reject (const api_call_t *call, int status, const char *text);
 
-const httpd_ops_t node_caller_ops = { on_request, on_abandoned };
+const httpd_ops_t node_caller_ops
+    = { .request = on_request, .abandoned = on_abandoned, .head = on_head };
 
 static const route_t routes[] = {
   { "POST", "/run/", NULL, handle_run },
@@ -151,31 +154,55 @@
     }
 }
 
+static void
+on_head (void *ctx, const httpd_request_t *request)
+{
+  node_t *node = ctx;
+  api_call_t call = { .node = node, .now = clock_now (), .http = request };
+
+  admit (&call);
+}
+
 static void
 on_request (void *ctx, const httpd_request_t *request)
 {
   node_t *node = ctx;
   api_call_t call = { .node = node, .now = clock_now (), .http = request };
-  const route_t *route = find_route (request);
+  const route_t *route = admit (&call);
+
+  if (route)
+    route->handle (&call);
+}
+
+/* Completes CALL by the head of its request, or answers that it is refused.
+   @return its route, NULL if it is refused */
+static const route_t *
+admit (api_call_t *call)
+{
+  node_t *node = call->node;
+  const route_t *route = find_route (call->http);
 
-  call.bundle = node_bundle (node);
+  call->bundle = node_bundle (node);
   if (!route)
-    reject (&call, STATUS_NOT_FOUND, "no such path or method");
-  else if (!call.bundle || node->draining)
-    node_answer_error (node->callers, request->handle, STATUS_UNAVAILABLE,
-                       "not-run", 1,
-                       node->draining ? "stopping" : "not ready");
-  else
     {
-      call.member = find_member (node, call.bundle, request->handle);
-      if (!call.member)
-        {
-          reject (&call, STATUS_UNAUTHORIZED, "no such key");
-          return;
-        }
-      call.path_tail = request->path + strlen (route->prefix);
-      route->handle (&call);
+      reject (call, STATUS_NOT_FOUND, "no such path or method");
+      return NULL;
+    }
+  if (!call->bundle || node->draining)
+    {
+      node_answer_error (node->callers, call->http->handle, STATUS_UNAVAILABLE,
+                         "not-run", 1,
+                         node->draining ? "stopping" : "not ready");
+      return NULL;
+    }
+  call->member = find_member (node, call->bundle, call->http->handle);
+  if (!call->member)
+    {
+      reject (call, STATUS_UNAUTHORIZED, "no such key");
+      return NULL;
     }
+  call->path_tail = call->http->path + strlen (route->prefix);
+  return route;
 }
 
 static void
--- a/src/node/node_operators.c
+++ b/src/node/node_operators.c
@@ -25,7 +25,10 @@
   void (*handle) (node_t *node, const httpd_request_t *request);
 } route_t;
 
+static void on_head (void *ctx, const httpd_request_t *request);
 static void on_request (void *ctx, const httpd_request_t *request);
+static const route_t *find_route (node_t *node,
+                                  const httpd_request_t *request);
 static void show_status (node_t *node, const httpd_request_t *request);
 static void show_dump (node_t *node, const httpd_request_t *request);
 static void show_counters (node_t *node, const httpd_request_t *request);
@@ -38,7 +41,8 @@
                                  const msg_bundle_t *entry);
 static void set_gauges (node_t *node, usec_t now);
 
-const httpd_ops_t node_operator_ops = { on_request, NULL };
+const httpd_ops_t node_operator_ops
+    = { .request = on_request, .head = on_head };
 
 static const route_t routes[] = {
   { "GET", "/status", show_status },     { "GET", "/dump", show_dump },
@@ -69,21 +73,33 @@
   g_hash_table_remove (node->waiters, &ticket);
 }
 
+static void
+on_head (void *ctx, const httpd_request_t *request)
+{
+  find_route (ctx, request);
+}
+
 static void
 on_request (void *ctx, const httpd_request_t *request)
 {
-  node_t *node = ctx;
+  const route_t *route = find_route (ctx, request);
 
+  if (route)
+    route->handle (ctx, request);
+}
+
+/* Answers that there is none. */
+static const route_t *
+find_route (node_t *node, const httpd_request_t *request)
+{
   for (size_t i = 0; i < G_N_ELEMENTS (routes); i++)
     if (strcmp (routes[i].method, request->method) == 0
         && strcmp (routes[i].path, request->path) == 0)
-      {
-        routes[i].handle (node, request);
-        return;
-      }
+      return &routes[i];
   counter_add (COUNTER_HTTP_REFUSED, 1);
   node_answer_error (node->operators, request->handle, STATUS_NOT_FOUND, NULL,
                      0, "no such path or method");
+  return NULL;
 }
 
 static void
--- a/src/scheduler/sched_admin.c
+++ b/src/scheduler/sched_admin.c
@@ -30,9 +30,13 @@
   { "/dump", NULL, dump_text },
 };
 
-const httpd_ops_t sched_ready_ops = { on_ready_request, ignore_abandoned };
-const httpd_ops_t sched_operator_ops
-    = { on_operator_request, ignore_abandoned };
+/* Bodies are not used: a request with one is answered by its head. */
+const httpd_ops_t sched_ready_ops = { .request = on_ready_request,
+                                      .abandoned = ignore_abandoned,
+                                      .head = on_ready_request };
+const httpd_ops_t sched_operator_ops = { .request = on_operator_request,
+                                         .abandoned = ignore_abandoned,
+                                         .head = on_operator_request };
 
 static void
 ignore_abandoned (void *ctx, handle_t http)
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -44,7 +44,18 @@
   usec_t sent;
 } append_call_t;
 
+/* What a request names. */
+typedef struct
+{
+  const queue_rules_t *rules;
+  job_id_t job; /* 0 for the count of a queue */
+  query_kind_t kind;
+} target_t;
+
+static void on_head (void *ctx, const httpd_request_t *request);
 static void on_request (void *ctx, const httpd_request_t *request);
+static bool find_target (scheduler_t *s, const httpd_request_t *http,
+                         target_t *target);
 static void on_abandoned (void *ctx, handle_t http);
 static usec_t deadline_of (scheduler_t *s, handle_t http,
                            const queue_rules_t *rules, usec_t now);
@@ -80,7 +91,8 @@
 static void reject_now (scheduler_t *s, handle_t http, int status,
                         uint32_t retry_after_s, const char *error);
 
-const httpd_ops_t sched_caller_ops = { on_request, on_abandoned };
+const httpd_ops_t sched_caller_ops
+    = { .head = on_head, .request = on_request, .abandoned = on_abandoned };
 
 void
 request_free (void *data)
@@ -93,46 +105,73 @@
   g_free (request);
 }
 
+static void
+on_head (void *ctx, const httpd_request_t *http)
+{
+  target_t target;
+
+  find_target (ctx, http, &target);
+}
+
 static void
 on_request (void *ctx, const httpd_request_t *http)
 {
   scheduler_t *s = ctx;
   usec_t now = clock_now ();
+  target_t target;
+
+  sched_wake (s);
+  if (!find_target (s, http, &target))
+    return;
+  if (target.kind == QUERY_SUBMIT)
+    handle_submit (s, now, http, target.rules, target.job);
+  else
+    handle_query (s, now, http, target.rules, target.job, target.kind);
+}
+
+/* Fills TARGET by the head of a request, or answers that there is none. */
+static bool
+find_target (scheduler_t *s, const httpd_request_t *http, target_t *target)
+{
+  static const struct
+  {
+    const char *method;
+    query_kind_t kind;
+  } methods[] = {
+    { "POST", QUERY_SUBMIT },
+    { "GET", QUERY_STATUS },
+    { "DELETE", QUERY_CANCEL },
+  };
   const char *host = httpd_header (s->callers, http->handle, "Host");
   const char *rest = NULL;
-  const queue_rules_t *rules;
-  job_id_t job = 0;
 
-  sched_wake (s);
+  *target = (target_t){ .kind = QUERY_PENDING };
   if (!s->queues || !s->shard_count)
     {
       reject_now (s, http->handle, 503, RETRY_AFTER_S, "no configuration yet");
-      return;
+      return false;
     }
-  rules = queues_find (s->queues, host ? host : "", http->path, &rest);
-  if (!rules)
+  target->rules = queues_find (s->queues, host ? host : "", http->path, &rest);
+  if (!target->rules)
     {
       reject_now (s, http->handle, 404, 0, "no such queue");
-      return;
+      return false;
     }
   if (strcmp (http->method, "GET") == 0 && !*rest)
-    {
-      handle_query (s, now, http, rules, 0, QUERY_PENDING);
-      return;
-    }
-  if (!job_id_parse (rest, strlen (rest), &job))
+    return true;
+  if (!job_id_parse (rest, strlen (rest), &target->job))
     {
       reject_now (s, http->handle, 404, 0, "no job identifier");
-      return;
+      return false;
     }
-  if (strcmp (http->method, "POST") == 0)
-    handle_submit (s, now, http, rules, job);
-  else if (strcmp (http->method, "GET") == 0)
-    handle_query (s, now, http, rules, job, QUERY_STATUS);
-  else if (strcmp (http->method, "DELETE") == 0)
-    handle_query (s, now, http, rules, job, QUERY_CANCEL);
-  else
-    reject_now (s, http->handle, 405, 0, "method not allowed");
+  for (size_t i = 0; i < G_N_ELEMENTS (methods); i++)
+    if (strcmp (http->method, methods[i].method) == 0)
+      {
+        target->kind = methods[i].kind;
+        return true;
+      }
+  reject_now (s, http->handle, 405, 0, "method not allowed");
+  return false;
 }
 
 static usec_t
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -12,8 +12,16 @@
 #define SLEEP_MIN (USEC_PER_MSEC)
 #define CALLER_BODY_MAX_BYTES (262144U)
 #define CALLER_TIMEOUT (30 * USEC_PER_SEC)
+#define CALLER_BUDGET_BYTES (32U << 20)
+#define CALLER_BACKLOG 1024U
+/* The kernel doubles it.  Unread bytes count as memory of the process. */
+#define RECEIVE_BUFFER_BYTES 16384U
 #define ADMIN_CONNECTIONS_MAX 32U
 #define ADMIN_BODY_MAX_BYTES 4096U
+#define ADMIN_BACKLOG 64U
+#define READY_BUDGET_BYTES (1U << 20)
+/* The state dump may have megabytes. */
+#define OPERATOR_BUDGET_BYTES (8U << 20)
 
 /* How long a worker holds a long poll open while it waits for a run to end:
    POLL_BUSY with runs, POLL_IDLE without.  Each poll extends the leases, so
@@ -56,8 +64,6 @@
 
 static int start (scheduler_t *s, err_t *err);
 static int open_sockets (scheduler_t *s, err_t *err);
-static httpd_t *open_admin_server (scheduler_t *s, const char *address,
-                                   const httpd_ops_t *ops, err_t *err);
 static void open_watchers (scheduler_t *s);
 static void scheduler_free (scheduler_t *s);
 static void on_timer (void *ctx);
@@ -165,7 +171,23 @@
   httpd_config_t callers = { .address = settings->listen_callers,
                              .max_connections = settings->max_connections,
                              .max_body = CALLER_BODY_MAX_BYTES,
+                             .budget_bytes = CALLER_BUDGET_BYTES,
+                             .receive_buffer = RECEIVE_BUFFER_BYTES,
+                             .backlog = CALLER_BACKLOG,
                              .timeout = CALLER_TIMEOUT };
+  httpd_config_t ready = { .address = settings->listen_ready,
+                           .max_connections = ADMIN_CONNECTIONS_MAX,
+                           .max_body = ADMIN_BODY_MAX_BYTES,
+                           .budget_bytes = READY_BUDGET_BYTES,
+                           .receive_buffer = RECEIVE_BUFFER_BYTES,
+                           .backlog = ADMIN_BACKLOG,
+                           .timeout = CALLER_TIMEOUT };
+  httpd_config_t operators = { .address = settings->listen_operators,
+                               .max_connections = ADMIN_CONNECTIONS_MAX,
+                               .max_body = ADMIN_BODY_MAX_BYTES,
+                               .budget_bytes = OPERATOR_BUDGET_BYTES,
+                               .backlog = ADMIN_BACKLOG,
+                               .timeout = CALLER_TIMEOUT };
   msg_hello_t hello = { .protocol = MESSAGE_PROTOCOL_VERSION,
                         .node = s->node,
                         .incarnation = s->incarnation,
@@ -179,27 +201,13 @@
   s->callers = httpd_new (s->loop, &callers, &sched_caller_ops, s, err);
   if (!s->callers)
     return err->code;
-  s->ready
-      = open_admin_server (s, settings->listen_ready, &sched_ready_ops, err);
+  s->ready = httpd_new (s->loop, &ready, &sched_ready_ops, s, err);
   if (!s->ready)
     return err->code;
-  s->operators = open_admin_server (s, settings->listen_operators,
-                                    &sched_operator_ops, err);
+  s->operators = httpd_new (s->loop, &operators, &sched_operator_ops, s, err);
   return s->operators ? 0 : err->code;
 }
 
-static httpd_t *
-open_admin_server (scheduler_t *s, const char *address, const httpd_ops_t *ops,
-                   err_t *err)
-{
-  httpd_config_t config = { .address = address,
-                            .max_connections = ADMIN_CONNECTIONS_MAX,
-                            .max_body = ADMIN_BODY_MAX_BYTES,
-                            .timeout = CALLER_TIMEOUT };
-
-  return httpd_new (s->loop, &config, ops, s, err);
-}
-
 static void
 open_watchers (scheduler_t *s)
 {
--- a/standin/fleet_store.c
+++ b/standin/fleet_store.c
@@ -71,7 +71,8 @@
 
 static void on_request (void *ctx, const httpd_request_t *request);
 static void on_abandoned (void *ctx, handle_t handle);
-const httpd_ops_t fleet_store_ops = { on_request, on_abandoned };
+const httpd_ops_t fleet_store_ops
+    = { .request = on_request, .abandoned = on_abandoned };
 
 static void
 record_free (void *data)
--- a/standin/fleet_workers.c
+++ b/standin/fleet_workers.c
@@ -149,7 +149,8 @@
 static void on_abandoned (void *ctx, handle_t handle);
 static void boot (worker_t *w, usec_t now);
 static void clear (worker_t *w);
-static const httpd_ops_t worker_ops = { on_request, on_abandoned };
+static const httpd_ops_t worker_ops
+    = { .request = on_request, .abandoned = on_abandoned };
 
 static int64_t
 clock_ms (const worker_t *w, usec_t now)
