--- a/Makefile
+++ b/Makefile
@@ -135,7 +135,7 @@
               zones/test_zones \
               scheduler/test_scheduler scheduler/test_operator \
               scheduler/test_workers scheduler/test_records net/test_peerlink \
-              net/test_http_client
+              net/test_http_client net/test_httpd net/test_conn_limits
 mutants-sched: $(SCHED_TESTS:%=$(BUILD)/src/%.o) $(TESTSUP_OBJ) $(OBJ)
 	@scripts/mutants-sched.sh $(BUILD) $(OBJ) $(TESTSUP_OBJ) -- $(CC) \
 	  $(CFLAGS) -- $(LDLIBS) -lcunit
--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -162,6 +162,18 @@
 RESTART_FORGOTTEN|src/shard/shard_calls.c|shard/test_shard_settle|s/worker->restarted |= /worker->restarted = /
 SHORT_STOPS_ONLY|src/shard/shard_calls.c|shard/test_shard_settle|s/define STOPS_WITHOUT_ANSWER 6U/define STOPS_WITHOUT_ANSWER 600U/
 UNBOUNDED_OCCURRENCES|src/jobs/jobs.c|jobs/test_jobs|s/JOB_MAX_TASKS;$/JOB_MAX_TASKS * 4;/
+EVICTED_RUNS|src/net/httpd.c|net/test_httpd|s/if (client->closing)/if (0)/
+REFUSED_IS_RESET|src/net/httpd.c|net/test_httpd|s/pending->client->linger = true;/;/
+OVERSIZE_STAYS_RESERVED|src/net/httpd.c|net/test_httpd|s/conn_limits_release (httpd->limits, pending->client->conn);/;/
+OVERSIZE_IS_READ|src/net/httpd.c|net/test_httpd|s/pending->declared > httpd->max_body)/0)/
+OVERSIZE_READ_TO_ITS_END|src/net/httpd.c|net/test_httpd|s/if (pending->received > 2ULL \* httpd->max_body)/if (0)/
+ANSWERS_NOT_BOUNDED|src/net/httpd.c|net/test_httpd|s/if (!conn_limits_admits (httpd->limits))$/if (0)/
+LIMIT_LINES_NOT_BOUNDED|src/net/httpd.c|net/test_httpd|s/now - httpd->logged_at < LOG_INTERVAL_S/now < 0/
+ACCEPT_SPINS|src/net/acceptor.c|net/test_httpd|/paused (acceptor->ctx/,/ev_timer_stop/s/ev_io_stop (acceptor->loop, &acceptor->io);/;/
+RUNNING_IS_EVICTED|src/net/conn_limits.c|net/test_conn_limits|s/lists\[LIST_IDLE\])/lists[LIST_RUNNING])/
+NEWEST_IS_SLOWEST|src/net/conn_limits.c|net/test_conn_limits|s/return b_sweeps ? b : a;/return b;/
+ANSWERS_HAVE_NO_TIMEOUT|src/net/conn_limits.c|net/test_conn_limits|s/LIST_BODY, LIST_ANSWERING };/LIST_BODY };/
+ANSWERS_STAY_RESERVED|src/net/conn_limits.c|net/test_conn_limits|s/limits->answer_bytes -= conn->answer_bytes;/;/
 TABLE
 }
 
