Place interrupted long-running tasks first, and make room for them

Change: the steps with such tasks come before all others of a pass (shard_interrupted.c).

Measured: the existing tests of src/shard and src/jobs pass.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -87,6 +87,8 @@
      "counter", "bounds of leases that were older than other records")        \
   X (RUNS_IMPOSED, "runs_imposed_total", "runs", "counter",                   \
      "best-effort runs that were placed although they disturb others")        \
+  X (RUNS_PREEMPTED, "runs_preempted_total", "runs", "counter",               \
+     "runs stopped to make room for interrupted long-running tasks")          \
   X (CRASH_SUSPECTS, "crash_suspects_total", "runs", "counter",               \
      "runs that had just started when their worker crashed")                  \
   X (TASKS_GIVEN_UP, "tasks_given_up_total", "tasks", "counter",              \
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -107,6 +107,9 @@
   uint32_t stalls; /**< runs stopped because they made no progress */
   uint32_t avoid;  /**< worker where it last failed or stalled, a handle */
   usec_t start_after; /**< is not placed before */
+  bool has_run;       /**< a former run of it was under way */
+  usec_t last_ran;    /**< such a run was under way until then, at least */
+  usec_t room_made;   /**< runs were stopped to make room for it, 0: never */
 } task_t;
 
 /** One execution of all steps; a job without a schedule has exactly one. */
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -494,6 +494,7 @@
         continue;
       add_open_job (shard, entry);
       run_adopt_job (shard, entry->job);
+      interrupted_note_loaded (now, entry->job);
       if (entry->job->end_status != JOB_QUEUED)
         run_stop_job (shard, now, entry->job, "ended");
       else
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -668,6 +668,7 @@
       if (run->state != RUN_ACKNOWLEDGED)
         run_acknowledge (shard, now, run);
       run->lists_missed = 0;
+      run->listed_at = worker->last_answer;
       if (report->percent != run->percent)
         run->progressed_at = now;
       run->percent = report->percent;
--- a/src/shard/shard_choose.c
+++ b/src/shard/shard_choose.c
@@ -42,6 +42,11 @@
 static bool has_room_to_impose (const shard_t *shard, const candidate_t *c);
 static bool admits (const shard_t *shard, usec_t now, const worker_t *worker,
                     const candidate_t *c, admission_t admission);
+static fit_t fit_of_worker (const shard_t *shard, usec_t now,
+                            const worker_t *worker);
+static bool has_room (const worker_t *worker, const candidate_t *c);
+static bool excludes (const shard_t *shard, const worker_t *worker,
+                      const candidate_t *c);
 static uint32_t step_runs (const shard_t *shard, const worker_t *worker,
                            const candidate_t *c);
 static int64_t score (const shard_t *shard, const worker_t *worker,
@@ -264,9 +269,27 @@
 worker_fits (const shard_t *shard, usec_t now, const worker_t *worker,
              const candidate_t *c)
 {
-  const submission_t *order = c->entry->job->submission;
-  const step_t *step = &order->steps[c->step];
+  fit_t fit = fit_of_worker (shard, now, worker);
+
+  if (fit != FIT_OK)
+    return fit;
+  if (!has_room (worker, c))
+    return FIT_FULL;
+  return excludes (shard, worker, c) ? FIT_EXCLUDED : FIT_OK;
+}
 
+bool
+worker_suits (const shard_t *shard, usec_t now, const worker_t *worker,
+              const candidate_t *c)
+{
+  return fit_of_worker (shard, now, worker) == FIT_OK
+         && !excludes (shard, worker, c);
+}
+
+/* @return FIT_OK if the worker can take any task */
+static fit_t
+fit_of_worker (const shard_t *shard, usec_t now, const worker_t *worker)
+{
   if (!worker->listed || worker->leaving || !worker->fenced || worker->in_doubt
       || now < worker->avoid_until
       || !worker_capacity_is_known (shard, now, worker))
@@ -280,22 +303,44 @@
      if the task needs nothing of what is short. */
   if (worker_is_over_capacity (worker))
     return FIT_FULL;
-  if (step->best_effort
-          ? step->millicores > sharing_leftover (worker)
-          : worker->used_millicores + step->millicores > worker->millicores)
-    return FIT_FULL;
-  if (worker->used_memory_mb + step->memory_mb > worker->memory_mb
-      || worker->used_accelerators + step->accelerators > worker->accelerators)
-    return FIT_FULL;
+  return FIT_OK;
+}
+
+/* What is held for interrupted tasks is not free for others. */
+static bool
+has_room (const worker_t *worker, const candidate_t *c)
+{
+  const step_t *step = &c->entry->job->submission->steps[c->step];
+  uint64_t millicores = worker->used_millicores;
+  uint64_t memory_mb = worker->used_memory_mb;
+  uint64_t accelerators = worker->used_accelerators;
+
+  if (!c->interrupted)
+    {
+      millicores += worker->held_millicores;
+      memory_mb += worker->held_memory_mb;
+      accelerators += worker->held_accelerators;
+    }
+  if (step->best_effort ? step->millicores > sharing_leftover (worker)
+                        : millicores + step->millicores > worker->millicores)
+    return false;
+  return memory_mb + step->memory_mb <= worker->memory_mb
+         && accelerators + step->accelerators <= worker->accelerators;
+}
+
+static bool
+excludes (const shard_t *shard, const worker_t *worker, const candidate_t *c)
+{
+  const submission_t *order = c->entry->job->submission;
+  const step_t *step = &order->steps[c->step];
+
   if (strcmp (worker->service, order->service) != 0)
-    return FIT_EXCLUDED;
+    return true;
   if (step->required_label && strcmp (worker->label, step->required_label) != 0
       && strcmp (worker->rack, step->required_label) != 0)
-    return FIT_EXCLUDED;
-  if (step->max_per_worker
-      && step_runs (shard, worker, c) >= step->max_per_worker)
-    return FIT_EXCLUDED;
-  return FIT_OK;
+    return true;
+  return step->max_per_worker
+         && step_runs (shard, worker, c) >= step->max_per_worker;
 }
 
 /* @return number of runs of the step on the worker */
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -20,9 +20,17 @@
 {
   GArray *candidates = order_candidates (shard);
 
+  guint i = 0;
+
   g_array_set_size (shard->unplaceable, 0);
   shard->waiting_tasks = 0;
-  for (guint i = 0; i < candidates->len; i++)
+  interrupted_prefer (shard, candidates);
+  for (; i < candidates->len
+         && g_array_index (candidates, candidate_t, i).interrupted;
+       i++)
+    place_step (shard, now, &g_array_index (candidates, candidate_t, i));
+  interrupted_make_room (shard, now, candidates);
+  for (; i < candidates->len; i++)
     {
       candidate_t *c = &g_array_index (candidates, candidate_t, i);
 
@@ -50,7 +58,8 @@
     {
       const task_t *task = &c->occurrence->tasks[c->step][i];
 
-      if (task->state != TASK_WAITING || crashes_delay (now, task))
+      if (task->state != TASK_WAITING || crashes_delay (now, task)
+          || (c->interrupted && !interrupted_is (step, task)))
         continue;
       if (place_task (shard, now, c, i))
         {
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -63,6 +63,7 @@
   usec_t accepted_at;      /* when it became RUN_ACKNOWLEDGED */
   usec_t acknowledged_at;  /* successful answer to the start, first answer to a
                               stop, or first listing; 0: none */
+  usec_t listed_at;        /* latest list that has it, 0: none */
   uint32_t percent;        /* of its work, from the latest list */
   usec_t progressed_at;    /* when PERCENT last changed, or the worker answered
                               again after a pause */
@@ -72,6 +73,7 @@
   uint32_t memory_mb;
   uint32_t accelerators;
   bool best_effort; /* uses only capacity left over by others */
+  bool can_wait;    /* neither long-running nor of a gang */
   bool imposed;     /* placed although it disturbs the tasks beside it */
   image_id_t image;
   uint32_t target_ms;  /* target of its tail latency, 0: none */
@@ -120,6 +122,10 @@
   uint64_t serving_millicores_in_use; /* upper estimate of their use */
   uint64_t used_memory_mb;
   uint64_t used_accelerators;
+  uint64_t
+      held_millicores; /* for interrupted tasks, see shard_interrupted.c */
+  uint64_t held_memory_mb;
+  uint64_t held_accelerators;
   uint32_t serving_runs; /* runs with a target */
   uint32_t best_effort_runs;
   uint32_t stray_runs;      /* in the latest list, not known to this owner */
@@ -216,6 +222,8 @@
   bool late;        /* cannot meet the objective any more */
   bool job_started; /* false for long-running steps */
   bool starved;     /* a task is placed even if it disturbs others */
+  bool interrupted; /* only its tasks that have lost their run */
+  usec_t last_ran;  /* of the first of these */
   uint32_t priority;
   int64_t start_by_ms; /* latest time to start */
   image_id_t image;
@@ -296,6 +304,7 @@
   GArray *unplaceable;       /* unplaceable_t, of the current pass */
   GArray *fitting;           /* fitting_t, of the current step */
   bool fitting_known;        /* FITTING is filled */
+  bool room_held;            /* some worker has held capacity */
   usec_t run_calls_due;      /* when the next start or stop is due */
   uint32_t waiting_tasks;    /* tasks without a worker after the last pass */
   usec_t load_log_due;
@@ -488,6 +497,23 @@
     g_array_free */
 GArray *order_candidates (const shard_t *shard);
 
+/* shard_interrupted.c */
+/** A run of the task is over.  Notes until when it was under way, if it was.
+ */
+void interrupted_note (usec_t now, const run_t *run, task_t *task);
+/** Notes which waiting tasks of a loaded job had a run under a former owner.
+ */
+void interrupted_note_loaded (usec_t now, job_t *job);
+/** @return whether the task waits, is long-running and had a run before */
+bool interrupted_is (const step_t *step, const task_t *task);
+/** Inserts the steps with interrupted tasks before all others in rows sorted
+    by order_candidates, which stay as they are. */
+void interrupted_prefer (shard_t *shard, GArray *candidates);
+/** Once the interrupted tasks are placed that fit: stops runs that can wait
+   for the sake of the others, and holds what is freed for them. */
+void interrupted_make_room (shard_t *shard, usec_t now,
+                            const GArray *candidates);
+
 /* Whether a worker can take a task, or what excludes it. */
 typedef enum
 {
@@ -505,6 +531,10 @@
     tasks on each other is not considered: FIT_DISTURBED is not returned */
 fit_t worker_fits (const shard_t *shard, usec_t now, const worker_t *worker,
                    const candidate_t *c);
+/** @return whether the worker can take a task of the step once it has enough
+    free capacity */
+bool worker_suits (const shard_t *shard, usec_t now, const worker_t *worker,
+                   const candidate_t *c);
 /** @return the best worker for a task of the step, HANDLE_NONE if it fits on
     none */
 handle_t choose_worker (shard_t *shard, usec_t now, const candidate_t *c,
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -58,6 +58,7 @@
   run->memory_mb = s->memory_mb;
   run->accelerators = s->accelerators;
   run->best_effort = s->best_effort;
+  run->can_wait = !s->long_running && !s->gang;
   run->image = interference_image_id (s->image);
   run->target_ms = s->target_latency_ms;
   run->call_due = INT64_MAX;
@@ -133,9 +134,11 @@
       run->start_unanswered,
       run->acknowledged_at ? usec_to_msec (now - run->acknowledged_at) : -1,
       why);
-  run_remove (shard, now, handle);
   entry = shard_entry (shard, run_id.job);
   occurrence = entry ? job_occurrence (entry->job, run_id.occurrence) : NULL;
+  if (occurrence)
+    interrupted_note (now, run, &occurrence->tasks[run_id.step][run_id.index]);
+  run_remove (shard, now, handle);
   if (!occurrence)
     return;
   occurrence->tasks[run_id.step][run_id.index].run_handle = HANDLE_NONE;
