Test interrupted long-running tasks on a full shard

Cause: the placement of interrupted tasks had no tests, and stopped runs while the store refused appends, when nothing can be started.

Missing: as before, gangs, best-effort tasks and suspects have no runs stopped for them.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -55,6 +55,22 @@
 CANCELED_RUNS_ON|src/shard/shard.c|shard/test_shard|s/^  run_stop_job (shard, now, job, job_status_name (end));//
 STRAY_RUNS_ON|src/shard/shard_calls.c|shard/test_shard_steps|s/send_stop (shard, now, handle, &report->run_id, HANDLE_NONE);//
 START_SENT_TWICE|src/shard/shard_runs.c|shard/test_shard|s/run->state == RUN_STARTING && !run->start_sent/run->state == RUN_STARTING/
+INTERRUPTED_NOT_PREFERRED|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/^      if (c.interrupted)$/      c.interrupted = false;\n      if (c.interrupted)/
+INTERRUPTED_FORGOTTEN|src/shard/shard.c|shard/test_shard_interrupted|s/^      interrupted_note_loaded (now, entry->job);//
+INTERRUPTED_NOT_ADOPTED|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/ \&\& run->state != RUN_ADOPTED)/)/
+NO_PREEMPTION|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/now >= preemption_due (task->last_ran)/false/
+PREEMPTED_TOO_EARLY|src/shard/preemption.c|shard/test_shard_interrupted|s/^  return last_ran + PREEMPTION_RESTART_LIMIT - PREEMPTION_TIME;/  return last_ran;/
+PREEMPTED_AGAIN_AT_ONCE|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/|| now - task->room_made >= PREEMPTION_INTERVAL/|| true/
+PREEMPTED_WITHOUT_STORE|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/return !shard->append_retry \&\&/return/
+LONG_RUNNING_PREEMPTED|src/shard/shard_runs.c|shard/test_shard_interrupted|s/run->can_wait = !s->long_running \&\& !s->gang;/run->can_wait = !s->gang;/
+GANG_PREEMPTED|src/shard/shard_runs.c|shard/test_shard_interrupted|s/run->can_wait = !s->long_running \&\& !s->gang;/run->can_wait = !s->long_running;/
+PREEMPTED_MORE_THAN_NEEDED|src/shard/preemption.c|shard/test_shard_interrupted|s/run->chosen = suffices \&\& .*/run->chosen = suffices;/
+CHECKPOINTED_NOT_FIRST|src/shard/preemption.c|shard/test_shard_interrupted|s/if (a->checkpointed != b->checkpointed)/if (0)/
+MOST_LOSS_PREEMPTED|src/shard/preemption.c|shard/test_shard_interrupted|s/return compare_numbers (a->loss, b->loss);/return compare_numbers (b->loss, a->loss);/
+FREED_ROOM_NOT_HELD|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/^  worker->held_millicores += step->millicores;//
+FREED_ROOM_HELD_TWICE|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/^  resources_subtract (.room->free, .needs);//
+STOPPING_NOT_AWAITED|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/if (now - run->unsettled_since < PREEMPTION_INTERVAL)/if (0)/
+ROOM_MADE_BESIDE_AGGRESSOR|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/cost.disturbed = .*/cost.disturbed = false;/
 NO_ATTEMPT_LIMIT|src/shard/shard_runs.c|shard/test_shard|s/counted->failures >= MAX (job->submission->max_attempts, 1)/counted->failures > 1000/
 SAME_RUN_NUMBER|src/jobs/jobs.c|jobs/test_jobs|s/task->run++;//
 NO_STEP_ORDER|src/jobs/jobs.c|jobs/test_jobs|s/if (occurrence->unfinished\[s->depends_on\[i\]\])/if (0)/
--- a/src/shard/shard_interrupted.c
+++ b/src/shard/shard_interrupted.c
@@ -41,7 +41,7 @@
 static void make_room_for_step (shard_t *shard, usec_t now,
                                 const candidate_t *c, GArray *rooms,
                                 GArray *held);
-static bool may_preempt (usec_t now, const task_t *task);
+static bool may_preempt (const shard_t *shard, usec_t now, const task_t *task);
 static room_t *find_room (const shard_t *shard, usec_t now,
                           const candidate_t *c, uint32_t index, GArray *rooms,
                           const GArray *held, bool preempt);
@@ -277,7 +277,7 @@
       if (has_free_room)
         room = find_room (shard, now, c, i, rooms, held, false);
       has_free_room = room != NULL;
-      if (!room && may_preempt (now, task))
+      if (!room && may_preempt (shard, now, task))
         {
           room = find_room (shard, now, c, i, rooms, held, true);
           /* The other tasks of the step need as much. */
@@ -290,10 +290,11 @@
     }
 }
 
+/* While the store refuses appends, the task could not be started. */
 static bool
-may_preempt (usec_t now, const task_t *task)
+may_preempt (const shard_t *shard, usec_t now, const task_t *task)
 {
-  return now >= preemption_due (task->last_ran)
+  return !shard->append_retry && now >= preemption_due (task->last_ran)
          && (!task->room_made || now - task->room_made >= PREEMPTION_INTERVAL);
 }
 
