--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -74,7 +74,7 @@
 NO_ATTEMPT_LIMIT|src/shard/shard_runs.c|shard/test_shard|s/counted->failures >= MAX (job->submission->max_attempts, 1)/counted->failures > 1000/
 SAME_RUN_NUMBER|src/jobs/jobs.c|jobs/test_jobs|s/task->run++;//
 NO_STEP_ORDER|src/jobs/jobs.c|jobs/test_jobs|s/if (occurrence->unfinished\[s->depends_on\[i\]\])/if (0)/
-NO_CAPACITY|src/shard/shard_choose.c|shard/test_shard_capacity|s/worker->used_millicores + step->millicores > worker->millicores/false/
+NO_CAPACITY|src/shard/shard_choose.c|shard/test_shard_capacity|s/: millicores + step->millicores > worker->millicores/: false/
 START_ON_UNLISTED|src/shard/shard_withdraw.c|shard/test_shard_steps|s/if (!worker->listed)/if (0)/
 REPEATED_ON_LEAVING|src/shard/shard_withdraw.c|shard/test_shard_steps|s/if (worker->leaving)/if (0)/
 START_ON_LEAVING|src/shard/shard_choose.c|shard/test_shard_steps|s/worker->leaving ||//
--- a/tests/support/full_shard.c
+++ b/tests/support/full_shard.c
@@ -39,6 +39,7 @@
   GByteArray *value;
 } sim_record_t;
 
+static sim_worker_t *find_worker (const full_shard_t *full, const char *id);
 static void on_call (void *ctx, const shard_call_t *call);
 static void on_append (void *ctx, uint64_t sequence,
                        const shard_record_t *records, size_t count);
@@ -219,23 +220,32 @@
   shard_worker_listed (full->shard, full->now, &info);
 }
 
+static sim_worker_t *
+find_worker (const full_shard_t *full, const char *id)
+{
+  for (guint i = 0; i < full->workers->len; i++)
+    if (strcmp (((sim_worker_t *)full->workers->pdata[i])->id, id) == 0)
+      return full->workers->pdata[i];
+  return NULL;
+}
+
 static void
 on_call (void *ctx, const shard_call_t *call)
 {
   full_shard_t *full = ctx;
-  sim_reply_t reply = { .call = *call, .due = full->now + ROUND_TRIP };
-
-  for (guint i = 0; i < full->workers->len && !reply.worker; i++)
-    if (strcmp (((sim_worker_t *)full->workers->pdata[i])->id, call->worker)
-        == 0)
-      reply.worker = full->workers->pdata[i];
-  CU_ASSERT_PTR_NOT_NULL_FATAL (reply.worker);
-  if (reply.worker->ended)
+  sim_worker_t *worker = find_worker (full, call->worker);
+  sim_reply_t reply
+      = { .call = *call, .worker = worker, .due = full->now + ROUND_TRIP };
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (worker);
+  if (!worker)
+    return;
+  if (worker->ended)
     reply.due = full->now + call->timeout;
   else if (call->kind == SHARD_HOLD)
     reply.due = full->now + ROUND_TRIP + call->wait;
   if (call->kind == SHARD_HOLD && call->lease_until)
-    reply.worker->lease_until = call->lease_until;
+    worker->lease_until = call->lease_until;
   g_array_append_val (full->replies, reply);
 }
 
