Count the work of a preempted run from before a takeover

Cause: a new owner counted the work of all runs from its own takeover on, so that an old run could be stopped instead of a young one. Change: the share of the declared time that the worker lists counts as well. Measured: test "the same after a takeover" fails without (mutant WORK_BEFORE_TAKEOVER_FORGOTTEN) and passes with it; all 17 mutants of test_shard_interrupted are killed.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -67,6 +67,7 @@
 PREEMPTED_MORE_THAN_NEEDED|src/shard/preemption.c|shard/test_shard_interrupted|s/run->chosen = suffices \&\& .*/run->chosen = suffices;/
 CHECKPOINTED_NOT_FIRST|src/shard/preemption.c|shard/test_shard_interrupted|s/if (a->checkpointed != b->checkpointed)/if (0)/
 MOST_LOSS_PREEMPTED|src/shard/preemption.c|shard/test_shard_interrupted|s/return compare_numbers (a->loss, b->loss);/return compare_numbers (b->loss, a->loss);/
+WORK_BEFORE_TAKEOVER_FORGOTTEN|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/return MAX (listed, known);/return MAX (listed * 0, known);/
 FREED_ROOM_NOT_HELD|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/^  worker->held_millicores += step->millicores;//
 FREED_ROOM_HELD_TWICE|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/^  resources_subtract (.room->free, .needs);//
 STOPPING_NOT_AWAITED|src/shard/shard_interrupted.c|shard/test_shard_interrupted|s/if (now - run->unsettled_since < PREEMPTION_INTERVAL)/if (0)/
--- a/src/shard/shard_interrupted.c
+++ b/src/shard/shard_interrupted.c
@@ -38,6 +38,8 @@
 static void room_clear (void *data);
 static void add_run (const shard_t *shard, usec_t now, handle_t handle,
                      room_t *room);
+static uint64_t work_done_ms (usec_t now, const run_t *run,
+                              const step_t *step);
 static void make_room_for_step (shard_t *shard, usec_t now,
                                 const candidate_t *c, GArray *rooms,
                                 GArray *held);
@@ -234,6 +236,7 @@
 {
   const run_t *run = run_get (shard, handle);
   const job_entry_t *entry = shard_entry (shard, run->run_id.job);
+  const step_t *step = &entry->job->submission->steps[run->run_id.step];
   const task_t *task;
   preemptible_t row = { .handle = handle };
 
@@ -252,13 +255,24 @@
   task = job_task (entry->job, run->run_id.occurrence, run->run_id.step,
                    run->run_id.index);
   row.checkpointed = task->checkpoint != NULL;
-  if (run->acknowledged_at)
-    row.loss = (uint64_t)run->millicores
-               * (uint64_t)usec_to_msec (now - run->acknowledged_at);
+  row.loss = (uint64_t)run->millicores * work_done_ms (now, run, step);
   resources_add (&room->most, &row.frees);
   g_array_append_val (room->runs, row);
 }
 
+/* @return what the run has worked, in ms.  A new owner knows only its share of
+   the declared time. */
+static uint64_t
+work_done_ms (usec_t now, const run_t *run, const step_t *step)
+{
+  uint64_t listed = (uint64_t)step->declared_ms * run->percent / 100;
+  uint64_t known = 0;
+
+  if (run->acknowledged_at)
+    known = (uint64_t)usec_to_msec (now - run->acknowledged_at);
+  return MAX (listed, known);
+}
+
 static void
 make_room_for_step (shard_t *shard, usec_t now, const candidate_t *c,
                     GArray *rooms, GArray *held)
--- a/src/shard/test_shard_interrupted.c
+++ b/src/shard/test_shard_interrupted.c
@@ -21,8 +21,9 @@
 #define LONG_ID 1000U
 #define SHORT_ID 2000U
 #define FILL_ID 3000U
-/* Longer than any test. */
-#define FILL_MS 600000U
+/* Longer than any test; a percent of it is less than the time without progress
+   after which a run is stopped. */
+#define FILL_MS 60000U
 
 static full_shard_t *full;
 static uint64_t preempted_before;
@@ -209,25 +210,34 @@
   full_shard_free (full);
 }
 
-/* Fills the workers with jobs of one task that can wait, some of them with
-   checkpoints, the youngest last, and gangs of two. */
+/* Adds jobs of one task that can wait, every fifth with checkpoints. */
 static void
-fill_workers (uint32_t jobs, uint32_t gangs)
+fill_workers (uint32_t jobs)
 {
-  for (uint32_t i = 0; i < jobs + gangs; i++)
+  for (uint32_t i = 0; i < jobs; i++)
     {
-      bool gang = i >= jobs;
-      submission_t *submission
-          = full_submission (FILL_ID + i, gang ? 2 : 1, FILL_MS);
+      submission_t *submission = full_submission (FILL_ID + i, 1, FILL_MS);
 
-      submission->steps[0].gang = gang;
-      submission->steps[0].checkpoints = i % 5 == 0 && !gang;
+      submission->steps[0].checkpoints = i % 5 == 0;
       full_submit (full, submission);
       run_for (20 * USEC_PER_MSEC);
     }
   run_for (3 * USEC_PER_SEC);
 }
 
+static void
+fill_with_gangs (uint32_t gangs)
+{
+  for (uint32_t i = 0; i < gangs; i++)
+    {
+      submission_t *submission = full_submission (FILL_ID + i, 2, FILL_MS);
+
+      submission->steps[0].gang = true;
+      full_submit (full, submission);
+    }
+  run_for (3 * USEC_PER_SEC);
+}
+
 static bool
 is_checkpointed (const run_id_t *run_id)
 {
@@ -250,7 +260,7 @@
   full->stop_time = 900 * USEC_PER_MSEC;
   add_long_running (long_tasks, 1000);
   run_for (USEC_PER_SEC);
-  fill_workers (48, 0);
+  fill_workers (48);
   run_for (USEC_PER_SEC);
   for (uint32_t i = 0; i < 4; i++)
     full_end_worker (full, i * 4);
@@ -270,6 +280,41 @@
   full_shard_free (full);
 }
 
+static void
+add_filling_jobs (job_id_t first, uint32_t jobs)
+{
+  for (uint32_t i = 0; i < jobs; i++)
+    full_submit (full, full_submission (first + i, 1, FILL_MS));
+}
+
+/* Guards against a new owner that takes all runs for as young as its own
+   ownership. */
+static void
+test_least_loss_after_takeover (void)
+{
+  const job_id_t young = FILL_ID + 100;
+
+  set_up_workers (3);
+  add_long_running (1, 1000);
+  run_for (USEC_PER_SEC);
+  add_filling_jobs (FILL_ID, 6);
+  run_for (8 * USEC_PER_SEC);
+  add_filling_jobs (young, 5);
+  run_for (2 * USEC_PER_SEC);
+  full_replace_owner (full, 500 * USEC_PER_MSEC);
+  run_for (2 * USEC_PER_SEC);
+  for (uint32_t i = 0; i < 3; i++)
+    if (find_run (i, LONG_ID))
+      full_end_worker (full, i);
+  run_for (RESTART_LIMIT + USEC_PER_SEC);
+  check_restarts (1);
+  CU_ASSERT (count_stopped () == 1);
+  for (guint i = 0; i < full->stops->len; i++)
+    CU_ASSERT (g_array_index (full->stops, full_stop_t, i).run_id.job
+               >= young);
+  full_shard_free (full);
+}
+
 /* Guards against long-running tasks that are stopped for others: those count
    as unavailable themselves. */
 static void
@@ -297,7 +342,7 @@
   set_up_workers (3);
   add_long_running (1, 4000);
   run_for (USEC_PER_SEC);
-  fill_workers (0, 4);
+  fill_with_gangs (4);
   for (uint32_t i = 0; i < 3; i++)
     if (full_runs (full, i)->len == 1)
       full_end_worker (full, i);
@@ -336,7 +381,7 @@
   full->stop_time = stop_time;
   add_long_running (1, 1000);
   run_for (USEC_PER_SEC);
-  fill_workers (4 * workers - 1, 0);
+  fill_workers (4 * workers - 1);
   for (uint32_t i = 0; i < workers; i++)
     if (find_run (i, LONG_ID))
       full_end_worker (full, i);
@@ -376,7 +421,7 @@
   full->stop_spread = 300 * USEC_PER_MSEC;
   add_long_running (1, 2500);
   run_for (USEC_PER_SEC);
-  fill_workers (5, 0);
+  fill_workers (5);
   add_waiting_jobs ();
   run_for (USEC_PER_SEC);
   for (uint32_t i = 0; i < 2; i++)
@@ -396,7 +441,7 @@
   set_up_workers (4);
   add_long_running (4, 1000);
   run_for (USEC_PER_SEC);
-  fill_workers (12, 0);
+  fill_workers (12);
   full_end_worker (full, 0);
   run_for (5 * USEC_PER_SEC);
   full->store_down = true;
@@ -458,7 +503,7 @@
   submission->steps[0].image = g_strdup ("f");
   full_submit (full, submission);
   run_for (USEC_PER_SEC);
-  fill_workers (11, 0);
+  fill_workers (11);
   for (uint32_t i = 0; i < 3; i++)
     {
       CU_ASSERT (full_runs (full, i)->len >= 4);
@@ -607,6 +652,7 @@
     { "the same with a takeover", test_quarter_leaves_takeover },
     { "known after a takeover", test_known_after_takeover },
     { "least loss is preempted", test_preempts_least_loss },
+    { "the same after a takeover", test_least_loss_after_takeover },
     { "long-running ones are never", test_never_preempts_long_running },
     { "gangs are never", test_never_preempts_gangs },
     { "free room is waited for", test_waits_for_free_room },
--- a/tests/support/full_shard.c
+++ b/tests/support/full_shard.c
@@ -54,6 +54,7 @@
 static void work (full_shard_t *full, sim_worker_t *worker);
 static void end_run (sim_worker_t *worker, guint index, run_end_t how);
 static void answer (full_shard_t *full, const sim_reply_t *reply);
+static uint32_t percent_done (const full_shard_t *full, const full_run_t *run);
 static void answer_hold (full_shard_t *full, const sim_reply_t *reply);
 static shard_reply_kind_t start (full_shard_t *full, sim_worker_t *worker,
                                  const shard_call_t *call);
@@ -413,6 +414,15 @@
   shard_reply (full->shard, full->now, reply->call.id, &result);
 }
 
+static uint32_t
+percent_done (const full_shard_t *full, const full_run_t *run)
+{
+  if (run->long_running)
+    return 100;
+  return (uint32_t)((full->now - run->started_at) * 100
+                    / MAX (run->ends_at - run->started_at, 1));
+}
+
 static void
 answer_hold (full_shard_t *full, const sim_reply_t *reply)
 {
@@ -429,8 +439,7 @@
       const run_report_t report
           = { .run_id = run->run_id,
               .checkpoint = run->checkpoints ? "saved" : "",
-              /* Progresses for as long as it runs. */
-              .percent = (uint32_t)(full->now / USEC_PER_MSEC % 99) };
+              .percent = percent_done (full, run) };
 
       g_array_append_val (runs, report);
     }
@@ -454,6 +463,7 @@
   const step_t *step = &submission->steps[call->run_id.step];
   full_run_t run
       = { .run_id = call->run_id,
+          .started_at = full->now,
           .ends_at = full->now + (usec_t)step->declared_ms * USEC_PER_MSEC,
           .millicores = step->millicores,
           .long_running = step->long_running,
--- a/tests/support/full_shard.h
+++ b/tests/support/full_shard.h
@@ -20,6 +20,7 @@
 typedef struct
 {
   run_id_t run_id;
+  usec_t started_at;
   usec_t ends_at; /**< INT64_MAX: runs on */
   uint32_t millicores;
   bool long_running;
