--- a/src/shard/preemption.c
+++ b/src/shard/preemption.c
@@ -41,6 +41,17 @@
   sum->accelerators -= other->accelerators;
 }
 
+void
+resources_raise (resources_t *bound, const resources_t *other)
+{
+  if (other->millicores > bound->millicores)
+    bound->millicores = other->millicores;
+  if (other->memory_mb > bound->memory_mb)
+    bound->memory_mb = other->memory_mb;
+  if (other->accelerators > bound->accelerators)
+    bound->accelerators = other->accelerators;
+}
+
 void
 preemption_sort (preemptible_t *runs, size_t count)
 {
--- a/src/shard/preemption.h
+++ b/src/shard/preemption.h
@@ -63,6 +63,8 @@
 bool resources_suffice (const resources_t *free, const resources_t *needed);
 void resources_add (resources_t *sum, const resources_t *other);
 void resources_subtract (resources_t *sum, const resources_t *other);
+/** Raises each resource of BOUND to that of OTHER, if that is more. */
+void resources_raise (resources_t *bound, const resources_t *other);
 
 /** Sorts the runs of one worker: those with a checkpoint first, then those
    that lose the least work. */
--- a/src/shard/shard_interrupted.c
+++ b/src/shard/shard_interrupted.c
@@ -30,23 +30,30 @@
   handle_t worker;
 } held_t;
 
+/* The rooms of a pass. */
+typedef struct
+{
+  GArray *rooms;    /* room_t */
+  GArray *held;     /* held_t */
+  resources_t most; /* of each resource, no worker has more */
+} plan_t;
+
 static bool find_interrupted (const candidate_t *c, usec_t *last_ran);
 static gint compare_interrupted (gconstpointer left, gconstpointer right);
 static bool may_have_room_made (const candidate_t *c);
 static void drop_held (shard_t *shard);
-static GArray *find_rooms (const shard_t *shard, usec_t now);
+static void find_rooms (const shard_t *shard, usec_t now, plan_t *plan);
 static void room_clear (void *data);
 static void add_run (const shard_t *shard, usec_t now, handle_t handle,
                      room_t *room);
 static uint64_t work_done_ms (usec_t now, const run_t *run,
                               const step_t *step);
 static void make_room_for_step (shard_t *shard, usec_t now,
-                                const candidate_t *c, GArray *rooms,
-                                GArray *held);
+                                const candidate_t *c, plan_t *plan);
 static bool may_preempt (const shard_t *shard, usec_t now, const task_t *task);
 static room_t *find_room (const shard_t *shard, usec_t now,
-                          const candidate_t *c, uint32_t index, GArray *rooms,
-                          const GArray *held, bool preempt);
+                          const candidate_t *c, uint32_t index, plan_t *plan,
+                          bool preempt);
 static bool is_limited (const candidate_t *c, handle_t worker,
                         const GArray *held);
 static void preempt (shard_t *shard, usec_t now, const candidate_t *c,
@@ -165,8 +172,7 @@
 void
 interrupted_make_room (shard_t *shard, usec_t now, const GArray *candidates)
 {
-  GArray *rooms = NULL;
-  GArray *held = g_array_new (FALSE, FALSE, sizeof (held_t));
+  plan_t plan = { .rooms = NULL };
 
   for (guint i = 0; i < candidates->len; i++)
     {
@@ -177,13 +183,14 @@
         break;
       if (!may_have_room_made (c) || !find_interrupted (c, &last_ran))
         continue;
-      if (!rooms)
-        rooms = find_rooms (shard, now);
-      make_room_for_step (shard, now, c, rooms, held);
+      if (!plan.rooms)
+        find_rooms (shard, now, &plan);
+      make_room_for_step (shard, now, c, &plan);
     }
-  if (rooms)
-    g_array_free (rooms, TRUE);
-  g_array_free (held, TRUE);
+  if (!plan.rooms)
+    return;
+  g_array_free (plan.rooms, TRUE);
+  g_array_free (plan.held, TRUE);
 }
 
 static bool
@@ -194,12 +201,12 @@
   return !step->gang && !step->best_effort;
 }
 
-static GArray *
-find_rooms (const shard_t *shard, usec_t now)
+static void
+find_rooms (const shard_t *shard, usec_t now, plan_t *plan)
 {
-  GArray *rooms = g_array_new (FALSE, FALSE, sizeof (room_t));
-
-  g_array_set_clear_func (rooms, room_clear);
+  plan->held = g_array_new (FALSE, FALSE, sizeof (held_t));
+  plan->rooms = g_array_new (FALSE, FALSE, sizeof (room_t));
+  g_array_set_clear_func (plan->rooms, room_clear);
   for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
        h = table_next (shard->workers, h))
     {
@@ -218,9 +225,9 @@
         add_run (shard, now, g_array_index (worker->runs, handle_t, i), &room);
       preemption_sort ((preemptible_t *)room.runs->data, room.runs->len);
       resources_add (&room.most, &room.free);
-      g_array_append_val (rooms, room);
+      resources_raise (&plan->most, &room.most);
+      g_array_append_val (plan->rooms, room);
     }
-  return rooms;
 }
 
 static void
@@ -275,7 +282,7 @@
 
 static void
 make_room_for_step (shard_t *shard, usec_t now, const candidate_t *c,
-                    GArray *rooms, GArray *held)
+                    plan_t *plan)
 {
   const step_t *step = &c->entry->job->submission->steps[c->step];
   bool has_free_room = true;
@@ -289,18 +296,18 @@
           || crashes_suspicion (task) != SUSPICION_NONE)
         continue;
       if (has_free_room)
-        room = find_room (shard, now, c, i, rooms, held, false);
+        room = find_room (shard, now, c, i, plan, false);
       has_free_room = room != NULL;
       if (!room && may_preempt (shard, now, task))
         {
-          room = find_room (shard, now, c, i, rooms, held, true);
+          room = find_room (shard, now, c, i, plan, true);
           /* The other tasks of the step need as much. */
           if (!room)
             return;
           preempt (shard, now, c, i, room);
         }
       if (room)
-        hold_room (shard, c, room, held);
+        hold_room (shard, c, room, plan->held);
     }
 }
 
@@ -316,7 +323,7 @@
    @return the worker where room for the task costs least, NULL for none */
 static room_t *
 find_room (const shard_t *shard, usec_t now, const candidate_t *c,
-           uint32_t index, GArray *rooms, const GArray *held, bool preempt)
+           uint32_t index, plan_t *plan, bool preempt)
 {
   const step_t *step = &c->entry->job->submission->steps[c->step];
   const task_t *task = &c->occurrence->tasks[c->step][index];
@@ -324,9 +331,11 @@
   preemption_cost_t best_cost = { 0 };
   room_t *best = NULL;
 
-  for (guint i = 0; i < rooms->len; i++)
+  if (!resources_suffice (&plan->most, &needs))
+    return NULL;
+  for (guint i = 0; i < plan->rooms->len; i++)
     {
-      room_t *room = &g_array_index (rooms, room_t, i);
+      room_t *room = &g_array_index (plan->rooms, room_t, i);
       const worker_t *worker = worker_get (shard, room->worker);
       preemptible_t *runs = (preemptible_t *)room->runs->data;
       preemption_cost_t cost;
@@ -336,7 +345,7 @@
                                preempt ? room->runs->len : 0, &cost)
           || room->worker == task->avoid || crashes_keep_apart (worker, task)
           || !worker_suits (shard, now, worker, c)
-          || is_limited (c, room->worker, held))
+          || is_limited (c, room->worker, plan->held))
         continue;
       /* As where there is room: a worker where a tail latency exceeds its
          target is the last choice. */
