Refuse a withdrawn submission when no further reply can come in time

Cause: an owner that cannot store a submission withdraws it every 0.5 s, and the front forwards it again until the deadline, which falls into an unanswered forward; the outcome counts as unknown then. Ruled out: appends of the front (appends=0 on the lines).

Change: if a reply to one more forward would come after the deadline, the front answers 503 with Retry-After. The owner has withdrawn the submission, and no reply is outstanding, so that it has not run.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -94,6 +94,7 @@
 READ_REPEATED_AS_IS|src/scheduler/sched_store.c|scheduler/test_scheduler|s/^    state->unanswered_reads++;/    ;/
 EACH_QUERY_RECONNECTS|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/.replied_at < request->query_sent/.replied_at >= 0/
 LARGEST_OWNS_NOTHING|src/scheduler/sched_layout.c|scheduler/test_scheduler|s/(layout->millicores$/(0/
+WITHDRAWN_FORWARDED_AGAIN|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/now + FORWARD_SPAN_MIN > request->deadline/false/
 PEER_NUMBERS_UNCHECKED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/m->code < REPLY_KNOWN || m->code > REPLY_FULL/false/
 MEMORY_NOT_BOUNDED|src/shard/shard_memory.c|shard/test_shard_memory|s/return !shard->config.job_bytes$/return true/
 OCCURRENCES_NOT_BOUNDED|src/shard/shard_memory.c|shard/test_shard_memory|s/|| fits (shard, entry->occurrence_bytes)/|| true/
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -79,6 +79,7 @@
 static void process_request (scheduler_t *s, usec_t now,
                              caller_request_t *request);
 static usec_t forward_end (const caller_request_t *request, usec_t now);
+static bool is_last_reply (const caller_request_t *request, usec_t now);
 static void try_forward (scheduler_t *s, usec_t now,
                          caller_request_t *request);
 static void on_owner_silent (scheduler_t *s, usec_t now,
@@ -308,6 +309,15 @@
   return MAX (now + FORWARD_SPAN_MIN, request->deadline - APPEND_RESERVE);
 }
 
+/* @return whether a reply to a further forward would come after the deadline.
+   The outcome would be unknown then, although the owner has withdrawn the
+   submission until now. */
+static bool
+is_last_reply (const caller_request_t *request, usec_t now)
+{
+  return !request->may_be_stored && now + FORWARD_SPAN_MIN > request->deadline;
+}
+
 static void
 try_forward (scheduler_t *s, usec_t now, caller_request_t *request)
 {
@@ -412,7 +422,7 @@
     case REPLY_WITHDRAWN:
       request->forward_until = forward_end (request, now);
       request->due = now;
-      if (!callers_can_submit (s, now))
+      if (!callers_can_submit (s, now) || is_last_reply (request, now))
         {
           fail_request (s, request);
           return;
