--- a/src/net/peerlink.c
+++ b/src/net/peerlink.c
@@ -160,7 +160,7 @@
 static void pause_accepting (peerlink_t *link);
 static void on_accept_timer (void *ctx);
 static void evict_without_hello (peerlink_t *link);
-static inbound_t *crowded_source (const peerlink_t *link);
+static inbound_t *busiest_source (const peerlink_t *link);
 static void on_tick (void *ctx);
 static void start_tick (peerlink_t *link);
 static void count_event (peerlink_t *link, limit_event_t event,
@@ -439,7 +439,7 @@
 {
   while (link->without_hello.length >= MAX_WITHOUT_HELLO)
     {
-      inbound_t *in = crowded_source (link);
+      inbound_t *in = busiest_source (link);
 
       if (read_inbound (in) && !in->node)
         {
@@ -453,7 +453,7 @@
    most of them: a peer, which opens one, is not evicted in favor of many from
    elsewhere */
 static inbound_t *
-crowded_source (const peerlink_t *link)
+busiest_source (const peerlink_t *link)
 {
   inbound_t *found = NULL;
   uint32_t most = 0;
