Start copies of late runs of speculative steps

The flag `speculative` was decoded and stored, but not used: a step waited for its slowest run. The owner now starts one copy of a late run; the first run that is done ends the task, and the other one is stopped at once.

A task keeps its second run in task_t.copy; a run that has lost keeps its room on its worker until it has ended, but has no task any more. Both runs are on record, the newer one in the fields that earlier builds know.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -99,6 +99,10 @@
      "runs whose start or stop is not settled yet, counted once a second")    \
   X (RUNS_DOUBLED, "runs_doubled_total", "runs", "counter",                   \
      "listed runs of tasks that have a newer run elsewhere")                  \
+  X (COPIES, "copies_total", "runs", "counter",                               \
+     "copies of late runs that were placed")                                  \
+  X (COPIES_WON, "copies_won_total", "runs", "counter",                       \
+     "copies of late runs that were done first")                              \
   X (LAPSING_DISCARDED, "lapsing_discarded_total", "records", "counter",      \
      "records of lapsing workers that were older than other records")         \
   X (LEASE_BOUND_DISCARDED, "lease_bound_discarded_total", "records",         \
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -26,6 +26,12 @@
 #define STEP_FIELDS 13
 #define PROGRESS_FIELDS 7
 #define TASK_FIELDS 10
+/* With the field of the older run, which is left out if there is none: the
+   number of the task's run before the newest one, and where it is under way
+   beside the newest one, its place. */
+#define TASK_FIELDS_WITH_OLDER 11
+#define OLDER_FIELDS 1
+#define OLDER_FIELDS_WITH_PLACE 5
 #define MAX_ASSUMED_LOSSES 2U
 
 static void pack_step (msgpack_packer *packer, const step_t *step);
@@ -51,6 +57,11 @@
 static void read_step (step_t *step, const msgpack_object *fields);
 static bool read_occurrences (job_t *job, const msgpack_object *list);
 static bool read_occurrence (job_t *job, const msgpack_object *fields);
+static void pack_older_run (msgpack_packer *packer, const task_t *task);
+static void read_older_run (task_t *task, const place_t *place,
+                            const msgpack_object *older);
+static bool read_runs (job_t *job, occurrence_t *occurrence, uint32_t step,
+                       uint32_t index, const msgpack_object *fields);
 static bool read_task (job_t *job, occurrence_t *occurrence, uint32_t step,
                        uint32_t index, const msgpack_object *fields);
 
@@ -269,9 +280,14 @@
     }
 }
 
+/* The first fields tell the newest run, the copy of two: a build without the
+   field of the older run goes on with it, and gives no number twice. */
 static void
 pack_task (msgpack_packer *packer, const task_t *task, bool checkpoints)
 {
+  const place_t *place = task->copy ? &task->copy->place : &task->place;
+  bool older = task->state == TASK_PLACED && task->run != task->placed_run;
+
   if (task->state != TASK_PLACED && !task->run)
     {
       msgpack_pack_uint32 (packer, task->state);
@@ -282,17 +298,35 @@
       msgpack_pack_uint32 (packer, TASK_DONE);
       return;
     }
-  msgpack_pack_array (packer, TASK_FIELDS);
+  msgpack_pack_array (packer, older ? TASK_FIELDS_WITH_OLDER : TASK_FIELDS);
   msgpack_pack_uint32 (packer, task->state);
   msgpack_pack_uint32 (packer, task->run);
   msgpack_pack_uint32 (packer, task->failures);
+  pack_string (packer, place->worker);
+  msgpack_pack_int64 (packer, place->life_ms);
+  pack_string (packer, checkpoints ? task->checkpoint : NULL);
+  pack_string (packer, place->address);
+  msgpack_pack_uint32 (packer, task->crashes);
+  msgpack_pack_uint32 (packer, task->copy ? task->copy->worker_leaves
+                                          : task->worker_leaves);
+  msgpack_pack_uint32 (packer, task->losses);
+  if (older)
+    pack_older_run (packer, task);
+}
+
+/* Without its place if the newest run has ended and this one goes on. */
+static void
+pack_older_run (msgpack_packer *packer, const task_t *task)
+{
+  msgpack_pack_array (packer,
+                      task->copy ? OLDER_FIELDS_WITH_PLACE : OLDER_FIELDS);
+  msgpack_pack_uint32 (packer, task->placed_run);
+  if (!task->copy)
+    return;
   pack_string (packer, task->place.worker);
   msgpack_pack_int64 (packer, task->place.life_ms);
-  pack_string (packer, checkpoints ? task->checkpoint : NULL);
   pack_string (packer, task->place.address);
-  msgpack_pack_uint32 (packer, task->crashes);
   msgpack_pack_uint32 (packer, task->worker_leaves);
-  msgpack_pack_uint32 (packer, task->losses);
 }
 
 int
@@ -424,22 +458,62 @@
   task->checkpoint = string_at (fields, 5);
   task->crashes = read_crashes (task, state, fields);
   task->losses = read_losses (task, state, fields);
-  if (state == TASK_PLACED)
-    {
-      place_t place = { string_at (fields, 3), int_at (fields, 4),
-                        string_at (fields, 6) };
+  return state != TASK_PLACED
+         || read_runs (job, occurrence, step, index, fields);
+}
 
-      if (!place.worker)
-        return false;
-      task->run--;
-      task_place (job, occurrence, step, index, &place);
-      task->worker_leaves = uint_at (fields, 8) != 0;
-      g_free (place.worker);
-      g_free (place.address);
-    }
+/* Reads the runs of a placed task.  A field of the older run that is not
+   understood is one of a later build. */
+static bool
+read_runs (job_t *job, occurrence_t *occurrence, uint32_t step, uint32_t index,
+           const msgpack_object *fields)
+{
+  task_t *task = &occurrence->tasks[step][index];
+  const msgpack_object *older = element_at (fields, 10);
+  uint32_t newest = task->run;
+  bool leaves = uint_at (fields, 8) != 0;
+  place_t place
+      = { string_at (fields, 3), int_at (fields, 4), string_at (fields, 6) };
+
+  if (!place.worker)
+    return false;
+  task->run--;
+  task_place (job, occurrence, step, index, &place);
+  task->worker_leaves = leaves;
+  if (older && uint_at (older, 0) && uint_at (older, 0) < newest)
+    read_older_run (task, &place, older);
+  g_free (place.worker);
+  g_free (place.address);
   return true;
 }
 
+/* @param place of the newest run */
+static void
+read_older_run (task_t *task, const place_t *place,
+                const msgpack_object *older)
+{
+  uint32_t number = (uint32_t)uint_at (older, 0);
+  char *worker = string_at (older, 1);
+
+  if (!worker)
+    {
+      task->placed_run = number;
+      return;
+    }
+  task->run--;
+  task_place_copy (task, place);
+  task->copy->worker_leaves = task->worker_leaves;
+  task->placed_run = number;
+  task->worker_leaves = uint_at (older, 4) != 0;
+  g_free (task->place.worker);
+  g_free (task->place.address);
+  task->place.worker = worker;
+  task->place.life_ms = int_at (older, 2);
+  task->place.address = string_at (older, 3);
+  if (!task->place.address)
+    task->place.address = g_strdup ("");
+}
+
 /* A build without this field does not count crashes.  A former run that has
    not failed may have ended with one; a single crash is assumed, so that the
    task is given up only after two that this build has seen. */
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -22,6 +22,8 @@
 static void occurrence_free (const submission_t *submission,
                              occurrence_t *occurrence);
 static void place_clear (place_t *place);
+static void place_copy (place_t *to, const place_t *from);
+static void drop_copy (task_t *task);
 static int check_step (const submission_t *submission, uint32_t index,
                        err_t *err);
 static bool has_room_for_occurrence (const job_t *job);
@@ -224,6 +226,7 @@
     {
       for (uint32_t i = 0; i < submission->steps[s].count; i++)
         {
+          drop_copy (&occurrence->tasks[s][i]);
           place_clear (&occurrence->tasks[s][i].place);
           g_free (occurrence->tasks[s][i].checkpoint);
         }
@@ -243,6 +246,23 @@
   place->life_ms = 0;
 }
 
+static void
+place_copy (place_t *to, const place_t *from)
+{
+  place_clear (to);
+  to->worker = g_strdup (from->worker);
+  to->life_ms = from->life_ms;
+  to->address = g_strdup (from->address ? from->address : "");
+}
+
+static void
+drop_copy (task_t *task)
+{
+  if (task->copy)
+    place_clear (&task->copy->place);
+  g_clear_pointer (&task->copy, g_free);
+}
+
 /* Bounds the memory of a job with many overdue occurrences: they are created
    as earlier ones get done. */
 static bool
@@ -335,15 +355,44 @@
 
   task->state = TASK_PLACED;
   task->run++;
-  place_clear (&task->place);
-  task->place.worker = g_strdup (place->worker);
-  task->place.life_ms = place->life_ms;
+  task->placed_run = task->run;
+  place_copy (&task->place, place);
   task->worker_leaves = false;
-  task->place.address = g_strdup (place->address ? place->address : "");
   occurrence->placed[step]++;
   job->placed++;
 }
 
+void
+task_place_copy (task_t *task, const place_t *place)
+{
+  task->copy = g_new0 (task_copy_t, 1);
+  task->copy->run = ++task->run;
+  place_copy (&task->copy->place, place);
+}
+
+void
+task_drop_run (task_t *task, uint32_t run)
+{
+  if (run == task->placed_run)
+    {
+      place_copy (&task->place, &task->copy->place);
+      task->placed_run = task->copy->run;
+      task->worker_leaves = task->copy->worker_leaves;
+      task->run_handle = task->copy->run_handle;
+    }
+  drop_copy (task);
+}
+
+place_t *
+task_run_place (task_t *task, uint32_t run)
+{
+  if (task->state != TASK_PLACED)
+    return NULL;
+  if (run == task->placed_run)
+    return &task->place;
+  return task->copy && run == task->copy->run ? &task->copy->place : NULL;
+}
+
 static void
 clear_placement (job_t *job, occurrence_t *occurrence, uint32_t step,
                  uint32_t index)
@@ -353,6 +402,7 @@
   if (task->state != TASK_PLACED)
     return;
   place_clear (&task->place);
+  drop_copy (task);
   occurrence->placed[step]--;
   job->placed--;
 }
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -89,24 +89,35 @@
                         that is no longer listed */
 } place_t;
 
+/** A second run of a placed task, started as the first one was late. */
+typedef struct
+{
+  uint32_t run; /**< its number */
+  place_t place;
+  bool worker_leaves;
+  uint32_t run_handle; /**< in the owner's table; not stored */
+} task_copy_t;
+
 /** A task.  The fields from RUN_HANDLE on are not stored. */
 typedef struct
 {
   task_state_t state;
-  uint32_t run;       /**< number of the newest run, 0 before the first */
-  uint32_t failures;  /**< runs that ended in failure */
-  place_t place;      /**< of the newest run, while placed */
-  bool worker_leaves; /**< its worker was listed as leaving */
-  char *checkpoint;   /**< newest checkpoint, NULL for none */
-  uint32_t crashes;   /**< workers that crashed as they had just started it,
-                           since a run of it lived on */
-  uint32_t losses;    /**< runs lost with their worker for any cause, since
-                           a run of it lived on; at least CRASHES */
-  uint32_t
-      run_handle;  /**< newest run in the owner's table, HANDLE_NONE: none */
-  uint32_t stalls; /**< runs stopped because they made no progress */
-  uint32_t avoid;  /**< worker where it last failed or stalled, a handle */
-  usec_t start_after; /**< is not placed before */
+  uint32_t run;        /**< number of the newest run, 0 before the first */
+  uint32_t placed_run; /**< number of the run at PLACE, while placed */
+  uint32_t failures;   /**< runs that ended in failure */
+  place_t place;       /**< of the run PLACED_RUN, while placed */
+  task_copy_t *copy;   /**< NULL for none, as always while not placed */
+  char *checkpoint;    /**< newest checkpoint, NULL for none */
+  uint32_t crashes;    /**< workers that crashed as they had just started it,
+                            since a run of it lived on */
+  uint32_t losses;     /**< runs lost with their worker for any cause, since
+                            a run of it lived on; at least CRASHES */
+  bool worker_leaves;  /**< its worker was listed as leaving */
+  uint32_t run_handle; /**< run PLACED_RUN in the owner's table, HANDLE_NONE:
+                          none */
+  uint32_t stalls;     /**< runs stopped because they made no progress */
+  uint32_t avoid;      /**< worker where it last failed or stalled, a handle */
+  usec_t start_after;  /**< is not placed before */
 } task_t;
 
 /** One execution of all steps; a job without a schedule has exactly one. */
@@ -218,6 +229,17 @@
 void task_place (job_t *job, occurrence_t *occurrence, uint32_t step,
                  uint32_t index, const place_t *place);
 
+/** Records that a second run of a placed task without a copy is about to start
+    at PLACE. */
+void task_place_copy (task_t *task, const place_t *place);
+
+/** Forgets one of the two runs of a task with a copy; the other goes on.
+    @param run number of the run to forget */
+void task_drop_run (task_t *task, uint32_t run);
+
+/** @return the place of a run under way, NULL if the task has no such run */
+place_t *task_run_place (task_t *task, uint32_t run);
+
 /** Replaces the checkpoint of a task; NULL or an empty one is ignored. */
 void task_set_checkpoint (task_t *task, const char *saved);
 
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -52,6 +52,7 @@
   shard->runs = table_new (sizeof (run_t));
   shard->pending_calls
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  shard->copies = copies_new ();
   shard->interference = interference_new ();
   shard->unplaceable = g_array_new (FALSE, FALSE, sizeof (unplaceable_t));
   shard->fitting = g_array_new (FALSE, FALSE, sizeof (fitting_t));
@@ -76,6 +77,7 @@
   clear_workers (shard);
   clear_jobs (shard);
   g_hash_table_destroy (shard->jobs);
+  copies_free (shard->copies);
   interference_free (shard->interference);
   g_array_free (shard->unplaceable, TRUE);
   g_array_free (shard->fitting, TRUE);
@@ -117,6 +119,7 @@
   g_ptr_array_set_size (shard->dirty_entries, 0);
   shard_reset_batch (shard);
   g_hash_table_remove_all (shard->jobs);
+  copies_clear (shard->copies);
   memory_clear (shard);
   shard->unsubmitted_jobs = 0;
 }
@@ -131,6 +134,7 @@
   table_free (shard->runs);
   shard->workers = table_new (sizeof (worker_t));
   shard->runs = table_new (sizeof (run_t));
+  shard->speculative_runs = 0;
   g_hash_table_remove_all (shard->workers_by_id);
   g_hash_table_remove_all (shard->pending_calls);
 }
@@ -570,6 +574,7 @@
   int64_t wall = shard->ops->wall_ms (shard->ctx);
 
   job_end (job, end, wall);
+  copies_forget_job (shard->copies, job->id);
   g_queue_remove (shard->open_jobs, job);
   counter_add (COUNTER_JOBS_ENDED, 1);
   histogram_add (HISTOGRAM_JOB,
@@ -754,6 +759,11 @@
           shard->placement_needed = false;
           shard->last_placement = now;
         }
+      if (shard->speculative_runs)
+        {
+          due = copies_tick (shard, now);
+          next = MIN (next, due);
+        }
       shard_flush (shard, now);
     }
   if (shard->append_retry && shard->append_due > now)
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -578,22 +578,52 @@
         = now;
 }
 
+static bool
+is_run (const run_t *run, handle_t worker, const run_id_t *run_id)
+{
+  return run && run->worker == worker && run->run_id.job == run_id->job
+         && run->run_id.occurrence == run_id->occurrence
+         && run->run_id.step == run_id->step
+         && run->run_id.index == run_id->index
+         && run->run_id.run == run_id->run;
+}
+
+/* A lost run has no task that refers to it.  @return HANDLE_NONE for none */
+static handle_t
+find_lost_run (const shard_t *shard, handle_t worker, const run_id_t *run_id)
+{
+  const GArray *runs = worker_get (shard, worker)->runs;
+
+  for (guint i = 0; i < runs->len; i++)
+    {
+      handle_t h = g_array_index (runs, handle_t, i);
+      const run_t *run = run_get (shard, h);
+
+      if (run->lost && is_run (run, worker, run_id))
+        return h;
+    }
+  return HANDLE_NONE;
+}
+
 static handle_t
 find_run (const shard_t *shard, handle_t worker, const run_id_t *run_id)
 {
   const job_entry_t *entry = shard_entry (shard, run_id->job);
-  const task_t *task;
-  const run_t *run;
+  const task_t *task = NULL;
 
-  if (!entry || !entry->job || !entry->job->submission)
-    return HANDLE_NONE;
-  task
-      = job_task (entry->job, run_id->occurrence, run_id->step, run_id->index);
-  run = task && task->state == TASK_PLACED ? run_get (shard, task->run_handle)
-                                           : NULL;
-  if (!run || run->worker != worker || run->run_id.run != run_id->run)
-    return HANDLE_NONE;
-  return task->run_handle;
+  if (entry && entry->job && entry->job->submission)
+    task = job_task (entry->job, run_id->occurrence, run_id->step,
+                     run_id->index);
+  if (task && task->state == TASK_PLACED)
+    {
+      handle_t copy = task->copy ? task->copy->run_handle : HANDLE_NONE;
+
+      if (is_run (run_get (shard, task->run_handle), worker, run_id))
+        return task->run_handle;
+      if (is_run (run_get (shard, copy), worker, run_id))
+        return copy;
+    }
+  return find_lost_run (shard, worker, run_id);
 }
 
 static void
@@ -672,12 +702,15 @@
         run->progressed_at = now;
       run->percent = report->percent;
       run->measure = report->measure;
-      task = job_task (shard_entry (shard, run->run_id.job)->job,
-                       run->run_id.occurrence, run->run_id.step,
-                       run->run_id.index);
-      task_set_checkpoint (task, report->checkpoint);
-      crashes_run_listed (shard, reply->clock_ms, run, task);
       run->in_list = true;
+      task = run_task (shard, run);
+      if (!task)
+        continue;
+      /* The two runs of a task may have got on differently: its checkpoint is
+         that of one of them. */
+      if (!run->copy)
+        task_set_checkpoint (task, report->checkpoint);
+      crashes_run_listed (shard, reply->clock_ms, run, task);
     }
 }
 
@@ -782,18 +815,15 @@
 {
   static const char why[] = "start not answered";
   run_t *run = run_get (shard, handle);
-  run_id_t run_id = run->run_id;
 
+  /* A lost run is always being stopped. */
   if (run->stop_requested || run->state != RUN_STARTING
       || now - run->unsettled_since < START_LIMIT)
     {
       run_set_due (shard, run, now + START_RETRY);
       return;
     }
-  job_task (shard_entry (shard, run_id.job)->job, run_id.occurrence,
-            run_id.step, run_id.index)
-      ->avoid
-      = run->worker;
+  run_task (shard, run)->avoid = run->worker;
   if (run->start_unanswered)
     run_stop (shard, now, handle, why);
   else
--- a/src/shard/shard_choose.c
+++ b/src/shard/shard_choose.c
@@ -21,6 +21,9 @@
 /* Larger than any sum of scores for load and sharing. */
 #define SCORE_PER_DISTURBED_TASK (1LL << 20)
 #define SCORE_OF_AVOIDED_WORKER (1LL << 40)
+/* Of a copy beside the run that is late, for a rack may be slow as a whole.
+   Smaller than the preference for the rack of the data. */
+#define SCORE_OF_SAME_RACK (1LL << 25)
 
 /* Which workers suit a task. */
 typedef enum
@@ -82,6 +85,38 @@
   return handle;
 }
 
+handle_t
+choose_worker_for_copy (shard_t *shard, usec_t now, const candidate_t *c,
+                        uint32_t index, handle_t own)
+{
+  const task_t *task = &c->occurrence->tasks[c->step][index];
+  const char *rack = worker_get (shard, own)->rack;
+  handle_t best = HANDLE_NONE;
+  int64_t best_score = INT64_MAX;
+
+  find_fitting (shard, now, c);
+  for (guint i = 0; i < shard->fitting->len; i++)
+    {
+      const fitting_t *fitting = &g_array_index (shard->fitting, fitting_t, i);
+      const worker_t *worker = worker_get (shard, fitting->worker);
+      int64_t s = fitting->score;
+
+      if (fitting->worker == own || crashes_keep_apart (worker, task)
+          || !admits (shard, now, worker, c, ADMIT_UNDISTURBED))
+        continue;
+      if (strcmp (worker->rack, rack) == 0)
+        s += SCORE_OF_SAME_RACK;
+      if (fitting->worker == task->avoid)
+        s += SCORE_OF_AVOIDED_WORKER;
+      if (s >= best_score)
+        continue;
+      best_score = s;
+      best = fitting->worker;
+    }
+  choose_reset (shard);
+  return best;
+}
+
 void
 choose_reset (shard_t *shard)
 {
--- a/src/shard/shard_crashes.c
+++ b/src/shard/shard_crashes.c
@@ -315,7 +315,7 @@
 is_suspect (const shard_t *shard, usec_t now, const worker_t *worker,
             const run_t *run)
 {
-  if (run->lived || run->loss_counted || !has_started (run))
+  if (run->lost || run->lived || run->loss_counted || !has_started (run))
     return false;
   if (is_alone (worker, run))
     return true;
@@ -365,9 +365,7 @@
 static task_t *
 task_of_run (const shard_t *shard, const run_t *run)
 {
-  return job_task (shard_entry (shard, run->run_id.job)->job,
-                   run->run_id.occurrence, run->run_id.step,
-                   run->run_id.index);
+  return run_task (shard, run);
 }
 
 /* @return rows of run_t *, the suspects of a crash of the worker */
@@ -414,7 +412,7 @@
       run_t *run = run_get (shard, g_array_index (worker->runs, handle_t, i));
       task_t *task = task_of_run (shard, run);
 
-      if (run->lived || run->loss_counted || !has_started (run))
+      if (run->lost || run->lived || run->loss_counted || !has_started (run))
         continue;
       run->loss_counted = true;
       task->losses++;
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -78,7 +78,7 @@
   place = (place_t){ worker->id, worker->started_ms, worker->address };
   task_place (c->entry->job, c->occurrence, c->step, index, &place);
   run = run_get (shard, run_add (shard, c->entry->job, c->occurrence, c->step,
-                                 index, handle, RUN_UNSTORED));
+                                 index, handle, RUN_UNSTORED, false));
   sharing_task_placed (shard, now, worker, step);
   if (imposed)
     impose (shard, now, c, run);
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -8,6 +8,7 @@
 #include "base/histograms.h"
 #include "base/log.h"
 #include "base/table.h"
+#include "copies/copies.h"
 #include "interference/interference.h"
 #include "shard/shard.h"
 
@@ -73,6 +74,11 @@
   uint32_t accelerators;
   bool best_effort; /* uses only capacity left over by others */
   bool imposed;     /* placed although it disturbs the tasks beside it */
+  bool speculative; /* may get a copy */
+  bool copy;        /* the second run of its task beside the first */
+  usec_t placed_at; /* of a copy */
+  bool lost;        /* another run of its task was done first: it has no task
+                       and is being stopped */
   image_id_t image;
   uint32_t target_ms;  /* target of its tail latency, 0: none */
   uint32_t measure;    /* run_report_t.measure of the latest list */
@@ -301,6 +307,9 @@
   GArray *fitting;           /* fitting_t, of the current step */
   bool fitting_known;        /* FITTING is filled */
   usec_t run_calls_due;      /* when the next start or stop is due */
+  copies_t *copies;          /* durations of runs with RUN_T.SPECULATIVE */
+  uint32_t speculative_runs; /* in RUNS */
+  usec_t copies_due;         /* next pass over them */
   uint32_t waiting_tasks;    /* tasks without a worker after the last pass */
   usec_t load_log_due;
   usec_t forget_due;
@@ -435,10 +444,16 @@
 
 /* shard_runs.c */
 run_t *run_get (const shard_t *shard, handle_t handle);
-/** Adds the newest run of a placed task. */
+/** @return the run's task, NULL if another run of it was done first */
+task_t *run_task (const shard_t *shard, const run_t *run);
+/** @return the run's job, NULL in the same case */
+job_entry_t *run_entry (const shard_t *shard, const run_t *run);
+/** Notes whether the run's worker leaves with the task of the run. */
+void run_set_worker_leaves (shard_t *shard, const run_t *run, bool leaves);
+/** Adds a run of a placed task.  @param copy whether it is the second one */
 handle_t run_add (shard_t *shard, job_t *job, occurrence_t *occurrence,
                   uint32_t step, uint32_t index, handle_t worker_handle,
-                  run_state_t state);
+                  run_state_t state, bool copy);
 /** The worker is known to have the run. */
 void run_acknowledge (shard_t *shard, usec_t now, run_t *run);
 /** Removes a run that is certainly not running and did not succeed; its task
@@ -533,6 +548,12 @@
     none */
 handle_t choose_worker (shard_t *shard, usec_t now, const candidate_t *c,
                         uint32_t index);
+/** @return the best worker for a copy of a run of the task on OWN: another one
+    on which it disturbs nothing, on another rack if there is one; HANDLE_NONE
+    if it fits on none */
+handle_t choose_worker_for_copy (shard_t *shard, usec_t now,
+                                 const candidate_t *c, uint32_t index,
+                                 handle_t own);
 /** The next task is of another step, or capacity was freed. */
 void choose_reset (shard_t *shard);
 /** A task of the step was placed on the worker. */
@@ -589,6 +610,14 @@
 /** Counts the unsettled runs, and logs those that have been so for long. */
 void unsettled_count (shard_t *shard, usec_t now, unsettled_t *counts);
 
+/* shard_copies.c */
+/** Starts copies of late runs.  @return when to call again */
+usec_t copies_tick (shard_t *shard, usec_t now);
+/** Notes the duration of a run that is done. */
+void copies_run_done (shard_t *shard, usec_t now, const run_t *run);
+/** All tasks of the step of a run are done. */
+void copies_step_done (shard_t *shard, const run_id_t *run_id);
+
 /* shard_place.c */
 /** Places all waiting tasks that fit on a worker. */
 void place_all (shard_t *shard, usec_t now);
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -5,10 +5,14 @@
 
 static void run_remove (shard_t *shard, usec_t now, handle_t handle);
 static void finish_task (shard_t *shard, usec_t now, job_entry_t *entry,
-                         occurrence_t *occurrence, const run_id_t *run_id);
+                         occurrence_t *occurrence, handle_t handle);
 static void finish_gang (shard_t *shard, usec_t now, job_entry_t *entry,
                          occurrence_t *occurrence, uint32_t step);
 static void break_gang (shard_t *shard, usec_t now, const run_id_t *run_id);
+static handle_t lose_other_run (const shard_t *shard, const task_t *task,
+                                const run_t *winner);
+static void apply_end (shard_t *shard, usec_t now, handle_t handle,
+                       const end_report_t *report);
 
 const char *
 run_end_name (run_end_t end)
@@ -25,6 +29,33 @@
   return table_get (shard->runs, handle);
 }
 
+job_entry_t *
+run_entry (const shard_t *shard, const run_t *run)
+{
+  return run->lost ? NULL : shard_entry (shard, run->run_id.job);
+}
+
+task_t *
+run_task (const shard_t *shard, const run_t *run)
+{
+  const job_entry_t *entry = run_entry (shard, run);
+
+  return entry ? job_task (entry->job, run->run_id.occurrence,
+                           run->run_id.step, run->run_id.index)
+               : NULL;
+}
+
+void
+run_set_worker_leaves (shard_t *shard, const run_t *run, bool leaves)
+{
+  task_t *task = run_task (shard, run);
+
+  if (!task)
+    return;
+  *(run->copy ? &task->copy->worker_leaves : &task->worker_leaves) = leaves;
+  shard_mark_dirty (shard, run_entry (shard, run));
+}
+
 const char *
 run_format_id (const run_id_t *run_id, char out[64])
 {
@@ -42,7 +73,7 @@
 
 handle_t
 run_add (shard_t *shard, job_t *job, occurrence_t *occurrence, uint32_t step,
-         uint32_t index, handle_t worker_handle, run_state_t state)
+         uint32_t index, handle_t worker_handle, run_state_t state, bool copy)
 {
   const step_t *s = &job->submission->steps[step];
   task_t *task = &occurrence->tasks[step][index];
@@ -50,8 +81,9 @@
   handle_t handle = table_add (shard->runs);
   run_t *run = run_get (shard, handle);
 
-  run->run_id
-      = (run_id_t){ job->id, occurrence->number, step, index, task->run };
+  run->copy = copy;
+  run->run_id = (run_id_t){ job->id, occurrence->number, step, index,
+                            copy ? task->copy->run : task->placed_run };
   run->worker = worker_handle;
   run->state = state;
   run->millicores = s->millicores;
@@ -60,8 +92,13 @@
   run->best_effort = s->best_effort;
   run->image = interference_image_id (s->image);
   run->target_ms = s->target_latency_ms;
+  run->speculative = s->speculative && !s->gang && !s->long_running;
+  shard->speculative_runs += run->speculative;
   run->call_due = INT64_MAX;
-  task->run_handle = handle;
+  if (run->copy)
+    task->copy->run_handle = handle;
+  else
+    task->run_handle = handle;
   worker_reserve (worker, run);
   g_array_append_val (worker->runs, handle);
   if (run->target_ms)
@@ -72,13 +109,15 @@
 void
 run_acknowledge (shard_t *shard, usec_t now, run_t *run)
 {
-  job_t *job = shard_entry (shard, run->run_id.job)->job;
+  const job_entry_t *entry = run_entry (shard, run);
+  job_t *job = entry ? entry->job : NULL;
 
-  if (!job->started)
+  if (job && !job->started)
     histogram_add (HISTOGRAM_FIRST_START, (shard->ops->wall_ms (shard->ctx)
                                            - job->submission->accepted_ms)
                                               * USEC_PER_MSEC);
-  job->started = true;
+  if (job)
+    job->started = true;
   if (run->state != RUN_ACKNOWLEDGED)
     run->accepted_at = run->progressed_at = now;
   run->state = RUN_ACKNOWLEDGED;
@@ -107,6 +146,7 @@
       }
   if (run->target_ms)
     sharing_update_use (shard, worker);
+  shard->speculative_runs -= run->speculative;
   table_remove (shard->runs, handle);
   shard->placement_needed = true;
 }
@@ -118,12 +158,14 @@
   job_entry_t *entry;
   occurrence_t *occurrence;
   run_id_t run_id;
-
+  task_t *task;
+  bool lost;
   char text[64];
 
   if (!run)
     return;
   run_id = run->run_id;
+  lost = run->lost;
   log_item (
       LOG_LEVEL_INFO, run_id.job, "run.over", NULL,
       "task=%s run=%u worker=%s state=%d loose=%d answered_ms_ago=%" PRId64
@@ -134,11 +176,19 @@
       run->acknowledged_at ? usec_to_msec (now - run->acknowledged_at) : -1,
       why);
   run_remove (shard, now, handle);
-  entry = shard_entry (shard, run_id.job);
+  entry = lost ? NULL : shard_entry (shard, run_id.job);
   occurrence = entry ? job_occurrence (entry->job, run_id.occurrence) : NULL;
   if (!occurrence)
     return;
-  occurrence->tasks[run_id.step][run_id.index].run_handle = HANDLE_NONE;
+  task = &occurrence->tasks[run_id.step][run_id.index];
+  if (task->copy)
+    {
+      task_drop_run (task, run_id.run);
+      run_get (shard, task->run_handle)->copy = false;
+      shard_mark_dirty (shard, entry);
+      return;
+    }
+  task->run_handle = HANDLE_NONE;
   task_requeue (entry->job, occurrence, run_id.step, run_id.index);
   shard_mark_dirty (shard, entry);
   break_gang (shard, now, &run_id);
@@ -149,15 +199,8 @@
 run_ended (shard_t *shard, usec_t now, handle_t handle,
            const end_report_t *report)
 {
-  run_t *run = run_get (shard, handle);
+  const run_t *run = run_get (shard, handle);
   run_id_t run_id = run->run_id;
-  handle_t worker = run->worker;
-  job_entry_t *entry = shard_entry (shard, run_id.job);
-  job_t *job = entry->job;
-  occurrence_t *occurrence = job_occurrence (job, run_id.occurrence);
-  const step_t *step = &job->submission->steps[run_id.step];
-  task_t *task = &occurrence->tasks[run_id.step][run_id.index];
-  task_t *counted = step->gang ? &occurrence->tasks[run_id.step][0] : task;
   bool failed = report->end == RUN_FAILED;
   char text[64];
 
@@ -166,17 +209,39 @@
             run_id.job, "run.end", NULL,
             "task=%s run=%u worker=%s how=%s ran_ms=%" PRId64,
             run_format_id (&run_id, text), run_id.run,
-            worker_get (shard, worker)->id, run_end_name (report->end),
+            worker_get (shard, run->worker)->id, run_end_name (report->end),
             run->acknowledged_at ? usec_to_msec (now - run->acknowledged_at)
                                  : -1);
   counter_add (failed ? COUNTER_RUNS_FAILED : COUNTER_RUNS_ENDED, 1);
-  task_set_checkpoint (task, report->checkpoint);
+  if (run->lost)
+    run_remove (shard, now, handle);
+  else
+    apply_end (shard, now, handle, report);
+}
+
+static void
+apply_end (shard_t *shard, usec_t now, handle_t handle,
+           const end_report_t *report)
+{
+  const run_t *run = run_get (shard, handle);
+  run_id_t run_id = run->run_id;
+  handle_t worker = run->worker;
+  job_entry_t *entry = shard_entry (shard, run_id.job);
+  job_t *job = entry->job;
+  occurrence_t *occurrence = job_occurrence (job, run_id.occurrence);
+  const step_t *step = &job->submission->steps[run_id.step];
+  task_t *task = &occurrence->tasks[run_id.step][run_id.index];
+  task_t *counted = step->gang ? &occurrence->tasks[run_id.step][0] : task;
+  bool failed = report->end == RUN_FAILED;
+
+  if (!run->copy)
+    task_set_checkpoint (task, report->checkpoint);
   job->started = true;
   if (failed || report->end == RUN_DONE)
     worker_record_result (worker_get (shard, worker), now, run_id.job, failed);
   if (report->end == RUN_DONE && !step->long_running)
     {
-      finish_task (shard, now, entry, occurrence, &run_id);
+      finish_task (shard, now, entry, occurrence, handle);
       return;
     }
   if (failed)
@@ -196,10 +261,12 @@
 
 static void
 finish_task (shard_t *shard, usec_t now, job_entry_t *entry,
-             occurrence_t *occurrence, const run_id_t *run_id)
+             occurrence_t *occurrence, handle_t handle)
 {
   job_t *job = entry->job;
-  handle_t handle = occurrence->tasks[run_id->step][run_id->index].run_handle;
+  const run_t *run = run_get (shard, handle);
+  run_id_t run_id = run->run_id;
+  handle_t other;
 
   if (job->end_status != JOB_QUEUED)
     {
@@ -207,18 +274,41 @@
       return;
     }
   shard_mark_dirty (shard, entry);
-  if (job->submission->steps[run_id->step].gang)
+  if (job->submission->steps[run_id.step].gang)
     {
-      finish_gang (shard, now, entry, occurrence, run_id->step);
+      finish_gang (shard, now, entry, occurrence, run_id.step);
       return;
     }
-  occurrence->tasks[run_id->step][run_id->index].run_handle = HANDLE_NONE;
+  copies_run_done (shard, now, run);
+  other = lose_other_run (shard, &occurrence->tasks[run_id.step][run_id.index],
+                          run);
+  occurrence->tasks[run_id.step][run_id.index].run_handle = HANDLE_NONE;
   run_remove (shard, now, handle);
-  if (task_done (job, occurrence, run_id->step, run_id->index))
+  if (occurrence->unfinished[run_id.step] == 1)
+    copies_step_done (shard, &run_id);
+  if (task_done (job, occurrence, run_id.step, run_id.index))
     shard_end_job (shard, now, entry, JOB_COMPLETED);
+  run_stop (shard, now, other, "another run of the task is done");
   memory_update (shard, entry);
 }
 
+/* The other run of a task with two loses its task, so that its end or the loss
+   of its worker no longer matters.  It keeps its place on its worker until it
+   is known to have ended.
+   @return the other run, HANDLE_NONE for none */
+static handle_t
+lose_other_run (const shard_t *shard, const task_t *task, const run_t *winner)
+{
+  handle_t other;
+
+  if (!task->copy)
+    return HANDLE_NONE;
+  counter_add (COUNTER_COPIES_WON, winner->copy);
+  other = winner->copy ? task->run_handle : task->copy->run_handle;
+  run_get (shard, other)->lost = true;
+  return other;
+}
+
 /* The first member that is done completes the whole gang. */
 static void
 finish_gang (shard_t *shard, usec_t now, job_entry_t *entry,
@@ -283,7 +373,7 @@
 run_worker_restarted (shard_t *shard, usec_t now, handle_t handle)
 {
   run_t *run = run_get (shard, handle);
-  job_entry_t *entry = shard_entry (shard, run->run_id.job);
+  task_t *task = run_task (shard, run);
 
   if (!run->start_unanswered && !run->start_in_flight)
     {
@@ -293,11 +383,12 @@
   /* The new incarnation may still execute the start, until it has answered a
      stop itself.  To a successor the run is one of that incarnation, whose
      predecessor's crash is counted. */
-  job_task (entry->job, run->run_id.occurrence, run->run_id.step,
-            run->run_id.index)
-      ->place.life_ms
-      = worker_get (shard, run->worker)->started_ms;
-  shard_mark_dirty (shard, entry);
+  if (task)
+    {
+      task_run_place (task, run->run_id.run)->life_ms
+          = worker_get (shard, run->worker)->started_ms;
+      shard_mark_dirty (shard, run_entry (shard, run));
+    }
   run->state = RUN_STARTING;
   run->stops_answered = 0;
   run->start_expires_ms = INT64_MAX; /* its clock starts anew */
@@ -327,7 +418,16 @@
   log_item (LOG_LEVEL_INFO, run_id.job, "run.stop", NULL,
             "task=%s run=%u why=\"%s\"", run_format_id (&run_id, text),
             run_id.run, why);
-  break_gang (shard, now, &run_id);
+  if (!run->lost)
+    break_gang (shard, now, &run_id);
+}
+
+static void
+add_handles (const task_t *task, GArray *handles)
+{
+  g_array_append_val (handles, task->run_handle);
+  if (task->copy)
+    g_array_append_val (handles, task->copy->run_handle);
 }
 
 void
@@ -343,7 +443,7 @@
         for (uint32_t i = 0;
              occurrence->placed[s] && i < job->submission->steps[s].count; i++)
           if (occurrence->tasks[s][i].state == TASK_PLACED)
-            g_array_append_val (handles, occurrence->tasks[s][i].run_handle);
+            add_handles (&occurrence->tasks[s][i], handles);
     }
   for (guint i = 0; i < handles->len; i++)
     run_stop (shard, now, g_array_index (handles, handle_t, i), why);
@@ -352,28 +452,29 @@
 
 static void
 adopt_run (shard_t *shard, job_t *job, occurrence_t *occurrence, uint32_t step,
-           uint32_t index)
+           uint32_t index, bool copy)
 {
   task_t *task = &occurrence->tasks[step][index];
-  handle_t worker_handle = worker_find (shard, task->place.worker);
+  const place_t *place = copy ? &task->copy->place : &task->place;
+  handle_t worker_handle = worker_find (shard, place->worker);
   worker_t *worker;
   run_t *run;
 
   if (worker_handle == HANDLE_NONE)
-    worker_handle = worker_add (shard, task->place.worker);
+    worker_handle = worker_add (shard, place->worker);
   worker = worker_get (shard, worker_handle);
   /* The list may already have the next incarnation.  Its first answer must
      count as a restart. */
-  if (!worker->runs->len || worker->started_ms < task->place.life_ms)
-    worker->started_ms = task->place.life_ms;
+  if (!worker->runs->len || worker->started_ms < place->life_ms)
+    worker->started_ms = place->life_ms;
   if (!worker->address[0])
-    worker_set_address (worker, task->place.address);
-  worker->reached |= strcmp (worker->address, task->place.address) == 0;
+    worker_set_address (worker, place->address);
+  worker->reached |= strcmp (worker->address, place->address) == 0;
   /* If the list is read later, that looks for workers that were leaving. */
   if (shard->worker_list_complete && !worker->listed)
-    worker->leaving |= task->worker_leaves;
+    worker->leaving |= copy ? task->copy->worker_leaves : task->worker_leaves;
   run = run_get (shard, run_add (shard, job, occurrence, step, index,
-                                 worker_handle, RUN_ADOPTED));
+                                 worker_handle, RUN_ADOPTED, copy));
   run->started_at = shard->owned_since;
   crashes_run_placed (worker, run, task);
 }
@@ -388,6 +489,10 @@
       for (uint32_t s = 0; s < job->submission->step_count; s++)
         for (uint32_t i = 0; i < job->submission->steps[s].count; i++)
           if (occurrence->tasks[s][i].state == TASK_PLACED)
-            adopt_run (shard, job, occurrence, s, i);
+            {
+              adopt_run (shard, job, occurrence, s, i, false);
+              if (occurrence->tasks[s][i].copy)
+                adopt_run (shard, job, occurrence, s, i, true);
+            }
     }
 }
--- a/src/shard/shard_withdraw.c
+++ b/src/shard/shard_withdraw.c
@@ -3,13 +3,19 @@
  */
 #include "shard/shard_private.h"
 
-static const char *reason_to_withdraw (const worker_t *worker);
+/* A successor may have noted the end of the other run and not reach the copy's
+   worker to stop it: no start may arrive there more than 1 s after that. */
+#define COPY_START_LIMIT (500 * USEC_PER_MSEC)
+
+static const char *reason_to_withdraw (usec_t now, const run_t *run,
+                                       const worker_t *worker);
 
 bool
 withdraw_start (shard_t *shard, usec_t now, handle_t handle)
 {
   const run_t *run = run_get (shard, handle);
-  const char *why = reason_to_withdraw (worker_get (shard, run->worker));
+  const char *why
+      = reason_to_withdraw (now, run, worker_get (shard, run->worker));
 
   if (!why)
     return false;
@@ -25,8 +31,10 @@
 
 /* @return NULL if the worker may get the start */
 static const char *
-reason_to_withdraw (const worker_t *worker)
+reason_to_withdraw (usec_t now, const run_t *run, const worker_t *worker)
 {
+  if (run->copy && now - run->placed_at > COPY_START_LIMIT)
+    return "copy was not started in time";
   if (worker->evacuated)
     return "zone is evacuated";
   if (worker->leaving)
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -99,17 +99,9 @@
             "worker=%s leaving=%d runs=%u", worker->id, leaving,
             worker->runs->len);
   for (guint i = 0; i < worker->runs->len; i++)
-    {
-      const run_id_t *run_id
-          = &run_get (shard, g_array_index (worker->runs, handle_t, i))
-                 ->run_id;
-      job_entry_t *entry = shard_entry (shard, run_id->job);
-
-      job_task (entry->job, run_id->occurrence, run_id->step, run_id->index)
-          ->worker_leaves
-          = leaving;
-      shard_mark_dirty (shard, entry);
-    }
+    run_set_worker_leaves (
+        shard, run_get (shard, g_array_index (worker->runs, handle_t, i)),
+        leaving);
 }
 
 void
@@ -223,13 +215,12 @@
 {
   for (guint i = 0; i < worker->runs->len; i++)
     {
-      const run_id_t *run_id
-          = &run_get (shard, g_array_index (worker->runs, handle_t, i))
-                 ->run_id;
+      const run_t *run
+          = run_get (shard, g_array_index (worker->runs, handle_t, i));
+      const task_t *task = run_task (shard, run);
 
-      if (job_task (shard_entry (shard, run_id->job)->job, run_id->occurrence,
-                    run_id->step, run_id->index)
-              ->worker_leaves)
+      if (task
+          && (run->copy ? task->copy->worker_leaves : task->worker_leaves))
         return true;
     }
   return false;
--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -1,5 +1,6 @@
 /* Randomized simulation of shards with injected faults: no invariant is
    violated, and every accepted job ends. */
+#include "base/counters.h"
 #include "base/log.h"
 #include "support/shard_world.h"
 #include "support/suite.h"
@@ -370,6 +371,73 @@
   run_seeds (config, SEED_COUNT);
 }
 
+/* Runs the seeds with copies of late runs, and checks that copies were started
+   and were done first. */
+static void
+run_copies (world_config_t config, uint32_t count)
+{
+  uint64_t copies = counter_get (COUNTER_COPIES);
+  uint64_t won = counter_get (COUNTER_COPIES_WON);
+
+  config.speculative = true;
+  run_seeds (config, count);
+  CU_ASSERT (counter_get (COUNTER_COPIES) > copies);
+  CU_ASSERT (counter_get (COUNTER_COPIES_WON) > won);
+}
+
+/* Guards against a third run of a task with a copy, against starts after one
+   of its runs was done or all attempts have failed, and against jobs that wait
+   for the run that lost. */
+static void
+test_copies (void)
+{
+  run_copies ((world_config_t){ 0 }, SEED_COUNT);
+  run_copies (
+      (world_config_t){ .failed_run_share = 0.3, .canceled_job_share = 0.2 },
+      SEED_COUNT);
+  run_copies ((world_config_t){ .lost_reply_share = 0.1,
+                                .delayed_call_share = 0.08,
+                                .lost_start_share = 0.1,
+                                .failed_run_share = 0.1,
+                                .canceled_job_share = 0.1 },
+              SEED_COUNT);
+  run_copies ((world_config_t){ .worker_crash_interval = 2100 * USEC_PER_MSEC,
+                                .lost_reply_share = 0.02,
+                                .delayed_call_share = 0.02 },
+              SEED_COUNT);
+  run_copies ((world_config_t){ .store_outage_interval = 5 * USEC_PER_SEC,
+                                .lost_append_reply_share = 0.1,
+                                .resize_interval = 300 * USEC_PER_MSEC,
+                                .check_capacity = true,
+                                .jobs = 120 },
+              SEED_COUNT);
+}
+
+/* The same with owners that find two runs of a task, and with former owners
+   that go on. */
+static void
+test_copies_and_takeovers (void)
+{
+  world_config_t config = { .takeover_interval = 2900 * USEC_PER_MSEC,
+                            .lost_reply_share = 0.05,
+                            .delayed_call_share = 0.03,
+                            .lost_append_reply_share = 0.04,
+                            .failed_run_share = 0.05,
+                            .canceled_job_share = 0.1 };
+
+  run_copies (config, 2 * SEED_COUNT);
+  config.keep_former_owner = true;
+  config.worker_cut_interval = 2300 * USEC_PER_MSEC;
+  config.long_cuts = true;
+  config.reset_call_share = 0.02;
+  config.freeze_interval = 5 * USEC_PER_SEC;
+  config.worker_crash_interval = 3 * USEC_PER_SEC;
+  config.departure_interval = 1700 * USEC_PER_MSEC;
+  config.evacuation_interval = 2 * USEC_PER_SEC;
+  config.check_capacity = true;
+  run_copies (config, 2 * SEED_COUNT);
+}
+
 /* All faults in combination. */
 static void
 test_all_faults (void)
@@ -457,6 +525,8 @@
     { "all faults", test_all_faults },
     { "paths and owners", test_paths_and_owners },
     { "gangs", test_gangs },
+    { "copies", test_copies },
+    { "copies and takeovers", test_copies_and_takeovers },
   };
 
   log_open ("test", LOG_LEVEL_ERR);
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -3,7 +3,8 @@
  * them, driven by a simulated clock.
  *
  * All random choices derive from one seed.  The simulation checks every start
- * at a worker: no task has two runs at a time, and none is started after its
+ * at a worker: no task has two runs at a time (with SPECULATIVE, three), and
+ * none is started after its
  * end was acknowledged, before the steps that it depends on are done, after
  * its attempts are used up, after the cancellation of its job was confirmed,
  * in an evacuated availability zone, or beyond the capacity of its worker,
@@ -86,6 +87,10 @@
       by one of the owners, the store by the new one.  */
   bool splits;
   bool best_effort;    /**< every other step is best effort */
+  bool speculative;    /**< all steps may get copies, and a third of the
+                          workers are 6.5 times as slow as the others: a task
+                          may have two runs at a time, and one may be started
+                          up to 1 s after its end was acknowledged */
   bool check_capacity; /**< workers reject starts beyond their capacity */
   bool gangs;          /**< a third of the steps are gangs */
   bool lasting;        /**< the tasks of all jobs are long-running, and each
