--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -173,7 +173,7 @@
 STALE_FITTING|src/shard/shard_place.c|shard/test_shard_steps|s/^  choose_reset (shard);//
 SUSPECTS_TOGETHER|src/shard/shard_choose.c|shard/test_shard_crashes|s/if (crashes_keep_apart (worker, task))/if (0)/
 FRESH_TASK_IS_NO_CAUSE|src/shard/shard_crashes.c|shard/test_shard_crashes|s/if (other->run_id.job != run->run_id.job)/if (0)/
-CRASH_COUNTS_FOR_EACH_OWNER|src/shard/shard_runs.c|shard/test_shard_crashes|s/^      = worker_get (shard, run->worker)->started_ms;/      = job_task (entry->job, run->run_id.occurrence, run->run_id.step, run->run_id.index)->place.life_ms;/
+CRASH_COUNTS_FOR_EACH_OWNER|src/shard/shard_runs.c|shard/test_shard_crashes|s/^          = worker_get (shard, run->worker)->started_ms;/          = task_run_place (task, run->run_id.run)->life_ms;/
 FRESH_BESIDE_SUSPECT|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^                              : SUSPICION_STRONG\]/: SUSPICION_STRONG] * (task->crashes != 0)/
 SUSPECT_NOT_CLEARED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/^  task->crashes = 0;/  ;/
 CLEARING_NOT_STORED|src/shard/shard_crashes.c|shard/test_shard_crashes|s/shard_mark_dirty (shard, shard_entry (shard, run->run_id.job));//
@@ -199,6 +199,32 @@
 RESTART_FORGOTTEN|src/shard/shard_calls.c|shard/test_shard_settle|s/worker->restarted |= /worker->restarted = /
 SHORT_STOPS_ONLY|src/shard/shard_calls.c|shard/test_shard_settle|s/define STOPS_WITHOUT_ANSWER 6U/define STOPS_WITHOUT_ANSWER 600U/
 UNBOUNDED_OCCURRENCES|src/jobs/jobs.c|jobs/test_jobs|s/JOB_MAX_TASKS;$/JOB_MAX_TASKS * 4;/
+COPY_OF_PUNCTUAL_RUN|src/copies/copies.c|shard/test_shard_copies|s/c->ran_ms <= LATE_FACTOR \* (int64_t)c->expected_ms/0/;s/c->ran_ms <= (int64_t)c->expected_ms + LATE_BY_MS/0/
+COPY_BEFORE_WAITING|src/copies/copies.c|shard/test_shard_copies|s/c->waiting_tasks ||/0 ||/
+COPY_AT_TAKEOVER|src/copies/copies.c|shard/test_shard_copies|s/c->ms_since_takeover < SETTLED_AFTER_MS/0/
+COPY_OF_LAST_ATTEMPT|src/copies/copies.c|shard/test_shard_copies|s/c->failures + 1 >= c->max_attempts/0/
+COPIES_WITHOUT_BUDGET|src/copies/copies.c|shard/test_shard_copies|s/return c->copy_millicores \* 100 < .*/return true;/
+COPY_FROM_FEW_RUNS|src/copies/copies.c|copies/test_copies|s/define MIN_RUNS_DONE 3U/define MIN_RUNS_DONE 1U/
+DURATIONS_KEPT|src/copies/copies.c|copies/test_copies|s/^  g_hash_table_foreach_remove .*/  (void)is_of_job; (void)job; (void)copies;/
+COPY_WITHOUT_FLAG|src/jobs/jobs.c|shard/test_shard_copies|s/return step->speculative \&\&/return/
+COPY_OF_GANG|src/jobs/jobs.c|shard/test_shard_copies|s/step->speculative \&\& !step->gang \&\& !step->long_running/step->speculative/
+COPY_READ_FOR_GANG|src/jobs/job_record.c|jobs/test_jobs|s/step_allows_copies (.*)$/true/
+EARLIER_BUILD_REPEATS_NUMBER|src/jobs/job_record.c|jobs/test_jobs|s/= task->copy ? \&task->copy->place : \&task->place;/= \&task->place;/
+COPY_OF_COPY|src/shard/shard_copies.c|shard/test_shard_copies|s/task \&\& !task->copy \&\&/task \&\&/
+COPY_ON_OWN_WORKER|src/shard/shard_choose.c|shard/test_shard_copies|s/if (fitting->worker == own || /if (/;s/s += SCORE_OF_SAME_RACK;/;/
+COPY_ON_SAME_RACK|src/shard/shard_choose.c|shard/test_shard_copies|s/s += SCORE_OF_SAME_RACK;/;/
+COPY_STARTED_LATE|src/shard/shard_withdraw.c|shard/test_shard_copies|s/if (run->copy \&\& now - run->placed_at > COPY_START_LIMIT)/if (0)/
+LOST_RUN_GOES_ON|src/shard/shard_runs.c|shard/test_shard_copies|s/^  run_stop (shard, now, other, .*/  (void)other;/
+LOST_RUN_KEEPS_TASK|src/shard/shard_runs.c|shard/test_shard_copies|s/run_get (shard, other)->lost = true;//
+LOST_RUN_IS_STRAY|src/shard/shard_calls.c|shard/test_shard_copies|s/return find_lost_run (shard, worker, run_id);/(void)find_lost_run; return HANDLE_NONE;/
+ONE_RUN_ENDS_BOTH|src/shard/shard_runs.c|shard/test_shard_copies|s/^  if (task->copy)$/  if (0)/
+CANCELED_COPY_GOES_ON|src/shard/shard_runs.c|shard/test_shard_copies|/^add_handles/,/^}/s/if (task->copy)/if (0)/
+COPY_FORGOTTEN|src/jobs/job_record.c|shard/test_shard_copies|s/bool older = .*/bool older = false;/
+COPY_NOT_ADOPTED|src/shard/shard_runs.c|shard/test_shard_copies|s/^                adopt_run (shard, job, occurrence, s, i, true);/;/
+COPY_CHECKPOINT_USED|src/shard/shard_calls.c|shard/test_shard_copies|s/if (!run->copy)$/if (1)/
+COPY_BEFORE_STORED|src/shard/shard_copies.c|shard/test_shard_copies|s/other, RUN_UNSTORED, true/other, RUN_STARTING, true/
+COPY_CHECKPOINT_KEPT|src/shard/shard_runs.c|shard/test_shard_copies|s/if (!run->copy)$/if (1)/
+LOST_RUN_BLAMED|src/shard/shard_crashes.c|shard/test_shard_copies|s/if (run->lost || run->lived/if (run->lived/
 TABLE
 }
 
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -463,7 +463,7 @@
 }
 
 /* Reads the runs of a placed task.  A field of the older run that is not
-   understood is one of a later build. */
+   understood is one of a later build, or damaged. */
 static bool
 read_runs (job_t *job, occurrence_t *occurrence, uint32_t step, uint32_t index,
            const msgpack_object *fields)
@@ -480,7 +480,8 @@
   task->run--;
   task_place (job, occurrence, step, index, &place);
   task->worker_leaves = leaves;
-  if (older && uint_at (older, 0) && uint_at (older, 0) < newest)
+  if (older && step_allows_copies (&job->submission->steps[step])
+      && uint_at (older, 0) && uint_at (older, 0) < newest)
     read_older_run (task, &place, older);
   g_free (place.worker);
   g_free (place.address);
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -260,7 +260,8 @@
 {
   if (task->copy)
     place_clear (&task->copy->place);
-  g_clear_pointer (&task->copy, g_free);
+  g_free (task->copy);
+  task->copy = NULL;
 }
 
 /* Bounds the memory of a job with many overdue occurrences: they are created
@@ -362,6 +363,12 @@
   job->placed++;
 }
 
+bool
+step_allows_copies (const step_t *step)
+{
+  return step->speculative && !step->gang && !step->long_running;
+}
+
 void
 task_place_copy (task_t *task, const place_t *place)
 {
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -229,6 +229,9 @@
 void task_place (job_t *job, occurrence_t *occurrence, uint32_t step,
                  uint32_t index, const place_t *place);
 
+/** @return whether tasks of the step may have a second run */
+bool step_allows_copies (const step_t *step);
+
 /** Records that a second run of a placed task without a copy is about to start
     at PLACE. */
 void task_place_copy (task_t *task, const place_t *place);
--- a/src/jobs/test_jobs.c
+++ b/src/jobs/test_jobs.c
@@ -4,6 +4,7 @@
 
 #include <CUnit/CUnit.h>
 #include <errno.h>
+#include <msgpack.h>
 #include <string.h>
 
 #define WALL_MS 1700000000000LL
@@ -113,6 +114,136 @@
 }
 
 /* Guards against a step that starts before its dependencies are done. */
+/* A job whose task 1 of step 1 has two runs, the second at W2. */
+static job_t *
+new_job_with_copy (void)
+{
+  submission_t *submission = two_step_submission ();
+  job_t *job = job_new (submission);
+  place_t first = { (char *)"w1", WALL_MS, (char *)"10.0.0.1:1" };
+  place_t second = { (char *)"w2", WALL_MS + 1, (char *)"10.0.0.2:1" };
+
+  submission->steps[1].speculative = true;
+  job_create_due_occurrences (job, WALL_MS);
+  task_place (job, job_occurrence (job, 0), 1, 1, &first);
+  task_place_copy (job_task (job, 0, 1, 1), &second);
+  job_task (job, 0, 1, 1)->copy->worker_leaves = true;
+  return job;
+}
+
+/* Decodes the record of a job, as a build reads it that knows FIELDS fields of
+   a task with two runs. */
+static job_t *
+read_again (const job_t *job, uint32_t fields, bool gang)
+{
+  submission_t *submission = two_step_submission ();
+  GByteArray *bytes = g_byte_array_new ();
+  msgpack_unpacked unpacked;
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  msgpack_object *task;
+  job_t *read;
+
+  submission->steps[1].speculative = true;
+  submission->steps[1].gang = gang;
+  read = job_new (submission);
+  job_encode (job, bytes);
+  msgpack_unpacked_init (&unpacked);
+  msgpack_unpack_next (&unpacked, (const char *)bytes->data, bytes->len, NULL);
+  task = &unpacked.data.via.array.ptr[5]
+              .via.array.ptr[0]
+              .via.array.ptr[2]
+              .via.array.ptr[1];
+  CU_ASSERT_EQUAL_FATAL (task->type, MSGPACK_OBJECT_ARRAY);
+  task->via.array.size = MIN (task->via.array.size, fields);
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_object (&packer, unpacked.data);
+  CU_ASSERT_EQUAL (
+      job_decode (read, (blob_t){ buffer.data, (uint32_t)buffer.size }), 0);
+  msgpack_sbuffer_destroy (&buffer);
+  msgpack_unpacked_destroy (&unpacked);
+  g_byte_array_unref (bytes);
+  return read;
+}
+
+/* Guards against a successor that forgets one of two runs, or which of them
+   goes on. */
+static void
+test_copy_record (void)
+{
+  job_t *job = new_job_with_copy ();
+  job_t *read = read_again (job, UINT32_MAX, false);
+  task_t *task = job_task (read, 0, 1, 1);
+
+  CU_ASSERT_EQUAL (read->placed, 1);
+  CU_ASSERT_EQUAL (task->run, 2);
+  CU_ASSERT_EQUAL (task->placed_run, 1);
+  CU_ASSERT_STRING_EQUAL (task->place.worker, "w1");
+  CU_ASSERT_EQUAL (task->place.life_ms, WALL_MS);
+  CU_ASSERT_STRING_EQUAL (task->place.address, "10.0.0.1:1");
+  CU_ASSERT_FALSE (task->worker_leaves);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (task->copy);
+  CU_ASSERT_EQUAL (task->copy->run, 2);
+  CU_ASSERT_STRING_EQUAL (task->copy->place.worker, "w2");
+  CU_ASSERT_EQUAL (task->copy->place.life_ms, WALL_MS + 1);
+  CU_ASSERT_STRING_EQUAL (task->copy->place.address, "10.0.0.2:1");
+  CU_ASSERT (task->copy->worker_leaves);
+  job_free (read);
+  task_drop_run (job_task (job, 0, 1, 1), 2);
+  read = read_again (job, UINT32_MAX, false);
+  task = job_task (read, 0, 1, 1);
+  CU_ASSERT_EQUAL (task->run, 2);
+  CU_ASSERT_EQUAL (task->placed_run, 1);
+  CU_ASSERT_PTR_NULL (task->copy);
+  CU_ASSERT_STRING_EQUAL (task->place.worker, "w1");
+  job_free (read);
+  job_free (job);
+}
+
+/* The first run of two is forgotten: the second one is the task's only run. */
+static void
+test_first_run_dropped (void)
+{
+  job_t *job = new_job_with_copy ();
+  task_t *task = job_task (job, 0, 1, 1);
+
+  CU_ASSERT_STRING_EQUAL (task_run_place (task, 1)->worker, "w1");
+  CU_ASSERT_STRING_EQUAL (task_run_place (task, 2)->worker, "w2");
+  CU_ASSERT_PTR_NULL (task_run_place (task, 3));
+  task_drop_run (task, 1);
+  CU_ASSERT_PTR_NULL (task_run_place (task, 1));
+  CU_ASSERT_STRING_EQUAL (task_run_place (task, 2)->worker, "w2");
+  CU_ASSERT (task->worker_leaves);
+  CU_ASSERT_EQUAL (task->state, TASK_PLACED);
+  task_requeue (job, job_occurrence (job, 0), 1, 1);
+  CU_ASSERT_PTR_NULL (task_run_place (task, 2));
+  job_free (job);
+}
+
+/* Guards against an owner of an earlier build that starts a run with the
+   number of the copy: to it the copy is the task's only run.  A gang has no
+   copies, whatever a damaged record says. */
+static void
+test_copy_unknown (void)
+{
+  job_t *job = new_job_with_copy ();
+
+  for (uint32_t gang = 0; gang < 2; gang++)
+    {
+      job_t *read = read_again (job, gang ? UINT32_MAX : 10, gang);
+      task_t *task = job_task (read, 0, 1, 1);
+
+      CU_ASSERT_EQUAL (task->run, 2);
+      CU_ASSERT_EQUAL (task->placed_run, 2);
+      CU_ASSERT_PTR_NULL (task->copy);
+      CU_ASSERT_STRING_EQUAL (task->place.worker, "w2");
+      CU_ASSERT (task->worker_leaves);
+      job_free (read);
+    }
+  job_free (job);
+}
+
 static void
 test_step_dependencies (void)
 {
@@ -248,6 +379,9 @@
   const suite_test_t tests[] = {
     { "submission record", test_submission_record },
     { "progress record", test_progress_record },
+    { "copy record", test_copy_record },
+    { "first run dropped", test_first_run_dropped },
+    { "copy unknown", test_copy_unknown },
     { "step dependencies", test_step_dependencies },
     { "occurrences", test_occurrences },
     { "overdue occurrences", test_overdue_occurrences },
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -92,7 +92,7 @@
   run->best_effort = s->best_effort;
   run->image = interference_image_id (s->image);
   run->target_ms = s->target_latency_ms;
-  run->speculative = s->speculative && !s->gang && !s->long_running;
+  run->speculative = step_allows_copies (s);
   shard->speculative_runs += run->speculative;
   run->call_due = INT64_MAX;
   if (run->copy)
