--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -172,6 +172,7 @@
           .keep_ended = settings->keep_ended,
           .append_bytes = settings->append_bytes / 2,
           .job_bytes = s->limits.job_bytes,
+          .copy_percent = settings->copy_percent,
           .zones = s->zones,
           .zones_max_age = settings->evacuate - WORKER_CALL_TIMEOUT,
           .workers_max_age = settings->shrunk - WORKER_CALL_TIMEOUT };
--- a/src/scheduler/settings.c
+++ b/src/scheduler/settings.c
@@ -61,6 +61,8 @@
   { ROW ("shards", INI_U32, shards), RANGE (0, 4096), .default_text = "0" },
   { ROW ("keep_ended_ms", INI_MSEC, keep_ended), RANGE (1000, 86400000),
     .default_text = "600000", .unit = "ms" },
+  { ROW ("copy_percent", INI_U32, copy_percent), RANGE (0, 100),
+    .default_text = "0", .unit = "percent" },
   { ROW ("grace_ms", INI_MSEC, grace), RANGE (500, 600000),
     .default_text = "6000", .unit = "ms" },
 };
--- a/src/scheduler/settings.h
+++ b/src/scheduler/settings.h
@@ -30,6 +30,7 @@
                                      from the number of workers when the
                                      site first starts */
   usec_t keep_ended;          /**< [scheduler] keep_ended_ms */
+  uint32_t copy_percent;      /**< [scheduler] copy_percent */
   usec_t grace;               /**< [scheduler] grace_ms */
   double cpu_share;           /**< [limits] cpu_share, cores that the
                                  process may use */
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -48,6 +48,8 @@
                              is older than this */
   uint64_t job_bytes;     /**< most bytes that jobs may take as new ones are
                              accepted (shard_job_bytes), 0: no bound */
+  uint32_t copy_percent;  /**< most of the capacity in use that copies of late
+                             runs take, 0: no copies are started */
 } shard_config_t;
 
 /** A worker as listed by the platform. */
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -11,6 +11,10 @@
 /* Age from which on the state of the zones is too old for starts.  */
 #define ZONES_MAX_AGE (4 * USEC_PER_SEC)
 
+/* shard_config_t.copy_percent of the next shard. */
+#define COPY_PERCENT 2U
+static uint32_t copy_percent = COPY_PERCENT;
+
 static void set_up_config (usec_t lease, usec_t stale_limit,
                            usec_t lease_horizon, uint64_t job_bytes);
 
@@ -167,6 +171,14 @@
   set_up_job_bytes (0);
 }
 
+void
+set_up_without_copies (void)
+{
+  copy_percent = 0;
+  set_up ();
+  copy_percent = COPY_PERCENT;
+}
+
 void
 set_up_job_bytes (uint64_t job_bytes)
 {
@@ -197,7 +209,8 @@
                                   .zones = zones,
                                   .zones_max_age = ZONES_MAX_AGE,
                                   .workers_max_age = WORKERS_MAX_AGE,
-                                  .job_bytes = job_bytes };
+                                  .job_bytes = job_bytes,
+                                  .copy_percent = copy_percent };
   GByteArray *progress = fixture.progress;
   GByteArray *lapsing = fixture.lapsing;
   GByteArray *lease_bound = fixture.lease_bound;
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -51,6 +51,9 @@
 void set_up (void);
 /** The same with other limits of leases. */
 void set_up_leases (usec_t lease, usec_t stale_limit, usec_t lease_horizon);
+/** The same with copies of late runs switched off. */
+void set_up_without_copies (void);
+
 /** The same with shard_config_t.job_bytes. */
 void set_up_job_bytes (uint64_t job_bytes);
 void tear_down (void);
