Run no request callbacks in httpd_quiesce

A process whose last connections are all open already has only httpd_catch_up, so that the test no longer guarded it.

Change: while the listener closes, libmicrohttpd runs only if connections have to be removed to make room, as it was before the limits. "requests without a turn" (test_scheduler) fails with the mutant again; test_scheduler and test_httpd pass (694 and 2660 assertions).

--- a/src/net/httpd.c
+++ b/src/net/httpd.c
@@ -288,6 +288,10 @@
 {
   httpd_t *httpd = ctx;
 
+  /* httpd_quiesce runs no request callbacks, unless connections have to be
+     removed to make room. */
+  if (!httpd->acceptor && !httpd->closed)
+    return;
   httpd->closed = false;
   MHD_run (httpd->daemon);
 }
