--- a/review/standin-2/minions.c
+++ b/review/standin-2/minions.c
@@ -4,13 +4,25 @@
  * address by which a case brings about what happens to single minions.
  *
  * The minions do what PROTOCOL.md says of "Running tasks" and "Service
- * discovery".  A task takes the milliseconds that its spec names as "ms=N"; one
- * whose spec contains "lasts" is at work until it is stopped.  Each event is
- * written as a line of JSON to standard output.
+ * discovery".  The spec of a job says what its tasks do, in words:
+ *   ms=N     each is at work for N ms
+ *   lasts    at work until stopped
+ *   gang=N   the N tasks of a step work together: from the moment when all of a
+ *            run are there, until all are done
+ *   saves    a checkpoint is listed
+ * and what must hold of them:
+ *   needs=K  only on minions of kind K
+ *   apart=N  at most N of a step and an occurrence on one minion
+ *   due=M,I  occurrence K not before M + K * I (ms since 1970)
+ * Each event is written as a line of JSON to standard output; what breaks a
+ * rule has the event "broken".
  *
  * Control calls, all POST:
  *   /crash?minion=ID&down_ms=N                 down now, up again after N ms
  *   /flap?minion=ID&period_ms=N&for_ms=N       down and up by turns
+ *   /lose?minion=ID&percent=N&for_ms=N         loses answers to calls
+ *   /late?minion=ID&percent=N&for_ms=N         starts and stops are not answered
+ *                                              and carried out 2 to 6 s later
  */
 #include "fleet.h"
 #include "net/clock.h"
@@ -22,6 +34,7 @@
 #define TICK_S 0.005
 #define HEARTBEAT (1500 * USEC_PER_MSEC)
 #define LEASE_MS 6000
+#define GANG_TIMEOUT (3000 * USEC_PER_MSEC)
 #define MILLICORES 16000
 #define MEMORY_MB 64000
 #define PER_RACK 6U
@@ -33,8 +46,12 @@
   uint32_t run;
   int64_t millicores;
   usec_t since;
-  usec_t ends;
+  usec_t ends;   /* 0 while it waits for the rest of its gang */
+  usec_t work;   /* how long it is at work */
+  uint32_t gang; /* tasks of its gang, 0: none */
   bool lasts;
+  bool saves;
+  uint32_t saved; /* number of its newest checkpoint */
 } run_t;
 
 typedef struct
@@ -67,14 +84,39 @@
   GArray *holds;
   GHashTable *highest; /* task -> highest run stopped or ended */
   uint64_t last_end;
+  uint64_t lapsed_end; /* last end before its lease last lapsed */
   uint32_t sequence;
   usec_t report_due;
   usec_t up_at;
   usec_t flap_until;
   usec_t flap_half;
   usec_t flap_due;
+  uint32_t lose_percent;
+  usec_t lose_until;
+  uint32_t late_percent;
+  usec_t late_until;
+  GArray *late;
 } minion_t;
 
+/* A call that is carried out later. */
+typedef struct
+{
+  usec_t at;
+  bool starts;
+  char *body;
+} late_t;
+
+/* What is known of a task, of all minions. */
+typedef struct
+{
+  uint32_t running;
+  bool done;
+  bool noted; /* its end `done` was taken note of */
+} task_t;
+
+static GHashTable *tasks;       /* name -> task_t */
+static GHashTable *checkpoints; /* "STEP/VALUE" -> 1 */
+
 static fleet_t fleet;
 static minion_t minions[MINIONS_MAX];
 static uint32_t minion_count;
@@ -138,35 +180,68 @@
     }
   m->born = now;
   m->born_ms = g_get_real_time () / 1000;
-  m->token = m->last_end = 0;
+  m->token = m->last_end = m->lapsed_end = 0;
   m->lease_until = 0;
   m->sequence = 0;
   m->report_due = now;
   event ("up", m->id, "", 0, m->kind);
 }
 
+static task_t *
+task_of (const char *name)
+{
+  task_t *task = g_hash_table_lookup (tasks, name);
+
+  if (!task)
+    {
+      task = g_new0 (task_t, 1);
+      g_hash_table_insert (tasks, g_strdup (name), task);
+    }
+  return task;
+}
+
+/* @return the name of a task's step: all but its last number */
+static char *
+step_of (const char *task)
+{
+  const char *dot = strrchr (task, '.');
+
+  return g_strndup (task, dot ? (gsize)(dot - task) : strlen (task));
+}
+
+static void break_gang (const run_t *run);
+
 static void
 crash (minion_t *m, usec_t now, usec_t down)
 {
+  GArray *runs;
+
   if (!m->httpd)
     return;
   event ("down", m->id, "", 0, "");
-  for (guint i = 0; i < m->runs->len; i++)
-    {
-      run_t *run = &g_array_index (m->runs, run_t, i);
-
-      event ("gone", m->id, run->task, run->run, "with its minion");
-      g_free (run->task);
-    }
+  runs = g_array_copy (m->runs);
   for (guint i = 0; i < m->ends->len; i++)
     g_free (g_array_index (m->ends, end_t, i).task);
+  for (guint i = 0; i < m->late->len; i++)
+    g_free (g_array_index (m->late, late_t, i).body);
   g_array_set_size (m->runs, 0);
   g_array_set_size (m->ends, 0);
   g_array_set_size (m->holds, 0);
+  g_array_set_size (m->late, 0);
   g_hash_table_remove_all (m->highest);
   httpd_free (m->httpd);
   m->httpd = NULL;
   m->up_at = now + down;
+  for (guint i = 0; i < runs->len; i++)
+    {
+      run_t *run = &g_array_index (runs, run_t, i);
+
+      event ("gone", m->id, run->task, run->run, "with its minion");
+      task_of (run->task)->running--;
+      break_gang (run);
+      g_free (run->task);
+    }
+  g_array_free (runs, TRUE);
 }
 
 static void
@@ -195,19 +270,149 @@
 
 /* --- Runs --- */
 
+/* Ends a run; the rest of its gang is told by the caller. */
 static void
-end_run (minion_t *m, guint index, const char *how)
+end_one (minion_t *m, guint index, const char *how)
 {
   run_t run = g_array_index (m->runs, run_t, index);
+  task_t *task = task_of (run.task);
   end_t end = { ++m->last_end, run.task, run.run, how };
 
   event ("end", m->id, run.task, run.run, how);
+  task->running--;
+  task->done |= strcmp (how, "done") == 0;
   g_hash_table_replace (m->highest, g_strdup (run.task),
                         GUINT_TO_POINTER (run.run));
   g_array_append_val (m->ends, end);
   g_array_remove_index (m->runs, index);
 }
 
+/* Ends all runs of the gang of RUN, those of other minions too. */
+static void
+end_gang (const run_t *run, const char *how)
+{
+  char *step = step_of (run->task);
+  uint32_t number = run->run;
+
+  for (uint32_t k = 0; k < minion_count; k++)
+    for (guint i = minions[k].runs->len; i > 0; i--)
+      {
+        const run_t *other = &g_array_index (minions[k].runs, run_t, i - 1);
+        char *its = step_of (other->task);
+
+        if (other->gang && other->run == number && strcmp (its, step) == 0)
+          end_one (&minions[k], i - 1, how);
+        g_free (its);
+      }
+  g_free (step);
+}
+
+static void
+break_gang (const run_t *run)
+{
+  if (run->gang)
+    end_gang (run, "broken");
+}
+
+static void
+end_run (minion_t *m, guint index, const char *how)
+{
+  run_t run = g_array_index (m->runs, run_t, index);
+  char *name = g_strdup (run.task);
+
+  end_one (m, index, how);
+  run.task = name;
+  if (run.gang && strcmp (how, "done") == 0)
+    end_gang (&run, "done");
+  else
+    break_gang (&run);
+  g_free (name);
+}
+
+/* A gang begins to work once all of a run are there. */
+static void
+begin_gang (const run_t *run, usec_t now)
+{
+  char *step = step_of (run->task);
+  uint32_t present = 0;
+
+  for (int pass = 0; pass < 2; pass++)
+    for (uint32_t k = 0; k < minion_count; k++)
+      for (guint i = 0; i < minions[k].runs->len; i++)
+        {
+          run_t *other = &g_array_index (minions[k].runs, run_t, i);
+          char *its = step_of (other->task);
+
+          if (other->gang && other->run == run->run
+              && strcmp (its, step) == 0)
+            {
+              if (!pass)
+                present++;
+              else if (present >= run->gang && !other->ends)
+                other->ends = now + other->work;
+            }
+          g_free (its);
+        }
+  g_free (step);
+}
+
+static int64_t
+word (const char *spec, const char *name, int64_t preset)
+{
+  const char *at = strstr (spec, name);
+
+  return at ? g_ascii_strtoll (at + strlen (name), NULL, 10) : preset;
+}
+
+/* What must hold of a start, as the spec tells. */
+static void
+check_start (const minion_t *m, const char *task, uint32_t number,
+             const char *spec, const char *checkpoint)
+{
+  const char *needs = strstr (spec, "needs=");
+  const char *due = strstr (spec, "due=");
+  int64_t apart = word (spec, "apart=", 0);
+  char *step = step_of (task);
+  uint32_t occurrence = 0;
+  int64_t beside = 0;
+
+  if (task_of (task)->running)
+    event ("broken", m->id, task, number, "TWICE: two runs at a time");
+  if (task_of (task)->noted)
+    event ("broken", m->id, task, number, "TWICE: started after its end");
+  if (needs && strncmp (needs + 6, m->kind, strlen (m->kind)) != 0)
+    event ("broken", m->id, task, number, "ROUTE: not of the kind");
+  for (guint i = 0; i < m->runs->len; i++)
+    {
+      char *its = step_of (g_array_index (m->runs, run_t, i).task);
+
+      beside += strcmp (its, step) == 0;
+      g_free (its);
+    }
+  if (apart && beside >= apart)
+    event ("broken", m->id, task, number, "ROUTE: anti_affinity");
+  if (due && sscanf (task, "%*16[0-9a-f].%u", &occurrence) == 1)
+    {
+      char *rest = NULL;
+      int64_t first = g_ascii_strtoll (due + 4, &rest, 10);
+      int64_t interval = *rest == ',' ? g_ascii_strtoll (rest + 1, NULL, 10)
+                                      : 0;
+
+      if (g_get_real_time () / 1000 < first + occurrence * interval - 250)
+        event ("broken", m->id, task, number, "ORDER: before its time");
+    }
+  if (checkpoint && *checkpoint)
+    {
+      char *key = g_strdup_printf (
+          "%s/%s", strstr (spec, "gang=") ? step : task, checkpoint);
+
+      if (!g_hash_table_contains (checkpoints, key))
+        event ("broken", m->id, task, number, "UNASKED: not its checkpoint");
+      g_free (key);
+    }
+  g_free (step);
+}
+
 static const char *
 start (minion_t *m, const json_t *body, usec_t now)
 {
@@ -216,7 +421,6 @@
   uint32_t number
       = (uint32_t)json_integer_value (json_object_get (body, "run_id"));
   int64_t lease = json_integer_value (json_object_get (body, "expiry_ms"));
-  const char *ms = spec ? strstr (spec, "ms=") : NULL;
   run_t run = { .run = number, .since = now };
 
   if (!task || !spec || !number)
@@ -229,16 +433,20 @@
     return "old";
   if (lease <= clock_ms (m, now))
     return "late";
+  check_start (m, task, number, spec,
+               json_string_value (json_object_get (body, "checkpoint")));
   run.lasts = strstr (spec, "lasts") != NULL;
-  run.ends = run.lasts
-                 ? INT64_MAX
-                 : now
-                       + (ms ? g_ascii_strtoll (ms + 3, NULL, 10) : 500)
-                             * USEC_PER_MSEC;
+  run.saves = strstr (spec, "saves") != NULL;
+  run.gang = (uint32_t)word (spec, "gang=", 0);
+  run.work = word (spec, "ms=", 500) * USEC_PER_MSEC;
+  run.ends = run.lasts ? INT64_MAX : run.gang ? 0 : now + run.work;
   run.task = g_strdup (task);
-  g_array_append_val (m->runs, run);
+  task_of (task)->running++;
   start_count++;
+  g_array_append_val (m->runs, run);
   event ("start", m->id, task, number, spec);
+  if (run.gang)
+    begin_gang (&run, now);
   return NULL;
 }
 
@@ -253,7 +461,8 @@
   if (!task)
     return;
   for (guint i = m->runs->len; i > 0; i--)
-    if (strcmp (g_array_index (m->runs, run_t, i - 1).task, task) == 0
+    if (i <= m->runs->len
+        && strcmp (g_array_index (m->runs, run_t, i - 1).task, task) == 0
         && g_array_index (m->runs, run_t, i - 1).run <= number)
       end_run (m, i - 1, "stopped");
   highest = GPOINTER_TO_UINT (g_hash_table_lookup (m->highest, task));
@@ -266,7 +475,11 @@
 {
   while (m->ends->len && g_array_index (m->ends, end_t, 0).number <= seen)
     {
-      g_free (g_array_index (m->ends, end_t, 0).task);
+      end_t end = g_array_index (m->ends, end_t, 0);
+
+      if (strcmp (end.how, "done") == 0 && end.number > m->lapsed_end)
+        task_of (end.task)->noted = true;
+      g_free (end.task);
       g_array_remove_index (m->ends, 0);
     }
 }
@@ -280,14 +493,24 @@
   for (guint i = 0; i < m->runs->len; i++)
     {
       const run_t *run = &g_array_index (m->runs, run_t, i);
-      int percent
-          = run->lasts ? 100
-                       : (int)((now - run->since) * 99
-                               / MAX (run->ends - run->since, 1));
+      char saved[32] = "";
+      int percent = run->lasts ? 100
+                    : !run->ends
+                        ? 0
+                        : (int)(99 - (run->ends - now) * 99 / MAX (run->work, 1));
 
+      if (run->saves && run->ends && percent > 0)
+        {
+          char *step = run->gang ? step_of (run->task) : g_strdup (run->task);
+
+          g_snprintf (saved, sizeof saved, "%08x%02d", run->run, percent);
+          g_hash_table_add (checkpoints,
+                            g_strdup_printf ("%s/%s", step, saved));
+          g_free (step);
+        }
       json_array_append_new (running,
                              json_pack ("[s, i, s, i, i]", run->task,
-                                        (int)run->run, "", percent, 1000));
+                                        (int)run->run, saved, percent, 1000));
     }
   for (guint i = 0; i < m->ends->len; i++)
     {
@@ -308,8 +531,12 @@
 answer (const minion_t *m, handle_t http, int status, const char *reason,
         usec_t now)
 {
-  json_t *body
-      = json_pack ("{s:I}", "clock_ms", (json_int_t)clock_ms (m, now));
+  json_t *body;
+
+  if (now < m->lose_until
+      && g_rand_int_range (fleet.random, 0, 100) < (int)m->lose_percent)
+    return; /* the caller never hears of it */
+  body = json_pack ("{s:I}", "clock_ms", (json_int_t)clock_ms (m, now));
 
   if (reason)
     json_object_set_new (body, "reason", json_string (reason));
@@ -319,6 +546,8 @@
 static void
 extend_lease (minion_t *m, int64_t lease, usec_t now)
 {
+  if (clock_ms (m, now) > m->lease_until)
+    m->lapsed_end = m->last_end;
   m->lease_until
       = MAX (m->lease_until, MIN (lease, clock_ms (m, now) + LEASE_MS));
 }
@@ -341,6 +570,17 @@
     answer (m, request->handle, 421, NULL, now);
   else if (!body)
     answer (m, request->handle, 400, NULL, now);
+  else if (now < m->late_until && strcmp (request->path, "/-/hold") != 0
+           && g_rand_int_range (fleet.random, 0, 100) < (int)m->late_percent)
+    {
+      late_t late = { now
+                          + g_rand_int_range (fleet.random, 2000, 6000)
+                                * USEC_PER_MSEC,
+                      strcmp (request->path, "/-/run-start") == 0,
+                      g_strndup (request->body.data, request->body.len) };
+
+      g_array_append_val (m->late, late);
+    }
   else if (token < m->token)
     answer (m, request->handle, 409, "fence", now);
   else
@@ -421,6 +661,18 @@
           m->flap_until = now + query_ms (request->handle, "for_ms");
           m->flap_due = now;
         }
+      else if (strcmp (request->path, "/lose") == 0)
+        {
+          m->lose_percent = (uint32_t)(query_ms (request->handle, "percent")
+                                       / USEC_PER_MSEC);
+          m->lose_until = now + query_ms (request->handle, "for_ms");
+        }
+      else if (strcmp (request->path, "/late") == 0)
+        {
+          m->late_percent = (uint32_t)(query_ms (request->handle, "percent")
+                                       / USEC_PER_MSEC);
+          m->late_until = now + query_ms (request->handle, "for_ms");
+        }
       else
         status = 404;
     }
@@ -431,6 +683,32 @@
 
 /* --- Time --- */
 
+static void
+run_late (minion_t *m, usec_t now)
+{
+  for (guint i = m->late->len; i > 0; i--)
+    {
+      late_t late = g_array_index (m->late, late_t, i - 1);
+      json_t *body;
+
+      if (now < late.at)
+        continue;
+      g_array_remove_index_fast (m->late, i - 1);
+      body = json_loads (late.body, 0, NULL);
+      if ((uint64_t)json_integer_value (
+              json_object_get (body, "fencing_token"))
+          >= m->token)
+        {
+          if (late.starts)
+            (void)start (m, body, now);
+          else
+            stop (m, body);
+        }
+      json_decref (body);
+      g_free (late.body);
+    }
+}
+
 static void
 tick_minion (minion_t *m, usec_t now)
 {
@@ -452,11 +730,21 @@
     }
   if (now >= m->report_due)
     report (m, now);
+  run_late (m, now);
   for (guint i = m->runs->len; i > 0; i--)
-    if (clock_ms (m, now) > m->lease_until)
-      end_run (m, i - 1, "lapsed");
-    else if (now >= g_array_index (m->runs, run_t, i - 1).ends)
-      end_run (m, i - 1, "done");
+    {
+      const run_t *run;
+
+      if (i > m->runs->len)
+        continue;
+      run = &g_array_index (m->runs, run_t, i - 1);
+      if (clock_ms (m, now) > m->lease_until)
+        end_run (m, i - 1, "lapsed");
+      else if (run->ends && now >= run->ends)
+        end_run (m, i - 1, "done");
+      else if (!run->ends && now - run->since > GANG_TIMEOUT)
+        end_run (m, i - 1, "alone");
+    }
   for (guint i = m->holds->len; i > 0; i--)
     {
       hold_t hold = g_array_index (m->holds, hold_t, i - 1);
@@ -524,6 +812,7 @@
           m->runs = g_array_new (FALSE, FALSE, sizeof (run_t));
           m->ends = g_array_new (FALSE, FALSE, sizeof (end_t));
           m->holds = g_array_new (FALSE, FALSE, sizeof (hold_t));
+          m->late = g_array_new (FALSE, FALSE, sizeof (late_t));
           m->highest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                               NULL);
           boot (m, now);
@@ -574,6 +863,9 @@
                            &fleet_store_ops);
   control = listen_at ((uint16_t)g_ascii_strtoull (argv[4], NULL, 10),
                        &control_ops);
+  tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  checkpoints
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet.store = fleet_store_new (&fleet);
   fleet_store_put (fleet.store, "keyed.op", "config", config);
   add_minions (argv[5], clock_now ());
