--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -26,8 +26,8 @@
 	for pid in $PIDS; do
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
+		wait "$pid" 2>/dev/null
 	done
-	wait 2>/dev/null
 	[ -z "$KEEP" ] || cp -r "$WORK" "$KEEP"
 	rm -rf "$WORK"
 	exit $status
--- a/review/standin-2/minions.c
+++ b/review/standin-2/minions.c
@@ -14,11 +14,18 @@
  *   needs=K  only on minions of kind K
  *   apart=N  at most N of a step and an occurrence on one minion
  *   due=M,I  occurrence K not before M + K * I (ms since 1970)
+ *   cpu=N    what a task takes, in thousandths of a core
  * Each event is written as a line of JSON to standard output; what breaks a
  * rule has the event "broken".
  *
  * Control calls, all POST:
- *   /crash?minion=ID&down_ms=N                 down now, up again after N ms
+ *   /crash?minion=ID&down_ms=N                 down now, up again after N ms,
+ *                                              with &kind=K and &cpu=N as
+ *                                              another kind or size
+ *   /config?service=S                          a new version of the config, in
+ *                                              which queue q1 goes to service S
+ *   /drain?minion=ID&for_ms=N                  tells that it leaves, and goes
+ *                                              after N ms; up again 1 s later
  *   /flap?minion=ID&period_ms=N&for_ms=N       down and up by turns
  *   /lose?minion=ID&percent=N&for_ms=N         loses answers to calls
  *   /late?minion=ID&percent=N&for_ms=N         starts and stops are not answered
@@ -36,6 +43,7 @@
 #define LEASE_MS 6000
 #define GANG_TIMEOUT (3000 * USEC_PER_MSEC)
 #define MILLICORES 16000
+#define DRAIN_LIMIT (2000 * USEC_PER_MSEC)
 #define MEMORY_MB 64000
 #define PER_RACK 6U
 #define MINIONS_MAX 64U
@@ -72,8 +80,12 @@
 {
   char id[16];
   char kind[8];
+  char service[8];
   uint32_t index;
   char address[64];
+  int64_t capacity; /* thousandths of a core */
+  usec_t drains_since;
+  usec_t leaves_at;
   httpd_t *httpd; /* NULL while it is down */
   usec_t born;
   int64_t born_ms;
@@ -122,7 +134,9 @@
 static uint32_t minion_count;
 static uint16_t minion_port;
 static uint32_t start_count;
+static bool guarded;
 
+static void put_config (const char *service);
 static void on_call (void *ctx, const httpd_request_t *request);
 static void on_abandoned (void *ctx, handle_t handle);
 static const httpd_ops_t minion_ops
@@ -184,6 +198,7 @@
   m->lease_until = 0;
   m->sequence = 0;
   m->report_due = now;
+  m->drains_since = m->leaves_at = 0;
   event ("up", m->id, "", 0, m->kind);
 }
 
@@ -258,10 +273,11 @@
   entry = json_pack (
       "{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:I, s:{s:i, s:i, s:i},"
       " s:[s, s]}",
-      "service", "s", "address", m->address, "zone", zone, "version", "1",
-      "state", "ready", "slots", 8, "cold_remaining_ms", 0, "sequence",
+      "service", m->service, "address", m->address, "zone", zone, "version", "1",
+      "state",
+      m->drains_since ? "draining" : "ready", "slots", 8, "cold_remaining_ms", 0, "sequence",
       (int)++m->sequence, "born", (json_int_t)m->born_ms, "capacity", "cpu",
-      MILLICORES, "mem_mb", MEMORY_MB, "gpu", 0, "labels", m->kind, rack);
+      (int)m->capacity, "mem_mb", MEMORY_MB, "gpu", 0, "labels", m->kind, rack);
   text = json_dumps (entry, JSON_COMPACT);
   fleet_store_put (fleet.store, "keyed.servers", m->id, text);
   free (text);
@@ -364,6 +380,16 @@
   return at ? g_ascii_strtoll (at + strlen (name), NULL, 10) : preset;
 }
 
+static int64_t
+used_with (const minion_t *m, const char *spec)
+{
+  int64_t used = word (spec, "cpu=", 0);
+
+  for (guint i = 0; i < m->runs->len; i++)
+    used += g_array_index (m->runs, run_t, i).millicores;
+  return used;
+}
+
 /* What must hold of a start, as the spec tells. */
 static void
 check_start (const minion_t *m, const char *task, uint32_t number,
@@ -375,7 +401,17 @@
   char *step = step_of (task);
   uint32_t occurrence = 0;
   int64_t beside = 0;
+  int64_t used = used_with (m, spec);
+  char text[80];
 
+  if (used > m->capacity)
+    {
+      g_snprintf (text, sizeof text, "LIMIT: %" PRId64 " of %" PRId64, used,
+                  m->capacity);
+      event ("broken", m->id, task, number, text);
+    }
+  if (m->drains_since && clock_now () - m->drains_since > DRAIN_LIMIT)
+    event ("drained", m->id, task, number, "DRAIN: started on a minion that leaves");
   if (task_of (task)->running)
     event ("broken", m->id, task, number, "TWICE: two runs at a time");
   if (task_of (task)->noted)
@@ -433,10 +469,13 @@
     return "old";
   if (lease <= clock_ms (m, now))
     return "late";
+  if (guarded && used_with (m, spec) > m->capacity)
+    return "room";
   check_start (m, task, number, spec,
                json_string_value (json_object_get (body, "checkpoint")));
   run.lasts = strstr (spec, "lasts") != NULL;
   run.saves = strstr (spec, "saves") != NULL;
+  run.millicores = word (spec, "cpu=", 0);
   run.gang = (uint32_t)word (spec, "gang=", 0);
   run.work = word (spec, "ms=", 500) * USEC_PER_MSEC;
   run.ends = run.lasts ? INT64_MAX : run.gang ? 0 : now + run.work;
@@ -646,6 +685,11 @@
   int status = 404;
 
   (void)ctx;
+  if (strcmp (request->path, "/config") == 0)
+    {
+      put_config (httpd_query (control, request->handle, "service"));
+      status = 200;
+    }
   for (uint32_t i = 0; i < minion_count; i++)
     {
       minion_t *m = &minions[i];
@@ -654,7 +698,22 @@
         continue;
       status = 200;
       if (strcmp (request->path, "/crash") == 0)
-        crash (m, now, query_ms (request->handle, "down_ms"));
+        {
+          const char *kind = httpd_query (control, request->handle, "kind");
+          const char *cpu = httpd_query (control, request->handle, "cpu");
+
+          if (kind)
+            g_strlcpy (m->kind, kind, sizeof m->kind);
+          if (cpu)
+            m->capacity = g_ascii_strtoll (cpu, NULL, 10);
+          crash (m, now, query_ms (request->handle, "down_ms"));
+        }
+      else if (strcmp (request->path, "/drain") == 0)
+        {
+          m->drains_since = now;
+          m->leaves_at = now + query_ms (request->handle, "for_ms");
+          m->report_due = now;
+        }
       else if (strcmp (request->path, "/flap") == 0)
         {
           m->flap_half = query_ms (request->handle, "period_ms") / 2;
@@ -728,6 +787,12 @@
         boot (m, now);
       return;
     }
+  if (m->leaves_at && now >= m->leaves_at)
+    {
+      fleet_store_put (fleet.store, "keyed.servers", m->id, "");
+      crash (m, now, USEC_PER_SEC);
+      return;
+    }
   if (now >= m->report_due)
     report (m, now);
   run_late (m, now);
@@ -777,19 +842,33 @@
   ev_break (EV_A_ EVBREAK_ALL);
 }
 
-/* Two queues with a path each, of two members of the cooperative. */
-static const char config[]
-    = "{\"version\":1,\"routes\":["
+/* Two queues with a host and a path each, of two members. */
+static const char config_format[]
+    = "{\"version\":%u,\"routes\":["
       "{\"name\":\"q1\",\"host\":\"one.example\",\"path_prefix\":\"/q1/\","
       "\"timeout_ms\":3000,\"target_latency_ms\":250,\"priority\":0,"
-      "\"service\":\"s\",\"attempts\":3,\"stretch\":2},"
+      "\"service\":\"%s\",\"attempts\":3,\"stretch\":2},"
       "{\"name\":\"q2\",\"host\":\"two.example\",\"path_prefix\":\"/q2/\","
       "\"timeout_ms\":3000,\"target_latency_ms\":1000,\"priority\":2,"
       "\"service\":\"s\",\"attempts\":3,\"stretch\":2}],"
-      "\"services\":[{\"name\":\"s\",\"rejects_overload\":true}],"
+      "\"services\":[{\"name\":\"s\",\"rejects_overload\":%s},"
+      "{\"name\":\"t\",\"rejects_overload\":%s}],"
       "\"limits\":{}}";
 
-/* Minions as "KIND:COUNT,KIND:COUNT". */
+static void
+put_config (const char *service)
+{
+  static uint32_t version;
+  const char *guards = guarded ? "true" : "false";
+  char *text = g_strdup_printf (config_format, ++version, service, guards,
+                                guards);
+
+  fleet_store_put (fleet.store, "keyed.op", "config", text);
+  event ("config", "", service, version, "");
+  g_free (text);
+}
+
+/* Minions as "KIND:COUNT[:SERVICE],...". */
 static void
 add_minions (const char *list, usec_t now)
 {
@@ -797,7 +876,7 @@
 
   for (char **kind = kinds; *kind; kind++)
     {
-      char **parts = g_strsplit (*kind, ":", 2);
+      char **parts = g_strsplit (*kind, ":", 3);
       gint64 count = parts[1] ? g_ascii_strtoll (parts[1], NULL, 10) : 1;
 
       for (gint64 k = 0; k < count && minion_count < MINIONS_MAX; k++)
@@ -805,8 +884,11 @@
           minion_t *m = &minions[minion_count];
 
           m->index = minion_count++;
+          m->capacity = MILLICORES;
           g_snprintf (m->id, sizeof m->id, "i-%u", m->index);
           g_strlcpy (m->kind, parts[0], sizeof m->kind);
+          g_strlcpy (m->service, parts[1] && parts[2] ? parts[2] : "s",
+                     sizeof m->service);
           g_snprintf (m->address, sizeof m->address, "%s:%u",
                       fleet.config.host, minion_port + m->index);
           m->runs = g_array_new (FALSE, FALSE, sizeof (run_t));
@@ -848,12 +930,14 @@
   ev_timer tick;
   ev_signal term;
 
-  if (argc != 6)
+  if (argc != 6 && argc != 7)
     {
       fprintf (stderr, "usage: minions HOST STORE-PORT MINION-PORT"
-                       " CONTROL-PORT KIND:COUNT,...\n");
+                       " CONTROL-PORT KIND:COUNT[:SERVICE],..."
+                       " [unguarded]\n");
       return 2;
     }
+  guarded = argc == 6;
   fleet.config.host = argv[1];
   fleet.config.partitions = 12;
   fleet.loop = ev_default_loop (EVFLAG_AUTO);
@@ -867,7 +951,7 @@
   checkpoints
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   fleet.store = fleet_store_new (&fleet);
-  fleet_store_put (fleet.store, "keyed.op", "config", config);
+  put_config ("s");
   add_minions (argv[5], clock_now ());
   ev_timer_init (&tick, on_tick, TICK_S, TICK_S);
   ev_timer_start (fleet.loop, &tick);
