--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -73,12 +73,13 @@
 	END
 }
 
-# start_platform MINIONS: "KIND:COUNT,..." as standin-2/minions.c has them.
+# start_platform MINIONS [PREFIX]: "KIND:COUNT,..." as standin-2/minions.c has
+# them, with a prefix of their ids.
 start_platform() {
 	[ -x target/limpethinge ] || cannot "target/limpethinge is not built"
 	[ -x target/review-2/minions ] || cannot "review/build-2.sh was not run"
 	target/review-2/minions "$NET.1" "$BASE" $((BASE + 10)) $((BASE + 1)) \
-	    "$1" >"$WORK/minions" 2>"$WORK/minions.err" &
+	    "$@" >"$WORK/minions" 2>"$WORK/minions.err" &
 	PIDS="$PIDS $!"
 }
 
--- a/review/standin-2/minions.c
+++ b/review/standin-2/minions.c
@@ -25,7 +25,7 @@
  *   /config?service=S                          a new version of the config, in
  *                                              which queue q1 goes to service S
  *   /drain?minion=ID&for_ms=N                  tells that it leaves, and goes
- *                                              after N ms; up again 1 s later
+ *                                              after N ms; up again &down_ms=N later
  *   /flap?minion=ID&period_ms=N&for_ms=N       down and up by turns
  *   /lose?minion=ID&percent=N&for_ms=N         loses answers to calls
  *   /late?minion=ID&percent=N&for_ms=N         starts and stops are not answered
@@ -41,6 +41,7 @@
 #define TICK_S 0.005
 #define HEARTBEAT (1500 * USEC_PER_MSEC)
 #define LEASE_MS 6000
+#define RECORD_BYTES 262144U
 #define GANG_TIMEOUT (3000 * USEC_PER_MSEC)
 #define MILLICORES 16000
 #define DRAIN_LIMIT (2000 * USEC_PER_MSEC)
@@ -78,7 +79,7 @@
 
 typedef struct
 {
-  char id[16];
+  char id[80];
   char kind[8];
   char service[8];
   uint32_t index;
@@ -86,6 +87,7 @@
   int64_t capacity; /* thousandths of a core */
   usec_t drains_since;
   usec_t leaves_at;
+  usec_t down_then;
   httpd_t *httpd; /* NULL while it is down */
   usec_t born;
   int64_t born_ms;
@@ -135,6 +137,7 @@
 static uint16_t minion_port;
 static uint32_t start_count;
 static bool guarded;
+static const char *id_prefix = "";
 
 static void put_config (const char *service);
 static void on_call (void *ctx, const httpd_request_t *request);
@@ -712,6 +715,7 @@
         {
           m->drains_since = now;
           m->leaves_at = now + query_ms (request->handle, "for_ms");
+          m->down_then = query_ms (request->handle, "down_ms");
           m->report_due = now;
         }
       else if (strcmp (request->path, "/flap") == 0)
@@ -740,6 +744,33 @@
 
 static const httpd_ops_t control_ops = { .request = on_control };
 
+/* --- The limit on records, which the stand-in of the store does not have --- */
+
+static void
+on_store_call (void *ctx, const httpd_request_t *request)
+{
+  const unsigned char *at = (const unsigned char *)request->body.data;
+  const unsigned char *end = at + request->body.len;
+  bool appends = strcmp (request->path, "/-/log-append") == 0;
+
+  while (appends && end - at >= 4)
+    {
+      uint32_t len = (uint32_t)at[0] << 24 | (uint32_t)at[1] << 16
+                     | (uint32_t)at[2] << 8 | at[3];
+
+      if (len > RECORD_BYTES)
+        {
+          event ("refused", "", "", len, "a record of so many bytes");
+          fleet_answer (fleet.httpd, request->handle, 400, json_object ());
+          return;
+        }
+      at += MIN ((uint64_t)len + 4, (uint64_t)(end - at));
+    }
+  fleet_store_ops.request (ctx, request);
+}
+
+static httpd_ops_t store_ops;
+
 /* --- Time --- */
 
 static void
@@ -790,7 +821,7 @@
   if (m->leaves_at && now >= m->leaves_at)
     {
       fleet_store_put (fleet.store, "keyed.servers", m->id, "");
-      crash (m, now, USEC_PER_SEC);
+      crash (m, now, m->down_then);
       return;
     }
   if (now >= m->report_due)
@@ -885,7 +916,7 @@
 
           m->index = minion_count++;
           m->capacity = MILLICORES;
-          g_snprintf (m->id, sizeof m->id, "i-%u", m->index);
+          g_snprintf (m->id, sizeof m->id, "%si-%u", id_prefix, m->index);
           g_strlcpy (m->kind, parts[0], sizeof m->kind);
           g_strlcpy (m->service, parts[1] && parts[2] ? parts[2] : "s",
                      sizeof m->service);
@@ -934,17 +965,21 @@
     {
       fprintf (stderr, "usage: minions HOST STORE-PORT MINION-PORT"
                        " CONTROL-PORT KIND:COUNT[:SERVICE],..."
-                       " [unguarded]\n");
+                       " [unguarded | PREFIX-OF-IDS]\n");
       return 2;
     }
-  guarded = argc == 6;
+  guarded = argc == 6 || strcmp (argv[6], "unguarded") != 0;
+  if (argc == 7 && guarded)
+    id_prefix = argv[6];
+  store_ops = fleet_store_ops;
+  store_ops.request = on_store_call;
   fleet.config.host = argv[1];
   fleet.config.partitions = 12;
   fleet.loop = ev_default_loop (EVFLAG_AUTO);
   fleet.random = g_rand_new_with_seed (1);
   minion_port = (uint16_t)g_ascii_strtoull (argv[3], NULL, 10);
   fleet.httpd = listen_at ((uint16_t)g_ascii_strtoull (argv[2], NULL, 10),
-                           &fleet_store_ops);
+                           &store_ops);
   control = listen_at ((uint16_t)g_ascii_strtoull (argv[4], NULL, 10),
                        &control_ops);
   tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
