--- a/review/standin-2/minions.c
+++ b/review/standin-2/minions.c
@@ -22,9 +22,8 @@
  *   /crash?minion=ID&down_ms=N                 down now, up again after N ms,
  *                                              with &kind=K and &cpu=N as
  *                                              another kind or size
- *   /store?slow_ms=A&most_ms=B&for_ms=N        the store takes B ms longer for
- *                                              each call, falling to A in that
- *                                              time; with &lose=1 it
+ *   /store?slow_ms=A&most_ms=B&for_ms=N        the store takes A to B ms longer
+ *                                              for each call; with &lose=1 it
  *                                              loses 35% of its answers to
  *                                              appends, which are done
  *   /config?service=S                          a new version of the config, in
@@ -43,7 +42,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define TICK_S 0.0005
+#define TICK_S 0.002
 #define HEARTBEAT (1500 * USEC_PER_MSEC)
 #define LEASE_MS 6000
 #define RECORD_BYTES 262144U
@@ -692,7 +691,6 @@
 static GQueue delayed = G_QUEUE_INIT; /* delayed_t */
 static usec_t appends_until;
 static usec_t slow_until;
-static usec_t slow_span = 1;
 static usec_t slow_least;
 static usec_t slow_most;
 static usec_t lose_appends_until;
@@ -729,8 +727,7 @@
                          + (usec_t)request->body.len * USEC_PER_SEC
                                / APPEND_BYTES_S;
   if (now < slow_until)
-    at += slow_least
-          + (slow_most - slow_least) * (slow_until - now) / slow_span;
+    at += g_rand_int_range (fleet.random, (int)slow_least, (int)slow_most);
   if (at == now)
     fleet_store_ops.request (&fleet, request);
   else
@@ -798,7 +795,7 @@
 {
   const char *text = httpd_query (control, http, name);
 
-  return (text ? g_ascii_strtoll (text, NULL, 10) : 0) * USEC_PER_MSEC;
+  return text ? (usec_t)(g_ascii_strtod (text, NULL) * USEC_PER_MSEC) : 0;
 }
 
 static void
@@ -818,8 +815,7 @@
     {
       slow_least = query_ms (request->handle, "slow_ms");
       slow_most = MAX (query_ms (request->handle, "most_ms"), slow_least + 1);
-      slow_span = MAX (query_ms (request->handle, "for_ms"), 1);
-      slow_until = now + slow_span;
+      slow_until = now + query_ms (request->handle, "for_ms");
       if (query_ms (request->handle, "lose"))
         lose_appends_until = slow_until;
       status = 200;
