Run jobs by the service that their queue has now

Cause: the service is copied into the submission when it is accepted, and worker_fits compares that copy with the service of each worker, so that later configurations never reach an accepted job. Ruled out: leases that are waited for, an owner that has not read the configuration.

Change: the owner sets the service of each open job when a configuration comes into force, when it takes the shard over and when it gets the job. The later of two configurations counts: a submission carries the version that it was accepted under. A move is stored with the progress of the job, since a later configuration may not have the queue any more. Runs under way go on; only tasks placed from then on go to the other service. Waiting tasks, later steps, gangs and later occurrences had the same fault and are fixed with it.

--- a/bench/jobs_product.c
+++ b/bench/jobs_product.c
@@ -132,8 +132,18 @@
   return true;
 }
 
-static const shard_ops_t ops = { on_call,       on_append, on_settled,
-                                 on_superseded, wall_ms,   rejects_overload };
+static const char *
+service_of_queue (void *ctx, const char *queue, uint64_t *version)
+{
+  (void)ctx;
+  (void)queue;
+  (void)version;
+  return NULL;
+}
+
+static const shard_ops_t ops
+    = { on_call, on_append,        on_settled,      on_superseded,
+        wall_ms, rejects_overload, service_of_queue };
 
 static void
 start_run (product_t *p, const event_t *event)
--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -241,6 +241,14 @@
 COPY_CHECKPOINT_USED|src/shard/shard_calls.c|shard/test_shard_copies|s/if (!run->copy)$/if (1)/
 COPY_BEFORE_STORED|src/shard/shard_copies.c|shard/test_shard_copies|s/other, RUN_UNSTORED, true/other, RUN_STARTING, true/
 COPY_CHECKPOINT_KEPT|src/shard/shard_runs.c|shard/test_shard_copies|s/if (!run->copy)$/if (1)/
+SERVICE_OF_ACCEPTANCE|src/shard/shard_services.c|shard/test_shard_services|s/ || !job_set_service (job, service, version))/ || job)/
+SERVICE_NOT_STORED|src/shard/shard_services.c|shard/test_shard_services|s/^  shard_mark_dirty (shard, entry);//
+SERVICE_FORGOTTEN|src/jobs/job_record.c|shard/test_shard_services|s/bool moved = .*/bool moved = false;/
+SERVICE_NOT_READ|src/jobs/job_record.c|shard/test_shard_services|s/^      read_service (job, record);/      (void)read_service;/
+SERVICE_OF_OLDER_CONFIG|src/jobs/jobs.c|shard/test_shard_services|s/if (version <= submission->config_version)/if (0)/
+SERVICE_NOT_SET_AT_TAKEOVER|src/shard/shard.c|shard/test_shard_services|s/^  services_follow (shard, entry);//
+VERSION_NOT_ACCEPTED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/^  parsed->config_version = .*//
+CONFIG_NOT_PASSED_ON|src/scheduler/sched_operator.c|scheduler/test_operator|s/^    shard_queues_changed (.*/    (void)i;/
 LOST_RUN_BLAMED|src/shard/shard_crashes.c|shard/test_shard_copies|s/if (run->lost || run->lived/if (run->lived/
 TABLE
 }
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -22,9 +22,12 @@
   STEP_BEST_EFFORT = 1 << 5
 };
 
-#define SUBMISSION_FIELDS 13
+#define SUBMISSION_FIELDS 14
 #define STEP_FIELDS 13
 #define PROGRESS_FIELDS 7
+/* With the service and its configuration, which are left out while the job has
+   the service of its submission. */
+#define PROGRESS_FIELDS_WITH_SERVICE 9
 #define TASK_FIELDS 10
 /* With the field of the older run, which is left out if there is none: the
    number of the task's run before the newest one, and where it is under way
@@ -55,6 +58,7 @@
 static char *string_at (const msgpack_object *array, uint32_t i);
 static bool read_steps (submission_t *submission, const msgpack_object *list);
 static void read_step (step_t *step, const msgpack_object *fields);
+static void read_service (job_t *job, const msgpack_object *record);
 static bool read_occurrences (job_t *job, const msgpack_object *list);
 static bool read_occurrence (job_t *job, const msgpack_object *fields);
 static void pack_older_run (msgpack_packer *packer, const task_t *task);
@@ -94,6 +98,7 @@
   msgpack_pack_array (&packer, submission->step_count);
   for (uint32_t i = 0; i < submission->step_count; i++)
     pack_step (&packer, &submission->steps[i]);
+  msgpack_pack_uint64 (&packer, submission->config_version);
 }
 
 static void
@@ -161,6 +166,7 @@
       submission->occurrence_count = (uint32_t)uint_at (record, 9);
       submission->first_due_ms = int_at (record, 10);
       submission->interval_ms = int_at (record, 11);
+      submission->config_version = uint_at (record, 13);
       if (!read_steps (submission, element_at (record, 12))
           || !submission->queue || !submission->service
           || submission_check (submission, NULL))
@@ -219,15 +225,17 @@
 }
 
 /* A progress record: job identifier, final status, time of the end, started,
-   next occurrence, the occurrences that are not done, and whether the job was
-   canceled before it was submitted. */
+   next occurrence, the occurrences that are not done, whether the job was
+   canceled before it was submitted, the service and its configuration. */
 static void
 encode_progress (const job_t *job, bool checkpoints, GByteArray *out)
 {
+  bool moved = job->moved && job->submission;
   msgpack_packer packer;
 
   msgpack_packer_init (&packer, out, append_bytes);
-  msgpack_pack_array (&packer, PROGRESS_FIELDS);
+  msgpack_pack_array (&packer,
+                      moved ? PROGRESS_FIELDS_WITH_SERVICE : PROGRESS_FIELDS);
   msgpack_pack_uint64 (&packer, job->id);
   msgpack_pack_uint32 (&packer, job->end_status);
   msgpack_pack_int64 (&packer, job->ended_ms);
@@ -238,6 +246,10 @@
     pack_occurrence (&packer, job->submission, job->occurrences->pdata[i],
                      checkpoints);
   msgpack_pack_uint32 (&packer, job->unsubmitted);
+  if (!moved)
+    return;
+  pack_string (&packer, job->submission->service);
+  msgpack_pack_uint64 (&packer, job->submission->config_version);
 }
 
 void
@@ -347,6 +359,7 @@
       job->ended_ms = int_at (record, 2);
       job->started = uint_at (record, 3) != 0;
       job->next_occurrence = (uint32_t)uint_at (record, 4);
+      read_service (job, record);
       code = read_occurrences (job, element_at (record, 5)) ? 0 : -EBADMSG;
     }
   msgpack_unpacked_destroy (&unpacked);
@@ -374,6 +387,16 @@
   return end;
 }
 
+static void
+read_service (job_t *job, const msgpack_object *record)
+{
+  char *service = string_at (record, 7);
+
+  if (service)
+    job_set_service (job, service, uint_at (record, 8));
+  g_free (service);
+}
+
 static bool
 read_occurrences (job_t *job, const msgpack_object *list)
 {
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -198,6 +198,22 @@
   g_free (job);
 }
 
+bool
+job_set_service (job_t *job, const char *service, uint64_t version)
+{
+  submission_t *submission = job->submission;
+
+  if (version <= submission->config_version)
+    return false;
+  submission->config_version = version;
+  if (strcmp (submission->service, service) == 0)
+    return false;
+  g_free (submission->service);
+  submission->service = g_strdup (service);
+  job->moved = true;
+  return true;
+}
+
 static occurrence_t *
 occurrence_new (const submission_t *submission, uint32_t number)
 {
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -53,14 +53,17 @@
   char *image;          /**< program image; tasks of one image behave alike */
 } step_t;
 
-/** A submitted job, with the settings of its queue at that time. */
+/** A submitted job, with the settings of its queue at that time; only the
+    service follows later configurations (job_set_service). */
 typedef struct
 {
   job_id_t id;
   char *queue;
-  char *service;         /**< service whose workers run it */
-  char *spec;            /**< passed unchanged to the workers */
-  uint32_t priority;     /**< 0 is the highest */
+  char *service;           /**< service whose workers run it */
+  uint64_t config_version; /**< configuration that SERVICE is from, 0: not
+                                known */
+  char *spec;              /**< passed unchanged to the workers */
+  uint32_t priority;       /**< 0 is the highest */
   uint32_t max_attempts; /**< failed runs of one task at which the job fails */
   uint32_t
       stretch_percent; /**< time objective in percent of the critical path */
@@ -150,6 +153,7 @@
   job_status_t end_status;  /**< final status, JOB_QUEUED until the job ends */
   int64_t ended_ms;         /**< wall clock, 0 until the job ends */
   bool unsubmitted; /**< canceled before any submission of it was known */
+  bool moved; /**< the service is not from the record of the submission */
 } job_t;
 
 /** @return "queued", "running", "completed", "failed" or "canceled" */
@@ -187,6 +191,12 @@
 job_t *job_new_ended (job_id_t id, job_status_t end, int64_t ended_ms);
 void job_free (job_t *job);
 
+/** Has the service that a configuration names for the job's queue run the
+    tasks that are placed from now on, unless the job follows a later
+    configuration.
+    @return whether the service has changed */
+bool job_set_service (job_t *job, const char *service, uint64_t version);
+
 /** Encodes the progress record of a job. */
 void job_encode (const job_t *job, GByteArray *out);
 void job_encode_without_checkpoints (const job_t *job, GByteArray *out);
--- a/src/jobs/test_jobs.c
+++ b/src/jobs/test_jobs.c
@@ -45,6 +45,7 @@
   GByteArray *bytes = g_byte_array_new ();
   submission_t *decoded;
 
+  submission->config_version = 7;
   submission_encode (submission, bytes);
   decoded = submission_decode ((blob_t){ (char *)bytes->data, bytes->len });
   CU_ASSERT_PTR_NOT_NULL_FATAL (decoded);
@@ -56,6 +57,7 @@
     }
   CU_ASSERT_EQUAL (decoded->id, submission->id);
   CU_ASSERT_EQUAL (decoded->accepted_ms, WALL_MS);
+  CU_ASSERT_EQUAL (decoded->config_version, 7);
   CU_ASSERT_EQUAL (decoded->steps[0].long_running, true);
   CU_ASSERT_STRING_EQUAL (decoded->steps[0].required_label, "label");
   CU_ASSERT_EQUAL (decoded->steps[1].depends_on_count, 1);
@@ -315,6 +317,43 @@
   job_free (job);
 }
 
+/* Guards against a service that a later owner does not read, against one that
+   an older configuration sets, and against larger records of jobs that were
+   not moved. */
+static void
+test_service_record (void)
+{
+  job_t *job = job_new (two_step_submission ());
+  job_t *other = job_new (two_step_submission ());
+  GByteArray *bytes = g_byte_array_new ();
+  guint unmoved;
+
+  job_encode (job, bytes);
+  unmoved = bytes->len;
+  CU_ASSERT (!job_set_service (job, "s", 4));
+  g_byte_array_set_size (bytes, 0);
+  job_encode (job, bytes);
+  CU_ASSERT_EQUAL (bytes->len, unmoved);
+  CU_ASSERT (!job_set_service (job, "older", 3));
+  CU_ASSERT (!job_set_service (job, "same version", 4));
+  CU_ASSERT (job_set_service (job, "t", 5));
+  g_byte_array_set_size (bytes, 0);
+  job_encode (job, bytes);
+  CU_ASSERT_EQUAL (
+      job_decode (other, (blob_t){ (char *)bytes->data, bytes->len }), 0);
+  CU_ASSERT_STRING_EQUAL (other->submission->service, "t");
+  CU_ASSERT_EQUAL (other->submission->config_version, 5);
+  CU_ASSERT (other->moved);
+  /* The submission was accepted under a later configuration. */
+  CU_ASSERT (job_set_service (other, "u", 6));
+  CU_ASSERT_EQUAL (
+      job_decode (other, (blob_t){ (char *)bytes->data, bytes->len }), 0);
+  CU_ASSERT_STRING_EQUAL (other->submission->service, "u");
+  g_byte_array_unref (bytes);
+  job_free (job);
+  job_free (other);
+}
+
 /* Guards against a progress record above the size limit of the store, which
    would reject all further appends of the shard.  All tasks are placed, with
    worker names, addresses and checkpoints as long as the platform's. */
@@ -385,6 +424,7 @@
     { "step dependencies", test_step_dependencies },
     { "occurrences", test_occurrences },
     { "overdue occurrences", test_overdue_occurrences },
+    { "service record", test_service_record },
     { "largest record", test_largest_record },
     { "malformed", test_malformed },
   };
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -258,6 +258,7 @@
   parsed->id = job;
   parsed->queue = g_strdup (rules->name);
   parsed->service = g_strdup (rules->service);
+  parsed->config_version = queues_version (s->queues);
   parsed->priority = rules->priority;
   parsed->max_attempts = rules->attempts;
   parsed->stretch_percent = rules->stretch;
--- a/src/scheduler/sched_operator.c
+++ b/src/scheduler/sched_operator.c
@@ -165,6 +165,8 @@
   counter_set (COUNTER_BUNDLE_VERSION, queues_version (queues));
   queues_free (s->queues);
   s->queues = queues;
+  for (uint32_t i = 0; i < s->shard_count; i++)
+    shard_queues_changed (s->shards[i].shard);
 }
 
 /* @return whether the record concerns a zone */
--- a/src/scheduler/sched_store.c
+++ b/src/scheduler/sched_store.c
@@ -55,10 +55,12 @@
 static void shard_superseded (void *ctx);
 static int64_t wall_ms (void *ctx);
 static bool rejects_overload (void *ctx, const char *service);
+static const char *service_of_queue (void *ctx, const char *queue,
+                                     uint64_t *version);
 
 const shard_ops_t sched_shard_ops
-    = { shard_call,       shard_append, shard_settled,
-        shard_superseded, wall_ms,      rejects_overload };
+    = { shard_call, shard_append,     shard_settled,   shard_superseded,
+        wall_ms,    rejects_overload, service_of_queue };
 
 static const char record_kinds[]
     = { RECORD_SUBMISSION, RECORD_PROGRESS, RECORD_INTERFERENCE,
@@ -499,3 +501,16 @@
 
   return queues && queues_rejects_overload (queues, service);
 }
+
+static const char *
+service_of_queue (void *ctx, const char *queue, uint64_t *version)
+{
+  const shard_state_t *state = ctx;
+  const queues_t *queues = state->scheduler->queues;
+  const queue_rules_t *rules = queues ? queues_get (queues, queue) : NULL;
+
+  if (!rules)
+    return NULL;
+  *version = queues_version (queues);
+  return rules->service;
+}
--- a/src/scheduler/test_operator.c
+++ b/src/scheduler/test_operator.c
@@ -6,6 +6,7 @@
 #include <CUnit/CUnit.h>
 
 #define EVACUATE (5 * USEC_PER_SEC)
+#define JOB_ID 0x5c0e7a21d94b36f8ULL
 
 /* The read that is in flight. */
 typedef struct
@@ -18,7 +19,16 @@
   usec_t wait;
 } fake_read_t;
 
+/* The append that is in flight. */
+typedef struct
+{
+  store_done_t done;
+  void *ctx;
+  GByteArray *progress; /* the last progress record appended */
+} fake_store_t;
+
 static fake_read_t fake;
+static fake_store_t store;
 static scheduler_settings_t settings = { .evacuate = EVACUATE };
 static scheduler_t *scheduler;
 static usec_t now; /* of the last read */
@@ -46,18 +56,46 @@
   g_strlcpy (fake.after, after, sizeof fake.after);
 }
 
-/* A configuration's value is its version. */
+static void
+fake_append (void *ctx, const store_append_t *append, store_done_t done,
+             void *done_ctx)
+{
+  (void)ctx;
+  store.done = done;
+  store.ctx = done_ctx;
+  for (size_t i = 0; i < append->count; i++)
+    if (append->records[i].key.data[0] == RECORD_PROGRESS)
+      {
+        g_byte_array_set_size (store.progress, 0);
+        g_byte_array_append (store.progress,
+                             (const guint8 *)append->records[i].value.data,
+                             append->records[i].value.len);
+      }
+}
+
+/* A configuration's value is its version and, separated by a space, the
+   service of its queue. */
 static queues_t *
 fake_config (void *ctx, const store_record_t *record, err_t *err)
 {
-  char text[16];
+  queues_t *queues;
+  const char *service;
+  char text[32];
 
   (void)ctx;
   (void)err;
   if (!blob_equals (record->key, "config"))
     return NULL;
   blob_copy (record->value, text, sizeof text);
-  return queues_new (g_ascii_strtoull (text, NULL, 10));
+  queues = queues_new (g_ascii_strtoull (text, NULL, 10));
+  service = strchr (text, ' ');
+  if (service)
+    queues_add (queues,
+                &(const queue_rules_t){ .name = g_strdup ("queue"),
+                                        .host = g_strdup ("host"),
+                                        .path_prefix = g_strdup ("/q/"),
+                                        .service = g_strdup (service + 1) });
+  return queues;
 }
 
 /* The key of a zone is "zone-" and its name. */
@@ -77,7 +115,8 @@
   return 0;
 }
 
-static const backend_ops_t ops = { .read = fake_read,
+static const backend_ops_t ops = { .append = fake_append,
+                                   .read = fake_read,
                                    .read_latest = fake_latest,
                                    .decode_config = fake_config,
                                    .decode_zone = fake_zone };
@@ -288,6 +327,105 @@
   tear_down ();
 }
 
+static submission_t *
+new_submission (void)
+{
+  submission_t *submission = g_new0 (submission_t, 1);
+
+  submission->id = JOB_ID;
+  submission->queue = g_strdup ("queue");
+  submission->service = g_strdup ("old");
+  submission->config_version = 1;
+  submission->spec = g_strdup ("");
+  submission->step_count = 1;
+  submission->steps = g_new0 (step_t, 1);
+  submission->steps[0].count = 1;
+  return submission;
+}
+
+/* Makes the process own a shard with a job that it has just taken over. */
+static void
+own_shard (void)
+{
+  static const shard_config_t config = { .append_bytes = 65536 };
+  submission_t *submission = new_submission ();
+  GByteArray *bytes = g_byte_array_new ();
+  shard_state_t *state;
+
+  store.progress = g_byte_array_new ();
+  sched_set_shards (scheduler, 1);
+  state = &scheduler->shards[0];
+  shard_free (state->shard);
+  state->shard = shard_new (&config, &sched_shard_ops, state, 0);
+  submission_encode (submission, bytes);
+  submission_free (submission);
+  shard_acquire (state->shard, now, 1);
+  shard_apply_record (state->shard, now, RECORD_SUBMISSION, JOB_ID,
+                      (blob_t){ (char *)bytes->data, bytes->len });
+  shard_loaded (state->shard, now);
+  g_byte_array_unref (bytes);
+}
+
+static void
+disown_shard (void)
+{
+  shard_free (scheduler->shards[0].shard);
+  g_free (scheduler->shards);
+  g_free (scheduler->owners);
+  g_byte_array_unref (store.progress);
+}
+
+/* Has the shard store its changes, and checks the service that a later owner
+   reads: without a progress record, that of the submission. */
+static void
+expect_service (const char *service)
+{
+  job_t *job = job_new (new_submission ());
+
+  shard_ownership_confirmed (scheduler->shards[0].shard, now);
+  shard_tick (scheduler->shards[0].shard, now);
+  if (store.done)
+    store.done (store.ctx, STORE_OK, NULL);
+  store.done = NULL;
+  if (store.progress->len)
+    CU_ASSERT_EQUAL (job_decode (job, (blob_t){ (char *)store.progress->data,
+                                                store.progress->len }),
+                     0);
+  CU_ASSERT_STRING_EQUAL (job->submission->service, service);
+  job_free (job);
+}
+
+/* Guards against jobs that stay with the service of their acceptance: a
+   configuration that comes into force, or that was in force when the shard was
+   taken over, has to reach them, and one of a lower version must not. */
+static void
+test_queue_moved (void)
+{
+  const store_record_t second[] = { record ("config", "2 new", 6) };
+  const store_record_t late[] = { record ("config", "1 old", 7) };
+
+  for (int taken_over_first = 0; taken_over_first < 2; taken_over_first++)
+    {
+      set_up ();
+      load_empty ();
+      if (taken_over_first)
+        {
+          own_shard ();
+          expect_service ("old");
+        }
+      send_read ();
+      answer (STORE_OK, second, 1, 7, false);
+      if (!taken_over_first)
+        own_shard ();
+      expect_service ("new");
+      send_read ();
+      answer (STORE_OK, late, 1, 8, false);
+      expect_service ("new");
+      disown_shard ();
+      tear_down ();
+    }
+}
+
 int
 main (void)
 {
@@ -298,6 +436,7 @@
     { "history dropped", test_history_dropped },
     { "no wait after a failure", test_no_wait_after_failure },
     { "partial read", test_partial_read },
+    { "queue moved", test_queue_moved },
   };
 
   log_open ("test", LOG_LEVEL_ERR);
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -74,6 +74,7 @@
   bool no_layout;        /* the layout is not decided, and every other list of
                             workers is empty */
   uint32_t worker_lists; /* number of lists of workers read */
+  uint64_t submission_version; /* configuration of the last submission */
   bool layout_proposed;
   bool reads_behind; /* each read of records leaves further ones */
   bool late_record_read;
@@ -190,6 +191,20 @@
   return false;
 }
 
+static void
+note_version (const store_append_t *append)
+{
+  for (size_t i = 0; i < append->count; i++)
+    if (append->records[i].key.data[0] == RECORD_SUBMISSION)
+      {
+        submission_t *submission
+            = submission_decode (append->records[i].value);
+
+        fake.submission_version = submission ? submission->config_version : 0;
+        submission_free (submission);
+      }
+}
+
 static void
 fake_append (void *ctx, const store_append_t *append, store_done_t done,
              void *done_ctx)
@@ -200,6 +215,7 @@
 
   (void)ctx;
   fake.layout_proposed |= append->topic == TOPIC_LAYOUT;
+  note_version (append);
   if (has_job_record (append) && !fake.appended_at)
     fake.appended_at = clock_now ();
   if (!fake.appends++)
@@ -1661,6 +1677,24 @@
   tear_down_front (&front);
 }
 
+/* Guards against a submission that does not tell its configuration: an owner
+   that has read only an older one would run it by a former service. */
+static void
+test_submission_version (void)
+{
+  front_t front;
+  char text[1024];
+
+  set_up_front (&front);
+  send_submission (&front, 2);
+  reply_as_owner (&front, REPLY_TRY_LATER);
+  run_front (&front, LONG_RUN);
+  read_answer (&front, text);
+  CU_ASSERT (g_str_has_prefix (text, "HTTP/1.1 200 "));
+  CU_ASSERT_EQUAL (fake.submission_version, CONFIG_VERSION);
+  tear_down_front (&front);
+}
+
 /* Guards against a refusal of a submission that may be stored: its job would
    run though its caller was told that it does not. */
 static void
@@ -1974,6 +2008,7 @@
     { "connection to a slow owner", test_connection_to_slow_owner },
     { "owner is full", test_owner_is_full },
     { "withdrawn until the deadline", test_withdrawn_until_deadline },
+    { "submission version", test_submission_version },
     { "stored when the owner is full", test_stored_when_owner_is_full },
     { "own shard is full", test_own_shard_is_full },
     { "many appends", test_many_appends },
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -566,8 +566,10 @@
 static void
 add_open_job (shard_t *shard, job_entry_t *entry)
 {
-  if (entry->job->end_status == JOB_QUEUED)
-    g_queue_push_tail (shard->open_jobs, entry->job);
+  if (entry->job->end_status != JOB_QUEUED)
+    return;
+  g_queue_push_tail (shard->open_jobs, entry->job);
+  services_follow (shard, entry);
 }
 
 void
--- a/src/shard/shard.h
+++ b/src/shard/shard.h
@@ -216,6 +216,11 @@
   /** @return whether the workers of the service reject starts beyond their
       capacity */
   bool (*rejects_overload) (void *ctx, const char *service);
+  /** @param version set to that of the configuration in force
+      @return the service that runs the tasks of the queue, NULL if the
+      configuration has no such queue or none has been read */
+  const char *(*service_of_queue) (void *ctx, const char *queue,
+                                   uint64_t *version);
 } shard_ops_t;
 
 shard_t *shard_new (const shard_config_t *config, const shard_ops_t *ops,
@@ -300,6 +305,11 @@
 /** The workers have been listed as they were at AS_OF. */
 void shard_workers_confirmed (shard_t *shard, usec_t as_of);
 
+/** Another configuration is in force: tasks are placed on workers of the
+    service that it names for the queue of their job.  Runs go on where they
+    are, and jobs of queues that it does not have keep their service. */
+void shard_queues_changed (shard_t *shard);
+
 /** A zone was evacuated or taken back. */
 void shard_zones_changed (shard_t *shard);
 
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -343,6 +343,11 @@
     submission */
 bool shard_append_has_submission (const shard_t *shard, job_id_t job);
 
+/* shard_services.c */
+/** Has the job run by the service that the configuration in force names for
+    its queue, and stores that if it is another one than before. */
+void services_follow (shard_t *shard, job_entry_t *entry);
+
 /* shard_memory.c */
 /** Updates the estimate after the job was added or has changed: its
     submission, its occurrences or whether its submission is stored. */
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -111,8 +111,18 @@
   return fixture.workers_reject_overload;
 }
 
-static const shard_ops_t ops = { on_call,       on_append, on_settled,
-                                 on_superseded, wall_ms,   rejects_overload };
+static const char *
+service_of_queue (void *ctx, const char *queue, uint64_t *version)
+{
+  (void)ctx;
+  CU_ASSERT_STRING_EQUAL (queue, "queue");
+  *version = fixture.config_version;
+  return fixture.queue_service;
+}
+
+static const shard_ops_t ops
+    = { on_call, on_append,        on_settled,      on_superseded,
+        wall_ms, rejects_overload, service_of_queue };
 
 submission_t *
 new_submission_with_id (job_id_t id, uint32_t tasks)
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -39,6 +39,8 @@
   uint32_t superseded;
   bool workers_reject_overload; /**< false unless the test sets it */
   uint32_t overload_queries; /**< whether workers reject overload was asked */
+  const char *queue_service; /**< of any queue, NULL: there is no queue */
+  uint64_t config_version;   /**< in force */
   GByteArray *progress;      /**< value of the last appended progress record */
   usec_t now;
 } fixture_t;
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -369,6 +369,8 @@
 static void on_superseded (void *ctx);
 static int64_t wall_ms (void *ctx);
 static bool rejects_overload (void *ctx, const char *service);
+static const char *service_of_queue (void *ctx, const char *queue,
+                                     uint64_t *version);
 static void report_violation (shard_world_t *world, const run_id_t *run_id,
                               const char *text);
 static void execute_call (shard_world_t *world, event_t *event);
@@ -390,8 +392,8 @@
 static void advance_departure (shard_world_t *world, sim_worker_t *worker);
 
 static const shard_ops_t world_ops
-    = { on_call,       on_append, on_settled,
-        on_superseded, wall_ms,   rejects_overload };
+    = { on_call, on_append,        on_settled,      on_superseded,
+        wall_ms, rejects_overload, service_of_queue };
 
 static bool
 draw_fault (shard_world_t *world, double share)
@@ -509,6 +511,15 @@
   return owner->world->config.check_capacity;
 }
 
+static const char *
+service_of_queue (void *ctx, const char *queue, uint64_t *version)
+{
+  (void)ctx;
+  (void)queue;
+  (void)version;
+  return NULL;
+}
+
 static void
 report_violation (shard_world_t *world, const run_id_t *run_id,
                   const char *text)
