Log what waiting steps need and what is left on full workers

The logs could not tell a lack of room from room in fragments, nor from room that is given to steps that are later in line. step.waits now has the need of a task, whether it is long-running, the millicores left on full workers and the most on one of them.

--- a/src/shard/shard_waits.c
+++ b/src/shard/shard_waits.c
@@ -11,9 +11,19 @@
    workers. */
 #define LOG_INTERVAL (2 * USEC_PER_SEC)
 
+/* The workers as a waiting step sees them. */
+typedef struct
+{
+  uint32_t counts[FIT_COUNT];
+  /* Capacity of processors left for a task of its kind where it does not fit,
+     in millicores: the sum, and the most on one worker. */
+  int64_t free;
+  int64_t widest;
+} outlook_t;
+
 static uint32_t count_suspects (const candidate_t *c);
-static void count_workers (const shard_t *shard, usec_t now,
-                           const candidate_t *c, uint32_t counts[FIT_COUNT]);
+static void look_at_workers (const shard_t *shard, usec_t now,
+                             const candidate_t *c, outlook_t *outlook);
 
 bool
 waits_is_starved (usec_t now, const candidate_t *c)
@@ -32,9 +42,10 @@
 waits_note (shard_t *shard, usec_t now, const candidate_t *c)
 {
   job_entry_t *entry = c->entry;
+  const step_t *step = &entry->job->submission->steps[c->step];
   uint32_t tasks
       = c->occurrence->unfinished[c->step] - c->occurrence->placed[c->step];
-  uint32_t counts[FIT_COUNT] = { 0 };
+  outlook_t outlook = { 0 };
 
   if (!tasks)
     {
@@ -49,17 +60,21 @@
   if (now < entry->waits_log_due)
     return;
   entry->waits_log_due = now + LOG_INTERVAL;
-  count_workers (shard, now, c, counts);
-  if (counts[FIT_EVACUATED])
+  look_at_workers (shard, now, c, &outlook);
+  if (outlook.counts[FIT_EVACUATED])
     counter_add (COUNTER_TASKS_KEPT_AWAY, tasks);
   log_item (LOG_LEVEL_INFO, entry->job->id, "step.waits", NULL,
             "job=%016" PRIx64 " occurrence=%u step_number=%u tasks=%u"
             " waited_ms=%" PRId64 " late=%d fits=%u away=%u evacuated=%u"
-            " full=%u excluded=%u disturbed=%u suspected=%u",
+            " full=%u excluded=%u disturbed=%u suspected=%u long_running=%d"
+            " millicores=%u memory_mb=%u free=%" PRId64 " widest=%" PRId64,
             entry->job->id, c->occurrence->number, c->step, tasks,
-            usec_to_msec (now - entry->waits_since), c->late, counts[FIT_OK],
-            counts[FIT_AWAY], counts[FIT_EVACUATED], counts[FIT_FULL],
-            counts[FIT_EXCLUDED], counts[FIT_DISTURBED], count_suspects (c));
+            usec_to_msec (now - entry->waits_since), c->late,
+            outlook.counts[FIT_OK], outlook.counts[FIT_AWAY],
+            outlook.counts[FIT_EVACUATED], outlook.counts[FIT_FULL],
+            outlook.counts[FIT_EXCLUDED], outlook.counts[FIT_DISTURBED],
+            count_suspects (c), step->long_running, step->millicores,
+            step->memory_mb, outlook.free, outlook.widest);
 }
 
 /* @return waiting tasks of the step that may have crashed a worker */
@@ -77,8 +92,8 @@
 }
 
 static void
-count_workers (const shard_t *shard, usec_t now, const candidate_t *c,
-               uint32_t counts[FIT_COUNT])
+look_at_workers (const shard_t *shard, usec_t now, const candidate_t *c,
+                 outlook_t *outlook)
 {
   const step_t *step = &c->entry->job->submission->steps[c->step];
 
@@ -91,6 +106,16 @@
       if (fit == FIT_OK
           && !sharing_allows (shard, now, worker, step, c->image))
         fit = FIT_DISTURBED;
-      counts[fit]++;
+      outlook->counts[fit]++;
+      if (fit == FIT_FULL)
+        {
+          int64_t left = step->best_effort
+                             ? sharing_leftover (worker)
+                             : (int64_t)worker->millicores
+                                   - (int64_t)worker->used_millicores;
+
+          outlook->free += MAX (left, 0);
+          outlook->widest = MAX (outlook->widest, left);
+        }
     }
 }
