Keep room for short tasks from new long-running ones

Cause: long-running tasks are placed wherever they fit and hold their capacity until they are canceled. Between two peaks of short tasks they take all that is free, and the next peak finds 825 to 1067 of 20160 cores in fragments of 7.3 cores at most, where its tasks need 4.75 to 12.4 (step.waits).

Change: a long-running task is placed for the first time only where this leaves what short tasks of its priority or a higher one have lately used at a time, and half as much again, on workers with room for the widest of them; a quarter of the service at most, nothing while less than half of it is in use.

"room is kept" (test_shard_reserve) fails without the change (mutant NOTHING_KEPT); seven mutants are killed.

--- a/Makefile
+++ b/Makefile
@@ -133,7 +133,8 @@
               shard/test_shard_capacity shard/test_shard_store \
               shard/test_shard_leases shard/test_shard_cancel \
               shard/test_shard_memory shard/test_shard_copies \
-              shard/test_shard_services copies/test_copies \
+              shard/test_shard_services shard/test_shard_reserve \
+              copies/test_copies \
               zones/test_zones \
               scheduler/test_scheduler scheduler/test_operator \
               scheduler/test_workers scheduler/test_records \
--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -249,6 +249,13 @@
 SERVICE_NOT_SET_AT_TAKEOVER|src/shard/shard.c|shard/test_shard_services|s/^  services_follow (shard, entry);//
 VERSION_NOT_ACCEPTED|src/scheduler/sched_callers.c|scheduler/test_scheduler|s/^  parsed->config_version = .*//
 CONFIG_NOT_PASSED_ON|src/scheduler/sched_operator.c|scheduler/test_operator|s/^    shard_queues_changed (.*/    (void)i;/
+NOTHING_KEPT|src/shard/shard_reserve.c|shard/test_shard_reserve|s/return lost <= 0 ||.*/return lost >= 0;/
+KEPT_FROM_NEXT_RUN|src/shard/shard_reserve.c|shard/test_shard_reserve|s/ \&\& !task->run;/ \&\& task;/
+KEPT_FOR_LESS_URGENT|src/shard/shard_reserve.c|shard/test_shard_reserve|s/if (reserve->priority > priority$/if (false/
+KEPT_FOR_GOOD|src/shard/shard_reserve.c|shard/test_shard_reserve|s/> FORGET_AFTER)/> FORGET_AFTER * 9)/
+KEPT_IN_FRAGMENTS|src/shard/shard_reserve.c|shard/test_shard_reserve|s/return room >= shard->kept.width ? room : 0;/return room;/
+KEPT_BELOW_HALF|src/shard/shard_reserve.c|shard/test_shard_reserve|s/ || 2 \* kept->used < kept->capacity)/)/
+KEPT_STEP_STOPS|src/shard/shard_place.c|shard/test_shard_reserve|s/\&\& !shard->held_back)$/)/
 LOST_RUN_BLAMED|src/shard/shard_crashes.c|shard/test_shard_copies|s/if (run->lost || run->lived/if (run->lived/
 TABLE
 }
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -59,6 +59,7 @@
   shard->copies = copies_new ();
   shard->interference = interference_new ();
   shard->unplaceable = g_array_new (FALSE, FALSE, sizeof (unplaceable_t));
+  shard->reserves = reserves_new ();
   shard->fitting = g_array_new (FALSE, FALSE, sizeof (fitting_t));
   shard->batch_blobs
       = g_ptr_array_new_with_free_func ((GDestroyNotify)g_byte_array_unref);
@@ -85,6 +86,7 @@
   interference_free (shard->interference);
   g_array_free (shard->unplaceable, TRUE);
   g_array_free (shard->fitting, TRUE);
+  g_array_free (shard->reserves, TRUE);
   g_queue_free (shard->open_jobs);
   g_ptr_array_free (shard->dirty_entries, TRUE);
   g_hash_table_destroy (shard->workers_by_id);
@@ -139,6 +141,7 @@
   shard->workers = table_new (sizeof (worker_t));
   shard->runs = table_new (sizeof (run_t));
   shard->speculative_runs = 0;
+  reserves_clear (shard);
   g_hash_table_remove_all (shard->workers_by_id);
   g_hash_table_remove_all (shard->pending_calls);
 }
--- a/src/shard/shard_choose.c
+++ b/src/shard/shard_choose.c
@@ -33,13 +33,14 @@
   ADMIT_ALL
 } admission_t;
 
-static bool is_unplaceable (const shard_t *shard, const candidate_t *c);
+static bool is_unplaceable (const shard_t *shard, const candidate_t *c,
+                            const task_t *task);
 static void note_unplaceable (shard_t *shard, const candidate_t *c);
 static void find_fitting (shard_t *shard, usec_t now, const candidate_t *c);
 static void update_fitting (const shard_t *shard, usec_t now,
                             const candidate_t *c, handle_t handle,
                             fitting_t *fitting);
-static handle_t choose_best_worker (const shard_t *shard, usec_t now,
+static handle_t choose_best_worker (shard_t *shard, usec_t now,
                                     const candidate_t *c, uint32_t index,
                                     admission_t admission, bool *kept_apart);
 static bool has_room_to_impose (const shard_t *shard, const candidate_t *c);
@@ -64,9 +65,10 @@
 {
   const step_t *step = &c->entry->job->submission->steps[c->step];
   handle_t handle = HANDLE_NONE;
+  const task_t *task = &c->occurrence->tasks[c->step][index];
   bool kept_apart = false;
 
-  if (is_unplaceable (shard, c))
+  if (is_unplaceable (shard, c, task))
     return HANDLE_NONE;
   if (!shard->fitting_known)
     find_fitting (shard, now, c);
@@ -78,9 +80,7 @@
     handle = choose_best_worker (shard, now, c, index, ADMIT_IMPOSED,
                                  &kept_apart);
   /* A suspect may be kept off workers that suit other tasks. */
-  if (handle == HANDLE_NONE
-      && !(kept_apart
-           && crashes_suspicion (&c->occurrence->tasks[c->step][index])))
+  if (handle == HANDLE_NONE && !(kept_apart && crashes_suspicion (task)))
     note_unplaceable (shard, c);
   return handle;
 }
@@ -121,6 +121,7 @@
 choose_reset (shard_t *shard)
 {
   shard->fitting_known = false;
+  shard->held_back = false;
 }
 
 void
@@ -171,7 +172,7 @@
    step that needs at least as much finds none either.  This saves passes with
    hundreds of waiting steps from checking every worker for each of them. */
 static bool
-is_unplaceable (const shard_t *shard, const candidate_t *c)
+is_unplaceable (const shard_t *shard, const candidate_t *c, const task_t *task)
 {
   const submission_t *order = c->entry->job->submission;
   const step_t *step = &order->steps[c->step];
@@ -181,7 +182,8 @@
       const unplaceable_t *other
           = &g_array_index (shard->unplaceable, unplaceable_t, i);
 
-      if ((other->starved || !c->starved)
+      if ((!other->held_back || reserve_concerns (step, task))
+          && (other->starved || !c->starved)
           && step->best_effort == other->step->best_effort
           && step->millicores >= other->step->millicores
           && step->memory_mb >= other->step->memory_mb
@@ -202,8 +204,8 @@
 note_unplaceable (shard_t *shard, const candidate_t *c)
 {
   const submission_t *order = c->entry->job->submission;
-  unplaceable_t unplaceable
-      = { &order->steps[c->step], order->service, c->starved };
+  unplaceable_t unplaceable = { &order->steps[c->step], order->service,
+                                c->starved, shard->held_back };
 
   if (!unplaceable.step->max_per_worker)
     g_array_append_val (shard->unplaceable, unplaceable);
@@ -212,7 +214,7 @@
 /* @param kept_apart set to true if a worker was left out because of the
    suspects on it or of the suspicion against the task */
 static handle_t
-choose_best_worker (const shard_t *shard, usec_t now, const candidate_t *c,
+choose_best_worker (shard_t *shard, usec_t now, const candidate_t *c,
                     uint32_t index, admission_t admission, bool *kept_apart)
 {
   const task_t *task = &c->occurrence->tasks[c->step][index];
@@ -233,6 +235,11 @@
           *kept_apart = true;
           continue;
         }
+      if (!reserve_admits (shard, worker, c, task))
+        {
+          shard->held_back = true;
+          continue;
+        }
       s = fitting->score + crashes_score (worker, task);
       /* Last resort: the worker where the task failed or stalled. */
       if (h == task->avoid)
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -21,6 +21,7 @@
   GArray *candidates = order_candidates (shard);
 
   g_array_set_size (shard->unplaceable, 0);
+  reserve_begin_pass (shard, now);
   shard->waiting_tasks = 0;
   for (guint i = 0; i < candidates->len; i++)
     {
@@ -57,7 +58,7 @@
           note_placed (shard, c, i);
           c->starved = false;
         }
-      else if (crashes_suspicion (task) == SUSPICION_NONE)
+      else if (crashes_suspicion (task) == SUSPICION_NONE && !shard->held_back)
         return;
     }
 }
@@ -80,6 +81,7 @@
   run = run_get (shard, run_add (shard, c->entry->job, c->occurrence, c->step,
                                  index, handle, RUN_UNSTORED, false));
   sharing_task_placed (shard, now, worker, step);
+  reserve_placed (shard, worker, run);
   if (imposed)
     impose (shard, now, c, run);
   shard_mark_dirty (shard, c->entry);
@@ -165,5 +167,6 @@
     }
   /* The freed capacity may be sufficient for steps that did not fit before. */
   g_array_set_size (shard->unplaceable, 0);
+  shard->kept.service = NULL;
   choose_reset (shard);
 }
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -34,6 +34,32 @@
   SUSPICION_COUNT
 } suspicion_t;
 
+#define RESERVE_NONE UINT32_MAX
+
+/* What short tasks of a service and priority use, for shard_reserve.c. */
+typedef struct
+{
+  char *service;
+  uint32_t priority;
+  uint64_t in_use; /* millicores */
+  double peak;     /* millicores in use at a time, lately */
+  double width;    /* of the widest task lately, millicores */
+  usec_t used_at;  /* in use at the last pass until then */
+} reserve_t;
+
+/* What is kept from new long-running tasks in the current pass. */
+typedef struct
+{
+  const char *service; /* NULL: not summed up */
+  uint32_t priority;   /* of the long-running tasks */
+  double needed;       /* millicores to be kept */
+  double width;        /* least room on a worker that counts */
+  double room;         /* millicores not used by long-running tasks, of the
+                          workers that count */
+  uint64_t used;       /* millicores of the service */
+  uint64_t capacity;
+} kept_t;
+
 /* A run of a task; task_t.handle refers to it. */
 typedef struct
 {
@@ -73,6 +99,8 @@
   uint32_t memory_mb;
   uint32_t accelerators;
   bool best_effort; /* uses only capacity left over by others */
+  bool long_running;
+  uint32_t reserve; /* in shard.reserves, RESERVE_NONE: none */
   bool imposed;     /* placed although it disturbs the tasks beside it */
   bool speculative; /* may get a copy */
   bool copy;        /* the second run of its task beside the first */
@@ -122,6 +150,7 @@
 
   uint64_t used_millicores;
   uint64_t best_effort_millicores;
+  uint64_t long_running_millicores;   /* in USED_MILLICORES */
   uint64_t serving_millicores;        /* with a target; in USED_MILLICORES */
   uint64_t serving_millicores_in_use; /* upper estimate of their use */
   uint64_t used_memory_mb;
@@ -237,6 +266,7 @@
   const step_t *step;
   const char *service;
   bool starved;
+  bool held_back; /* holds for first runs of long-running tasks only */
 } unplaceable_t;
 
 /* A worker that fits the step whose tasks are being placed. */
@@ -307,6 +337,10 @@
   GArray *unplaceable;       /* unplaceable_t, of the current pass */
   GArray *fitting;           /* fitting_t, of the current step */
   bool fitting_known;        /* FITTING is filled */
+  bool held_back;            /* a worker of FITTING is kept for short tasks */
+  GArray *reserves;          /* reserve_t */
+  usec_t reserves_at;        /* they were last updated */
+  kept_t kept;
   usec_t run_calls_due;      /* when the next start or stop is due */
   copies_t *copies;          /* durations of runs with RUN_T.SPECULATIVE */
   uint32_t speculative_runs; /* in RUNS */
@@ -542,12 +576,14 @@
   FIT_FULL,      /* too little capacity is free */
   FIT_EXCLUDED,  /* another service or label, or enough tasks of the step */
   FIT_DISTURBED, /* tasks on it would disturb each other */
+  FIT_KEPT,      /* its room is kept for short tasks */
   FIT_COUNT
 } fit_t;
 
 /* shard_choose.c */
 /** @return whether the worker can take a task of the step.  The effect of
-    tasks on each other is not considered: FIT_DISTURBED is not returned */
+    tasks on each other and what is kept for short tasks are not considered:
+    FIT_DISTURBED and FIT_KEPT are not returned */
 fit_t worker_fits (const shard_t *shard, usec_t now, const worker_t *worker,
                    const candidate_t *c);
 /** @return the best worker for a task of the step, HANDLE_NONE if it fits on
@@ -566,6 +602,22 @@
 void choose_placed (shard_t *shard, usec_t now, const candidate_t *c,
                     handle_t worker);
 
+/* shard_reserve.c */
+GArray *reserves_new (void);
+/** Forgets all; the runs that were counted are gone. */
+void reserves_clear (shard_t *shard);
+void reserve_run_added (shard_t *shard, const submission_t *order, run_t *run);
+void reserve_run_removed (shard_t *shard, const run_t *run);
+/** To be called before tasks are placed, as workers and runs have changed. */
+void reserve_begin_pass (shard_t *shard, usec_t now);
+/** @return whether the task has to leave room to short ones */
+bool reserve_concerns (const step_t *step, const task_t *task);
+/** @return whether the task may use room on the worker */
+bool reserve_admits (shard_t *shard, const worker_t *worker,
+                     const candidate_t *c, const task_t *task);
+/** A run was placed on the worker during the pass. */
+void reserve_placed (shard_t *shard, const worker_t *worker, const run_t *run);
+
 /* shard_waits.c */
 /** Looks at a step before a pass.
     @return whether its job has waited without any run for as long as a
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -90,6 +90,7 @@
   run->memory_mb = s->memory_mb;
   run->accelerators = s->accelerators;
   run->best_effort = s->best_effort;
+  run->long_running = s->long_running;
   run->image = interference_image_id (s->image);
   run->target_ms = s->target_latency_ms;
   run->speculative = shard->config.copy_percent && step_allows_copies (s);
@@ -100,6 +101,7 @@
   else
     task->run_handle = handle;
   worker_reserve (worker, run);
+  reserve_run_added (shard, job->submission, run);
   g_array_append_val (worker->runs, handle);
   if (run->target_ms)
     sharing_update_use (shard, worker);
@@ -133,6 +135,7 @@
   worker_t *worker = worker_get (shard, run->worker);
 
   worker_release (worker, run);
+  reserve_run_removed (shard, run);
   crashes_run_settled (worker, run);
   if (run->best_effort && run->state == RUN_ACKNOWLEDGED)
     sharing_run_ended (worker, now, run);
--- a/src/shard/shard_waits.c
+++ b/src/shard/shard_waits.c
@@ -21,9 +21,10 @@
   int64_t widest;
 } outlook_t;
 
+static const task_t *first_waiting (const candidate_t *c);
 static uint32_t count_suspects (const candidate_t *c);
-static void look_at_workers (const shard_t *shard, usec_t now,
-                             const candidate_t *c, outlook_t *outlook);
+static void look_at_workers (shard_t *shard, usec_t now, const candidate_t *c,
+                             outlook_t *outlook);
 
 bool
 waits_is_starved (usec_t now, const candidate_t *c)
@@ -66,15 +67,29 @@
   log_item (LOG_LEVEL_INFO, entry->job->id, "step.waits", NULL,
             "job=%016" PRIx64 " occurrence=%u step_number=%u tasks=%u"
             " waited_ms=%" PRId64 " late=%d fits=%u away=%u evacuated=%u"
-            " full=%u excluded=%u disturbed=%u suspected=%u long_running=%d"
+            " full=%u excluded=%u disturbed=%u kept=%u"
+            " suspected=%u long_running=%d"
             " millicores=%u memory_mb=%u free=%" PRId64 " widest=%" PRId64,
             entry->job->id, c->occurrence->number, c->step, tasks,
             usec_to_msec (now - entry->waits_since), c->late,
             outlook.counts[FIT_OK], outlook.counts[FIT_AWAY],
             outlook.counts[FIT_EVACUATED], outlook.counts[FIT_FULL],
             outlook.counts[FIT_EXCLUDED], outlook.counts[FIT_DISTURBED],
-            count_suspects (c), step->long_running, step->millicores,
-            step->memory_mb, outlook.free, outlook.widest);
+            outlook.counts[FIT_KEPT], count_suspects (c), step->long_running,
+            step->millicores, step->memory_mb, outlook.free, outlook.widest);
+}
+
+/* @return the first task of the step that waits, NULL for none */
+static const task_t *
+first_waiting (const candidate_t *c)
+{
+  const task_t *tasks = c->occurrence->tasks[c->step];
+
+  for (uint32_t i = 0; i < c->entry->job->submission->steps[c->step].count;
+       i++)
+    if (tasks[i].state == TASK_WAITING)
+      return &tasks[i];
+  return NULL;
 }
 
 /* @return waiting tasks of the step that may have crashed a worker */
@@ -92,10 +107,11 @@
 }
 
 static void
-look_at_workers (const shard_t *shard, usec_t now, const candidate_t *c,
+look_at_workers (shard_t *shard, usec_t now, const candidate_t *c,
                  outlook_t *outlook)
 {
   const step_t *step = &c->entry->job->submission->steps[c->step];
+  const task_t *waiting = first_waiting (c);
 
   for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
        h = table_next (shard->workers, h))
@@ -106,6 +122,9 @@
       if (fit == FIT_OK
           && !sharing_allows (shard, now, worker, step, c->image))
         fit = FIT_DISTURBED;
+      if (fit == FIT_OK && waiting
+          && !reserve_admits (shard, worker, c, waiting))
+        fit = FIT_KEPT;
       outlook->counts[fit]++;
       if (fit == FIT_FULL)
         {
--- a/src/shard/shard_workers.c
+++ b/src/shard/shard_workers.c
@@ -368,6 +368,8 @@
   worker->used_accelerators += run->accelerators;
   worker->serving_runs += run->target_ms != 0;
   worker->serving_millicores += run->target_ms ? run->millicores : 0;
+  worker->long_running_millicores
+      += run->long_running && !run->best_effort ? run->millicores : 0;
   worker->best_effort_runs += run->best_effort;
 }
 
@@ -381,6 +383,8 @@
   worker->used_accelerators -= run->accelerators;
   worker->serving_runs -= run->target_ms != 0;
   worker->serving_millicores -= run->target_ms ? run->millicores : 0;
+  worker->long_running_millicores
+      -= run->long_running && !run->best_effort ? run->millicores : 0;
   worker->best_effort_runs -= run->best_effort;
 }
 
