--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -546,6 +546,29 @@
              SEED_COUNT);
 }
 
+/* Guards against jobs that stay with the service that their queue had (LOST),
+   through changes of owner and whatever each of them knows. */
+static void
+test_moved_queue (void)
+{
+  world_config_t config = { .move_interval = 4 * USEC_PER_SEC };
+
+  run_seeds (config, SEED_COUNT);
+  config.takeover_interval = 2900 * USEC_PER_MSEC;
+  config.keep_former_owner = true;
+  config.worker_crash_interval = 5 * USEC_PER_SEC;
+  config.lost_append_reply_share = 0.04;
+  config.lost_reply_share = 0.05;
+  config.failed_run_share = 0.05;
+  config.canceled_job_share = 0.1;
+  run_seeds (config, SEED_COUNT);
+  config.gangs = true;
+  run_seeds (config, SEED_COUNT);
+  config.gangs = false;
+  config.lasting = true;
+  run_seeds (config, SEED_COUNT);
+}
+
 int
 main (void)
 {
@@ -575,6 +598,7 @@
     { "frozen owners", test_frozen_owners },
     { "late submissions", test_late_submissions },
     { "forgotten cancellations", test_forgotten_cancellations },
+    { "moved queue", test_moved_queue },
     { "all faults", test_all_faults },
     { "paths and owners", test_paths_and_owners },
     { "gangs", test_gangs },
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -83,6 +83,14 @@
 #define MISLED_MAX (4 * USEC_PER_SEC)
 #define LIST_INTERVAL (USEC_PER_SEC)
 /* The same where entries come and go. */
+#define SERVICES 2U
+/* A service without a queue has no workers after this. */
+#define SERVICE_ENDS_AFTER (USEC_PER_SEC)
+/* Times that owners need to read a configuration are multiples of this. */
+#define CONFIG_DELAY (200 * USEC_PER_MSEC)
+/* After the faults; owners have read the last move by then and stored it. */
+#define QUEUE_DROPPED (3 * USEC_PER_SEC)
+#define LAST_TAKEOVER (4 * USEC_PER_SEC)
 #define CHANGING_LIST_INTERVAL (350 * USEC_PER_MSEC)
 /* A worker whose entry is gone puts it back within this time. */
 #define UNLISTED_MAX (2 * USEC_PER_SEC)
@@ -204,8 +212,17 @@
   GArray *ends;          /* sim_end_t */
   uint64_t last_end_number;
   GHashTable *highest_run; /* task key -> highest run stopped or ended */
+  bool closed;             /* its service has no workers */
 } sim_worker_t;
 
+/* A configuration; its version is its index in the table and 1. */
+typedef struct
+{
+  usec_t at;
+  uint32_t service;
+  bool dropped; /* it has no queue */
+} sim_config_t;
+
 typedef struct
 {
   shard_world_t *world;
@@ -221,6 +238,7 @@
   guint log_position;  /* it has read the log up to there */
   usec_t log_due;      /* next read of the log */
   usec_t read_as_of;   /* it has read all that was stored before */
+  guint configs_read;
 } sim_owner_t;
 
 /* Actual state of a task on all workers, for the checks. */
@@ -354,8 +372,11 @@
   usec_t departure_due;
   usec_t mislead_due;
   usec_t freeze_due;
-  usec_t split_until; /* the network is split until then */
-  bool list_down;     /* the list of workers cannot be read */
+  GArray *configs; /* sim_config_t, none without moves */
+  usec_t move_due;
+  bool moved_for_good; /* the last takeover is over */
+  usec_t split_until;  /* the network is split until then */
+  bool list_down;      /* the list of workers cannot be read */
   usec_t listed_at;
   uint32_t violations;
 };
@@ -511,13 +532,38 @@
   return owner->world->config.check_capacity;
 }
 
+static const char *
+service_name (uint32_t service)
+{
+  return service ? "other service" : "service";
+}
+
+/* @return the newest configuration of the first COUNT, NULL for none */
+static const sim_config_t *
+last_config (const shard_world_t *world, guint count)
+{
+  return count ? &g_array_index (world->configs, sim_config_t, count - 1)
+               : NULL;
+}
+
+static uint32_t
+service_of_worker (const shard_world_t *world, const sim_worker_t *worker)
+{
+  return world->config.move_interval ? (worker - world->workers) % SERVICES
+                                     : 0;
+}
+
 static const char *
 service_of_queue (void *ctx, const char *queue, uint64_t *version)
 {
-  (void)ctx;
+  const sim_owner_t *owner = ctx;
+  const sim_config_t *config = last_config (owner->world, owner->configs_read);
+
   (void)queue;
-  (void)version;
-  return NULL;
+  if (!config || config->dropped)
+    return NULL;
+  *version = owner->configs_read;
+  return service_name (config->service);
 }
 
 static void
@@ -535,10 +581,13 @@
 make_submission (shard_world_t *world, job_id_t id)
 {
   submission_t *submission = g_new0 (submission_t, 1);
+  const sim_config_t *config = last_config (world, world->configs->len);
 
   submission->id = id;
   submission->queue = g_strdup ("queue");
-  submission->service = g_strdup ("service");
+  submission->service = g_strdup (
+      service_name (config && !config->dropped ? config->service : 0));
+  submission->config_version = world->configs->len;
   submission->spec = g_strdup ("spec");
   submission->max_attempts = 3;
   submission->stretch_percent = 200;
@@ -630,6 +679,7 @@
                                           (GDestroyNotify)g_bytes_unref);
   world->tasks
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  world->configs = g_array_new (FALSE, TRUE, sizeof (sim_config_t));
   world->jobs = g_new0 (sim_job_t, config->jobs);
   world->workers = g_new0 (sim_worker_t, config->workers);
   world->faults_enabled = true;
@@ -691,6 +741,7 @@
   g_hash_table_destroy (world->records);
   g_hash_table_destroy (world->tasks);
   g_array_free (world->copies, TRUE);
+  g_array_free (world->configs, TRUE);
   g_array_free (world->log, TRUE);
   g_rand_free (world->caller_rng);
   g_rand_free (world->zones.rng);
@@ -705,13 +756,13 @@
 list_changes (const shard_world_t *world)
 {
   return world->config.unlist_interval || world->config.departure_interval
-         || world->config.mislead_interval;
+         || world->config.mislead_interval || world->config.move_interval;
 }
 
 static bool
 has_entry (const shard_world_t *world, const sim_worker_t *worker)
 {
-  if (world->now < worker->unlisted_until)
+  if (world->now < worker->unlisted_until || worker->closed)
     return false;
   return worker->departure.announced
              ? world->now < worker->departure.unlisted_at
@@ -738,16 +789,17 @@
   for (uint32_t i = 0; i < world->config.workers; i++)
     {
       const sim_worker_t *worker = &world->workers[i];
-      shard_worker_t info = { .id = worker->id,
-                              .started_ms = worker->entry.started_ms,
-                              .address = entry_address (world, worker),
-                              .service = "service",
-                              .label = "a",
-                              .rack = "r",
-                              .zone = world_zone_name (i % WORLD_ZONES),
-                              .millicores = worker->entry.capacity.millicores,
-                              .memory_mb = worker->entry.capacity.memory_mb,
-                              .leaving = worker->departure.announced };
+      shard_worker_t info
+          = { .id = worker->id,
+              .started_ms = worker->entry.started_ms,
+              .address = entry_address (world, worker),
+              .service = service_name (service_of_worker (world, worker)),
+              .label = "a",
+              .rack = "r",
+              .zone = world_zone_name (i % WORLD_ZONES),
+              .millicores = worker->entry.capacity.millicores,
+              .memory_mb = worker->entry.capacity.memory_mb,
+              .leaving = worker->departure.announced };
 
       if (!has_entry (world, worker))
         continue;
@@ -1664,7 +1716,7 @@
   sim_worker_t *worker = draw_worker (world);
   bool was_up = worker->up;
 
-  if (worker->departure.has_ended)
+  if (worker->departure.has_ended || worker->closed)
     return;
   end_worker (world, worker);
   worker->up = g_rand_boolean (world->rng);
@@ -2331,7 +2383,7 @@
   advance_departure (world, worker);
   last = &g_array_index (worker->capacities, sim_capacity_t,
                          worker->capacities->len - 1);
-  worker->up = true;
+  worker->up = !worker->closed;
   worker->cut_until = 0;
   worker->unlisted_until = worker->misled_until = 0;
   if (last->at >= world->faults_end)
@@ -2348,6 +2400,85 @@
       update_entry (&world->workers[i]);
 }
 
+static void
+close_worker (shard_world_t *world, sim_worker_t *worker)
+{
+  if (worker->closed)
+    return;
+  end_worker (world, worker);
+  worker->up = false;
+  worker->closed = true;
+}
+
+static void
+open_worker (shard_world_t *world, sim_worker_t *worker)
+{
+  if (!worker->closed)
+    return;
+  end_worker (world, worker);
+  worker->up = true;
+  worker->closed = false;
+}
+
+static void
+add_config (shard_world_t *world, uint32_t service, bool dropped)
+{
+  const sim_config_t config = { world->now, service, dropped };
+
+  g_array_append_val (world->configs, config);
+  for (uint32_t i = 0; i < world->config.workers && !dropped; i++)
+    if (service_of_worker (world, &world->workers[i]) == service)
+      open_worker (world, &world->workers[i]);
+}
+
+/* Moves the queue, drops it in the end, and ends the workers of the service
+   that it had. */
+static void
+advance_moves (shard_world_t *world)
+{
+  const sim_config_t *config = last_config (world, world->configs->len);
+  uint32_t service = config ? config->service : SERVICES - 1;
+
+  if (!world->config.move_interval)
+    return;
+  if (world->faults_enabled && world->now >= world->move_due)
+    {
+      world->move_due = world->now + world->config.move_interval;
+      add_config (world, (service + 1) % SERVICES, false);
+    }
+  else if (!config->dropped && world->now >= world->faults_end + QUEUE_DROPPED)
+    add_config (world, service, true);
+  else if (!world->moved_for_good
+           && world->now >= world->faults_end + LAST_TAKEOVER)
+    {
+      world->moved_for_good = true;
+      take_over (world);
+    }
+  config = last_config (world, world->configs->len);
+  if (world->configs->len < SERVICES
+      || world->now < config->at + SERVICE_ENDS_AFTER)
+    return;
+  for (uint32_t i = 0; i < world->config.workers; i++)
+    if (service_of_worker (world, &world->workers[i]) != config->service)
+      close_worker (world, &world->workers[i]);
+}
+
+static void
+read_configs (shard_world_t *world, sim_owner_t *owner)
+{
+  guint newest = owner->configs_read;
+
+  while (newest < world->configs->len
+         && world->now
+                >= g_array_index (world->configs, sim_config_t, newest).at
+                       + (owner->index + 1) * CONFIG_DELAY)
+    newest++;
+  if (newest == owner->configs_read)
+    return;
+  owner->configs_read = newest;
+  shard_queues_changed (owner->shard);
+}
+
 /* Faults of owners and of entries in the list of workers. */
 static void
 inject_changes (shard_world_t *world)
@@ -2531,6 +2662,7 @@
       if (!owner->alive || is_frozen (world, owner))
         continue;
       finish_load (world, owner);
+      read_configs (world, owner);
       read_zones (world, owner);
       if (world->config.early_cancel_share > 0)
         read_log (world, owner);
@@ -2548,16 +2680,19 @@
 {
   uint32_t used = 0;
   uint32_t free_runs = 0;
+  uint32_t workers = 0;
 
   for (uint32_t i = 0; i < world->config.workers; i++)
     {
       const sim_worker_t *worker = &world->workers[i];
 
+      if (worker->closed)
+        continue;
+      workers++;
       used += worker->runs->len;
       free_runs += WORKER_CAPACITY - MIN (worker->runs->len, WORKER_CAPACITY);
     }
-  return free_runs >= 2 * count
-         && 2 * used < world->config.workers * WORKER_CAPACITY;
+  return free_runs >= 2 * count && 2 * used < workers * WORKER_CAPACITY;
 }
 
 static bool
@@ -2611,7 +2746,9 @@
 idle_check_start (const shard_world_t *world)
 {
   return world->faults_end
-         + (world->config.departure_interval ? SILENT_END_LIMIT : 0);
+         + (world->config.departure_interval ? SILENT_END_LIMIT : 0)
+         + (world->config.move_interval ? LAST_TAKEOVER + SILENT_END_LIMIT
+                                        : 0);
 }
 
 static void
@@ -2672,6 +2809,7 @@
       world->now += 2 * USEC_PER_MSEC;
       world->faults_enabled = world->now < faults_until;
       inject_faults (world);
+      advance_moves (world);
       report_capacities (world);
       world_zones_tick (&world->zones, world->now, world->faults_enabled);
       pass_worker_lists (world);
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -105,6 +105,13 @@
   double early_cancel_share;
   usec_t discard_interval; /**< between times at which the store discards the
                               history of its log, 0 for none */
+  usec_t move_interval; /**< between moves of the queue to the other one of two
+                           services, each with half of the workers.  Those of
+                           the former service end 1 s later, and others take
+                           their place once the queue is moved back.  Owners
+                           learn of a move up to 0.6 s late.  After the faults
+                           the queue is dropped, and then the shard gets
+                           another owner.  0 for none */
   /** How long owners keep ended jobs, 0: for good.  Jobs that are canceled
       early are canceled again within this time, and last submitted after it.
       Then all jobs must be canceled early.  */
