--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -109,7 +109,7 @@
                            services, each with half of the workers.  Those of
                            the former service end 1 s later, and others take
                            their place once the queue is moved back.  Owners
-                           learn of a move up to 0.6 s late.  After the faults
+                           learn of a move up to 0.4 s late.  After the faults
                            the queue is dropped, and then the shard gets
                            another owner.  0 for none */
   /** How long owners keep ended jobs, 0: for good.  Jobs that are canceled
