--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -2437,17 +2437,16 @@
 advance_moves (shard_world_t *world)
 {
   const sim_config_t *config = last_config (world, world->configs->len);
-  uint32_t service = config ? config->service : SERVICES - 1;
 
   if (!world->config.move_interval)
     return;
-  if (world->faults_enabled && world->now >= world->move_due)
+  if (!config || (world->faults_enabled && world->now >= world->move_due))
     {
       world->move_due = world->now + world->config.move_interval;
-      add_config (world, (service + 1) % SERVICES, false);
+      add_config (world, config ? (config->service + 1) % SERVICES : 0, false);
     }
   else if (!config->dropped && world->now >= world->faults_end + QUEUE_DROPPED)
-    add_config (world, service, true);
+    add_config (world, config->service, true);
   else if (!world->moved_for_good
            && world->now >= world->faults_end + LAST_TAKEOVER)
     {
@@ -2455,7 +2454,7 @@
       take_over (world);
     }
   config = last_config (world, world->configs->len);
-  if (world->configs->len < SERVICES
+  if (!config || world->configs->len < SERVICES
       || world->now < config->at + SERVICE_ENDS_AFTER)
     return;
   for (uint32_t i = 0; i < world->config.workers; i++)
