--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -359,6 +359,7 @@
   usec_t discard_due;
   bool store_down;
   bool faults_enabled;
+  bool moved_for_good; /* the last takeover is over */
   usec_t faults_end;
   usec_t takeover_due;
   usec_t crash_due;
@@ -374,9 +375,8 @@
   usec_t freeze_due;
   GArray *configs; /* sim_config_t, none without moves */
   usec_t move_due;
-  bool moved_for_good; /* the last takeover is over */
-  usec_t split_until;  /* the network is split until then */
-  bool list_down;      /* the list of workers cannot be read */
+  usec_t split_until; /* the network is split until then */
+  bool list_down;     /* the list of workers cannot be read */
   usec_t listed_at;
   uint32_t violations;
 };
