End each call at a deadline of our own

Cause: the time-out given to libcurl was the only guard of a call, and libcurl 7.88.1 drops it if it is due a millisecond or two after that of the connect, always 500 ms. An owner's append has six times its usual duration, so 501 ms at 83.5 ms, and a shard has one append in flight. Evidence: a test with a silent server, 40 requests each with time-outs of 498 to 504 ms, some of which never end; requests with other time-outs do.

Change: a time-out that is due within 20 ms after that of the connect is given to both, and each request has a deadline by the runtime's clock 100 ms after its time-out, whatever the library does, counted in requests_overdue_total.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -123,6 +123,8 @@
      "calls to the platform's store")                                         \
   X (STORE_ERRORS, "store_errors_total", "calls", "counter",                  \
      "calls to the platform's store that were refused or not answered")       \
+  X (REQUESTS_OVERDUE, "requests_overdue_total", "calls", "counter",          \
+     "calls that did not end at their timeout and were ended after it")       \
   X (JOB_ASKS, "job_asks_total", "messages", "counter",                       \
      "questions about jobs sent to the owners of their shards")               \
   X (HTTP_REFUSED, "http_refused_total", "requests", "counter",               \
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -11,6 +11,12 @@
 #include <xxhash.h>
 
 #define CONNECT_TIMEOUT_MS 500L
+/* libcurl 7.88 drops the timeout of a request that is due a millisecond or two
+   after that of its connect, so that the request never ends.  If it is due
+   within this span, the connect has the same one. */
+#define TIMEOUT_GAP_MS 20L
+/* How long after its timeout a request is ended that libcurl has not ended. */
+#define OVERDUE_AFTER (100 * USEC_PER_MSEC)
 #define IDLE_CONNECTION_MAX_AGE_S 20L
 #define MAX_IDLE_CONNECTIONS 2048L
 /* libcurl scans all connections of a multi handle whenever a peer closes one;
@@ -58,6 +64,8 @@
   bool leaving;
   char etag[ETAG_BYTES];
   char peer[PEER_TEXT_SIZE];
+  clock_timer_t overdue_timer;
+  usec_t overdue_at;
   http_done_t done;
   void *ctx;
 };
@@ -78,6 +86,8 @@
 static int on_timer (CURLM *multi, long timeout_ms, void *ctx);
 static void on_timer_fired (EV_P_ ev_timer *timer, int events);
 static void on_io (EV_P_ ev_io *io, int events);
+static void on_overdue (void *ctx);
+static long connect_timeout_ms (long timeout_ms);
 static void finish_transfers (pool_t *pool);
 static void finish_transfer (http_client_t *client, transfer_t *transfer,
                              CURLcode code);
@@ -221,13 +231,47 @@
     transfer->easy = curl_easy_init ();
   set_options (transfer, request);
   g_hash_table_add (client->active_transfers, transfer);
+  transfer->overdue_at = clock_now () + request->timeout + OVERDUE_AFTER;
+  clock_timer_init (&transfer->overdue_timer, client->loop, on_overdue,
+                    transfer);
+  if (request->timeout)
+    clock_timer_start (&transfer->overdue_timer,
+                       request->timeout + OVERDUE_AFTER);
   curl_multi_add_handle (transfer->pool->multi, transfer->easy);
 }
 
+/* Ends a request that libcurl has not ended, whatever it waits for.  The
+   loop's timers may fire early, since they count from the start of its turn.
+ */
+static void
+on_overdue (void *ctx)
+{
+  transfer_t *transfer = ctx;
+  usec_t left = transfer->overdue_at - clock_now ();
+
+  if (left > 0)
+    {
+      clock_timer_start (&transfer->overdue_timer, left);
+      return;
+    }
+  counter_add (COUNTER_REQUESTS_OVERDUE, 1);
+  finish_transfer (transfer->client, transfer, CURLE_OPERATION_TIMEDOUT);
+}
+
+static long
+connect_timeout_ms (long timeout_ms)
+{
+  return timeout_ms > CONNECT_TIMEOUT_MS
+                 && timeout_ms < CONNECT_TIMEOUT_MS + TIMEOUT_GAP_MS
+             ? timeout_ms
+             : CONNECT_TIMEOUT_MS;
+}
+
 static void
 set_options (transfer_t *transfer, const http_request_t *request)
 {
   CURL *easy = transfer->easy;
+  long timeout_ms = (long)(request->timeout / USEC_PER_MSEC);
 
   /* Suppresses "Expect: 100-continue", so that the body is sent together with
      the headers. */
@@ -238,9 +282,9 @@
   curl_easy_setopt (easy, CURLOPT_PRIVATE, transfer);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS,
-                    (long)(request->timeout / USEC_PER_MSEC));
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    connect_timeout_ms (timeout_ms));
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, IDLE_CONNECTION_MAX_AGE_S);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_sending);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
@@ -421,6 +465,7 @@
   transfer_t *transfer = data;
   http_client_t *client = transfer->client;
 
+  clock_timer_stop (&transfer->overdue_timer);
   if (client->idle_handles->len < MAX_IDLE_HANDLES)
     {
       curl_multi_remove_handle (transfer->pool->multi, transfer->easy);
--- a/src/net/test_http_client.c
+++ b/src/net/test_http_client.c
@@ -1,4 +1,5 @@
 /* Requests to a server whose connections go silent. */
+#include "net/clock.h"
 #include "net/http_client.h"
 #include "support/suite.h"
 
@@ -9,11 +10,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define MAX_CONNECTIONS 8
+#define MAX_CONNECTIONS 64
 /* Of requests that get no answer. */
 #define SHORT_TIMEOUT (150 * USEC_PER_MSEC)
 /* Of all others: not reached, however slow the machine is. */
 #define LONG_TIMEOUT (20 * USEC_PER_SEC)
+/* Requests at a time, and the longest time until all of them have ended. */
+#define MANY_REQUESTS 40U
+#define ALL_ENDED_S 5.
 /* libcurl counts the age of connections in whole seconds. */
 #define NEXT_SECOND_US 1050000U
 
@@ -287,6 +291,63 @@
   tear_down ();
 }
 
+static void
+on_all_ended (EV_P_ ev_timer *timer, int events)
+{
+  (void)timer;
+  (void)events;
+  ev_break (EV_A_ EVBREAK_ALL);
+}
+
+/* Guards against requests that never end, and with them all appends of an
+   owner (LOST): timeouts just above that of the connect (review/6). */
+static void
+test_timeouts_near_connect (void)
+{
+  for (usec_t ms = 498; ms <= 504; ms++)
+    {
+      uint64_t overdue = counter_get (COUNTER_REQUESTS_OVERDUE);
+      ev_timer timer;
+
+      set_up ();
+      f.silent_count = MAX_CONNECTIONS;
+      ev_timer_init (&timer, on_all_ended, ALL_ENDED_S, 0.);
+      ev_timer_start (f.loop, &timer);
+      request_within (ms * USEC_PER_MSEC, MANY_REQUESTS);
+      CU_ASSERT_EQUAL (f.timed_out, MANY_REQUESTS);
+      CU_ASSERT_EQUAL (counter_get (COUNTER_REQUESTS_OVERDUE), overdue);
+      ev_timer_stop (f.loop, &timer);
+      tear_down ();
+    }
+}
+
+/* Guards against requests that only libcurl ends: its timers do not fire
+   here. */
+static void
+test_overdue (void)
+{
+  const http_request_t request
+      = { .method = "GET", .url = f.url, .timeout = LONG_TIMEOUT };
+  uint64_t overdue = counter_get (COUNTER_REQUESTS_OVERDUE);
+  uint32_t open = 1;
+
+  clock_pause (USEC_PER_SEC);
+  set_up ();
+  f.silent_count = MAX_CONNECTIONS;
+  http_client_send (f.client, &request, on_done, &open);
+  ev_run (f.loop, EVRUN_NOWAIT);
+  CU_ASSERT_EQUAL (open, 1);
+  CU_ASSERT (clock_step ());
+  CU_ASSERT_EQUAL (open, 0);
+  CU_ASSERT_EQUAL (f.timed_out, 1);
+  CU_ASSERT (clock_now () >= USEC_PER_SEC + LONG_TIMEOUT);
+  CU_ASSERT (clock_now () <= 2 * USEC_PER_SEC + LONG_TIMEOUT);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_REQUESTS_OVERDUE), overdue + 1);
+  CU_ASSERT (!clock_step ());
+  tear_down ();
+  clock_resume ();
+}
+
 int
 main (void)
 {
@@ -297,6 +358,8 @@
     { "connection reused", test_connection_reused },
     { "refused after sent", test_refused_after_sent },
     { "answer to a repetition", test_answer_to_repetition },
+    { "timeouts near that of the connect", test_timeouts_near_connect },
+    { "overdue", test_overdue },
   };
 
   return suite_main ("http client", tests, sizeof tests / sizeof *tests);
