Look at workers once for the tasks of a step that leave room to others

A step with a limit of tasks per worker is not remembered as unplaceable, so that each of its up to 48 waiting tasks looked at all workers in each pass while room is kept from them. They need the same, and room only shrinks during a pass.

--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -51,7 +51,8 @@
     {
       const task_t *task = &c->occurrence->tasks[c->step][i];
 
-      if (task->state != TASK_WAITING || crashes_delay (now, task))
+      if (task->state != TASK_WAITING || crashes_delay (now, task)
+          || (shard->held_back && reserve_concerns (step, task)))
         continue;
       if (place_task (shard, now, c, i))
         {
