--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -22,7 +22,9 @@
   STEP_BEST_EFFORT = 1 << 5
 };
 
-#define SUBMISSION_FIELDS 14
+#define SUBMISSION_FIELDS 13
+/* With the configuration, which is left out if it is not known. */
+#define SUBMISSION_FIELDS_WITH_CONFIG 14
 #define STEP_FIELDS 13
 #define PROGRESS_FIELDS 7
 /* With the service and its configuration, which are left out while the job has
@@ -82,7 +84,9 @@
   msgpack_packer packer;
 
   msgpack_packer_init (&packer, out, append_bytes);
-  msgpack_pack_array (&packer, SUBMISSION_FIELDS);
+  msgpack_pack_array (&packer, submission->config_version
+                                   ? SUBMISSION_FIELDS_WITH_CONFIG
+                                   : SUBMISSION_FIELDS);
   msgpack_pack_uint64 (&packer, submission->id);
   pack_string (&packer, submission->queue);
   pack_string (&packer, submission->service);
@@ -98,7 +102,8 @@
   msgpack_pack_array (&packer, submission->step_count);
   for (uint32_t i = 0; i < submission->step_count; i++)
     pack_step (&packer, &submission->steps[i]);
-  msgpack_pack_uint64 (&packer, submission->config_version);
+  if (submission->config_version)
+    msgpack_pack_uint64 (&packer, submission->config_version);
 }
 
 static void
