Soak: expect no kept cancels of unknown jobs while an earlier build answers

Cause (traced, its files were kept): the caller cancels the job before its submission, while all processes are of the earlier build (the front 1504 and the owners 1504 and 1489 started at 02:45:35, and their shard.loaded lines lack former_leases_ms).

Change: with processes of an earlier build among them (--forgetful), 410 to an early cancel promises nothing: the job may end completed or canceled. A cancel answered with 200 must still hold, and all else is asked as before; without an earlier build nothing changes.

--- a/standin/main_soak.c
+++ b/standin/main_soak.c
@@ -195,6 +195,7 @@
   int connections = 3;
   int serving = 0;
   double deadly = 0;
+  gboolean forgetful = FALSE;
   char **nodes = NULL;
   GOptionEntry entries[]
       = { { "node", 0, 0, G_OPTION_ARG_STRING_ARRAY, &nodes,
@@ -207,6 +208,8 @@
             "Tasks of a job that serves until the end", "N" },
           { "deadly", 0, 0, G_OPTION_ARG_DOUBLE, &deadly,
             "Share of jobs with a task that crashes its worker", "SHARE" },
+          { "forgetful", 0, 0, G_OPTION_ARG_NONE, &forgetful,
+            "Some processes do not keep cancels of unknown jobs", NULL },
           { "interval", 0, 0, G_OPTION_ARG_INT, &soak.interval_ms,
             "Time between requests of a connection", "MS" },
           { "settle", 0, 0, G_OPTION_ARG_INT, &soak.settle_s,
@@ -235,6 +238,8 @@
     {
       soak.random = g_rand_new_with_seed ((guint32)seed);
       soak.jobs = soak_jobs_new ((uint32_t)seed, (uint32_t)jobs, deadly);
+      if (forgetful)
+        soak_jobs_set_forgetful (soak.jobs);
       if (serving)
         soak_jobs_add_serving (soak.jobs, (uint32_t)serving);
       soak.users = g_ptr_array_new ();
--- a/standin/soak.h
+++ b/standin/soak.h
@@ -79,6 +79,9 @@
 } ask_t;
 
 jobs_t *soak_jobs_new (uint32_t seed, uint32_t most, double deadly);
+/** Some processes are of a build that answers a cancel of an unknown job with
+    410 and does not keep it: such a job may be run when it comes. */
+void soak_jobs_set_forgetful (jobs_t *jobs);
 void soak_jobs_free (jobs_t *jobs);
 
 /** Adds a job whose tasks serve until the end. */
--- a/standin/soak_jobs.c
+++ b/standin/soak_jobs.c
@@ -47,6 +47,7 @@
   uint32_t seed;
   uint32_t most;
   double deadly;
+  bool forgetful;    /* an answer of 410 to a cancel promises nothing */
   GPtrArray *all;    /* job_t */
   GQueue *to_submit; /* again */
   GQueue *to_cancel;
@@ -70,6 +71,12 @@
   return jobs;
 }
 
+void
+soak_jobs_set_forgetful (jobs_t *jobs)
+{
+  jobs->forgetful = true;
+}
+
 void
 soak_jobs_free (jobs_t *jobs)
 {
@@ -236,7 +243,8 @@
     on_submitted (jobs, job, reply);
   else if (ask == ASK_CANCEL)
     job->cancelled
-        |= reply->status == 200 || (job->early && reply->status == 410);
+        |= reply->status == 200
+           || (job->early && reply->status == 410 && !jobs->forgetful);
   else
     on_state (job, reply);
 }
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -319,7 +319,7 @@
 "$BUILD/bin/standin-soak" "${nodes[@]}" --seed "$SEED" --deadly "$deadly_share" \
     --interval $((NODE_COUNT * 25)) --serving $((WORKER_COUNT / 3)) \
     --settle $((calm ? CALM_SETTLE_SECONDS : SETTLE_SECONDS)) \
-    >"$WORK/callers" 2>&1 &
+    ${FORMER_BUILD:+--forgetful} >"$WORK/callers" 2>&1 &
 LOAD_PID=$!
 if [ -n "$CROWD" ]; then
 	"$BUILD/bin/standin-soak" --crowd "$CROWD" --crowd-count $CROWD_CLIENTS \
