--- a/src/shard/test_shard_reserve.c
+++ b/src/shard/test_shard_reserve.c
@@ -98,16 +98,7 @@
 static void
 settle (void)
 {
-  uint32_t stored;
-
-  advance (USEC_PER_MSEC);
-  do
-    {
-      stored = fixture.appends;
-      shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
-      advance (USEC_PER_MSEC);
-    }
-  while (fixture.appends != stored);
+  store_all ();
   answer_calls ();
 }
 
--- a/src/shard/test_shard_services.c
+++ b/src/shard/test_shard_services.c
@@ -65,33 +65,6 @@
   return submission;
 }
 
-/* Has all changes stored, and what is due sent. */
-static void
-store_and_send (void)
-{
-  uint32_t stored;
-
-  advance (USEC_PER_MSEC);
-  do
-    {
-      stored = fixture.appends;
-      shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
-      advance (USEC_PER_MSEC);
-    }
-  while (fixture.appends != stored);
-}
-
-static size_t
-count_calls_at (shard_call_kind_t kind, const char *worker)
-{
-  size_t count = 0;
-
-  for (size_t i = 0; i < fixture.call_count; i++)
-    count += fixture.calls[i].kind == kind
-             && strcmp (fixture.calls[i].worker, worker) == 0;
-  return count;
-}
-
 static void
 expect_starts (size_t at_old, size_t at_new)
 {
@@ -167,7 +140,7 @@
   submission->steps[0].long_running = true;
   set_up_services ();
   apply_submission (submission);
-  store_and_send ();
+  store_all ();
   expect_starts (1, 0);
   accept_starts ();
   for (uint32_t s = 0; s < 5; s++)
@@ -178,9 +151,9 @@
       fixture.call_count = 0;
     }
   set_config (2, NEW_SERVICE);
-  store_and_send ();
+  store_all ();
   lose_old_worker ();
-  store_and_send ();
+  store_all ();
   expect_starts (0, 1);
   tear_down ();
 }
@@ -191,10 +164,10 @@
 {
   set_up_services ();
   apply_submission (new_job_at (1, 6));
-  store_and_send ();
+  store_all ();
   expect_starts (4, 0);
   set_config (2, NEW_SERVICE);
-  store_and_send ();
+  store_all ();
   expect_starts (4, 2);
   tear_down ();
 }
@@ -205,11 +178,11 @@
 {
   set_up_services ();
   apply_submission (new_job_at (1, 1));
-  store_and_send ();
+  store_all ();
   accept_starts ();
   set_config (2, NEW_SERVICE);
-  store_and_send ();
-  store_and_send ();
+  store_all ();
+  store_all ();
   CU_ASSERT_EQUAL (count_calls (SHARD_STOP), 0);
   expect_starts (1, 0);
   tear_down ();
@@ -229,12 +202,12 @@
   submission->steps[1].depends_on_count = 1;
   set_up_services ();
   apply_submission (submission);
-  store_and_send ();
+  store_all ();
   accept_starts ();
   set_config (2, NEW_SERVICE);
-  store_and_send ();
+  store_all ();
   reply_with_lists (OLD_WORKER, NULL, 0, &end, 1);
-  store_and_send ();
+  store_all ();
   expect_starts (1, 1);
   tear_down ();
 }
@@ -249,12 +222,12 @@
   submission->steps[0].gang = true;
   set_up_services ();
   apply_submission (new_submission_with_id (JOB_ID + 1, 1));
-  store_and_send ();
+  store_all ();
   apply_submission (submission);
-  store_and_send ();
+  store_all ();
   expect_starts (1, 0);
   set_config (2, NEW_SERVICE);
-  store_and_send ();
+  store_all ();
   expect_starts (1, 4);
   tear_down ();
 }
@@ -271,15 +244,15 @@
   submission->interval_ms = 5000;
   set_up_services ();
   apply_submission (submission);
-  store_and_send ();
+  store_all ();
   expect_starts (1, 0);
   set_config (2, NEW_SERVICE);
-  store_and_send ();
+  store_all ();
   expect_starts (1, 0);
   advance (5 * USEC_PER_SEC);
   reply_as_ready (NEW_WORKER);
   fixture.call_count = 0;
-  store_and_send ();
+  store_all ();
   expect_starts (0, 1);
   tear_down ();
 }
@@ -291,16 +264,16 @@
 {
   set_up_services ();
   apply_submission (new_job_at (1, 6));
-  store_and_send ();
+  store_all ();
   set_config (2, NEW_SERVICE);
-  store_and_send ();
+  store_all ();
   set_config (3, NULL);
-  store_and_send ();
+  store_all ();
   expect_starts (4, 2);
   take_over (new_job_at (1, 6), 3, NULL);
   CU_ASSERT_EQUAL (count_calls (SHARD_START), 0);
   lose_old_worker ();
-  store_and_send ();
+  store_all ();
   expect_starts (0, 4);
   tear_down ();
 }
@@ -315,11 +288,11 @@
   apply_submission (new_job_at (1, 1));
   shard_quiesce (fixture.shard);
   set_config (2, NEW_SERVICE);
-  store_and_send ();
+  store_all ();
   CU_ASSERT_EQUAL (fixture.appends, 1);
   expect_starts (0, 0);
   take_over (new_job_at (1, 1), 3, NULL);
-  store_and_send ();
+  store_all ();
   expect_starts (0, 1);
   tear_down ();
 }
@@ -333,13 +306,13 @@
 
   set_up_services ();
   apply_submission (new_job_at (1, 6));
-  store_and_send ();
+  store_all ();
   set_config (3, NEW_SERVICE);
-  store_and_send ();
+  store_all ();
   take_over (new_job_at (1, 6), 2, OLD_SERVICE);
   set_config (2, OLD_SERVICE);
   lose_old_worker ();
-  store_and_send ();
+  store_all ();
   expect_starts (0, 4);
   tear_down ();
   set_up_services ();
@@ -347,7 +320,7 @@
   g_free (submission->service);
   submission->service = g_strdup (NEW_SERVICE);
   apply_submission (submission);
-  store_and_send ();
+  store_all ();
   expect_starts (0, 1);
   tear_down ();
 }
@@ -363,7 +336,7 @@
       set_up_services ();
       set_config (2, NEW_SERVICE);
       apply_submission (new_job_at (version, 1));
-      store_and_send ();
+      store_all ();
       expect_starts (0, 1);
       tear_down ();
     }
@@ -375,17 +348,17 @@
 {
   set_up_services ();
   apply_submission (new_job_at (1, 10));
-  store_and_send ();
+  store_all ();
   set_config (2, NEW_SERVICE);
-  store_and_send ();
+  store_all ();
   expect_starts (4, 4);
   set_config (3, OLD_SERVICE);
   add_worker ("another", OLD_SERVICE);
-  store_and_send ();
+  store_all ();
   CU_ASSERT_EQUAL (count_calls_at (SHARD_START, "another"), 2);
   expect_starts (4, 4);
   take_over (new_job_at (1, 10), 2, NEW_SERVICE);
-  store_and_send ();
+  store_all ();
   CU_ASSERT_EQUAL (count_calls_at (SHARD_START, NEW_WORKER), 0);
   tear_down ();
 }
@@ -396,11 +369,11 @@
 {
   set_up_services ();
   apply_submission (new_job_at (1, 6));
-  store_and_send ();
+  store_all ();
   CU_ASSERT_EQUAL (fixture.appends, 1);
   set_config (2, OLD_SERVICE);
   set_config (3, OLD_SERVICE);
-  store_and_send ();
+  store_all ();
   CU_ASSERT_EQUAL (fixture.appends, 1);
   CU_ASSERT_EQUAL (fixture.progress->len > 0, 1);
   tear_down ();
--- a/src/shard/test_shard_zones.c
+++ b/src/shard/test_shard_zones.c
@@ -43,17 +43,6 @@
   advance (USEC_PER_MSEC);
 }
 
-static size_t
-count_calls_at (shard_call_kind_t kind, const char *worker)
-{
-  size_t count = 0;
-
-  for (size_t i = 0; i < fixture.call_count; i++)
-    count += fixture.calls[i].kind == kind
-             && strcmp (fixture.calls[i].worker, worker) == 0;
-  return count;
-}
-
 static size_t
 count_starts_at (const char *worker)
 {
--- a/tests/support/shard_fixture.c
+++ b/tests/support/shard_fixture.c
@@ -346,6 +346,32 @@
   return count;
 }
 
+size_t
+count_calls_at (shard_call_kind_t kind, const char *worker)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < fixture.call_count; i++)
+    count += fixture.calls[i].kind == kind
+             && strcmp (fixture.calls[i].worker, worker) == 0;
+  return count;
+}
+
+void
+store_all (void)
+{
+  uint32_t stored;
+
+  advance (USEC_PER_MSEC);
+  do
+    {
+      stored = fixture.appends;
+      shard_append_done (fixture.shard, fixture.now, SHARD_STORED);
+      advance (USEC_PER_MSEC);
+    }
+  while (fixture.appends != stored);
+}
+
 void
 reply_to_hold (const run_report_t *runs, size_t run_count,
                const end_report_t *ends, size_t end_count)
--- a/tests/support/shard_fixture.h
+++ b/tests/support/shard_fixture.h
@@ -88,6 +88,11 @@
 /** @return the last call of a kind, NULL for none */
 const shard_call_t *last_call (shard_call_kind_t kind);
 size_t count_calls (shard_call_kind_t kind);
+/** @return number of calls of a kind to the worker */
+size_t count_calls_at (shard_call_kind_t kind, const char *worker);
+/** Advances the clock until all changes are stored, and what is due is sent.
+ */
+void store_all (void);
 /** Replies to the last hold with lists of runs and ends. */
 void reply_to_hold (const run_report_t *runs, size_t run_count,
                     const end_report_t *ends, size_t end_count);
