--- a/review/standin-3/site.c
+++ b/review/standin-3/site.c
@@ -333,7 +333,7 @@
   address.sin_port = htons ((uint16_t)opt.port);
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   if (bind (fd, (struct sockaddr *)&address, sizeof address)
-      || listen (fd, worker < 0 ? 512 : 16))
+      || listen (fd, worker < 0 ? 512 : 128))
     {
       perror (host);
       exit (2);
@@ -458,6 +458,8 @@
       else if (IS ("crash_down_ms")) opt.crash_down_ms = atoi (value);
       else if (IS ("crash_dark")) opt.crash_dark = atoi (value);
       else if (IS ("crash_keeps_id")) opt.crash_keeps_id = atoi (value);
+      else if (IS ("report_lag_ms")) opt.report_lag_ms = atoi (value);
+      else if (IS ("crash_listed")) opt.crash_listed = atoi (value);
       else if (IS ("crash_only")) opt.crash_only = atoi (value);
       else if (IS ("crash_most")) opt.crash_most = atoi (value);
       else if (IS ("special_every")) opt.special_every = atoi (value);
--- a/review/standin-3/site.h
+++ b/review/standin-3/site.h
@@ -36,8 +36,10 @@
   int slow_for_ms;
   int crash_every_ms; /* a worker crashes so often, 0: never */
   int crash_down_ms;
+  int report_lag_ms;  /* from a boot to the worker's first check-in */
   bool crash_dark;    /* its connections go silent; else they are reset */
   bool crash_keeps_id;
+  bool crash_listed;  /* it is the next worker that lists ends */
   int crash_only;     /* this worker, -1: any */
   int crash_most;     /* crashes in all, 0: any number */
   int special_every;  /* each job of so many needs the label of the last worker,
--- a/review/standin-3/workers.c
+++ b/review/standin-3/workers.c
@@ -48,6 +48,7 @@
   int64_t born;
   int64_t born_wall;
   int64_t back_at;
+  int64_t crash_at; /* 0: not due */
   int64_t report_due;
   uint64_t token;
   int64_t lease_until;
@@ -85,6 +86,7 @@
 static int table[1 << 20];
 static removal_t removals[64];
 static int64_t crash_due;
+static bool crash_armed; /* the next worker that lists ends crashes */
 static int crashes;
 static int foreign_calls; /* for another life */
 static int twice;
@@ -188,7 +190,7 @@
   w->lease_until = 0;
   w->run_count = w->end_count = w->past_count = 0;
   w->last_end = 0;
-  report_entry (w);
+  w->report_due = now_ms () + (trouble ? opt.report_lag_ms : 0);
 }
 
 static void
@@ -200,6 +202,7 @@
   for (int i = 0; i < w->run_count; i++)
     task_of (w->runs[i].task)->gone++;
   w->up = false;
+  w->crash_at = 0;
   w->back_at = now_ms () + opt.crash_down_ms;
   w->run_count = w->end_count = 0;
   if (!opt.crash_keeps_id)
@@ -275,6 +278,11 @@
         }
       if (!w->up)
         continue;
+      if (w->crash_at && now >= w->crash_at)
+        {
+          crash (w);
+          continue;
+        }
       if (now >= w->report_due)
         report_entry (w);
       for (int i = w->run_count; i > 0; i--)
@@ -294,7 +302,8 @@
                                    : (int)draw ((unsigned)opt.workers));
 
       crash_due = now + opt.crash_every_ms;
-      if (w->up && (!opt.crash_most || crashes < opt.crash_most))
+      crash_armed = opt.crash_listed;
+      if (!opt.crash_listed && w->up && (!opt.crash_most || crashes < opt.crash_most))
         crash (w);
     }
 }
@@ -414,9 +423,13 @@
       = now_ms () + json_integer_value (json_object_get (body, "wait_ms"));
   json_t *running;
   json_t *ended;
+  uint64_t seen;
 
-  forget (w, (uint64_t)json_integer_value (json_object_get (body,
-                                                            "last_seen")));
+  seen = (uint64_t)json_integer_value (json_object_get (body, "last_seen"));
+  if (seen)
+    record ("hold on %s, last_seen %d of %d", w->id, (int)seen,
+            (int)w->last_end);
+  forget (w, seen);
   while (worker_life (index) == life && !w->end_count && now_ms () < until)
     wait_changed ();
   if (worker_life (index) != life)
@@ -436,6 +449,11 @@
         ended, json_pack ("[I, s, i, s, s]", (json_int_t)w->ends[i].number,
                           w->ends[i].task, (int)w->ends[i].run, w->ends[i].how,
                           ""));
+  if (crash_armed && w->end_count)
+    {
+      crash_armed = false;
+      w->crash_at = now_ms () + 5;
+    }
   answer_json (answer, 200,
                json_pack ("{s:I, s:I, s:o, s:o}", "clock_ms",
                           (json_int_t)clock_of (w), "born",
