--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -21,6 +21,7 @@
 		kill -KILL "$pid" 2>/dev/null
 	done
 	wait 2>/dev/null
+	[ -z "$KEEP" ] || cp "$WORK"/node-*.log "$KEEP"
 	rm -rf "$WORK"
 	exit $status
 }
