--- a/review/standin-3/callers.c
+++ b/review/standin-3/callers.c
@@ -15,6 +15,9 @@
 
 #define JOBS_MAX 20000
 #define CALLERS 24
+/* RULES.md, LOST: finish_s after the end of the traffic, for 3 s. */
+#define FINISH_S 14
+#define IDLE_MS 3000
 
 typedef enum
 {
@@ -166,6 +169,8 @@
   int64_t now = now_ms ();
   double due = (double)(now - started) / 1000 * opt.jobs_per_s;
 
+  if (trouble)
+    due += opt.burst;
   if (now - started < opt.seconds * 1000LL && job_count < due
       && job_count < JOBS_MAX)
     {
@@ -246,6 +251,7 @@
   int canceled = 0;
   int unknown = 0;
   int64_t last;
+  int64_t idle_ms;
 
   await_nodes ();
   started = now_ms ();
@@ -273,6 +279,9 @@
       if (!open)
         break;
     }
+  pthread_mutex_lock (&lock);
+  idle_ms = workers_idle_ms ();
+  pthread_mutex_unlock (&lock);
   over = true;
   for (int i = 0; i < CALLERS; i++)
     pthread_join (threads[i], NULL);
@@ -291,6 +300,11 @@
       if (jobs[i].state == JOB_ACCEPTED)
         record ("open at the end: %s is %s", jobs[i].id, jobs[i].shown);
     }
+  if (counts[JOB_ACCEPTED] && opt.settle >= FINISH_S && idle_ms >= IDLE_MS)
+    record ("BROKEN LOST %d accepted jobs are open %d s after the traffic, "
+            "and for %d ms nothing has run on any worker",
+            counts[JOB_ACCEPTED], opt.settle, (int)idle_ms);
+  json_object_set_new (out, "idle_ms", json_integer (idle_ms));
   json_object_set_new (out, "jobs", json_integer (job_count));
   json_object_set_new (out, "refused", json_integer (counts[JOB_REFUSED]));
   json_object_set_new (out, "open", json_integer (counts[JOB_ACCEPTED]
--- a/review/standin-3/site.c
+++ b/review/standin-3/site.c
@@ -19,11 +19,13 @@
 #include <unistd.h>
 
 /* Channels of a worker (SYSTEM.md, Services). */
+#ifndef CHANNELS
 #define CHANNELS 64
+#endif
 
 options_t opt = { .nodes = 3, .workers = 8, .net = "127.77.1", .port = 30000,
                   .seconds = 60, .settle = 20, .jobs_per_s = 10, .tasks = 4,
-                  .task_cpu = 500, .task_ms_least = 150, .task_ms_most = 800,
+                  .task_cpu = 500, .worker_cpu = 16000, .rack = 4, .task_ms_least = 150, .task_ms_most = 800,
                   .store_ms = 4, .crash_only = -1, .seed = 1 };
 pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 pthread_cond_t changed;
@@ -448,12 +450,16 @@
       else if (IS ("jobs_per_s")) opt.jobs_per_s = atof (value);
       else if (IS ("tasks")) opt.tasks = atoi (value);
       else if (IS ("task_cpu")) opt.task_cpu = atoi (value);
+      else if (IS ("worker_cpu")) opt.worker_cpu = atoi (value);
+      else if (IS ("rack")) opt.rack = atoi (value);
+      else if (IS ("burst")) opt.burst = atoi (value);
       else if (IS ("task_ms_least")) opt.task_ms_least = atoi (value);
       else if (IS ("task_ms_most")) opt.task_ms_most = atoi (value);
       else if (IS ("store_ms")) opt.store_ms = atoi (value);
       else if (IS ("slow_ms")) opt.slow_ms = atoi (value);
       else if (IS ("slow_every_ms")) opt.slow_every_ms = atoi (value);
       else if (IS ("slow_for_ms")) opt.slow_for_ms = atoi (value);
+      else if (IS ("deal_every_ms")) opt.deal_every_ms = atoi (value);
       else if (IS ("crash_every_ms")) opt.crash_every_ms = atoi (value);
       else if (IS ("crash_down_ms")) opt.crash_down_ms = atoi (value);
       else if (IS ("crash_dark")) opt.crash_dark = atoi (value);
--- a/review/standin-3/site.h
+++ b/review/standin-3/site.h
@@ -28,12 +28,16 @@
   double jobs_per_s;
   int tasks;          /* of a job */
   int task_cpu;
+  int worker_cpu;
+  int rack;           /* workers of a rack */
+  int burst;          /* jobs that come at once when the trouble begins */
   int task_ms_least;
   int task_ms_most;
   int store_ms;       /* an answer of the store in calm */
   int slow_ms;        /* an answer while the store is slow */
   int slow_every_ms;  /* the store becomes slow so often, 0: never */
   int slow_for_ms;
+  int deal_every_ms;  /* all partitions are dealt anew so often, 0: never */
   int crash_every_ms; /* a worker crashes so often, 0: never */
   int crash_down_ms;
   int report_lag_ms;  /* from a boot to the worker's first check-in */
@@ -99,6 +103,9 @@
     its end was confirmed; writes what was seen */
 void workers_report (json_t *out);
 
+/** @return how long no task has been under way on any worker */
+int64_t workers_idle_ms (void);
+
 /* callers.c */
 void callers_run (json_t *out);
 
--- a/review/standin-3/store.c
+++ b/review/standin-3/store.c
@@ -46,6 +46,9 @@
 static member_t members[MEMBERS_MAX];
 static int member_count;
 static char holder[PARTITIONS][96];
+static bool revoked[PARTITIONS]; /* from a holder that does not know it yet */
+static uint64_t revoked_since[PARTITIONS];
+static int64_t deal_due;
 static uint64_t generation;
 static int64_t slow_until;
 static int64_t slow_due;
@@ -331,13 +334,16 @@
 
 /* --- The group --- */
 
+/* Prefers another member than the former holder. */
+static char former[PARTITIONS][96];
+
 static void
 deal (void)
 {
   for (int p = 0; p < PARTITIONS; p++)
     {
       int best = -1;
-      int least = PARTITIONS + 1;
+      int least = 2 * PARTITIONS + 2;
 
       if (*holder[p])
         continue;
@@ -347,6 +353,7 @@
 
           for (int q = 0; q < PARTITIONS; q++)
             held += strcmp (holder[q], members[m].name) == 0;
+          held = 2 * held + (strcmp (members[m].name, former[p]) == 0);
           if (held < least)
             {
               least = held;
@@ -356,15 +363,48 @@
       if (best < 0)
         return;
       snprintf (holder[p], sizeof holder[p], "%s", members[best].name);
+      snprintf (former[p], sizeof former[p], "%s", members[best].name);
     }
 }
 
+static int
+held_by (const char *name)
+{
+  int held = 0;
+
+  for (int p = 0; p < PARTITIONS; p++)
+    held += !revoked[p] && strcmp (holder[p], name) == 0;
+  return held;
+}
+
+static void
+revoke (int p)
+{
+  revoked[p] = true;
+  revoked_since[p] = generation;
+}
+
+/* Takes partitions from members that hold more than their share.  */
+static void
+level (void)
+{
+  for (int m = 0; m < member_count; m++)
+    for (int p = 0; p < PARTITIONS; p++)
+      if (!revoked[p] && strcmp (holder[p], members[m].name) == 0
+          && held_by (members[m].name)
+                 > (PARTITIONS + member_count - 1) / member_count)
+        revoke (p);
+}
+
 static void
 drop_member (int m)
 {
   for (int p = 0; p < PARTITIONS; p++)
     if (strcmp (holder[p], members[m].name) == 0)
-      holder[p][0] = '\0';
+      {
+        holder[p][0] = '\0';
+        revoked[p] = false;
+      }
   members[m] = members[--member_count];
   generation++;
   deal ();
@@ -395,15 +435,25 @@
       snprintf (members[m].name, sizeof members[m].name, "%s", name);
       generation++;
       record ("group: %s joins, generation %d", name, (int)generation);
+      level ();
     }
   if (m >= 0)
     {
       members[m].alive_until
           = now_ms ()
             + json_integer_value (json_object_get (body, "ttl_ms"));
+      for (int p = 0; p < PARTITIONS; p++)
+        if (revoked[p] && strcmp (holder[p], name) == 0
+            && (uint64_t)json_integer_value (
+                   json_object_get (body, "generation"))
+                   >= revoked_since[p])
+          {
+            holder[p][0] = '\0';
+            revoked[p] = false;
+          }
       deal ();
       for (int p = 0; p < PARTITIONS; p++)
-        if (strcmp (holder[p], name) == 0)
+        if (!revoked[p] && strcmp (holder[p], name) == 0)
           json_array_append_new (list, json_pack ("[s, i, i]", "keyed.work",
                                                   p, 0));
     }
@@ -473,6 +523,18 @@
         record ("group: %s has not joined in time", members[m - 1].name);
         drop_member (m - 1);
       }
+  if (trouble && opt.deal_every_ms && now >= deal_due)
+    {
+      if (deal_due)
+        {
+          generation++;
+          for (int p = 0; p < PARTITIONS; p++)
+            if (*holder[p])
+              revoke (p);
+          record ("group: all partitions are dealt anew");
+        }
+      deal_due = now + opt.deal_every_ms;
+    }
   if (!trouble || !opt.slow_every_ms)
     return;
   if (!slow_due)
--- a/review/standin-3/workers.c
+++ b/review/standin-3/workers.c
@@ -13,7 +13,6 @@
 #define RUNS_MAX 512
 #define ENDS_MAX 4096
 #define TASKS_MAX 400000
-#define WORKER_CPU 16000
 #define WORKER_MEMORY 64000
 #define TASK_MEMORY 100
 
@@ -57,6 +56,7 @@
   end_t ends[ENDS_MAX];
   int end_count;
   uint64_t last_end;
+  uint64_t lapsed_end; /* last end before the lease last lapsed */
   past_t *past;
   int past_count;
   int past_room;
@@ -90,6 +90,7 @@
 static int crashes;
 static int foreign_calls; /* for another life */
 static int twice;
+static int64_t last_busy; /* when a task was last under way */
 static unsigned born_count;
 
 static void boot (worker_t *w, bool new_id);
@@ -137,14 +138,14 @@
   char *text;
   int i = (int)(w - workers);
 
-  snprintf (rack, sizeof rack, "r%d", i / 4);
+  snprintf (rack, sizeof rack, "r%d", i / opt.rack);
   entry = json_pack (
       "{s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:{s:i, s:i, s:i}, s:[s, "
       "s]}",
       "service", "s", "address", w->address, "zone", "z", "state", "ready",
       "version", "v1", "slots", 8, "cold_remaining_ms", 0, "sequence",
       (json_int_t)(clock_of (w) / HEARTBEAT_MS), "born",
-      (json_int_t)w->born_wall, "capacity", "cpu", WORKER_CPU, "mem_mb",
+      (json_int_t)w->born_wall, "capacity", "cpu", opt.worker_cpu, "mem_mb",
       WORKER_MEMORY, "gpu", 0, "labels",
       i == opt.workers - 1 && opt.special_every ? "b" : "a", rack);
   text = json_dumps (entry, JSON_COMPACT);
@@ -189,7 +190,7 @@
   w->token = 0;
   w->lease_until = 0;
   w->run_count = w->end_count = w->past_count = 0;
-  w->last_end = 0;
+  w->last_end = w->lapsed_end = 0;
   w->report_due = now_ms () + (trouble ? opt.report_lag_ms : 0);
 }
 
@@ -278,6 +279,8 @@
         }
       if (!w->up)
         continue;
+      if (w->run_count)
+        last_busy = now;
       if (w->crash_at && now >= w->crash_at)
         {
           crash (w);
@@ -344,7 +347,7 @@
     return "old";
   if (expiry <= clock_of (w))
     return "late";
-  if (used + opt.task_cpu > WORKER_CPU || w->run_count == RUNS_MAX)
+  if (used + opt.task_cpu > opt.worker_cpu || w->run_count == RUNS_MAX)
     return "room";
   /* The spec has the time of each task. */
   sscanf (task, "%*[^.].%*u.%*u.%u", &index);
@@ -404,7 +407,8 @@
         {
           task_t *task = task_of (w->ends[i].task);
 
-          task->noted++;
+          if (w->ends[i].number > w->lapsed_end)
+            task->noted++;
           record ("noted %s run %u on %s: done, number %d, last_seen %d",
                   task->name, w->ends[i].run, w->id, (int)w->ends[i].number,
                   (int)seen);
@@ -491,6 +495,9 @@
   w->token = token;
   if (expiry > clock_of (w) + LEASE_MS)
     expiry = clock_of (w) + LEASE_MS;
+  /* The lease of a worker that runs nothing lapses as well. */
+  if (clock_of (w) > w->lease_until)
+    w->lapsed_end = w->last_end;
   if (expiry > w->lease_until)
     w->lease_until = expiry;
   if (strcmp (request->path, "/-/run-start") == 0)
@@ -511,6 +518,12 @@
   json_decref (body);
 }
 
+int64_t
+workers_idle_ms (void)
+{
+  return now_ms () - last_busy;
+}
+
 void
 workers_report (json_t *out)
 {
