--- a/review/standin-3/callers.c
+++ b/review/standin-3/callers.c
@@ -89,6 +89,12 @@
   return opt.special_every && (int)(job - jobs) % opt.special_every == 0;
 }
 
+static bool
+is_gang (const job_t *job)
+{
+  return opt.gang_every && (int)(job - jobs) % opt.gang_every == 0;
+}
+
 static void
 submit (job_t *job, unsigned random)
 {
@@ -109,10 +115,11 @@
                                 i ? "," : "", ms);
     }
   snprintf (body, sizeof body,
-            "{\"spec\":\"%s\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
-            "\"mem_mb\":100,\"estimated_ms\":%d%s}]}",
-            spec, opt.tasks, opt.task_cpu,
+            "{\"spec\":\"%s%s\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
+            "\"mem_mb\":100,\"estimated_ms\":%d%s%s}]}",
+            is_gang (job) ? "g" : "", spec, opt.tasks, opt.task_cpu,
             (opt.task_ms_least + opt.task_ms_most) / 2,
+            is_gang (job) ? ",\"gang\":true" : "",
             needs_label (job) ? ",\"requirements\":\"b\"" : "");
   for (int attempt = 0; attempt < 5 && !over; attempt++)
     {
--- a/review/standin-3/site.h
+++ b/review/standin-3/site.h
@@ -46,6 +46,7 @@
   bool crash_listed;  /* it is the next worker that lists ends */
   int crash_only;     /* this worker, -1: any */
   int crash_most;     /* crashes in all, 0: any number */
+  int gang_every;     /* each job of so many is a gang, 0: none is */
   int special_every;  /* each job of so many needs the label of the last worker,
                          0: none does */
   unsigned seed;
--- a/review/standin-3/workers.c
+++ b/review/standin-3/workers.c
@@ -22,6 +22,10 @@
   unsigned run;
   int64_t ends_at;
   int cpu;
+  bool gang;
+  bool works; /* all members of the gang are present */
+  int64_t begun_at;
+  int ms;
 } run_t;
 
 typedef struct
@@ -90,10 +94,14 @@
 static int crashes;
 static int foreign_calls; /* for another life */
 static int twice;
+static int alone;
+static int doubled;
 static int64_t last_busy; /* when a task was last under way */
 static unsigned born_count;
 
 static void boot (worker_t *w, bool new_id);
+static void end_one (worker_t *w, int i, const char *how);
+static void break_gang (const char *task, unsigned run, const char *how);
 
 static worker_t *
 worker_at (int i)
@@ -200,9 +208,13 @@
   crashes++;
   record ("crash %s at %s, %d runs, %d ends not taken note of", w->id,
           w->address, w->run_count, w->end_count);
-  for (int i = 0; i < w->run_count; i++)
-    task_of (w->runs[i].task)->gone++;
   w->up = false;
+  for (int i = 0; i < w->run_count; i++)
+    {
+      task_of (w->runs[i].task)->gone++;
+      if (w->runs[i].gang)
+        break_gang (w->runs[i].task, w->runs[i].run, "broken");
+    }
   w->crash_at = 0;
   w->back_at = now_ms () + opt.crash_down_ms;
   w->run_count = w->end_count = 0;
@@ -233,8 +245,71 @@
   return &w->past[w->past_count++].highest;
 }
 
+static bool
+is_of_gang (const run_t *a, const char *task, unsigned run)
+{
+  return a->gang && a->run == run && strncmp (a->task, task, 16) == 0;
+}
+
+static void end_run (worker_t *w, int i, const char *how);
+
+/* The other members end with one that ends. */
+static void
+break_gang (const char *task, unsigned run, const char *how)
+{
+  for (int k = 0; k < opt.workers; k++)
+    for (int i = workers[k].run_count; workers[k].up && i > 0; i--)
+      if (is_of_gang (&workers[k].runs[i - 1], task, run))
+        {
+          workers[k].runs[i - 1].gang = false;
+          end_run (worker_at (k), i - 1, how);
+        }
+}
+
+/* The members work once all are present. */
+static void
+gang_tick (worker_t *w, int i)
+{
+  run_t *run = &w->runs[i];
+  int present = 0;
+
+  if (run->works)
+    return;
+  for (int k = 0; k < opt.workers; k++)
+    for (int j = 0; workers[k].up && j < workers[k].run_count; j++)
+      present += is_of_gang (&workers[k].runs[j], run->task, run->run);
+  if (present < opt.tasks)
+    {
+      run->ends_at = INT64_MAX;
+      return;
+    }
+  for (int k = 0; k < opt.workers; k++)
+    for (int j = 0; workers[k].up && j < workers[k].run_count; j++)
+      if (is_of_gang (&workers[k].runs[j], run->task, run->run))
+        {
+          workers[k].runs[j].works = true;
+          workers[k].runs[j].ends_at = now_ms () + run->ms;
+        }
+}
+
 static void
 end_run (worker_t *w, int i, const char *how)
+{
+  bool gang = w->runs[i].gang;
+  char task[48];
+  unsigned number = w->runs[i].run;
+  bool works = w->runs[i].works;
+
+  memcpy (task, w->runs[i].task, sizeof task);
+  w->runs[i].gang = false;
+  end_one (w, i, how);
+  if (gang)
+    break_gang (task, number,
+                works && strcmp (how, "done") == 0 ? "done" : "broken");
+}
+
+static void
+end_one (worker_t *w, int i, const char *how)
 {
   run_t *run = &w->runs[i];
   unsigned *highest = past_of (w, run->task);
@@ -289,8 +364,18 @@
       if (now >= w->report_due)
         report_entry (w);
       for (int i = w->run_count; i > 0; i--)
-        if (clock_of (w) > w->lease_until)
+        if (i > w->run_count)
+          continue;
+        else if (clock_of (w) > w->lease_until)
           end_run (w, i - 1, "lapsed");
+        else if (w->runs[i - 1].gang && !w->runs[i - 1].works
+                 && now - w->runs[i - 1].begun_at > 3000)
+          {
+            record ("alone %s run %u", w->runs[i - 1].task,
+                    w->runs[i - 1].run);
+            alone++;
+            end_run (w, i - 1, "alone");
+          }
         else if (now >= w->runs[i - 1].ends_at)
           end_run (w, i - 1, "done");
     }
@@ -334,6 +419,7 @@
   int used = 0;
   int ms = 300;
   unsigned index = 0;
+  bool gang;
   task_t *known;
   run_t *row;
 
@@ -349,6 +435,8 @@
     return "late";
   if (used + opt.task_cpu > opt.worker_cpu || w->run_count == RUNS_MAX)
     return "room";
+  gang = spec && *spec == 'g';
+  spec += gang;
   /* The spec has the time of each task. */
   sscanf (task, "%*[^.].%*u.%*u.%u", &index);
   for (unsigned i = 0; spec && i <= index; i++)
@@ -372,6 +460,21 @@
   row->run = run;
   row->cpu = opt.task_cpu;
   row->ends_at = now_ms () + ms;
+  row->ms = ms;
+  row->works = false;
+  row->begun_at = now_ms ();
+  row->gang = gang;
+  for (int k = 0; k < opt.workers; k++)
+    for (int j = 0; workers[k].up && j < workers[k].run_count; j++)
+      if (&workers[k].runs[j] != row
+          && strcmp (workers[k].runs[j].task, task) == 0)
+        {
+          doubled++;
+          record ("BROKEN TWICE %s run %u starts on %s while run %u is on %s",
+                  task, run, w->id, workers[k].runs[j].run, workers[k].id);
+        }
+  if (gang)
+    gang_tick (w, w->run_count - 1);
   return NULL;
 }
 
@@ -536,4 +639,6 @@
                        json_integer (foreign_calls));
   json_object_set_new (out, "starts", json_integer (starts));
   json_object_set_new (out, "twice", json_integer (twice));
+  json_object_set_new (out, "doubled", json_integer (doubled));
+  json_object_set_new (out, "alone", json_integer (alone));
 }
