--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -8,7 +8,6 @@
 NET=127.$((128 + $$ / 250 % 120)).$(($$ % 250 + 1))
 PORT=$((20000 + $$ % 9000))
 WORK=$(mktemp -d)
-RECORD=$HERE/record.txt
 NODES=3
 NODE_PIDS=
 SITE_PID=
