--- a/review/standin-3/callers.c
+++ b/review/standin-3/callers.c
@@ -151,6 +151,44 @@
   job->state = JOB_REFUSED;
 }
 
+static bool
+has_capitals (const job_t *job)
+{
+  return opt.upper_every && (int)(job - jobs) % opt.upper_every == 0;
+}
+
+bool
+callers_have_sent (const char *task)
+{
+  for (int i = 0; i < job_count; i++)
+    if (strncmp (jobs[i].id, task, 16) == 0)
+      return true;
+  return false;
+}
+
+/* Asks for IDs that nobody has submitted.  @return how many are shown */
+static int
+ask_for_others (void)
+{
+  char reply[2048];
+  int shown = 0;
+
+  for (int i = 0; i < job_count; i++)
+    if (has_capitals (&jobs[i]))
+      {
+        char id[17];
+
+        memcpy (id, jobs[i].id, sizeof id);
+        memcpy (id, "ab", 2);
+        if (call (0, "GET", id, "", reply, sizeof reply) != 200)
+          continue;
+        shown++;
+        record ("BROKEN MIXED GET %s: 200 %s, and nobody has submitted it", id,
+                strstr (reply, "{"));
+      }
+  return shown;
+}
+
 static void
 ask (job_t *job, int node)
 {
@@ -195,8 +233,10 @@
     {
       job_t *job = &jobs[job_count++];
 
-      snprintf (job->id, sizeof job->id, "%08x%08x", draw (1u << 24),
+      snprintf (job->id, sizeof job->id, "ab%06x%08x", draw (1u << 24),
                 (unsigned)job_count);
+      if (has_capitals (job))
+        memcpy (job->id, "AB", 2);
       job->busy = true;
       *submits = true;
       return job;
@@ -325,6 +365,8 @@
       if (jobs[i].state == JOB_ACCEPTED)
         record ("open at the end: %s is %s", jobs[i].id, jobs[i].shown);
     }
+  json_object_set_new (out, "shown_unsubmitted",
+                       json_integer (ask_for_others ()));
   json_object_set_new (out, "lost", json_integer (lost));
   json_object_set_new (out, "jobs", json_integer (job_count));
   json_object_set_new (out, "refused", json_integer (counts[JOB_REFUSED]));
--- a/review/standin-3/site.c
+++ b/review/standin-3/site.c
@@ -474,6 +474,7 @@
       else if (IS ("crash_listed")) opt.crash_listed = atoi (value);
       else if (IS ("crash_only")) opt.crash_only = atoi (value);
       else if (IS ("crash_most")) opt.crash_most = atoi (value);
+      else if (IS ("upper_every")) opt.upper_every = atoi (value);
       else if (IS ("gang_every")) opt.gang_every = atoi (value);
       else if (IS ("special_every")) opt.special_every = atoi (value);
       else if (IS ("seed")) opt.seed = (unsigned)atoi (value);
--- a/review/standin-3/site.h
+++ b/review/standin-3/site.h
@@ -49,6 +49,7 @@
   bool crash_listed;  /* it is the next worker that lists ends */
   int crash_only;     /* this worker, -1: any */
   int crash_most;     /* crashes in all, 0: any number */
+  int upper_every;    /* each job of so many has capitals in its ID, 0: none has */
   int gang_every;     /* each job of so many is a gang, 0: none is */
   int special_every;  /* each job of so many needs the label of the last worker,
                          0: none does */
@@ -112,6 +113,8 @@
 int64_t workers_idle_ms (const char *job);
 
 /* callers.c */
+/** @return whether a caller has submitted a job with this ID of 16 digits */
+bool callers_have_sent (const char *task);
 void callers_run (json_t *out);
 
 #endif
--- a/review/standin-3/workers.c
+++ b/review/standin-3/workers.c
@@ -95,6 +95,7 @@
 static int crashes;
 static int foreign_calls; /* for another life */
 static int twice;
+static int unasked;
 static int alone;
 static int doubled;
 static int64_t half_used_at; /* half of the capacity was last in use */
@@ -471,6 +472,12 @@
     }
   known = task_of (task);
   record ("start %s run %u on %s, %d ms", task, run, w->id, ms);
+  if (!callers_have_sent (task))
+    {
+      unasked++;
+      record ("BROKEN UNASKED %s run %u starts on %s, and no caller has sent "
+              "a job with this ID", task, run, w->id);
+    }
   if (known->noted)
     {
       known->after_note++;
@@ -666,5 +673,6 @@
   json_object_set_new (out, "starts", json_integer (starts));
   json_object_set_new (out, "twice", json_integer (twice));
   json_object_set_new (out, "doubled", json_integer (doubled));
+  json_object_set_new (out, "unasked", json_integer (unasked));
   json_object_set_new (out, "alone", json_integer (alone));
 }
