Count a failed run of a gang once

Cause: apply_end added the end of each member to the failures of the gang, and nothing knew that two such ends belong to one run.

Change: the newest run of a gang that counts is kept beside the count. All members of a run have its number and later runs have higher ones, so an end counts only if its run is newer. The number is stored with the count, since a takeover may fall between the ends of two members. Records of the build before have the count without the run: it is limited to the runs that have ended, the newest of which is taken to be counted.

Ruled out as the same fault: crashes, losses and delays are evidence against one member, stalls leave gangs out, the failures of a worker count by job.

--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -59,7 +59,11 @@
 CANCELED_RUNS_ON|src/shard/shard.c|shard/test_shard|s/^  run_stop_job (shard, now, job, job_status_name (end));//
 STRAY_RUNS_ON|src/shard/shard_calls.c|shard/test_shard_steps|s/send_stop (shard, now, handle, &report->run_id, HANDLE_NONE);//
 START_SENT_TWICE|src/shard/shard_runs.c|shard/test_shard|s/run->state == RUN_STARTING && !run->start_sent/run->state == RUN_STARTING/
-NO_ATTEMPT_LIMIT|src/shard/shard_runs.c|shard/test_shard|s/counted->failures >= MAX (job->submission->max_attempts, 1)/counted->failures > 1000/
+GANG_FAILS_BY_MEMBER|src/jobs/jobs.c|shard/test_shard_gangs|s/if (run > occurrence->failed_run\[step\])/if (true)/
+GANG_FAILURE_NOT_STORED|src/jobs/job_record.c|shard/test_shard_gangs|s/i ? 0 : occurrence->failed_run\[s\]/0/;s/^  occurrence->failed_run\[step\] = ended;/;/
+GANG_FAILURE_OF_FORMER_BUILD|src/jobs/job_record.c|jobs/test_jobs|s/^  occurrence->failed_run\[step\] = ended;/;/
+GANG_FAILURES_NOT_LIMITED|src/jobs/job_record.c|jobs/test_jobs|s/MIN (first->failures, ended)/first->failures/
+NO_ATTEMPT_LIMIT|src/shard/shard_runs.c|shard/test_shard|s/failures >= MAX (job->submission->max_attempts, 1)/failures > 1000/
 SAME_RUN_NUMBER|src/jobs/jobs.c|jobs/test_jobs|s/task->run++;//
 NO_STEP_ORDER|src/jobs/jobs.c|jobs/test_jobs|s/if (occurrence->unfinished\[s->depends_on\[i\]\])/if (0)/
 NO_CAPACITY|src/shard/shard_choose.c|shard/test_shard_capacity|s/worker->used_millicores + step->millicores > worker->millicores/false/
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -35,6 +35,9 @@
    number of the task's run before the newest one, and where it is under way
    beside the newest one, its place. */
 #define TASK_FIELDS_WITH_OLDER 11
+/* With the newest run of a gang that counts as failed, which only the first
+   task of a gang has. */
+#define TASK_FIELDS_WITH_FAILED_RUN 12
 #define OLDER_FIELDS 1
 #define OLDER_FIELDS_WITH_PLACE 5
 #define MAX_ASSUMED_LOSSES 2U
@@ -45,7 +48,7 @@
                              const submission_t *submission,
                              const occurrence_t *occurrence, bool checkpoints);
 static void pack_task (msgpack_packer *packer, const task_t *task,
-                       bool checkpoints);
+                       uint32_t failed_run, bool checkpoints);
 static void encode_progress (const job_t *job, bool checkpoints,
                              GByteArray *out);
 static uint32_t uncounted_runs (const task_t *task, uint64_t state);
@@ -68,6 +71,8 @@
                             const msgpack_object *older);
 static bool read_runs (job_t *job, occurrence_t *occurrence, uint32_t step,
                        uint32_t index, const msgpack_object *fields);
+static void assume_failed_run (const occurrence_t *occurrence, uint32_t step,
+                               uint32_t count);
 static bool read_task (job_t *job, occurrence_t *occurrence, uint32_t step,
                        uint32_t index, const msgpack_object *fields);
 
@@ -293,14 +298,16 @@
         }
       msgpack_pack_array (packer, submission->steps[s].count);
       for (uint32_t i = 0; i < submission->steps[s].count; i++)
-        pack_task (packer, &occurrence->tasks[s][i], checkpoints);
+        pack_task (packer, &occurrence->tasks[s][i],
+                   i ? 0 : occurrence->failed_run[s], checkpoints);
     }
 }
 
 /* The first fields tell the newest run, the copy of two: a build without the
    field of the older run goes on with it, and gives no number twice. */
 static void
-pack_task (msgpack_packer *packer, const task_t *task, bool checkpoints)
+pack_task (msgpack_packer *packer, const task_t *task, uint32_t failed_run,
+           bool checkpoints)
 {
   const place_t *place = task->copy ? &task->copy->place : &task->place;
   bool older = task->state == TASK_PLACED && task->run != task->placed_run;
@@ -315,7 +322,9 @@
       msgpack_pack_uint32 (packer, TASK_DONE);
       return;
     }
-  msgpack_pack_array (packer, older ? TASK_FIELDS_WITH_OLDER : TASK_FIELDS);
+  msgpack_pack_array (packer, failed_run ? TASK_FIELDS_WITH_FAILED_RUN
+                              : older    ? TASK_FIELDS_WITH_OLDER
+                                         : TASK_FIELDS);
   msgpack_pack_uint32 (packer, task->state);
   msgpack_pack_uint32 (packer, task->run);
   msgpack_pack_uint32 (packer, task->failures);
@@ -329,6 +338,11 @@
   msgpack_pack_uint32 (packer, task->losses);
   if (older)
     pack_older_run (packer, task);
+  if (!failed_run)
+    return;
+  if (!older)
+    msgpack_pack_nil (packer);
+  msgpack_pack_uint32 (packer, failed_run);
 }
 
 /* Without its place if the newest run has ended and this one goes on. */
@@ -458,10 +472,33 @@
                             ? &tasks->via.array.ptr[i]
                             : tasks))
           return false;
+      if (submission->steps[s].gang)
+        assume_failed_run (occurrence, s, submission->steps[s].count);
     }
   return true;
 }
 
+/* A build without the field counts each member that has failed, and does not
+   tell of which runs.  Those that have ended are the most that can have
+   failed, the newest of them included: a gang that is not placed as a whole
+   has begun to end. */
+static void
+assume_failed_run (const occurrence_t *occurrence, uint32_t step,
+                   uint32_t count)
+{
+  task_t *first = &occurrence->tasks[step][0];
+  uint32_t ended = 0;
+
+  if (!first->failures || occurrence->failed_run[step])
+    return;
+  for (uint32_t i = 0; i < count; i++)
+    ended = MAX (ended, occurrence->tasks[step][i].run);
+  if (ended && occurrence->placed[step] == count)
+    ended--;
+  occurrence->failed_run[step] = ended;
+  first->failures = MIN (first->failures, ended);
+}
+
 static bool
 read_task (job_t *job, occurrence_t *occurrence, uint32_t step, uint32_t index,
            const msgpack_object *fields)
@@ -483,6 +520,8 @@
     return false;
   task->run = (uint32_t)uint_at (fields, 1);
   task->failures = (uint32_t)uint_at (fields, 2);
+  if (!index)
+    occurrence->failed_run[step] = (uint32_t)uint_at (fields, 11);
   task->checkpoint = string_at (fields, 5);
   task->crashes = read_crashes (task, state, fields);
   task->losses = read_losses (task, state, fields);
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -158,7 +158,7 @@
   uint64_t steps = submission->step_count;
   uint64_t bytes = heap_bytes (sizeof (occurrence_t))
                    + heap_bytes (steps * sizeof (task_t *))
-                   + 2 * heap_bytes (steps * sizeof (uint32_t));
+                   + 3 * heap_bytes (steps * sizeof (uint32_t));
 
   for (uint32_t s = 0; s < submission->step_count; s++)
     bytes += heap_bytes (submission->steps[s].count * sizeof (task_t));
@@ -227,6 +227,7 @@
   occurrence->tasks = g_new0 (task_t *, submission->step_count);
   occurrence->unfinished = g_new0 (uint32_t, submission->step_count);
   occurrence->placed = g_new0 (uint32_t, submission->step_count);
+  occurrence->failed_run = g_new0 (uint32_t, submission->step_count);
   for (uint32_t s = 0; s < submission->step_count; s++)
     {
       occurrence->unfinished[s] = submission->steps[s].count;
@@ -251,6 +252,7 @@
   g_free (occurrence->tasks);
   g_free (occurrence->unfinished);
   g_free (occurrence->placed);
+  g_free (occurrence->failed_run);
   g_free (occurrence);
 }
 
@@ -430,6 +432,22 @@
   job->placed--;
 }
 
+uint32_t
+task_count_failure (const job_t *job, occurrence_t *occurrence, uint32_t step,
+                    uint32_t index, uint32_t run)
+{
+  task_t *tasks = occurrence->tasks[step];
+
+  if (!job->submission->steps[step].gang)
+    return ++tasks[index].failures;
+  if (run > occurrence->failed_run[step])
+    {
+      occurrence->failed_run[step] = run;
+      tasks[0].failures++;
+    }
+  return tasks[0].failures;
+}
+
 void
 task_set_checkpoint (task_t *task, const char *saved)
 {
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -107,15 +107,16 @@
   task_state_t state;
   uint32_t run;        /**< number of the newest run, 0 before the first */
   uint32_t placed_run; /**< number of the run at PLACE, while placed */
-  uint32_t failures;   /**< runs that ended in failure */
-  place_t place;       /**< of the run PLACED_RUN, while placed */
-  task_copy_t *copy;   /**< NULL for none, as always while not placed */
-  char *checkpoint;    /**< newest checkpoint, NULL for none */
-  uint32_t crashes;    /**< workers that crashed as they had just started it,
-                            since a run of it lived on */
-  uint32_t losses;     /**< runs lost with their worker for any cause, since
-                            a run of it lived on; at least CRASHES */
-  bool worker_leaves;  /**< its worker was listed as leaving */
+  uint32_t failures;  /**< runs that ended in failure; the first task of a gang
+                           counts those of the gang */
+  place_t place;      /**< of the run PLACED_RUN, while placed */
+  task_copy_t *copy;  /**< NULL for none, as always while not placed */
+  char *checkpoint;   /**< newest checkpoint, NULL for none */
+  uint32_t crashes;   /**< workers that crashed as they had just started it,
+                           since a run of it lived on */
+  uint32_t losses;    /**< runs lost with their worker for any cause, since
+                           a run of it lived on; at least CRASHES */
+  bool worker_leaves; /**< its worker was listed as leaving */
   uint32_t run_handle; /**< run PLACED_RUN in the owner's table, HANDLE_NONE:
                           none */
   uint32_t stalls;     /**< runs stopped because they made no progress */
@@ -131,6 +132,8 @@
   task_t **tasks;       /**< per step, step->count tasks */
   uint32_t *unfinished; /**< per step, tasks that are not done */
   uint32_t *placed;     /**< per step, tasks that are placed */
+  uint32_t *failed_run; /**< per step, of a gang: newest run that counts as
+                             failed, 0: none */
 } occurrence_t;
 
 typedef enum
@@ -253,6 +256,12 @@
 /** @return the place of a run under way, NULL if the task has no such run */
 place_t *task_run_place (task_t *task, uint32_t run);
 
+/** Counts a failed run of a task, or of its gang: that counts once, however
+    many of its members have failed.
+    @return failed runs of the task, or of the gang */
+uint32_t task_count_failure (const job_t *job, occurrence_t *occurrence,
+                             uint32_t step, uint32_t index, uint32_t run);
+
 /** Replaces the checkpoint of a task; NULL or an empty one is ignored. */
 void task_set_checkpoint (task_t *task, const char *saved);
 
--- a/src/jobs/test_jobs.c
+++ b/src/jobs/test_jobs.c
@@ -134,7 +134,7 @@
 }
 
 /* Decodes the record of a job, as a build reads it that knows FIELDS fields of
-   a task with two runs. */
+   the tasks of step 1. */
 static job_t *
 read_again (const job_t *job, uint32_t fields, bool gang)
 {
@@ -143,7 +143,7 @@
   msgpack_unpacked unpacked;
   msgpack_sbuffer buffer;
   msgpack_packer packer;
-  msgpack_object *task;
+  msgpack_object_array tasks;
   job_t *read;
 
   submission->steps[1].speculative = true;
@@ -152,12 +152,14 @@
   job_encode (job, bytes);
   msgpack_unpacked_init (&unpacked);
   msgpack_unpack_next (&unpacked, (const char *)bytes->data, bytes->len, NULL);
-  task = &unpacked.data.via.array.ptr[5]
+  tasks = unpacked.data.via.array.ptr[5]
               .via.array.ptr[0]
               .via.array.ptr[2]
-              .via.array.ptr[1];
-  CU_ASSERT_EQUAL_FATAL (task->type, MSGPACK_OBJECT_ARRAY);
-  task->via.array.size = MIN (task->via.array.size, fields);
+              .via.array;
+  CU_ASSERT_EQUAL_FATAL (tasks.ptr[1].type, MSGPACK_OBJECT_ARRAY);
+  for (uint32_t i = 0; i < tasks.size; i++)
+    if (tasks.ptr[i].type == MSGPACK_OBJECT_ARRAY)
+      tasks.ptr[i].via.array.size = MIN (tasks.ptr[i].via.array.size, fields);
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
   msgpack_pack_object (&packer, unpacked.data);
@@ -246,6 +248,74 @@
   job_free (job);
 }
 
+/* A gang of three tasks, step 1, that is started for the first time. */
+static job_t *
+new_job_with_gang (void)
+{
+  submission_t *submission = two_step_submission ();
+  job_t *job = job_new (submission);
+  place_t place = { (char *)"w1", WALL_MS, (char *)"10.0.0.1:1" };
+
+  submission->steps[1].gang = true;
+  job_create_due_occurrences (job, WALL_MS);
+  for (uint32_t i = 0; i < 3; i++)
+    task_place (job, job_occurrence (job, 0), 1, i, &place);
+  return job;
+}
+
+static uint32_t
+fail_member (job_t *job, uint32_t index, uint32_t run)
+{
+  return task_count_failure (job, job_occurrence (job, 0), 1, index, run);
+}
+
+/* Guards against a run of a gang that the next owner counts as failed once
+   more. */
+static void
+test_gang_record (void)
+{
+  job_t *job = new_job_with_gang ();
+  job_t *read;
+
+  CU_ASSERT_EQUAL (fail_member (job, 1, 1), 1);
+  CU_ASSERT_EQUAL (fail_member (job, 2, 1), 1);
+  task_requeue (job, job_occurrence (job, 0), 1, 1);
+  read = read_again (job, UINT32_MAX, true);
+  CU_ASSERT_EQUAL (fail_member (read, 0, 1), 1);
+  CU_ASSERT_EQUAL (fail_member (read, 2, 2), 2);
+  job_free (read);
+  job_free (job);
+}
+
+/* An owner of an earlier build counts each member, and does not tell of which
+   run.  Guards against a run that counts once more after it, and against
+   failures of a run that goes on. */
+static void
+test_gang_run_unknown (void)
+{
+  job_t *job = new_job_with_gang ();
+  job_t *read;
+
+  job_task (job, 0, 1, 0)->failures = 2;
+  task_requeue (job, job_occurrence (job, 0), 1, 1);
+  read = read_again (job, 10, true);
+  CU_ASSERT_EQUAL (job_task (read, 0, 1, 0)->failures, 1);
+  CU_ASSERT_EQUAL (fail_member (read, 0, 1), 1);
+  CU_ASSERT_EQUAL (fail_member (read, 0, 2), 2);
+  job_free (read);
+  job_free (job);
+
+  job = new_job_with_gang ();
+  for (uint32_t i = 0; i < 3; i++)
+    job_task (job, 0, 1, i)->run = 2;
+  job_task (job, 0, 1, 0)->failures = 1;
+  read = read_again (job, 10, true);
+  CU_ASSERT_EQUAL (job_task (read, 0, 1, 0)->failures, 1);
+  CU_ASSERT_EQUAL (fail_member (read, 1, 2), 2);
+  job_free (read);
+  job_free (job);
+}
+
 static void
 test_step_dependencies (void)
 {
@@ -421,6 +491,8 @@
     { "copy record", test_copy_record },
     { "first run dropped", test_first_run_dropped },
     { "copy unknown", test_copy_unknown },
+    { "gang record", test_gang_record },
+    { "gang run unknown", test_gang_run_unknown },
     { "step dependencies", test_step_dependencies },
     { "occurrences", test_occurrences },
     { "overdue occurrences", test_overdue_occurrences },
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -234,8 +234,8 @@
   occurrence_t *occurrence = job_occurrence (job, run_id.occurrence);
   const step_t *step = &job->submission->steps[run_id.step];
   task_t *task = &occurrence->tasks[run_id.step][run_id.index];
-  task_t *counted = step->gang ? &occurrence->tasks[run_id.step][0] : task;
   bool failed = report->end == RUN_FAILED;
+  uint32_t failures = 0;
 
   if (!run->copy)
     task_set_checkpoint (task, report->checkpoint);
@@ -249,11 +249,12 @@
     }
   if (failed)
     {
-      counted->failures++;
+      failures = task_count_failure (job, occurrence, run_id.step,
+                                     run_id.index, run_id.run);
       task->avoid = worker;
     }
   if (failed && !step->long_running && job->end_status == JOB_QUEUED
-      && counted->failures >= MAX (job->submission->max_attempts, 1))
+      && failures >= MAX (job->submission->max_attempts, 1))
     {
       run_requeue (shard, now, handle, "ended");
       shard_end_job (shard, now, entry, JOB_FAILED);
