--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -59,6 +59,17 @@
 CANCELED_RUNS_ON|src/shard/shard.c|shard/test_shard|s/^  run_stop_job (shard, now, job, job_status_name (end));//
 STRAY_RUNS_ON|src/shard/shard_calls.c|shard/test_shard_steps|s/send_stop (shard, now, handle, &report->run_id, HANDLE_NONE);//
 START_SENT_TWICE|src/shard/shard_runs.c|shard/test_shard|s/run->state == RUN_STARTING && !run->start_sent/run->state == RUN_STARTING/
+LETTERS_DROPPED|src/jobs/jobs.c|jobs/test_jobs|s/capitals = capitals << 1 .*/capitals = 0;/
+LETTERS_NOT_WRITTEN|src/jobs/jobs.c|scheduler/test_records|s/out\[JOB_ID_DIGITS - 1 - i\]$/;/;s/= g_ascii_toupper (out\[JOB_ID_DIGITS - 1 - i\])/;/
+LETTERS_NOT_COMPARED|src/jobs/jobs.c|shard/test_shard_letters|s/return \*(const job_id_t \*)left == .*/return (uint64_t)*(const job_id_t *)left == (uint64_t)*(const job_id_t *)right;/
+LETTERS_NOT_STORED|src/jobs/job_record.c|jobs/test_jobs|s/field ? field - LETTERS_KNOWN : 0/0/
+LETTERS_OF_END_NOT_STORED|src/jobs/job_record.c|jobs/test_jobs|s/job->end_status != JOB_QUEUED \&\& !job->letters_unknown/false/
+LETTERS_OF_EARLIER_BUILD|src/shard/shard.c|shard/test_shard_letters|s/if (entry || !job_id_capitals (job))/if (true)/
+ANY_LETTERS_MATCH|src/shard/shard.c|shard/test_shard_letters|s/entry \&\& entry->job \&\& entry->job->letters_unknown ? entry : NULL/entry/
+LETTERS_IN_KEY_UNMARKED|src/scheduler/sched_store.c|scheduler/test_records|s/key\[len++\] = RECORD_KEY_MARK/(void)len/
+KEY_WITH_LETTERS_READ|src/scheduler/sched_store.c|scheduler/test_records|s/return marked == (job_id_capitals (\*job) != 0)/return true/
+LETTERS_OF_PEERS_DROPPED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/job_id_make (ask->job, ask->kind >> CAPITALS_SHIFT)/ask->job/
+SHARD_BY_LETTERS|src/scheduler/scheduler.c|scheduler/test_records|s/job_id_number (job) \*/(uint64_t)(job ^ job >> 64) */
 GANG_FAILS_BY_MEMBER|src/jobs/jobs.c|shard/test_shard_gangs|s/if (run > occurrence->failed_run\[step\])/if (true)/
 GANG_FAILURE_NOT_STORED|src/jobs/job_record.c|shard/test_shard_gangs|s/i ? 0 : occurrence->failed_run\[s\]/0/;s/^  occurrence->failed_run\[step\] = ended;/;/
 GANG_FAILURE_OF_FORMER_BUILD|src/jobs/job_record.c|jobs/test_jobs|s/^  occurrence->failed_run\[step\] = ended;/;/
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -22,14 +22,18 @@
   STEP_BEST_EFFORT = 1 << 5
 };
 
-#define SUBMISSION_FIELDS 13
-/* With the configuration, which is left out if it is not known. */
-#define SUBMISSION_FIELDS_WITH_CONFIG 14
+#define SUBMISSION_FIELDS 15
 #define STEP_FIELDS 13
 #define PROGRESS_FIELDS 7
 /* With the service and its configuration, which are left out while the job has
    the service of its submission. */
 #define PROGRESS_FIELDS_WITH_SERVICE 9
+/* With the letters of the identifier, which the record of a job that has not
+   ended leaves to that of its submission. */
+#define PROGRESS_FIELDS_WITH_LETTERS 10
+/* Added to job_id_capitals: a record of a build that does not keep the letters
+   of identifiers has no such field, which is read as 0. */
+#define LETTERS_KNOWN 1U
 #define TASK_FIELDS 10
 /* With the field of the older run, which is left out if there is none: the
    number of the task's run before the newest one, and where it is under way
@@ -60,6 +64,8 @@
                                          uint32_t i);
 static uint64_t uint_at (const msgpack_object *array, uint32_t i);
 static int64_t int_at (const msgpack_object *array, uint32_t i);
+static job_id_t job_id_at (const msgpack_object *array, uint32_t number,
+                           uint32_t letters);
 static char *string_at (const msgpack_object *array, uint32_t i);
 static bool read_steps (submission_t *submission, const msgpack_object *list);
 static void read_step (step_t *step, const msgpack_object *fields);
@@ -89,10 +95,8 @@
   msgpack_packer packer;
 
   msgpack_packer_init (&packer, out, append_bytes);
-  msgpack_pack_array (&packer, submission->config_version
-                                   ? SUBMISSION_FIELDS_WITH_CONFIG
-                                   : SUBMISSION_FIELDS);
-  msgpack_pack_uint64 (&packer, submission->id);
+  msgpack_pack_array (&packer, SUBMISSION_FIELDS);
+  msgpack_pack_uint64 (&packer, job_id_number (submission->id));
   pack_string (&packer, submission->queue);
   pack_string (&packer, submission->service);
   pack_string (&packer, submission->spec);
@@ -107,8 +111,11 @@
   msgpack_pack_array (&packer, submission->step_count);
   for (uint32_t i = 0; i < submission->step_count; i++)
     pack_step (&packer, &submission->steps[i]);
-  if (submission->config_version)
-    msgpack_pack_uint64 (&packer, submission->config_version);
+  msgpack_pack_uint64 (&packer, submission->config_version);
+  msgpack_pack_uint32 (&packer,
+                       submission->letters_unknown
+                           ? 0
+                           : job_id_capitals (submission->id) + LETTERS_KNOWN);
 }
 
 static void
@@ -164,7 +171,8 @@
       && record->type == MSGPACK_OBJECT_ARRAY)
     {
       submission = g_new0 (submission_t, 1);
-      submission->id = uint_at (record, 0);
+      submission->letters_unknown = !uint_at (record, 14);
+      submission->id = job_id_at (record, 0, 14);
       submission->queue = string_at (record, 1);
       submission->service = string_at (record, 2);
       submission->spec = string_at (record, 3);
@@ -236,17 +244,20 @@
 
 /* A progress record: job identifier, final status, time of the end, started,
    next occurrence, the occurrences that are not done, whether the job was
-   canceled before it was submitted, the service and its configuration. */
+   canceled before it was submitted, the service and its configuration, the
+   letters of the identifier. */
 static void
 encode_progress (const job_t *job, bool checkpoints, GByteArray *out)
 {
   bool moved = job->moved && job->submission;
+  bool letters = job->end_status != JOB_QUEUED && !job->letters_unknown;
   msgpack_packer packer;
 
   msgpack_packer_init (&packer, out, append_bytes);
-  msgpack_pack_array (&packer,
-                      moved ? PROGRESS_FIELDS_WITH_SERVICE : PROGRESS_FIELDS);
-  msgpack_pack_uint64 (&packer, job->id);
+  msgpack_pack_array (&packer, letters ? PROGRESS_FIELDS_WITH_LETTERS
+                               : moved ? PROGRESS_FIELDS_WITH_SERVICE
+                                       : PROGRESS_FIELDS);
+  msgpack_pack_uint64 (&packer, job_id_number (job->id));
   msgpack_pack_uint32 (&packer, job->end_status);
   msgpack_pack_int64 (&packer, job->ended_ms);
   msgpack_pack_uint32 (&packer, job->started);
@@ -256,10 +267,12 @@
     pack_occurrence (&packer, job->submission, job->occurrences->pdata[i],
                      checkpoints);
   msgpack_pack_uint32 (&packer, job->unsubmitted);
-  if (!moved)
+  if (!moved && !letters)
     return;
-  pack_string (&packer, job->submission->service);
-  msgpack_pack_uint64 (&packer, job->submission->config_version);
+  pack_string (&packer, moved ? job->submission->service : NULL);
+  msgpack_pack_uint64 (&packer, moved ? job->submission->config_version : 0);
+  if (letters)
+    msgpack_pack_uint32 (&packer, job_id_capitals (job->id) + LETTERS_KNOWN);
 }
 
 void
@@ -370,7 +383,8 @@
   msgpack_unpacked_init (&unpacked);
   if (msgpack_unpack_next (&unpacked, bytes.data, bytes.len, NULL)
           == MSGPACK_UNPACK_SUCCESS
-      && record->type == MSGPACK_OBJECT_ARRAY && uint_at (record, 0) == job->id
+      && record->type == MSGPACK_OBJECT_ARRAY
+      && uint_at (record, 0) == job_id_number (job->id)
       && uint_at (record, 1) <= JOB_CANCELED
       && uint_at (record, 4) <= MAX (job->submission->occurrence_count, 1))
     {
@@ -385,25 +399,23 @@
   return code;
 }
 
-job_status_t
-job_decode_end (blob_t bytes, int64_t *ended_ms, bool *unsubmitted)
+void
+job_decode_end (blob_t bytes, job_end_t *end)
 {
   msgpack_unpacked unpacked;
   const msgpack_object *record = &unpacked.data;
-  job_status_t end = JOB_QUEUED;
 
+  *end = (job_end_t){ .status = JOB_QUEUED };
   msgpack_unpacked_init (&unpacked);
   if (msgpack_unpack_next (&unpacked, bytes.data, bytes.len, NULL)
           == MSGPACK_UNPACK_SUCCESS
       && record->type == MSGPACK_OBJECT_ARRAY
       && uint_at (record, 1) <= JOB_CANCELED)
-    {
-      end = (job_status_t)uint_at (record, 1);
-      *ended_ms = int_at (record, 2);
-      *unsubmitted = uint_at (record, 6) != 0;
-    }
+    *end = (job_end_t){ .status = (job_status_t)uint_at (record, 1),
+                        .ended_ms = int_at (record, 2),
+                        .unsubmitted = uint_at (record, 6) != 0,
+                        .letters_unknown = !uint_at (record, 9) };
   msgpack_unpacked_destroy (&unpacked);
-  return end;
 }
 
 static void
@@ -642,6 +654,15 @@
   return (int64_t)uint_at (array, i);
 }
 
+static job_id_t
+job_id_at (const msgpack_object *array, uint32_t number, uint32_t letters)
+{
+  uint64_t field = uint_at (array, letters);
+
+  return job_id_make (uint_at (array, number),
+                      field ? field - LETTERS_KNOWN : 0);
+}
+
 static char *
 string_at (const msgpack_object *array, uint32_t i)
 {
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -4,9 +4,11 @@
 #include "jobs/jobs.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <string.h>
 
-#define ID_HEX_DIGITS 16U
+#define BITS_PER_DIGIT 4U
+#define JOB_ID_NUMBER_BITS 64U
 /* Of malloc: the header of a chunk, the multiple to which its size is rounded
    up, and the least size. */
 #define HEAP_HEADER_BYTES 8U
@@ -37,8 +39,11 @@
 bool
 job_id_parse (const char *text, size_t len, job_id_t *id)
 {
+  uint64_t number = 0;
+  uint64_t capitals = 0;
+
   *id = 0;
-  if (len != ID_HEX_DIGITS)
+  if (len != JOB_ID_DIGITS)
     return false;
   for (size_t i = 0; i < len; i++)
     {
@@ -46,11 +51,61 @@
 
       if (digit < 0)
         return false;
-      *id = *id << 4 | (unsigned)digit;
+      number = number << BITS_PER_DIGIT | (unsigned)digit;
+      capitals = capitals << 1 | g_ascii_isupper (text[i]);
     }
+  *id = job_id_make (number, capitals);
   return true;
 }
 
+job_id_t
+job_id_make (uint64_t number, uint64_t capitals)
+{
+  uint64_t letters = 0;
+
+  for (uint32_t i = 0; i < JOB_ID_DIGITS; i++)
+    if ((number >> i * BITS_PER_DIGIT & 0xf) > 9)
+      letters |= UINT64_C (1) << i;
+  return (job_id_t)(capitals & letters) << JOB_ID_NUMBER_BITS | number;
+}
+
+uint64_t
+job_id_number (job_id_t id)
+{
+  return (uint64_t)id;
+}
+
+uint32_t
+job_id_capitals (job_id_t id)
+{
+  return (uint32_t)(id >> JOB_ID_NUMBER_BITS);
+}
+
+const char *
+job_id_format (job_id_t id, char out[JOB_ID_TEXT_SIZE])
+{
+  g_snprintf (out, JOB_ID_TEXT_SIZE, "%016" PRIx64, job_id_number (id));
+  for (uint32_t i = 0; i < JOB_ID_DIGITS; i++)
+    if (job_id_capitals (id) >> i & 1)
+      out[JOB_ID_DIGITS - 1 - i]
+          = g_ascii_toupper (out[JOB_ID_DIGITS - 1 - i]);
+  return out;
+}
+
+guint
+job_id_hash (gconstpointer id)
+{
+  uint64_t number = job_id_number (*(const job_id_t *)id);
+
+  return g_int64_hash (&number);
+}
+
+gboolean
+job_id_equal (gconstpointer left, gconstpointer right)
+{
+  return *(const job_id_t *)left == *(const job_id_t *)right;
+}
+
 int
 submission_check (const submission_t *submission, err_t *err)
 {
@@ -171,19 +226,22 @@
   job_t *job = g_new0 (job_t, 1);
 
   job->id = submission->id;
+  job->letters_unknown = submission->letters_unknown;
   job->submission = submission;
   job->occurrences = g_ptr_array_new ();
   return job;
 }
 
 job_t *
-job_new_ended (job_id_t id, job_status_t end, int64_t ended_ms)
+job_new_ended (job_id_t id, const job_end_t *end)
 {
   job_t *job = g_new0 (job_t, 1);
 
   job->id = id;
-  job->end_status = end;
-  job->ended_ms = ended_ms;
+  job->end_status = end->status;
+  job->ended_ms = end->ended_ms;
+  job->unsubmitted = end->unsubmitted;
+  job->letters_unknown = end->letters_unknown;
   job->occurrences = g_ptr_array_new ();
   return job;
 }
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -12,7 +12,17 @@
 
 #include <glib.h>
 
-typedef uint64_t job_id_t;
+/** Identifier of a job, 16 hexadecimal digits that its caller has chosen:
+   their value in the lower 64 bits, and above them a bit for each digit that
+   is a capital letter, the lowest one for the last digit.  Identifiers that
+   differ only in the case of letters are those of different jobs. */
+typedef unsigned __int128 job_id_t;
+
+#define JOB_ID_DIGITS 16U
+#define JOB_ID_TEXT_SIZE (JOB_ID_DIGITS + 1)
+
+/** The identifier as text, for the rest of the enclosing block. */
+#define JOB_ID_TEXT(id) job_id_format ((id), (char[JOB_ID_TEXT_SIZE]){ 0 })
 
 /* Limits on a submission, also when it is decoded from a record. */
 
@@ -62,6 +72,8 @@
   char *service;           /**< service whose workers run it */
   uint64_t config_version; /**< configuration that SERVICE is from, 0: not
                                 known */
+  bool letters_unknown;    /**< stored by a build that writes all letters of an
+                                identifier as small ones */
   char *spec;              /**< passed unchanged to the workers */
   uint32_t priority;       /**< 0 is the highest */
   uint32_t max_attempts; /**< failed runs of one task at which the job fails */
@@ -155,16 +167,41 @@
   bool started;             /**< a run of one of its tasks has started */
   job_status_t end_status;  /**< final status, JOB_QUEUED until the job ends */
   int64_t ended_ms;         /**< wall clock, 0 until the job ends */
-  bool unsubmitted; /**< canceled before any submission of it was known */
+  bool unsubmitted;     /**< canceled before any submission of it was known */
+  bool letters_unknown; /**< as of its submission: the caller may have written
+                             some letters of ID as capitals */
   bool moved; /**< the service is not from the record of the submission */
 } job_t;
 
 /** @return "queued", "running", "completed", "failed" or "canceled" */
 const char *job_status_name (job_status_t status);
 
+/** What a progress record tells of the end of its job. */
+typedef struct
+{
+  job_status_t status;  /**< JOB_QUEUED: it has not ended, or the record is
+                             invalid */
+  int64_t ended_ms;     /**< job_t.ended_ms */
+  bool unsubmitted;     /**< job_t.unsubmitted */
+  bool letters_unknown; /**< job_t.letters_unknown */
+} job_end_t;
+
 /** Parses 16 hexadecimal digits. @return false if TEXT is anything else */
 bool job_id_parse (const char *text, size_t len, job_id_t *id);
 
+/** @param capitals the digits that are capital letters, as in job_id_t; bits
+   of other digits are ignored */
+job_id_t job_id_make (uint64_t number, uint64_t capitals);
+uint64_t job_id_number (job_id_t id);
+uint32_t job_id_capitals (job_id_t id);
+
+/** Formats the identifier as its caller wrote it.  @return OUT */
+const char *job_id_format (job_id_t id, char out[JOB_ID_TEXT_SIZE]);
+
+/** For tables with pointers to job_id_t as keys. */
+guint job_id_hash (gconstpointer id);
+gboolean job_id_equal (gconstpointer left, gconstpointer right);
+
 /** Checks the limits and that steps depend only on earlier ones.
     @return 0, or -EINVAL with ERR filled in */
 int submission_check (const submission_t *submission, err_t *err);
@@ -191,7 +228,7 @@
 job_t *job_new (submission_t *submission);
 
 /** Creates an ended job of which only the progress record is known. */
-job_t *job_new_ended (job_id_t id, job_status_t end, int64_t ended_ms);
+job_t *job_new_ended (job_id_t id, const job_end_t *end);
 void job_free (job_t *job);
 
 /** Has the service that a configuration names for the job's queue run the
@@ -209,11 +246,8 @@
     part of it */
 int job_decode (job_t *job, blob_t bytes);
 
-/** Reads the final status from a progress record.
-    @param unsubmitted set to job_t.unsubmitted
-    @return JOB_QUEUED if the job has not ended or the record is invalid */
-job_status_t job_decode_end (blob_t bytes, int64_t *ended_ms,
-                             bool *unsubmitted);
+/** Reads what a progress record tells of the end of its job. */
+void job_decode_end (blob_t bytes, job_end_t *end);
 
 /** Creates the occurrences that are due.  While some are not done, they have
     at most JOB_MAX_TASKS tasks in total.  @return how many were created */
--- a/src/jobs/test_jobs.c
+++ b/src/jobs/test_jobs.c
@@ -454,6 +454,96 @@
   job_free (job);
 }
 
+/* Guards against an identifier that is told back with other letters, and
+   against two that are taken for one. */
+static void
+test_identifiers (void)
+{
+  static const char *const texts[]
+      = { "abf94bdf00000001", "ABF94BDF00000001", "aBf94bdf00000001",
+          "abf94bdf0000000e", "ABCDEFABCDEFABCD", "0000000000000000" };
+  char text[JOB_ID_TEXT_SIZE];
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      job_id_t id;
+
+      CU_ASSERT (job_id_parse (texts[i], JOB_ID_DIGITS, &id));
+      CU_ASSERT_STRING_EQUAL (job_id_format (id, text), texts[i]);
+      CU_ASSERT (id == job_id_make (job_id_number (id), job_id_capitals (id)));
+      for (size_t k = 0; k < i; k++)
+        {
+          job_id_t other;
+
+          job_id_parse (texts[k], JOB_ID_DIGITS, &other);
+          CU_ASSERT (id != other);
+          CU_ASSERT_FALSE (job_id_equal (&id, &other));
+          CU_ASSERT_EQUAL (job_id_hash (&id) == job_id_hash (&other),
+                           job_id_number (id) == job_id_number (other));
+        }
+    }
+  CU_ASSERT (job_id_make (0x123, UINT64_MAX) == 0x123);
+}
+
+/* Decodes the submission, and the end of its job, as a build reads them that
+   knows FIELDS fields of a record. */
+static bool
+letters_are_known (job_id_t id, uint32_t fields)
+{
+  submission_t *submission = two_step_submission ();
+  GByteArray *bytes = g_byte_array_new ();
+  msgpack_unpacked unpacked;
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  bool known;
+
+  submission->id = id;
+  submission_encode (submission, bytes);
+  submission_free (submission);
+  msgpack_unpacked_init (&unpacked);
+  msgpack_unpack_next (&unpacked, (const char *)bytes->data, bytes->len, NULL);
+  unpacked.data.via.array.size = MIN (unpacked.data.via.array.size, fields);
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_object (&packer, unpacked.data);
+  submission
+      = submission_decode ((blob_t){ buffer.data, (uint32_t)buffer.size });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (submission);
+  known = !submission->letters_unknown;
+  CU_ASSERT (submission->id == (known ? id : job_id_number (id)));
+  submission_free (submission);
+  msgpack_sbuffer_destroy (&buffer);
+  msgpack_unpacked_destroy (&unpacked);
+  g_byte_array_unref (bytes);
+  return known;
+}
+
+/* Guards against a successor that knows a job by other letters, and against a
+   record of an earlier build that is taken to tell them. */
+static void
+test_letters_record (void)
+{
+  const job_id_t id = job_id_make (0xabcULL, 5);
+  const blob_t earlier = { "\x97\x01\x02\x03\x01\x01\x90\x00", 8 };
+  GByteArray *bytes = g_byte_array_new ();
+  job_end_t end = { .status = JOB_FAILED };
+  job_t *job = job_new_ended (id, &end);
+
+  CU_ASSERT (letters_are_known (id, UINT32_MAX));
+  CU_ASSERT (letters_are_known (0xabcULL, UINT32_MAX));
+  CU_ASSERT_FALSE (letters_are_known (id, 14));
+  job_encode (job, bytes);
+  job_decode_end ((blob_t){ (char *)bytes->data, bytes->len }, &end);
+  CU_ASSERT_EQUAL (end.status, JOB_FAILED);
+  CU_ASSERT_FALSE (end.letters_unknown);
+  job_decode_end (earlier, &end);
+  CU_ASSERT_EQUAL (end.status, JOB_COMPLETED);
+  CU_ASSERT_EQUAL (end.ended_ms, 3);
+  CU_ASSERT (end.letters_unknown);
+  job_free (job);
+  g_byte_array_unref (bytes);
+}
+
 static void
 test_malformed (void)
 {
@@ -498,6 +588,8 @@
     { "overdue occurrences", test_overdue_occurrences },
     { "service record", test_service_record },
     { "largest record", test_largest_record },
+    { "identifiers", test_identifiers },
+    { "letters record", test_letters_record },
     { "malformed", test_malformed },
   };
 
--- a/src/scheduler/sched_asks.c
+++ b/src/scheduler/sched_asks.c
@@ -25,6 +25,7 @@
    a successor of the owner. */
 #define TELL_RANK_SHIFT 32U
 
+static uint64_t capitals_field (job_id_t job);
 static void on_message (void *ctx, node_id_t node, incarnation_t incarnation,
                         const message_t *message);
 static void on_connected (void *ctx, node_id_t node);
@@ -62,6 +63,13 @@
 const peerlink_ops_t sched_peerlink_ops
     = { on_message, on_connected, on_refused };
 
+/* @return the upper half of a field of a message, see CAPITALS_SHIFT */
+static uint64_t
+capitals_field (job_id_t job)
+{
+  return (uint64_t)job_id_capitals (job) << CAPITALS_SHIFT;
+}
+
 int
 query_owner (scheduler_t *s, usec_t now, caller_request_t *request)
 {
@@ -86,8 +94,8 @@
   if (!owner->node || owner->self)
     return -ENOTCONN;
   message.u.job_ask.id = request->id;
-  message.u.job_ask.kind = request->kind;
-  message.u.job_ask.job = request->job;
+  message.u.job_ask.kind = request->kind | capitals_field (request->job);
+  message.u.job_ask.job = job_id_number (request->job);
   message.u.job_ask.shard = request->shard;
   message.u.job_ask.queue = blob_of (request->queue);
   counter_add (COUNTER_JOB_ASKS, 1);
@@ -122,8 +130,8 @@
   if (!owner->node || owner->self)
     return -ENOTCONN;
   message.u.job_submit.id = request->id;
-  message.u.job_submit.job = request->job;
-  message.u.job_submit.shard = request->shard;
+  message.u.job_submit.job = job_id_number (request->job);
+  message.u.job_submit.shard = request->shard | capitals_field (request->job);
   message.u.job_submit.record = record;
   request->peer = owner->node;
   return peerlink_send (s->link, owner->node, &message);
@@ -133,17 +141,18 @@
 on_job_submit (scheduler_t *s, usec_t now, node_id_t node,
                const msg_job_submit_t *submit)
 {
-  deferred_query_t query = { .peer = node,
-                             .id = submit->id,
-                             .kind = QUERY_SUBMIT,
-                             .job = submit->job,
-                             .shard = (uint32_t)submit->shard,
-                             .arrived_at = now };
+  deferred_query_t query
+      = { .peer = node,
+          .id = submit->id,
+          .kind = QUERY_SUBMIT,
+          .job = job_id_make (submit->job, submit->shard >> CAPITALS_SHIFT),
+          .shard = (uint32_t)submit->shard,
+          .arrived_at = now };
   query_reply_t reply = { .code = REPLY_NOT_STORED };
 
-  if (submit->shard < s->shard_count && s->shards[submit->shard].owned)
+  if (query.shard < s->shard_count && s->shards[query.shard].owned)
     reply.code
-        = accept_submission (s, now, query.shard, submit->job, submit->record);
+        = accept_submission (s, now, query.shard, query.job, submit->record);
   if (defers_submission (s, reply.code, &query))
     defer_query (s, now, &query);
   else
@@ -294,15 +303,17 @@
 on_job_ask (scheduler_t *s, usec_t now, node_id_t node,
             const msg_job_ask_t *ask)
 {
-  deferred_query_t query = { .peer = node,
-                             .id = ask->id,
-                             .kind = (query_kind_t)ask->kind,
-                             .job = ask->job,
-                             .shard = (uint32_t)ask->shard,
-                             .arrived_at = now };
+  uint32_t kind = (uint32_t)ask->kind;
+  deferred_query_t query
+      = { .peer = node,
+          .id = ask->id,
+          .kind = (query_kind_t)kind,
+          .job = job_id_make (ask->job, ask->kind >> CAPITALS_SHIFT),
+          .shard = (uint32_t)ask->shard,
+          .arrived_at = now };
   query_reply_t reply = { .code = REPLY_NOT_OWNER };
 
-  if (ask->kind < QUERY_STATUS || ask->kind > QUERY_SUBMIT)
+  if (kind < QUERY_STATUS || kind > QUERY_SUBMIT)
     {
       log_line (LOG_LEVEL_WARNING, "peer.ask", NULL,
                 "node=%u id=%016" PRIx64 " kind=%" PRIu64 " refused", node,
@@ -468,7 +479,7 @@
   code = shard_withdraw (state->shard, now, query->job);
   if (!code)
     log_line (LOG_LEVEL_INFO, "job.withdrawn", NULL,
-              "job=%016" PRIx64 " shard=%u waited_ms=%" PRId64, query->job,
+              "job=%s shard=%u waited_ms=%" PRId64, JOB_ID_TEXT (query->job),
               query->shard,
               usec_to_msec (now - query->deadline + SUBMISSION_STORED_WAIT));
   /* -ENOENT within the same ownership: the submission was withdrawn before,
--- a/src/scheduler/sched_callers.c
+++ b/src/scheduler/sched_callers.c
@@ -249,7 +249,7 @@
     {
       counter_add (COUNTER_JOBS_REFUSED, 1);
       log_line (LOG_LEVEL_INFO, "job.refused", NULL,
-                "job=%016" PRIx64 " queue=%s cause=requests open=%u", job,
+                "job=%s queue=%s cause=requests open=%u", JOB_ID_TEXT (job),
                 rules->name, g_hash_table_size (s->requests));
       reject_now (s, http->handle, 503, RETRY_AFTER_S, "too many requests");
       submission_free (parsed);
@@ -367,9 +367,8 @@
         && peerlink_reset_older (s->link, request->peer, request->query_sent);
 
   log_line (LOG_LEVEL_INFO, "owner.silent", NULL,
-            "job=%016" PRIx64 " kind=%d shard=%u for_ms=%" PRId64
-            " reconnect=%d",
-            request->job, (int)request->kind, request->shard,
+            "job=%s kind=%d shard=%u for_ms=%" PRId64 " reconnect=%d",
+            JOB_ID_TEXT (request->job), (int)request->kind, request->shard,
             usec_to_msec (now - request->query_sent), replaced);
   group_refresh_owners (s, now);
 }
@@ -387,9 +386,8 @@
     }
   counter_add (COUNTER_JOBS_REFUSED, 1);
   log_item (LOG_LEVEL_INFO, request->job, "job.refused", NULL,
-            "job=%016" PRIx64
-            " queue=%s cause=memory shard=%u age_ms=%" PRId64,
-            request->job, request->queue, request->shard,
+            "job=%s queue=%s cause=memory shard=%u age_ms=%" PRId64,
+            JOB_ID_TEXT (request->job), request->queue, request->shard,
             usec_to_msec (now - request->arrived_at));
   finish_request (
       s, request, 503, RETRY_AFTER_S,
@@ -410,8 +408,9 @@
       return;
     case REPLY_NOT_STORED:
       log_line (LOG_LEVEL_INFO, "job.offer", NULL,
-                "job=%016" PRIx64 " shard=%u not taken store_ok=%d",
-                request->job, request->shard, sched_store_healthy (s, now));
+                "job=%s shard=%u not taken store_ok=%d",
+                JOB_ID_TEXT (request->job), request->shard,
+                sched_store_healthy (s, now));
       if (!sched_store_healthy (s, now))
         {
           fail_request (s, request);
@@ -448,8 +447,8 @@
   counter_add (COUNTER_JOBS_ACCEPTED, 1);
   histogram_add (HISTOGRAM_SUBMIT, now - request->arrived_at);
   log_item (LOG_LEVEL_INFO, request->job, "job.accepted", NULL,
-            "job=%016" PRIx64 " queue=%s appends=%u took_ms=%" PRId64,
-            request->job, request->queue, request->append_count,
+            "job=%s queue=%s appends=%u took_ms=%" PRId64,
+            JOB_ID_TEXT (request->job), request->queue, request->append_count,
             usec_to_msec (now - request->arrived_at));
   finish_request (s, request, 200, 0, NULL);
 }
@@ -464,9 +463,10 @@
 static void
 send_append (scheduler_t *s, usec_t now, caller_request_t *request)
 {
-  char key[RECORD_KEY_LEN + 1];
+  char key[RECORD_KEY_MAX + 1];
+  uint32_t key_len = record_key (RECORD_SUBMISSION, request->job, key);
   append_call_t *call;
-  store_record_t record = { .key = { key, RECORD_KEY_LEN },
+  store_record_t record = { .key = { key, key_len },
                             .value = { (const char *)request->record->data,
                                        request->record->len } };
   store_append_t append = { .topic = TOPIC_WORK,
@@ -487,7 +487,6 @@
   call->sent = now;
   s->appends_busy++;
   s->append_bytes_busy += call->record_len;
-  record_key (RECORD_SUBMISSION, request->job, key);
   request->append_busy = true;
   request->append_count++;
   request->due = INT64_MAX;
@@ -579,7 +578,7 @@
       break;
     case REPLY_UNKNOWN:
       log_item (LOG_LEVEL_INFO, request->job, "job.absent", NULL,
-                "job=%016" PRIx64 " kind=%d age_ms=%" PRId64, request->job,
+                "job=%s kind=%d age_ms=%" PRId64, JOB_ID_TEXT (request->job),
                 (int)request->kind, usec_to_msec (now - request->arrived_at));
       finish_request (s, request, 410, 0,
                       ops->error_body (s->backend->ctx, "no such job"));
@@ -652,10 +651,10 @@
     counter_add (COUNTER_JOBS_REFUSED, 1);
   log_line (
       LOG_LEVEL_NOTICE, unknown ? "job.unknown" : "request.refused", NULL,
-      "job=%016" PRIx64 " queue=%s kind=%d appends=%u age_ms=%" PRId64
+      "job=%s queue=%s kind=%d appends=%u age_ms=%" PRId64
       " store_silent_ms=%" PRId64,
-      request->job, request->queue, (int)request->kind, request->append_count,
-      usec_to_msec (clock_now () - request->arrived_at),
+      JOB_ID_TEXT (request->job), request->queue, (int)request->kind,
+      request->append_count, usec_to_msec (clock_now () - request->arrived_at),
       usec_to_msec (clock_now () - s->store_last_ok));
   if (unknown)
     finish_request (s, request, 504, 0,
--- a/src/scheduler/sched_private.h
+++ b/src/scheduler/sched_private.h
@@ -19,9 +19,12 @@
 #include <inttypes.h>
 #include <string.h>
 
-/* Length of a record's key: the record kind and 16 hexadecimal digits of the
-   job identifier. */
-#define RECORD_KEY_LEN 17U
+/* Longest key of a record: the record kind, the job identifier and, if that
+   has capital letters, a mark for the sake of builds that do not keep them.
+   They would take the job for the one with small letters, and skip such a key.
+ */
+#define RECORD_KEY_MAX 18U
+#define RECORD_KEY_MARK '.'
 /* Longer queue names are truncated in queries from peers. */
 #define QUEUE_NAME_MAX 64U
 
@@ -43,6 +46,12 @@
   QUERY_SUBMIT = 4 /* store a submission of the job */
 } query_kind_t;
 
+/* Queries and submissions of peers name a job by its number.  The capital
+   letters of its identifier are in the upper half of the field `kind` of a
+   query and of the field `shard` of a submission: a build that does not keep
+   them refuses both instead of taking the job for another one. */
+#define CAPITALS_SHIFT 32U
+
 /* The owner's replies.  The numbers are part of the peer protocol.  */
 typedef enum
 {
@@ -128,7 +137,7 @@
   bool fenced; /* the store accepts no more appends of former owners */
   bool loading;
   bool load_busy; /* the fencing append or a page is in flight */
-  char last_key[RECORD_KEY_LEN + 1]; /* of the pages read so far */
+  char last_key[RECORD_KEY_MAX + 1]; /* of the pages read so far */
   uint64_t progress_offset; /* of the last record of progress in them */
   uint64_t lapsing_end; /* offset after the record of lapsing workers in them,
                            0: there is none */
@@ -360,8 +369,11 @@
 
 /* sched_store.c */
 extern const shard_ops_t sched_shard_ops;
-void record_key (record_kind_t kind, job_id_t job,
-                 char key[RECORD_KEY_LEN + 1]);
+/** @return length of the key */
+uint32_t record_key (record_kind_t kind, job_id_t job,
+                     char key[RECORD_KEY_MAX + 1]);
+/** @return false if it is no key of a record */
+bool record_key_parse (blob_t key, record_kind_t *kind, job_id_t *job);
 /** Starts loading a shard whose ownership was acquired. */
 void store_load (scheduler_t *s, shard_state_t *state, usec_t now);
 usec_t store_tick (scheduler_t *s, usec_t now);
--- a/src/scheduler/sched_store.c
+++ b/src/scheduler/sched_store.c
@@ -41,7 +41,6 @@
                                 bool has_more);
 static void read_next (shard_state_t *state);
 static void on_read (void *ctx, const store_records_t *records);
-static bool parse_key (blob_t key, record_kind_t *kind, job_id_t *job);
 static void deliver_record (shard_state_t *state, usec_t now,
                             const store_record_t *record);
 static usec_t shard_state_tick (shard_state_t *state, usec_t now);
@@ -102,20 +101,30 @@
   return call.ownership_id == call.state->ownership_id ? call.state : NULL;
 }
 
-void
-record_key (record_kind_t kind, job_id_t job, char key[RECORD_KEY_LEN + 1])
+uint32_t
+record_key (record_kind_t kind, job_id_t job, char key[RECORD_KEY_MAX + 1])
 {
-  g_snprintf (key, RECORD_KEY_LEN + 1, "%c%016" PRIx64, (char)kind, job);
+  uint32_t len = (uint32_t)g_snprintf (key, RECORD_KEY_MAX + 1, "%c%s",
+                                       (char)kind, JOB_ID_TEXT (job));
+
+  if (job_id_capitals (job))
+    key[len++] = RECORD_KEY_MARK;
+  key[len] = '\0';
+  return len;
 }
 
-static bool
-parse_key (blob_t key, record_kind_t *kind, job_id_t *job)
+bool
+record_key_parse (blob_t key, record_kind_t *kind, job_id_t *job)
 {
-  if (key.len != RECORD_KEY_LEN
-      || !memchr (record_kinds, key.data[0], sizeof record_kinds))
+  bool marked = key.len == RECORD_KEY_MAX
+                && key.data[RECORD_KEY_MAX - 1] == RECORD_KEY_MARK;
+
+  if (key.len != RECORD_KEY_MAX - !marked
+      || !memchr (record_kinds, key.data[0], sizeof record_kinds)
+      || !job_id_parse (key.data + 1, JOB_ID_DIGITS, job))
     return false;
   *kind = (record_kind_t)key.data[0];
-  return job_id_parse (key.data + 1, RECORD_KEY_HEX_DIGITS, job);
+  return marked == (job_id_capitals (*job) != 0);
 }
 
 usec_t
@@ -304,7 +313,7 @@
   record_kind_t kind;
   job_id_t job;
 
-  if (!parse_key (record->key, &kind, &job))
+  if (!record_key_parse (record->key, &kind, &job))
     {
       log_line (LOG_LEVEL_WARNING, "record.unreadable", NULL,
                 "shard=%u offset=%" PRIu64 " key of %u bytes", state->number,
@@ -423,7 +432,7 @@
   shard_state_t *state = ctx;
   const scheduler_t *s = state->scheduler;
   store_record_t *rows = g_new0 (store_record_t, count);
-  char (*keys)[RECORD_KEY_LEN + 1] = g_malloc (count * sizeof *keys);
+  char (*keys)[RECORD_KEY_MAX + 1] = g_malloc (count * sizeof *keys);
   store_append_t append = { .topic = TOPIC_WORK,
                             .part = sched_partition_of (s, state->number),
                             .producer = OWNER_PRODUCER,
@@ -435,8 +444,8 @@
 
   for (size_t i = 0; i < count; i++)
     {
-      record_key (records[i].kind, records[i].job, keys[i]);
-      rows[i].key = (blob_t){ keys[i], RECORD_KEY_LEN };
+      rows[i].key = (blob_t){ keys[i], record_key (records[i].kind,
+                                                   records[i].job, keys[i]) };
       rows[i].value = records[i].value;
     }
   s->backend->ops->append (s->backend->ctx, &append, on_appended,
--- a/src/scheduler/scheduler.c
+++ b/src/scheduler/scheduler.c
@@ -308,7 +308,8 @@
 {
   /* Hashes the identifier, since callers choose it and need not choose it at
      random.  */
-  return (uint32_t)((job * 0x9e3779b97f4a7c15ULL >> 32) % s->shard_count);
+  return (uint32_t)((job_id_number (job) * 0x9e3779b97f4a7c15ULL >> 32)
+                    % s->shard_count);
 }
 
 uint32_t
--- a/src/scheduler/test_records.c
+++ b/src/scheduler/test_records.c
@@ -156,7 +156,7 @@
 {
   const scheduler_settings_t settings = { .partitions = 12 };
   scheduler_t s = { .settings = &settings, .shard_count = 3 };
-  char key[RECORD_KEY_LEN + 1];
+  char key[RECORD_KEY_MAX + 1];
 
   CU_ASSERT_EQUAL (sched_shard_of (&s, 0xfedcba9876543210ULL), 0);
   CU_ASSERT_EQUAL (sched_shard_of (&s, 0x5c0e7a21d94b36f8ULL), 2);
@@ -170,10 +170,41 @@
   CU_ASSERT_STRING_EQUAL (key, "i0000000000000000");
 }
 
+/* Guards against a record that a build without the letters of identifiers
+   takes for that of the job with small ones, and against keys that two jobs
+   share. */
+static void
+test_keys_with_letters (void)
+{
+  const job_id_t id = job_id_make (0x5c0e7a21d94b36f8ULL, 1U << 14);
+  const scheduler_settings_t settings = { .partitions = 12 };
+  const scheduler_t s = { .settings = &settings, .shard_count = 3 };
+  record_kind_t kind;
+  job_id_t read;
+  char key[RECORD_KEY_MAX + 1];
+
+  CU_ASSERT_EQUAL (record_key (RECORD_PROGRESS, id, key), RECORD_KEY_MAX);
+  CU_ASSERT_STRING_EQUAL (key, "s5C0e7a21d94b36f8.");
+  CU_ASSERT (record_key_parse (blob_of (key), &kind, &read));
+  CU_ASSERT (read == id);
+  CU_ASSERT_EQUAL (kind, RECORD_PROGRESS);
+  CU_ASSERT_EQUAL (sched_shard_of (&s, id),
+                   sched_shard_of (&s, job_id_number (id)));
+  CU_ASSERT (record_key_parse (blob_of ("s5c0e7a21d94b36f8"), &kind, &read));
+  CU_ASSERT (read == job_id_number (id));
+  CU_ASSERT_FALSE (
+      record_key_parse (blob_of ("s5C0e7a21d94b36f8"), &kind, &read));
+  CU_ASSERT_FALSE (
+      record_key_parse (blob_of ("s5c0e7a21d94b36f8."), &kind, &read));
+  CU_ASSERT_FALSE (
+      record_key_parse (blob_of ("s5C0e7a21d94b36f8+"), &kind, &read));
+}
+
 int
 main (void)
 {
   const suite_test_t tests[] = {
+    { "keys with letters", test_keys_with_letters },
     { "records of an earlier build", test_earlier_records },
     { "uncounted crashes", test_uncounted_crashes },
     { "records for an earlier build", test_read_by_earlier_build },
--- a/src/scheduler/test_scheduler.c
+++ b/src/scheduler/test_scheduler.c
@@ -240,7 +240,7 @@
 static void
 add_late_record (store_answer_t *a)
 {
-  static char key[RECORD_KEY_LEN + 1];
+  static char key[RECORD_KEY_MAX + 1];
 
   if (!fake.late_record || fake.late_record_read
       || clock_now () < fake.late_record_at)
@@ -289,7 +289,7 @@
 static void
 add_work_record (store_answer_t *a)
 {
-  static char keys[2][RECORD_KEY_LEN + 1];
+  static char keys[2][RECORD_KEY_MAX + 1];
   uint32_t page = fake.work_pages++;
 
   if (!fake.progress_offset || page >= G_N_ELEMENTS (keys))
@@ -1400,6 +1400,38 @@
   free_bare_scheduler (s);
 }
 
+/* Guards against queries of peers for a job whose identifier has capital
+   letters that are answered for the one with small letters. */
+static void
+test_letters_of_peers (void)
+{
+  static const scheduler_settings_t settings
+      = { .zone = "z", .append_bytes = 65536 };
+  const job_id_t id = job_id_make (JOB_ID, 1U << 14);
+  scheduler_t *s = new_bare_scheduler ();
+  message_t message = { .type = MSG_JOB_ASK };
+  const deferred_query_t *query;
+
+  s->settings = &settings;
+  s->zones = zones_new ();
+  sched_set_shards (s, 1);
+  s->shards[0].owned = true;
+  message.u.job_ask
+      = (msg_job_ask_t){ .id = 6,
+                         .kind = QUERY_STATUS | 1ULL << (14 + CAPITALS_SHIFT),
+                         .job = JOB_ID };
+  sched_peerlink_ops.message (s, 1, 1, &message);
+  CU_ASSERT_EQUAL_FATAL (s->deferred_queries->len, 1);
+  query = &g_array_index (s->deferred_queries, deferred_query_t, 0);
+  CU_ASSERT (query->job == id);
+  CU_ASSERT_EQUAL (query->kind, QUERY_STATUS);
+  shard_free (s->shards[0].shard);
+  g_free (s->shards);
+  g_free (s->owners);
+  zones_free (s->zones);
+  free_bare_scheduler (s);
+}
+
 /* Guards against an owner that runs out of memory by queries of the callers of
    all other processes that it cannot answer yet. */
 static void
@@ -2005,6 +2037,7 @@
     { "cancel of an unread job", test_cancel_of_unread_job },
     { "malformed frames", test_malformed_frames },
     { "frame for odd shard", test_frame_for_odd_shard },
+    { "letters of peers", test_letters_of_peers },
     { "connection to a slow owner", test_connection_to_slow_owner },
     { "owner is full", test_owner_is_full },
     { "withdrawn until the deadline", test_withdrawn_until_deadline },
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -23,9 +23,10 @@
 static void load_submission (shard_t *shard, usec_t now, job_entry_t *entry,
                              job_id_t job, blob_t value);
 static void load_progress (job_entry_t *entry, blob_t value);
+static job_entry_t *entry_of_caller (const shard_t *shard, job_id_t job);
 static job_entry_t *new_entry (shard_t *shard, job_id_t job);
 static void register_job (shard_t *shard, usec_t now, job_entry_t *entry);
-static bool apply_progress (job_entry_t *entry);
+static job_end_t apply_progress (job_entry_t *entry);
 static int refuse_job (const shard_t *shard, job_id_t job,
                        uint32_t record_len);
 static void job_submitted (shard_t *shard, job_entry_t *entry);
@@ -46,8 +47,8 @@
   shard->ops = ops;
   shard->ctx = ctx;
   shard->number = number;
-  shard->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
-                                       entry_free);
+  shard->jobs
+      = g_hash_table_new_full (job_id_hash, job_id_equal, g_free, entry_free);
   shard->open_jobs = g_queue_new ();
   shard->dirty_entries = g_ptr_array_new ();
   shard->workers_by_id
@@ -237,6 +238,20 @@
   return g_hash_table_lookup (shard->jobs, &job);
 }
 
+/* @return the entry of the job that callers name, NULL for none.  A job stored
+   by a build that does not keep the letters of identifiers is known under
+   small ones; its caller may have written others. */
+static job_entry_t *
+entry_of_caller (const shard_t *shard, job_id_t job)
+{
+  job_entry_t *entry = shard_entry (shard, job);
+
+  if (entry || !job_id_capitals (job))
+    return entry;
+  entry = shard_entry (shard, job_id_make (job_id_number (job), 0));
+  return entry && entry->job && entry->job->letters_unknown ? entry : NULL;
+}
+
 void
 shard_mark_dirty (shard_t *shard, job_entry_t *entry)
 {
@@ -355,7 +370,7 @@
 int
 shard_check_room (const shard_t *shard, job_id_t job, uint32_t record_len)
 {
-  const job_entry_t *entry = shard_entry (shard, job);
+  const job_entry_t *entry = entry_of_caller (shard, job);
 
   if (!shard_is_active (shard) || (entry && entry->job)
       || memory_admits_record (shard, record_len))
@@ -369,9 +384,8 @@
 {
   counter_add (COUNTER_JOBS_NO_MEMORY, 1);
   log_item (LOG_LEVEL_INFO, job, "job.full", NULL,
-            "job=%016" PRIx64 " shard=%u bytes=%u job_bytes=%" PRIu64
-            "/%" PRIu64,
-            job, shard->number, record_len, shard->job_bytes,
+            "job=%s shard=%u bytes=%u job_bytes=%" PRIu64 "/%" PRIu64,
+            JOB_ID_TEXT (job), shard->number, record_len, shard->job_bytes,
             shard->config.job_bytes);
   return -ENOSPC;
 }
@@ -381,10 +395,10 @@
 static void
 job_submitted (shard_t *shard, job_entry_t *entry)
 {
-  log_item (
-      LOG_LEVEL_INFO, entry->job->id, "job.late", NULL,
-      "job=%016" PRIx64 " canceled_ms_ago=%" PRId64 " its submission arrives",
-      entry->job->id, shard->ops->wall_ms (shard->ctx) - entry->end_time_ms);
+  log_item (LOG_LEVEL_INFO, entry->job->id, "job.late", NULL,
+            "job=%s canceled_ms_ago=%" PRId64 " its submission arrives",
+            JOB_ID_TEXT (entry->job->id),
+            shard->ops->wall_ms (shard->ctx) - entry->end_time_ms);
   entry->job->unsubmitted = false;
   shard->unsubmitted_jobs--;
   shard_mark_dirty (shard, entry);
@@ -393,7 +407,7 @@
 int
 shard_submission_state (const shard_t *shard, job_id_t job)
 {
-  const job_entry_t *entry = shard_entry (shard, job);
+  const job_entry_t *entry = entry_of_caller (shard, job);
 
   if (!entry || !entry->job)
     return -ENOENT;
@@ -405,7 +419,7 @@
 int
 shard_withdraw (shard_t *shard, usec_t now, job_id_t id)
 {
-  job_entry_t *entry = shard_entry (shard, id);
+  job_entry_t *entry = entry_of_caller (shard, id);
   job_t *job = entry ? entry->job : NULL;
 
   if (!job)
@@ -420,6 +434,7 @@
   g_queue_remove (shard->open_jobs, job);
   g_ptr_array_remove (shard->dirty_entries, entry);
   memory_remove (shard, entry);
+  id = job->id;
   g_hash_table_remove (shard->jobs, &id);
   return 0;
 }
@@ -453,8 +468,8 @@
   order = submission_decode (value);
   if (!order || order->id != job)
     {
-      log_line (LOG_LEVEL_ERR, "job.unreadable", NULL,
-                "job=%016" PRIx64 " bytes=%u", job, value.len);
+      log_line (LOG_LEVEL_ERR, "job.unreadable", NULL, "job=%s bytes=%u",
+                JOB_ID_TEXT (job), value.len);
       submission_free (order);
       return;
     }
@@ -474,9 +489,8 @@
   shard->occurrences_due = now;
   counter_add (COUNTER_JOBS_KNOWN, 1);
   log_item (LOG_LEVEL_INFO, order->id, "job.known", NULL,
-            "job=%016" PRIx64 " queue=%s steps=%u age_ms=%" PRId64
-            " stored=%d",
-            order->id, order->queue, order->step_count,
+            "job=%s queue=%s steps=%u age_ms=%" PRId64 " stored=%d",
+            JOB_ID_TEXT (order->id), order->queue, order->step_count,
             shard->ops->wall_ms (shard->ctx) - order->accepted_ms,
             !entry->unstored_submission);
 }
@@ -489,9 +503,9 @@
   entry->early_progress = g_bytes_new (value.data, value.len);
 }
 
-/* Applies the progress record to a loaded job.
-   @return whether the job was canceled before it was submitted */
-static bool
+/* Applies the progress record to a loaded job.  @return what it tells of the
+   end */
+static job_end_t
 apply_progress (job_entry_t *entry)
 {
   gsize len = 0;
@@ -499,17 +513,17 @@
                          ? g_bytes_get_data (entry->early_progress, &len)
                          : "";
   blob_t value = { data, (uint32_t)len };
-  int64_t ended_ms = 0;
-  bool unsubmitted = false;
-  job_status_t end = job_decode_end (value, &ended_ms, &unsubmitted);
+  job_end_t end;
 
+  job_decode_end (value, &end);
   if (entry->job && len && job_decode (entry->job, value))
     log_line (LOG_LEVEL_ERR, "job.unreadable", NULL,
-              "job=%016" PRIx64 " progress of %zu bytes", entry->job->id, len);
-  entry->stored_end = end;
-  if (end != JOB_QUEUED)
-    entry->end_time_ms = ended_ms;
-  return unsubmitted;
+              "job=%s progress of %zu bytes", JOB_ID_TEXT (entry->job->id),
+              len);
+  entry->stored_end = end.status;
+  if (end.status != JOB_QUEUED)
+    entry->end_time_ms = end.ended_ms;
+  return end;
 }
 
 void
@@ -527,16 +541,15 @@
   while (g_hash_table_iter_next (&iter, &key, &data))
     {
       job_entry_t *entry = data;
-      bool unsubmitted = apply_progress (entry);
+      job_end_t end = apply_progress (entry);
 
       if (!entry->job)
         {
-          entry->job = job_new_ended (
-              *(job_id_t *)key,
-              entry->stored_end != JOB_QUEUED ? entry->stored_end : JOB_FAILED,
-              entry->end_time_ms);
-          entry->job->unsubmitted = unsubmitted;
-          shard->unsubmitted_jobs += unsubmitted;
+          if (end.status == JOB_QUEUED)
+            end.status = JOB_FAILED;
+          end.ended_ms = entry->end_time_ms;
+          entry->job = job_new_ended (*(job_id_t *)key, &end);
+          shard->unsubmitted_jobs += end.unsubmitted;
         }
       if (entry->early_progress)
         g_bytes_unref (entry->early_progress);
@@ -589,7 +602,7 @@
   histogram_add (HISTOGRAM_JOB,
                  (wall - job->submission->accepted_ms) * USEC_PER_MSEC);
   log_item (LOG_LEVEL_INFO, job->id, "job.end", NULL,
-            "job=%016" PRIx64 " queue=%s end=%s age_ms=%" PRId64, job->id,
+            "job=%s queue=%s end=%s age_ms=%" PRId64, JOB_ID_TEXT (job->id),
             job->submission->queue, job_status_name (end),
             wall - job->submission->accepted_ms);
   shard_mark_dirty (shard, entry);
@@ -616,7 +629,7 @@
 int
 shard_status (const shard_t *shard, job_id_t job, job_status_t *status)
 {
-  const job_entry_t *entry = shard_entry (shard, job);
+  const job_entry_t *entry = entry_of_caller (shard, job);
 
   if (!entry || !entry->job || entry->job->unsubmitted)
     return -ENOENT;
@@ -629,7 +642,7 @@
 bool
 shard_is_finishing (const shard_t *shard, job_id_t id)
 {
-  const job_entry_t *entry = shard_entry (shard, id);
+  const job_entry_t *entry = entry_of_caller (shard, id);
   const job_t *job = entry ? entry->job : NULL;
   const occurrence_t *occurrence;
 
@@ -647,7 +660,7 @@
 int
 shard_cancel (shard_t *shard, usec_t now, job_id_t job)
 {
-  job_entry_t *entry = shard_entry (shard, job);
+  job_entry_t *entry = entry_of_caller (shard, job);
 
   if (!entry || !entry->job)
     return -ENOENT;
@@ -689,26 +702,26 @@
 {
   int known = shard_cancel (shard, now, job);
   job_entry_t *entry = shard_entry (shard, job);
+  job_end_t end = { .status = JOB_CANCELED, .unsubmitted = true };
 
   if (known != -ENOENT)
     return known;
   if (shard->unsubmitted_jobs >= UNSUBMITTED_JOBS_MAX)
     {
       log_item (LOG_LEVEL_WARNING, job, "job.cancel", NULL,
-                "job=%016" PRIx64 " refused, unsubmitted=%u", job,
+                "job=%s refused, unsubmitted=%u", JOB_ID_TEXT (job),
                 shard->unsubmitted_jobs);
       return -ENOSPC;
     }
   if (!entry)
     entry = new_entry (shard, job);
-  entry->end_time_ms = shard->ops->wall_ms (shard->ctx);
-  entry->job = job_new_ended (job, JOB_CANCELED, entry->end_time_ms);
-  entry->job->unsubmitted = true;
+  end.ended_ms = entry->end_time_ms = shard->ops->wall_ms (shard->ctx);
+  entry->job = job_new_ended (job, &end);
   memory_update (shard, entry);
   shard->unsubmitted_jobs++;
   shard_mark_dirty (shard, entry);
   log_item (LOG_LEVEL_INFO, job, "job.cancel", NULL,
-            "job=%016" PRIx64 " not submitted yet, unsubmitted=%u", job,
+            "job=%s not submitted yet, unsubmitted=%u", JOB_ID_TEXT (job),
             shard->unsubmitted_jobs);
   return -EAGAIN;
 }
--- a/src/shard/shard_runs.c
+++ b/src/shard/shard_runs.c
@@ -59,7 +59,7 @@
 const char *
 run_format_id (const run_id_t *run_id, char out[64])
 {
-  g_snprintf (out, 64, "%016" PRIx64 ".%u.%u.%u", run_id->job,
+  g_snprintf (out, 64, "%s.%u.%u.%u", JOB_ID_TEXT (run_id->job),
               run_id->occurrence, run_id->step, run_id->index);
   return out;
 }
--- a/src/shard/shard_services.c
+++ b/src/shard/shard_services.c
@@ -18,9 +18,9 @@
   if (!service || !job_set_service (job, service, version))
     return;
   log_item (LOG_LEVEL_INFO, job->id, "job.moved", NULL,
-            "job=%016" PRIx64 " queue=%s service=%s version=%" PRIu64
-            " placed=%u",
-            job->id, job->submission->queue, service, version, job->placed);
+            "job=%s queue=%s service=%s version=%" PRIu64 " placed=%u",
+            JOB_ID_TEXT (job->id), job->submission->queue, service, version,
+            job->placed);
   entry->submission_bytes = 0;
   memory_update (shard, entry);
   shard_mark_dirty (shard, entry);
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -194,8 +194,8 @@
   if (value->len <= SHARD_VALUE_MAX_BYTES)
     return value;
   log_item (LOG_LEVEL_WARNING, job->id, "job.large", NULL,
-            "job=%016" PRIx64 " bytes=%u stored without checkpoints", job->id,
-            value->len);
+            "job=%s bytes=%u stored without checkpoints",
+            JOB_ID_TEXT (job->id), value->len);
   g_byte_array_set_size (value, 0);
   job_encode_without_checkpoints (job, value);
   return value;
--- a/src/shard/shard_waits.c
+++ b/src/shard/shard_waits.c
@@ -65,13 +65,13 @@
   if (outlook.counts[FIT_EVACUATED])
     counter_add (COUNTER_TASKS_KEPT_AWAY, tasks);
   log_item (LOG_LEVEL_INFO, entry->job->id, "step.waits", NULL,
-            "job=%016" PRIx64 " occurrence=%u step_number=%u tasks=%u"
+            "job=%s occurrence=%u step_number=%u tasks=%u"
             " waited_ms=%" PRId64 " late=%d fits=%u away=%u evacuated=%u"
             " full=%u excluded=%u disturbed=%u kept=%u"
             " suspected=%u long_running=%d"
             " millicores=%u memory_mb=%u free=%" PRId64 " widest=%" PRId64,
-            entry->job->id, c->occurrence->number, c->step, tasks,
-            usec_to_msec (now - entry->waits_since), c->late,
+            JOB_ID_TEXT (entry->job->id), c->occurrence->number, c->step,
+            tasks, usec_to_msec (now - entry->waits_since), c->late,
             outlook.counts[FIT_OK], outlook.counts[FIT_AWAY],
             outlook.counts[FIT_EVACUATED], outlook.counts[FIT_FULL],
             outlook.counts[FIT_EXCLUDED], outlook.counts[FIT_DISTURBED],
--- a/src/shard/test_shard_copies.c
+++ b/src/shard/test_shard_copies.c
@@ -27,14 +27,14 @@
 /* A worker process that answers what the shard asks, or nothing. */
 typedef struct
 {
+  shard_call_t hold; /* not answered yet, id 0: none */
+  run_report_t runs[MAX_RUNS];
+  end_report_t ends[MAX_RUNS];
   const char *checkpoint; /* of all its runs */
   size_t run_count;
   size_t end_count;
   uint64_t last_end;
   usec_t hold_due;
-  shard_call_t hold; /* not answered yet, id 0: none */
-  run_report_t runs[MAX_RUNS];
-  end_report_t ends[MAX_RUNS];
   bool silent;
   bool ignores_starts; /* starts are lost, other calls are answered */
   char id[4];
--- a/src/shard/test_shard_store.c
+++ b/src/shard/test_shard_store.c
@@ -85,10 +85,12 @@
 static void
 test_many_small_records (void)
 {
+  const job_end_t end = { .status = JOB_COMPLETED, .ended_ms = START_WALL_MS };
+
   set_up ();
   for (uint32_t i = 0; i < FORGOTTEN_JOBS; i++)
     {
-      job_t *job = job_new_ended (i + 1, JOB_COMPLETED, START_WALL_MS);
+      job_t *job = job_new_ended (i + 1, &end);
       GByteArray *record = g_byte_array_new ();
 
       job_encode (job, record);
--- a/tests/support/records.c
+++ b/tests/support/records.c
@@ -310,8 +310,8 @@
       " priority=%u attempts=%u stretch=%u target=%u "
       "accepted=%" G_GINT64_FORMAT " occurrences=%u due=%" G_GINT64_FORMAT
       " interval=%" G_GINT64_FORMAT "\n",
-      submission->id, submission->queue, submission->service, submission->spec,
-      submission->priority, submission->max_attempts,
+      (guint64)submission->id, submission->queue, submission->service,
+      submission->spec, submission->priority, submission->max_attempts,
       submission->stretch_percent, submission->target_ms,
       submission->accepted_ms, submission->occurrence_count,
       submission->first_due_ms, submission->interval_ms);
@@ -396,6 +396,19 @@
   interference_free (model);
 }
 
+/* What a build reads in the submission that a frame carries: its length may
+   grow by fields that are appended. */
+static void
+print_record (blob_t record, GString *text)
+{
+  submission_t *submission = submission_decode (record);
+
+  g_string_append (text, " record=\n");
+  if (submission)
+    print_submission (submission, text);
+  submission_free (submission);
+}
+
 static void
 print_fields (const message_t *frame, GString *text)
 {
@@ -409,6 +422,8 @@
       if (field->kind == WIRE_U64)
         g_string_append_printf (text, " %s=%" G_GUINT64_FORMAT, field->name,
                                 *(const uint64_t *)(const void *)value);
+      else if (strcmp (field->name, "record") == 0)
+        print_record (*(const blob_t *)(const void *)value, text);
       else if (field->kind == WIRE_BLOB)
         g_string_append_printf (text, " %s=%u bytes", field->name,
                                 ((const blob_t *)(const void *)value)->len);
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -457,7 +457,7 @@
 static char *
 task_key (const run_id_t *run_id)
 {
-  return g_strdup_printf ("%016" PRIx64 ".%u.%u.%u", run_id->job,
+  return g_strdup_printf ("%s.%u.%u.%u", JOB_ID_TEXT (run_id->job),
                           run_id->occurrence, run_id->step, run_id->index);
 }
 
@@ -571,10 +571,10 @@
                   const char *text)
 {
   if (world->violations++ < MAX_PRINTED_VIOLATIONS)
-    printf ("  seed %u at %.3f s: %016" PRIx64 ".%u.%u.%u run %u: %s\n",
-            world->config.seed, (double)world->now / USEC_PER_SEC, run_id->job,
-            run_id->occurrence, run_id->step, run_id->index, run_id->run,
-            text);
+    printf ("  seed %u at %.3f s: %s.%u.%u.%u run %u: %s\n",
+            world->config.seed, (double)world->now / USEC_PER_SEC,
+            JOB_ID_TEXT (run_id->job), run_id->occurrence, run_id->step,
+            run_id->index, run_id->run, text);
 }
 
 static submission_t *
@@ -888,7 +888,7 @@
 
   g_hash_table_replace (
       world->records,
-      g_strdup_printf ("%c%016" PRIx64, (char)RECORD_SUBMISSION, job),
+      g_strdup_printf ("%c%s", (char)RECORD_SUBMISSION, JOB_ID_TEXT (job)),
       g_bytes_ref (value));
   g_array_append_val (world->log, entry);
 }
@@ -1031,9 +1031,9 @@
   event->pairs = g_ptr_array_new ();
   for (size_t i = 0; i < count; i++)
     {
-      g_ptr_array_add (
-          event->pairs,
-          g_strdup_printf ("%c%016" PRIx64, records[i].kind, records[i].job));
+      g_ptr_array_add (event->pairs,
+                       g_strdup_printf ("%c%s", records[i].kind,
+                                        JOB_ID_TEXT (records[i].job)));
       g_ptr_array_add (event->pairs, g_bytes_new (records[i].value.data,
                                                   records[i].value.len));
     }
@@ -1861,7 +1861,7 @@
 static bool
 has_record (const shard_world_t *world, record_kind_t kind, job_id_t id)
 {
-  char *key = g_strdup_printf ("%c%016" PRIx64, (char)kind, id);
+  char *key = g_strdup_printf ("%c%s", (char)kind, JOB_ID_TEXT (id));
   bool found = g_hash_table_contains (world->records, key);
 
   g_free (key);
