Cover leases by calls meant for a worker's former incarnation

Cause: a lease ends at a time on the worker's clock, which each incarnation starts anew, and no call tells the incarnation that it is meant for. A start or hold sent before the restart is known reaches the new incarnation with a time by the former clock, often far ahead: the lease is shortened to the longest that the platform grants, 10 s there, while the owner reckons with the 6.5 s that it asked for. Ruled out: the minimum in on_hold and the record of lapsing workers. The second form, a task started after its end was acknowledged, is a consequence: the end of a run that had been given up too early.

Change: from when a restart is known, and from the end of each call meant for the former incarnation, the owner reckons with the longest lease. While that may outlast what a successor assumes, the record of the bound of leases names the worker, and no long-running task is placed there. New worker.reborn fields tell the former clock and the time left.

--- a/Makefile
+++ b/Makefile
@@ -135,6 +135,7 @@
               shard/test_shard_memory shard/test_shard_copies \
               shard/test_shard_services shard/test_shard_reserve \
               shard/test_shard_gangs shard/test_shard_letters \
+              shard/test_shard_stray \
               copies/test_copies \
               zones/test_zones \
               scheduler/test_scheduler scheduler/test_operator \
--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -70,6 +70,11 @@
 KEY_WITH_LETTERS_READ|src/scheduler/sched_store.c|scheduler/test_records|s/return marked == (job_id_capitals (\*job) != 0)/return true/
 LETTERS_OF_PEERS_DROPPED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/job_id_make (ask->job, ask->kind >> CAPITALS_SHIFT)/ask->job/
 SHARD_BY_LETTERS|src/scheduler/scheduler.c|scheduler/test_records|s/job_id_number (job) \*/(uint64_t)(job ^ job >> 64) */
+STRAY_AT_RESTART_IGNORED|src/shard/shard_calls.c|shard/test_shard_stray|s/^  stray_note (shard, now, worker);/;/
+STRAY_CALL_IGNORED|src/shard/shard_calls.c|shard/test_shard_stray|s/if (pending.has_lease \&\& pending.started_ms != worker->started_ms)/if (false)/
+STRAY_NOT_STORED|src/shard/shard_lease_bound.c|shard/test_shard_stray|s/^  stray_encode (shard, now, out);/;/
+STRAY_NOT_APPLIED|src/shard/shard_lease_bound.c|shard/test_shard_stray|s/^  stray_apply (shard);/;/
+LONG_RUNNING_ON_STRAY|src/shard/shard_choose.c|shard/test_shard_stray|s/step->long_running \&\& stray_outlasts (shard, now, worker)/false/
 GANG_FAILS_BY_MEMBER|src/jobs/jobs.c|shard/test_shard_gangs|s/if (run > occurrence->failed_run\[step\])/if (true)/
 GANG_FAILURE_NOT_STORED|src/jobs/job_record.c|shard/test_shard_gangs|s/i ? 0 : occurrence->failed_run\[s\]/0/;s/^  occurrence->failed_run\[step\] = ended;/;/
 GANG_FAILURE_OF_FORMER_BUILD|src/jobs/job_record.c|jobs/test_jobs|s/^  occurrence->failed_run\[step\] = ended;/;/
--- a/src/shard/shard.c
+++ b/src/shard/shard.c
@@ -70,6 +70,8 @@
   shard->batch_ends = g_array_new (FALSE, FALSE, sizeof (stored_end_t));
   shard->batch_submits = g_array_new (FALSE, FALSE, sizeof (job_id_t));
   shard->batch_drops = g_ptr_array_new ();
+  shard->loaded_stray
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   shard->loaded_lapsing
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return shard;
@@ -101,6 +103,7 @@
   g_array_free (shard->batch_ends, TRUE);
   g_array_free (shard->batch_submits, TRUE);
   g_ptr_array_free (shard->batch_drops, TRUE);
+  g_hash_table_destroy (shard->loaded_stray);
   g_hash_table_destroy (shard->loaded_lapsing);
   g_free (shard);
 }
@@ -161,6 +164,8 @@
   shard->former_leases_expired_at
       = now + shard->config.stale_limit + worker_max_lease_duration (shard);
   shard->loaded_lease_bound = 0;
+  g_hash_table_remove_all (shard->loaded_stray);
+  shard->stray_encoded_at = 0;
   shard->lease_bound_stored = false;
   shard->sequence = 0;
   log_line (LOG_LEVEL_NOTICE, "shard.begin", NULL,
--- a/src/shard/shard_calls.c
+++ b/src/shard/shard_calls.c
@@ -54,7 +54,7 @@
                             usec_t now);
 static uint64_t add_pending_call (shard_t *shard, usec_t now,
                                   shard_call_kind_t kind, handle_t worker,
-                                  handle_t run);
+                                  handle_t run, bool has_lease);
 static void on_hold (shard_t *shard, usec_t now, const pending_call_t *pending,
                      const shard_reply_t *reply, bool restarted);
 static void on_failed_hold (shard_t *shard, usec_t now, handle_t handle,
@@ -68,7 +68,8 @@
                                  const pending_call_t *pending);
 static void on_no_answer (shard_t *shard, usec_t now, handle_t handle,
                           shard_reply_kind_t kind);
-static void on_restart (worker_t *worker, usec_t now, int64_t started_ms);
+static void on_restart (const shard_t *shard, usec_t now, worker_t *worker,
+                        int64_t started_ms);
 static bool is_from_former_incarnation (const worker_t *worker,
                                         const pending_call_t *pending,
                                         const shard_reply_t *reply);
@@ -178,7 +179,7 @@
 
 static uint64_t
 add_pending_call (shard_t *shard, usec_t now, shard_call_kind_t kind,
-                  handle_t worker, handle_t run)
+                  handle_t worker, handle_t run, bool has_lease)
 {
   pending_call_t *pending = g_new0 (pending_call_t, 1);
   uint64_t id = ++shard->last_call_id;
@@ -186,7 +187,9 @@
   pending->kind = kind;
   pending->worker = worker;
   pending->address_changes = worker_get (shard, worker)->address_changes;
+  pending->started_ms = worker_get (shard, worker)->started_ms;
   pending->run = run;
+  pending->has_lease = has_lease;
   pending->sent = now;
   g_hash_table_insert (shard->pending_calls, g_memdup2 (&id, sizeof id),
                        pending);
@@ -244,7 +247,6 @@
   shard_call_t call = { .kind = SHARD_HOLD };
   bool unstored = worker->ends_applied != worker->ends_stored;
 
-  call.id = add_pending_call (shard, now, SHARD_HOLD, handle, HANDLE_NONE);
   call.address = worker->address;
   call.worker = worker->id;
   call.token = shard->token;
@@ -260,6 +262,8 @@
   if (!worker->in_doubt && !worker->lapsing && !unstored)
     call.wait = hold_wait (shard, worker);
   call.timeout = shard->config.call_timeout + call.wait;
+  call.id = add_pending_call (shard, now, SHARD_HOLD, handle, HANDLE_NONE,
+                              call.lease_until != 0);
   worker->hold_in_flight = true;
   if (call.lease_until)
     worker_lease_sent (shard, worker, now, call.lease_until);
@@ -324,7 +328,8 @@
     }
   if (withdraw_start (shard, now, handle))
     return;
-  call.id = add_pending_call (shard, now, SHARD_START, run->worker, handle);
+  call.id
+      = add_pending_call (shard, now, SHARD_START, run->worker, handle, true);
   call.address = worker->address;
   call.worker = worker->id;
   call.token = shard->token;
@@ -359,7 +364,8 @@
   const run_t *stopped = run_get (shard, run);
   shard_call_t call = { .kind = SHARD_STOP };
 
-  call.id = add_pending_call (shard, now, SHARD_STOP, worker_handle, run);
+  call.id
+      = add_pending_call (shard, now, SHARD_STOP, worker_handle, run, false);
   call.address = worker->address;
   call.worker = worker->id;
   call.token = shard->token;
@@ -405,6 +411,8 @@
                            "another worker answers at its address");
       return;
     }
+  if (pending.has_lease && pending.started_ms != worker->started_ms)
+    stray_note (shard, now, worker);
   if (reply->kind == SHARD_REPLY_NONE || reply->kind == SHARD_REPLY_REFUSED)
     on_no_answer (shard, now, pending.worker, reply->kind);
   if (is_from_former_incarnation (worker, &pending, reply))
@@ -417,7 +425,7 @@
   worker->restarted |= reply->started_ms && worker->started_ms
                        && reply->started_ms != worker->started_ms;
   if (reply->started_ms && reply->started_ms != worker->started_ms)
-    on_restart (worker, now, reply->started_ms);
+    on_restart (shard, now, worker, reply->started_ms);
   if (reply->clock_ms)
     worker_set_clock (worker, now, reply->clock_ms);
   if (pending.kind == SHARD_HOLD)
@@ -537,11 +545,16 @@
 /* The worker answers in another incarnation: the numbers of its ends start at
    1 again and its clock is unknown. */
 static void
-on_restart (worker_t *worker, usec_t now, int64_t started_ms)
+on_restart (const shard_t *shard, usec_t now, worker_t *worker,
+            int64_t started_ms)
 {
   log_line (LOG_LEVEL_NOTICE, "worker.reborn", worker->address,
-            "worker=%s life_ms=%" PRId64 " former=%" PRId64 " runs=%u",
-            worker->id, started_ms, worker->started_ms, worker->runs->len);
+            "worker=%s life_ms=%" PRId64 " former=%" PRId64
+            " runs=%u former_clock_ms=%" PRId64 " leases_left_ms=%" PRId64,
+            worker->id, started_ms, worker->started_ms, worker->runs->len,
+            worker->clock_at ? worker_clock (worker, now) : 0,
+            usec_to_msec (MAX (worker->leases_expired_at - now, 0)));
+  stray_note (shard, now, worker);
   worker->started_ms = started_ms;
   worker->started_known_at = now;
   worker->ends_applied = 0;
--- a/src/shard/shard_choose.c
+++ b/src/shard/shard_choose.c
@@ -316,6 +316,8 @@
   /* The next incarnation may have another label or less capacity. */
   if (worker->entry_started_ms != worker->started_ms)
     return FIT_AWAY;
+  if (step->long_running && stray_outlasts (shard, now, worker))
+    return FIT_AWAY;
   if (worker->evacuated)
     return FIT_EVACUATED;
   /* Nothing is started on a worker that has shrunk below what it runs, even
--- a/src/shard/shard_lapsing.c
+++ b/src/shard/shard_lapsing.c
@@ -21,14 +21,10 @@
 #define LAPSING_AFTER_NOTICE (200 * USEC_PER_MSEC)
 /* Interval at which the time that is left is stored again. */
 #define LAPSING_INTERVAL (500 * USEC_PER_MSEC)
-/* The platform accepts records of up to 256 KiB. */
-#define LAPSING_MAX_BYTES 200000U
 
 static bool lapses (const worker_t *worker, usec_t now);
-static void pack_worker (msgpack_packer *packer, usec_t now,
-                         const worker_t *worker);
 static void resume_calls (shard_t *shard, usec_t now, worker_t *worker);
-static bool load_row (shard_t *shard, const msgpack_object *row);
+static bool decode_row (const msgpack_object *row, GHashTable *rows);
 
 /* A worker on record stays there until it has answered or has no runs left. */
 static bool
@@ -61,20 +57,19 @@
 lapsing_encode (shard_t *shard, usec_t now, GByteArray *out)
 {
   uint32_t count = 0;
-  msgpack_packer packer;
 
-  msgpack_packer_init (&packer, out, shard_append_bytes);
   for (handle_t h = table_next (shard->workers, HANDLE_NONE); h != HANDLE_NONE;
        h = table_next (shard->workers, h))
     {
       worker_t *worker = worker_get (shard, h);
 
       worker->in_lapsing_batch
-          = out->len < LAPSING_MAX_BYTES && lapses (worker, now);
+          = out->len < LEASE_ROWS_MAX_BYTES && lapses (worker, now);
       if (!worker->in_lapsing_batch)
         continue;
       worker->lapsing = true;
-      pack_worker (&packer, now, worker);
+      lease_row_encode (worker->id, MAX (worker->leases_expired_at - now, 0),
+                        out);
       count++;
     }
   shard->lapsing_encoded_at = now;
@@ -83,16 +78,17 @@
 }
 
 /* Rows are [worker, ms until its leases have expired], one after the other. */
-static void
-pack_worker (msgpack_packer *packer, usec_t now, const worker_t *worker)
+void
+lease_row_encode (const char *id, usec_t left, GByteArray *out)
 {
-  usec_t left = MAX (worker->leases_expired_at - now, 0);
-  size_t len = strlen (worker->id);
+  msgpack_packer packer;
+  size_t len = strlen (id);
 
-  msgpack_pack_array (packer, 2);
-  msgpack_pack_str (packer, len);
-  msgpack_pack_str_body (packer, worker->id, len);
-  msgpack_pack_int64 (packer, usec_to_msec (left) + 1);
+  msgpack_packer_init (&packer, out, shard_append_bytes);
+  msgpack_pack_array (&packer, 2);
+  msgpack_pack_str (&packer, len);
+  msgpack_pack_str_body (&packer, id, len);
+  msgpack_pack_int64 (&packer, usec_to_msec (left) + 1);
 }
 
 void
@@ -126,26 +122,31 @@
 
 int
 lapsing_load (shard_t *shard, blob_t record)
+{
+  shard->lapsing_on_record = true;
+  return lease_rows_decode (record, 0, shard->loaded_lapsing);
+}
+
+int
+lease_rows_decode (blob_t record, size_t offset, GHashTable *rows)
 {
   msgpack_unpacked unpacked;
-  size_t offset = 0;
   bool ok = true;
 
-  g_hash_table_remove_all (shard->loaded_lapsing);
+  g_hash_table_remove_all (rows);
   msgpack_unpacked_init (&unpacked);
   while (ok && offset < record.len)
     ok = msgpack_unpack_next (&unpacked, record.data, record.len, &offset)
              == MSGPACK_UNPACK_SUCCESS
-         && load_row (shard, &unpacked.data);
+         && decode_row (&unpacked.data, rows);
   msgpack_unpacked_destroy (&unpacked);
   if (!ok)
-    g_hash_table_remove_all (shard->loaded_lapsing);
-  shard->lapsing_on_record = true;
+    g_hash_table_remove_all (rows);
   return ok ? 0 : -EBADMSG;
 }
 
 static bool
-load_row (shard_t *shard, const msgpack_object *row)
+decode_row (const msgpack_object *row, GHashTable *rows)
 {
   const msgpack_object *field = row->via.array.ptr;
   usec_t *left;
@@ -157,9 +158,8 @@
     return false;
   left = g_new (usec_t, 1);
   *left = (usec_t)field[1].via.u64 * USEC_PER_MSEC;
-  g_hash_table_insert (shard->loaded_lapsing,
-                       g_strndup (field[0].via.str.ptr, field[0].via.str.size),
-                       left);
+  g_hash_table_insert (
+      rows, g_strndup (field[0].via.str.ptr, field[0].via.str.size), left);
   return true;
 }
 
--- a/src/shard/shard_private.h
+++ b/src/shard/shard_private.h
@@ -180,6 +180,8 @@
   int64_t clock_ms; /* lower bound of its clock at CLOCK_AT */
   usec_t clock_at;
   usec_t leases_expired_at; /* of all granted so far */
+  usec_t stray_until;       /* the same of those by calls that were meant for a
+                               former       incarnation */
   bool lapsing; /* the stored record of lapsing workers may name it: it gets no
                    lease */
   bool in_lapsing_batch; /* the record in the batch names it */
@@ -204,6 +206,8 @@
   shard_call_kind_t kind;
   handle_t worker;
   uint32_t address_changes; /* of the worker when the call was sent */
+  int64_t started_ms;       /* incarnation that the call is meant for */
+  bool has_lease;
   handle_t run;
   usec_t sent;
   bool stray; /* stop of a run unknown to this owner */
@@ -324,6 +328,9 @@
   usec_t loaded_lease_bound; /* from a takeover until the leases of former
                                 owners have expired, 0: no record */
   bool lease_bound_stored;   /* the stored record holds for this owner */
+  GHashTable *loaded_stray;  /* worker id -> usec_t until stray leases there
+                                have expired, until shard_loaded */
+  usec_t stray_encoded_at;
   usec_t former_leases_expired_at; /* of former owners, at any worker */
 
   interference_t *interference;
@@ -467,16 +474,42 @@
 /** Applies the decoded record once all records are loaded. */
 void lapsing_apply (shard_t *shard, usec_t now);
 
+/* Most bytes of a record of rows. */
+#define LEASE_ROWS_MAX_BYTES 200000U
+/** Appends a row: a worker, and how long until its leases have expired. */
+void lease_row_encode (const char *id, usec_t left, GByteArray *out);
+/** Decodes such rows.
+    @param offset where they begin in the record
+    @param rows worker id -> usec_t, emptied first and after an error
+    @return 0 or -EBADMSG */
+int lease_rows_decode (blob_t record, size_t offset, GHashTable *rows);
+
 /* shard_lease_bound.c */
+/** @return longest time from a takeover until the leases of this owner have
+    expired, stray ones apart */
+usec_t lease_bound (const shard_t *shard);
 /** @return whether the bound of this owner's leases is to be stored though
     nothing else has changed */
-bool lease_bound_is_due (const shard_t *shard);
-void lease_bound_encode (const shard_t *shard, GByteArray *out);
+bool lease_bound_is_due (const shard_t *shard, usec_t now);
+void lease_bound_encode (shard_t *shard, usec_t now, GByteArray *out);
 /** Decodes the record of a former owner. @return 0 or -EBADMSG */
 int lease_bound_load (shard_t *shard, blob_t record);
 /** Applies the decoded record once all records are loaded. */
 void lease_bound_apply (shard_t *shard);
 
+/* shard_stray.c */
+/** The worker may have got a lease by a call that was meant for a former
+    incarnation. */
+void stray_note (const shard_t *shard, usec_t now, worker_t *worker);
+/** @return whether such leases may outlast what a successor assumes */
+bool stray_outlasts (const shard_t *shard, usec_t now, const worker_t *worker);
+/** @return whether they are to be stored though nothing else has changed */
+bool stray_is_due (const shard_t *shard, usec_t now);
+/** Encodes rows of the workers whose stray leases may outlast that. */
+void stray_encode (shard_t *shard, usec_t now, GByteArray *out);
+/** Applies the decoded rows once all records are loaded. */
+void stray_apply (shard_t *shard);
+
 /* shard_withdraw.c */
 /** Withdraws the start of a run if its worker must not get it any more.
     @return whether it was withdrawn */
--- a/src/shard/shard_store.c
+++ b/src/shard/shard_store.c
@@ -18,7 +18,7 @@
 
 static void add_interference (shard_t *shard, usec_t now);
 static void add_lapsing (shard_t *shard, usec_t now);
-static void add_lease_bound (shard_t *shard);
+static void add_lease_bound (shard_t *shard, usec_t now);
 static void add_record (shard_t *shard, record_kind_t kind, job_id_t job,
                         GByteArray *value);
 static void add_entry (shard_t *shard, job_entry_t *entry);
@@ -78,7 +78,7 @@
       return;
     }
   if (!shard->dirty_entries->len && !lapsing_is_due (shard, now)
-      && !lease_bound_is_due (shard))
+      && !lease_bound_is_due (shard, now))
     return;
   shard_reset_batch (shard);
   while (taken < shard->dirty_entries->len
@@ -107,7 +107,7 @@
   if (shard->interference_changed && now >= shard->interference_store_due)
     add_interference (shard, now);
   add_lapsing (shard, now);
-  add_lease_bound (shard);
+  add_lease_bound (shard, now);
   shard->sequence++;
   send_append (shard, now);
 }
@@ -149,11 +149,11 @@
 }
 
 static void
-add_lease_bound (shard_t *shard)
+add_lease_bound (shard_t *shard, usec_t now)
 {
   GByteArray *value = g_byte_array_new ();
 
-  lease_bound_encode (shard, value);
+  lease_bound_encode (shard, now, value);
   add_record (shard, RECORD_LEASE_BOUND, 0, value);
 }
 
--- a/src/shard/test_shard.c
+++ b/src/shard/test_shard.c
@@ -244,6 +244,29 @@
              SEED_COUNT);
 }
 
+/* Guards against a second run beside one whose lease a call meant for the
+   former incarnation of its worker has brought: the worker is back at once and
+   soon cut off, and the platform grants longer leases than owners ask for. */
+static void
+test_recuts (void)
+{
+  world_config_t config = { .recuts = true,
+                            .lease = 10 * USEC_PER_SEC,
+                            .stale_limit = 3 * USEC_PER_SEC,
+                            .long_cuts = true,
+                            .worker_crash_interval = 1700 * USEC_PER_MSEC,
+                            .workers = 12 };
+
+  run_seeds (config, SEED_COUNT);
+  config.takeover_interval = 3100 * USEC_PER_MSEC;
+  run_seeds (config, SEED_COUNT);
+  config.lasting = true;
+  config.jobs = 12;
+  run_seeds (config, SEED_COUNT);
+  config.lease = 0;
+  run_seeds (config, SEED_COUNT);
+}
+
 /* Guards against starts beyond the capacity of the incarnation that follows a
    larger one, once its entry has had time to arrive. */
 static void
@@ -591,6 +614,7 @@
     { "smaller incarnations", test_smaller_incarnations },
     { "unlisted workers", test_unlisted_workers },
     { "leaving workers", test_leaving_workers },
+    { "recuts", test_recuts },
     { "long cuts", test_long_cuts },
     { "other worker at address", test_other_worker },
     { "slow replies", test_slow_replies },
--- a/tests/support/shard_world.c
+++ b/tests/support/shard_world.c
@@ -22,6 +22,10 @@
 #define CUT_MIN (4 * USEC_PER_SEC)
 #define CUT_MAX (LEASE_DURATION - 300 * USEC_PER_MSEC)
 #define LONG_CUT_MAX (14 * USEC_PER_SEC)
+/* In worlds with recuts: how long a crashed worker is down, and latest time
+   from then on at which it is cut off. */
+#define RECUT_DOWN (600 * USEC_PER_MSEC)
+#define RECUT_MAX (4 * USEC_PER_SEC)
 /* Longer than SHRUNK_AFTER. */
 #define LIST_OUTAGE_DURATION (7 * USEC_PER_SEC)
 #define OWNER_COUNT 2U
@@ -195,6 +199,8 @@
   int64_t started_ms;
   bool up;
   usec_t unhealthy_until; /* rejects starts until then */
+  usec_t back_at;         /* with recuts: it is up again then, 0: it is */
+  usec_t recut_at;        /* it is cut off then, 0: it is not to be */
   usec_t cut_until;       /* owners do not reach it until then */
   cut_kind_t cut_kind;
   uint32_t cut_owners; /* bit of each owner that does not reach it */
@@ -515,6 +521,12 @@
                    * worker->clock_rate / USEC_PER_MSEC);
 }
 
+static usec_t
+longest_lease (const shard_world_t *world)
+{
+  return world->config.lease ? world->config.lease : LEASE_DURATION;
+}
+
 static int64_t
 wall_ms (void *ctx)
 {
@@ -654,7 +666,7 @@
 {
   shard_world_t *world = g_new0 (shard_world_t, 1);
   shard_config_t shard
-      = { .lease = LEASE_DURATION,
+      = { .lease = config->lease ? config->lease : LEASE_DURATION,
           .stop_limit = 200 * USEC_PER_MSEC,
           .poll_busy = USEC_PER_SEC,
           .poll_shared = 400 * USEC_PER_MSEC,
@@ -1566,7 +1578,8 @@
   return !worker->up || (cut && worker->cut_kind != CUT_ONE_WAY)
          || event->reset == RESET_BEFORE
          || (strcmp (worker->id, event->worker) == 0
-             && (event->delayed || event->call.kind == SHARD_HOLD)
+             && (event->delayed
+                 || (event->call.kind == SHARD_HOLD && !world->config.recuts))
              && event->worker_started_ms != worker->started_ms);
 }
 
@@ -1600,14 +1613,35 @@
   return LINK_DELAY;
 }
 
+/* @return whether the call waits for the next incarnation of its worker */
+static bool
+await_restart (shard_world_t *world, event_t *event,
+               const sim_worker_t *worker)
+{
+  event_t *again;
+
+  if (!worker || !worker->back_at || event->reply_lost)
+    return false;
+  again = g_new0 (event_t, 1);
+  *again = *event;
+  event->worker = event->address = event->spec = NULL;
+  schedule_event (world, again,
+                  worker->back_at + 1
+                      + g_rand_int_range (world->rng, 0, (gint32)LINK_DELAY));
+  return true;
+}
+
 static void
 execute_call (shard_world_t *world, event_t *event)
 {
   sim_worker_t *worker = find_address (world, event->address);
-  event_t *answer = g_new0 (event_t, 1);
+  event_t *answer;
   const shard_call_t *call = &event->call;
   shard_reply_kind_t kind;
 
+  if (await_restart (world, event, worker))
+    return;
+  answer = g_new0 (event_t, 1);
   answer->kind = EVENT_REPLY;
   answer->owner = event->owner;
   answer->owner_token = event->owner_token;
@@ -1625,10 +1659,11 @@
       worker->token = call->token;
       answer->reply.kind = SHARD_REPLY_OK;
       if (call->lease_until)
-        worker->lease_until = MAX (
-            worker->lease_until,
-            MIN (call->lease_until, worker_clock_ms (world, worker)
-                                        + usec_to_msec (LEASE_DURATION)));
+        worker->lease_until
+            = MAX (worker->lease_until,
+                   MIN (call->lease_until,
+                        worker_clock_ms (world, worker)
+                            + usec_to_msec (longest_lease (world))));
       if (call->kind == SHARD_START)
         answer->reply.kind = start_run (world, worker, call, event->delayed);
       else if (call->kind == SHARD_STOP)
@@ -1716,9 +1751,17 @@
   sim_worker_t *worker = draw_worker (world);
   bool was_up = worker->up;
 
-  if (worker->departure.has_ended || worker->closed)
+  if (worker->departure.has_ended || worker->closed || worker->back_at)
     return;
   end_worker (world, worker);
+  if (world->config.recuts)
+    {
+      worker->up = false;
+      worker->back_at = world->now + RECUT_DOWN;
+      worker->recut_at = worker->back_at
+                         + g_rand_int_range (world->rng, 0, (gint32)RECUT_MAX);
+      return;
+    }
   worker->up = g_rand_boolean (world->rng);
   if (!world->config.resize_interval)
     return;
@@ -2350,6 +2393,29 @@
     resize_worker (world, worker);
 }
 
+/* Has crashed workers start again and cuts them off. */
+static void
+advance_recuts (shard_world_t *world)
+{
+  for (uint32_t i = 0; i < world->config.workers; i++)
+    {
+      sim_worker_t *worker = &world->workers[i];
+
+      if (worker->back_at && world->now >= worker->back_at)
+        {
+          /* The incarnation begins now. */
+          end_worker (world, worker);
+          worker->up = true;
+          worker->back_at = 0;
+          update_entry (worker);
+        }
+      if (!worker->recut_at || world->now < worker->recut_at)
+        continue;
+      worker->recut_at = 0;
+      cut_worker (world, worker);
+    }
+}
+
 static void
 unlist_worker (shard_world_t *world, sim_worker_t *worker)
 {
@@ -2384,6 +2450,7 @@
   last = &g_array_index (worker->capacities, sim_capacity_t,
                          worker->capacities->len - 1);
   worker->up = !worker->closed;
+  worker->back_at = worker->recut_at = 0;
   worker->cut_until = 0;
   worker->unlisted_until = worker->misled_until = 0;
   if (last->at >= world->faults_end)
@@ -2541,6 +2608,8 @@
       world->crash_due = world->now + world->config.worker_crash_interval;
       crash_worker (world);
     }
+  if (world->config.recuts)
+    advance_recuts (world);
   if (world->config.resize_interval && world->now >= world->resize_due)
     {
       world->resize_due = world->now + world->config.resize_interval;
--- a/tests/support/shard_world.h
+++ b/tests/support/shard_world.h
@@ -49,6 +49,10 @@
   usec_t worker_cut_interval;   /**< between cuts of a worker from all owners
                                    for 4 to 5.7 s, 0 for none; with
                                    RESIZE_INTERVAL it is resized as well */
+  usec_t lease;            /**< longest lease that workers grant, 0: 6 s */
+  bool recuts;             /**< a crashed worker is back 0.6 s later, gets what
+                              was sent to it meanwhile, and is cut off up to
+                              4 s after that, for up to 14 s */
   bool long_cuts;          /**< cuts last up to 14 s, longer than leases; some
                               refuse connections, some let calls pass and lose
                               the replies, some cut off one owner only */
