--- a/scripts/mutants-sched.sh
+++ b/scripts/mutants-sched.sh
@@ -44,7 +44,7 @@
 LEASE_BEYOND_HORIZON|src/shard/shard_calls.c|shard/test_shard|s/MIN (shard->config.lease, horizon)/MAX (shard->config.lease, horizon)/
 LEASE_LONGER_THAN_HORIZON|src/shard/shard_calls.c|shard/test_shard_leases|s/MIN (shard->config.lease, horizon)/MAX (shard->config.lease, horizon)/
 CANCEL_UNRECORDED|src/scheduler/sched_asks.c|scheduler/test_scheduler|s/? shard_cancel_unknown (/? shard_cancel (/
-CANCEL_FORGOTTEN|src/jobs/job_record.c|shard/test_shard_cancel|s/\*unsubmitted = uint_at (record, 6) != 0/*unsubmitted = false/
+CANCEL_FORGOTTEN|src/jobs/job_record.c|shard/test_shard_cancel|s/\.unsubmitted = uint_at (record, 6) != 0/.unsubmitted = false/
 CANCEL_NOT_LIMITED|src/shard/shard.c|shard/test_shard_cancel|s/shard->unsubmitted_jobs >= UNSUBMITTED_JOBS_MAX/false/
 CANCEL_TAKEN_FOR_KNOWN|src/shard/shard.c|shard/test_shard_cancel|s/|| entry->job->unsubmitted)$/)/
 CANCEL_OF_UNKNOWN_UNRECORDED|src/shard/shard.c|shard/test_shard|s/^  if (known != -ENOENT)$/  if (true)/
